--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target makes the virtual environment that it needs.
+VENV ?= .venv
+PYTHON ?= python3
+SEED ?= 1
+BIN := $(VENV)/bin
+LIBS := $(wildcard libs/*)
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/$(lib)/src))
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: run up test lint format clean
+
+$(VENV)/.installed: requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach lib,$(LIBS),-e ./$(lib))
+	touch $@
+
+run: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_standins run --seed $(SEED)
+
+up: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_standins up --seed $(SEED)
+
+test: $(VENV)/.installed
+	$(BIN)/python tests/run_features.py
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) .out
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix, experiments and capacity measurements."""
--- /dev/null
+++ b/libs/caller/src/lagoontally_caller/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for callers."""
--- /dev/null
+++ b/libs/cli/src/lagoontally/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_actions.py
@@ -0,0 +1,172 @@
+"""Actions: what the core asks the edges to do."""
+
+from enum import IntEnum
+from typing import Any, NamedTuple
+
+from ._events import Flow
+
+
+class ReplyTo(NamedTuple):
+    """Where an answer goes and which request it answers."""
+
+    flow: Flow
+    token: bytes
+    message_id: int
+    confirmable: bool
+
+
+class Forwarded(NamedTuple):
+    """A target's own answer.
+
+    Attributes:
+        body: The target's datagram.
+        sequence: The line's sequence number; None where no line is open.
+    """
+
+    body: bytes
+    sequence: int | None = None
+
+
+class NeedEcho(NamedTuple):
+    """Nothing was run: repeat the request with the Echo given."""
+
+    reason: str
+
+
+class Refused(NamedTuple):
+    """Nothing was run and nothing will be: come back after ``retry_after_s``."""
+
+    retry_after_s: int
+    reason: str
+
+
+class Unknown(NamedTuple):
+    """It isn't known whether the request was run."""
+
+    reason: str
+
+
+class Rejected(NamedTuple):
+    """The request can't be served as it stands."""
+
+    reason: str
+
+
+Answer = Forwarded | NeedEcho | Refused | Unknown | Rejected
+
+
+class AnswerCaller(NamedTuple):
+    """Send the final answer to a request; ``echo`` may be empty."""
+
+    reply_to: ReplyTo
+    answer: Answer
+    echo: bytes
+
+
+class NotifyCaller(NamedTuple):
+    """Send a notification on an open line."""
+
+    flow: Flow
+    token: bytes
+    message_id: int
+    confirmable: bool
+    sequence: int
+    echo: bytes
+    body: bytes
+
+
+class SendKind(IntEnum):
+    """What is sent to a target."""
+
+    REQUEST = 0
+    LINE_OPEN = 1
+    LINE_CLOSE = 2
+
+
+class SendUpstream(NamedTuple):
+    """Send a request to a target in one datagram, without repeats.
+
+    Attributes:
+        target: ``IP:port`` of the target.
+        path: Names the local socket; an unused number opens a new one.
+        token: Token of the exchange, 8 bytes.
+        kind: Whether it opens or closes a line.
+        host: ``service.workspace``, named to the target.
+        remaining_ms: Time left to the deadline at this hop.
+        body: The caller's datagram.
+    """
+
+    target: str
+    path: int
+    token: bytes
+    kind: SendKind
+    host: str
+    remaining_ms: int
+    body: bytes
+
+
+class AskIdentity(NamedTuple):
+    """Ask a target which workspace and service it serves."""
+
+    target: str
+    host: str
+
+
+class AskLoad(NamedTuple):
+    """Ask a target for its load."""
+
+    target: str
+    host: str
+
+
+class SendPeer(NamedTuple):
+    """Send a message to another balancer; it may be lost."""
+
+    peer_address: str
+    message: Any
+
+
+class ReadTemplate(NamedTuple):
+    """Read the template from the platform now."""
+
+    reason: str
+
+
+class Count(NamedTuple):
+    """Add to a counter."""
+
+    name: str
+    value: int = 1
+
+
+class RecordLatency(NamedTuple):
+    """Add a latency to the histogram of a service and request kind."""
+
+    service: str
+    kind: str
+    latency_ms: int
+
+
+class LogChange(NamedTuple):
+    """Log a change of state.
+
+    Attributes:
+        level: Name of a level of ``logging``.
+        text: What changed.
+        fields: Names and values that go with it.
+    """
+
+    level: str
+    text: str
+    fields: dict[str, Any]
+
+
+class AnswerOperator(NamedTuple):
+    """Answer an operator's query with plain data."""
+
+    query_id: int
+    result: dict[str, Any]
+
+
+class Stop(NamedTuple):
+    """The balancer has left: end the process."""
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_events.py
@@ -0,0 +1,197 @@
+"""Events: what the edges tell the core.
+
+All times are milliseconds of the balancer's own monotonic clock. Payloads are
+encoded datagrams that the core never looks into.
+"""
+
+from enum import Enum, IntEnum
+from typing import Any, NamedTuple
+
+from lagoontally_model import Template
+
+
+class RequestKind(IntEnum):
+    """What a caller asks for, as far as the core has to tell it apart."""
+
+    IDEMPOTENT = 0
+    COMMAND = 1
+    LINE_OPEN = 2
+    LINE_CLOSE = 3
+
+
+class Flow(NamedTuple):
+    """A caller's endpoint at one service.
+
+    Attributes:
+        service: Name of the service in the balancer's workspace.
+        caller: ``IP:port`` that the caller's packets come from.
+    """
+
+    service: str
+    caller: str
+
+
+class Request(NamedTuple):
+    """A request as a caller sent it.
+
+    Attributes:
+        kind: What is asked for.
+        token: The caller's token, 0 to 8 bytes.
+        message_id: The message id of this datagram.
+        confirmable: True when the answer acknowledges the message id.
+        echo: The Echo that the caller returned, empty when there is none.
+        remaining_ms: Time left to the caller's deadline.
+        body: The whole datagram.
+    """
+
+    kind: RequestKind
+    token: bytes
+    message_id: int
+    confirmable: bool
+    echo: bytes
+    remaining_ms: int
+    body: bytes
+
+
+class ReplyStatus(Enum):
+    """What an upstream's reply says of the request."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+
+
+class CallerRequest(NamedTuple):
+    """A caller's request has arrived at the entry port of its service."""
+
+    flow: Flow
+    request: Request
+
+
+class CallerAck(NamedTuple):
+    """A caller has acknowledged a confirmable notification."""
+
+    flow: Flow
+    message_id: int
+
+
+class CallerReset(NamedTuple):
+    """A caller no longer wants the notification with this message id."""
+
+    flow: Flow
+    message_id: int
+
+
+class UpstreamReply(NamedTuple):
+    """A target has answered, or notified a line.
+
+    Attributes:
+        target: ``IP:port`` that the reply came from.
+        path: The socket that it came in by, as named in ``SendUpstream``.
+        token: The token of the exchange, chosen by this balancer.
+        status: Whether it was run, or shed by the target's documented refusal.
+        observed: True when it belongs to an open line.
+        retry_after_s: The target's own word on when to come back, with a shed.
+        body: The whole datagram.
+    """
+
+    target: str
+    path: int
+    token: bytes
+    status: ReplyStatus
+    observed: bool
+    retry_after_s: int
+    body: bytes
+
+
+class IdentityReply(NamedTuple):
+    """A target has said which workspace and service it serves."""
+
+    target: str
+    workspace: str
+    service: str
+
+
+class LoadReply(NamedTuple):
+    """A target has reported its load.
+
+    Attributes:
+        target: ``IP:port`` of the target.
+        busy: Requests that run or wait there.
+        lines: Open lines.
+    """
+
+    target: str
+    busy: int
+    lines: int
+
+
+class PeerMessage(NamedTuple):
+    """A message of another balancer; ``message`` is a type of ``_peer_messages``."""
+
+    sender: int
+    message: Any
+
+
+class TemplateRead(NamedTuple):
+    """A template that passed validation was read, with its encoded document."""
+
+    template: Template
+    document: bytes
+
+
+class TemplateRejected(NamedTuple):
+    """A published template failed validation."""
+
+    version: int
+    reason: str
+
+
+class Instance(NamedTuple):
+    """An entry instance on the platform's list.
+
+    Attributes:
+        name: Name of the instance.
+        data_centre: Data centre that it runs in.
+        peer_address: ``IP:port`` that takes other balancers' messages.
+        leaving: True once the platform marks it as leaving.
+    """
+
+    name: str
+    data_centre: str
+    peer_address: str
+    leaving: bool
+
+
+class InstancesRead(NamedTuple):
+    """The platform's list of entry instances of this workspace was read."""
+
+    instances: tuple[Instance, ...]
+
+
+class LeaveRequested(NamedTuple):
+    """The operator or the machine asks this balancer to leave."""
+
+
+class OperatorQuery(NamedTuple):
+    """An operator asks for something.
+
+    Attributes:
+        query_id: Names the query in its answer.
+        name: ``status``, ``explain`` or ``drain``.
+        argument: What to explain; otherwise empty.
+    """
+
+    query_id: int
+    name: str
+    argument: str
+
+
+class Tick(NamedTuple):
+    """Time has passed; sent at least every ``TICK_MS`` and when a timer is due."""
+
+
+class Received(NamedTuple):
+    """An event that waited in a queue since ``received_ms``."""
+
+    received_ms: int
+    event: Any
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_peer_messages.py
@@ -0,0 +1,244 @@
+"""Messages between balancers.
+
+Each is a ``NamedTuple`` whose fields are plain data, so that a typed codec can
+carry it. Incarnations are random 64-bit numbers, drawn when a balancer starts.
+"""
+
+from typing import NamedTuple
+
+from ._events import Flow, Request
+
+
+class MemberRecord(NamedTuple):
+    """What is known of one balancer.
+
+    Attributes:
+        incarnation: The balancer's incarnation.
+        name: Its instance name.
+        data_centre: Its data centre.
+        peer_address: ``IP:port`` that takes peer messages.
+        status: A ``MemberStatus`` value.
+        revision: Rises each time the balancer refutes a suspicion or changes.
+        wake: How many pauses it has noticed; a relay names the wake it knows.
+        template_version: The version that it has in force.
+    """
+
+    incarnation: int
+    name: str
+    data_centre: str
+    peer_address: str
+    status: int
+    revision: int
+    wake: int
+    template_version: int
+
+
+class Ping(NamedTuple):
+    """Asks whether a balancer is alive; carries news of members."""
+
+    number: int
+    sender: MemberRecord
+    news: list[MemberRecord]
+    successions: list["Succession"]
+
+
+class PingAck(NamedTuple):
+    """Answers a ping, also on behalf of another balancer."""
+
+    number: int
+    subject: int
+    sender: MemberRecord
+    news: list[MemberRecord]
+    successions: list["Succession"]
+
+
+class PingRequest(NamedTuple):
+    """Asks a third balancer to ping ``subject_address`` in the sender's place."""
+
+    number: int
+    sender: MemberRecord
+    subject: int
+    subject_address: str
+
+
+class Join(NamedTuple):
+    """Introduces a balancer; answered with ``Welcome``."""
+
+    sender: MemberRecord
+
+
+class Welcome(NamedTuple):
+    """Every member and succession that the sender knows."""
+
+    sender: MemberRecord
+    members: list[MemberRecord]
+    successions: list["Succession"]
+
+
+class Relay(NamedTuple):
+    """Takes a request, as an ingress received it, to the home of its flow.
+
+    Attributes:
+        home: The incarnation that the Echo names.
+        wake: The home's wake that the ingress knows; an older one is discarded.
+        flow: The caller's endpoint and service.
+        request: The request, its time left measured at the ingress.
+    """
+
+    home: int
+    wake: int
+    flow: Flow
+    request: Request
+
+
+class RelayAck(NamedTuple):
+    """Takes a caller's acknowledgement or reset to the home of a line."""
+
+    flow: Flow
+    message_id: int
+    reset: bool
+
+
+class RelayFresh(NamedTuple):
+    """Hands a request that the sender won't run to a peer, to start afresh.
+
+    The receiver answers it as a request that came without an Echo.
+    """
+
+    flow: Flow
+    request: Request
+
+
+class RememberedRecord(NamedTuple):
+    """One remembered request, as handed to an heir.
+
+    Attributes:
+        flow: The caller's endpoint and service.
+        token: The request's token.
+        answer_kind: Name of the answer's type; ``Unknown`` while it ran.
+        answer_body: The target's datagram, for a forwarded answer.
+        retry_after_s: For a refusal.
+        remaining_ms: How long it stays remembered.
+    """
+
+    flow: Flow
+    token: bytes
+    answer_kind: str
+    answer_body: bytes
+    retry_after_s: int
+    remaining_ms: int
+
+
+class LineRecord(NamedTuple):
+    """One open line, as handed to an heir.
+
+    Attributes:
+        flow: The caller's endpoint and service.
+        token: The caller's token.
+        sequence: The last sequence number used.
+        target: ``IP:port`` of the target that serves the line.
+        remaining_ms: Time left to the line's lease.
+        body: The caller's registration.
+    """
+
+    flow: Flow
+    token: bytes
+    sequence: int
+    target: str
+    remaining_ms: int
+    body: bytes
+
+
+class HandoverPart(NamedTuple):
+    """A part of what a leaving balancer hands to one heir.
+
+    Attributes:
+        leaver: The incarnation that leaves.
+        leaver_address: Where acknowledgements go.
+        part: Number of this part, from 0.
+        parts: How many parts there are.
+        echo_key: The key of the leaver's Echoes.
+        echo_clock_ms: The leaver's clock, in which its Echoes are dated.
+        origins: Earlier incarnations whose requests are among them.
+        lines: Open lines.
+        remembered: Remembered requests.
+    """
+
+    leaver: int
+    leaver_address: str
+    part: int
+    parts: int
+    echo_key: bytes
+    echo_clock_ms: int
+    origins: list["Origin"]
+    lines: list[LineRecord]
+    remembered: list[RememberedRecord]
+
+
+class Origin(NamedTuple):
+    """An earlier incarnation whose Echoes an heir can judge."""
+
+    incarnation: int
+    echo_key: bytes
+    echo_clock_ms: int
+
+
+class HandoverAck(NamedTuple):
+    """An heir holds every part that the leaver sent it."""
+
+    leaver: int
+    heir: int
+
+
+class Succession(NamedTuple):
+    """Announces that the heirs answer for a balancer that has left.
+
+    Attributes:
+        leaver: The incarnation that left.
+        heirs: Incarnations among which its flows are spread by rendezvous.
+        age_ms: How long ago it was announced.
+    """
+
+    leaver: int
+    heirs: list[int]
+    age_ms: int
+
+
+class TemplateDigest(NamedTuple):
+    """Says which template a balancer has in force.
+
+    Attributes:
+        version: Version in force.
+        digest: Digest of the whole document.
+    """
+
+    version: int
+    digest: bytes
+
+
+class TemplateWant(NamedTuple):
+    """Asks for the sections that differ from those held.
+
+    Attributes:
+        version: Version in force at the sender; 0 for none.
+        sections: Digest of each section that the sender holds, by name.
+    """
+
+    version: int
+    sections: dict[str, bytes]
+
+
+class TemplateSections(NamedTuple):
+    """The sections that the asking balancer lacks.
+
+    Attributes:
+        version: Version of the document.
+        digest: Digest of the whole document.
+        order: Names of all its sections.
+        sections: The encoded sections that differ.
+    """
+
+    version: int
+    digest: bytes
+    order: list[str]
+    sections: dict[str, bytes]
--- /dev/null
+++ b/libs/daemon/src/lagoontally_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer process and its composition root."""
--- /dev/null
+++ b/libs/edges/src/lagoontally_edges/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, codecs and clients around the core."""
--- /dev/null
+++ b/libs/standins/src/lagoontally_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, with the load tool."""
