--- a/libs/core/src/lagoontally_core/_actions.py
+++ b/libs/core/src/lagoontally_core/_actions.py
@@ -126,6 +126,16 @@
     message: Any
 
 
+class ServeEntries(NamedTuple):
+    """Take callers' packets at these ports only.
+
+    Attributes:
+        ports: The entry port of each service.
+    """
+
+    ports: dict[str, int]
+
+
 class ReadTemplate(NamedTuple):
     """Read the template from the platform now."""
 
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_choice.py
@@ -0,0 +1,106 @@
+"""Choosing a target."""
+
+from xxhash import xxh3_64_intdigest
+
+from lagoontally_model import Placement
+
+from ._echo import target_hint
+from ._rendezvous import flow_key
+from ._state import Identity
+
+FAILURES_TO_CLOSE = 3
+CLOSED_MS = 5_000
+
+
+def candidates(state, service, now_ms, tried=()):
+    """Return the targets of a service that may get new work.
+
+    Targets closed after failures are left out unless no other remains.
+    """
+    usable = [
+        target
+        for target in map(state.targets.get, state.service_targets.get(service, ()))
+        if target.identity is Identity.CONFIRMED
+        and not target.leaving
+        and target.address not in tried
+    ]
+    open_ones = [target for target in usable if target.closed_until_ms <= now_ms]
+    return open_ones or usable
+
+
+def choose_target(turn, flow, *, hint=0, tried=()):
+    """Return the target for a request, or None when there is none.
+
+    Args:
+        turn: The step in progress.
+        flow: The caller's endpoint and service.
+        hint: The target that the caller's Echo names, 0 for none.
+        tried: Addresses that must not be chosen.
+    """
+    usable = candidates(turn.state, flow.service, turn.now_ms, tried)
+    if not usable:
+        return None
+    if _placement(turn.state, flow.service) is Placement.REQUEST:
+        return _less_loaded(usable, turn.random, _request_load)
+    return _kept_target(usable, flow, hint)
+
+
+def choose_line_target(turn, flow, *, tried=()):
+    """Return the target for a line, by lines held, or None."""
+    usable = candidates(turn.state, flow.service, turn.now_ms, tried)
+    if not usable:
+        return None
+    return _less_loaded(usable, turn.random, _line_load)
+
+
+def _placement(state, service):
+    workspace = state.template.workspaces[state.info.workspace]
+    return workspace.services[service].placement
+
+
+def _kept_target(usable, flow, hint):
+    if hint:
+        for target in usable:
+            if target_hint(target.address) == hint:
+                return target
+    key = flow_key(flow)
+    return max(
+        usable,
+        key=lambda target: xxh3_64_intdigest(target.address.encode() + b"|" + key),
+    )
+
+
+def _less_loaded(usable, random, load):
+    if len(usable) == 1:
+        return usable[0]
+    first, second = random.sample(usable, 2)
+    return first if load(first) <= load(second) else second
+
+
+def _request_load(target):
+    return target.in_flight / target.slots
+
+
+def _line_load(target):
+    return target.lines
+
+
+def note_failure(target, turn):
+    """Count an exchange without an answer; close the target after several."""
+    target.failures += 1
+    if target.failures < FAILURES_TO_CLOSE:
+        return
+    if target.closed_until_ms <= turn.now_ms:
+        turn.log("WARNING", "target closed", target=target.name)
+        turn.note(
+            (target.address, target.name),
+            "target closed",
+            f"{target.failures} exchanges in a row without an answer",
+        )
+    target.closed_until_ms = turn.now_ms + CLOSED_MS
+
+
+def note_answer(target):
+    """Reopen a target that has answered."""
+    target.failures = 0
+    target.closed_until_ms = 0
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_inherit.py
@@ -0,0 +1,163 @@
+"""What an heir does: it collects a handover and takes it up when announced."""
+
+from typing import NamedTuple
+
+from ._actions import Forwarded, Refused, SendPeer, Unknown
+from ._home import ForgetRequest
+from ._lines import adopt_line
+from ._members import MemberStatus
+from ._peer_messages import HandoverAck, HandoverPart, Succession, SuccessionAck
+from ._state import Remembered
+from ._succession import ForgetSuccession, KnownSuccession, OriginState
+
+STAGED_LIFE_MS = 60_000
+
+
+class Staged:
+    """A handover that is being received or waits to be announced.
+
+    Attributes:
+        attempt: The leaver's attempt that the parts belong to.
+        parts: The parts received, by number.
+        received_ms: When the latest part arrived.
+    """
+
+    __slots__ = ("attempt", "parts", "received_ms")
+
+    def __init__(self, attempt):
+        self.attempt = attempt
+        self.parts = {}
+        self.received_ms = 0
+
+    def complete(self):
+        """Tell whether every part is here."""
+        return bool(self.parts) and len(self.parts) == next(
+            iter(self.parts.values())
+        ).parts
+
+
+class DropStaged(NamedTuple):
+    """Timer: a handover that was never announced is void."""
+
+    leaver: int
+
+
+def on_handover_part(part: HandoverPart, _sender, turn):
+    """Keep a part of a handover and acknowledge it."""
+    state = turn.state
+    if part.leaver in state.origins:
+        return
+    staged = state.staged.get(part.leaver)
+    if staged is None or staged.attempt < part.attempt:
+        staged = state.staged[part.leaver] = Staged(part.attempt)
+        state.timers.add(turn.now_ms + STAGED_LIFE_MS, DropStaged(part.leaver))
+    if part.attempt != staged.attempt:
+        return
+    staged.parts.setdefault(part.part, part)
+    staged.received_ms = turn.now_ms
+    ack = HandoverAck(part.leaver, state.info.incarnation, part.attempt, part.part)
+    turn.act(SendPeer(part.leaver_address, ack))
+
+
+def drop_staged(timer: DropStaged, turn):
+    """Drop a handover whose leaver never announced it."""
+    staged = turn.state.staged.get(timer.leaver)
+    if staged is None:
+        return
+    if turn.now_ms - staged.received_ms < STAGED_LIFE_MS:
+        due_ms = staged.received_ms + STAGED_LIFE_MS
+        turn.state.timers.add(due_ms, timer)
+        return
+    del turn.state.staged[timer.leaver]
+    turn.count("handover.dropped")
+
+
+def learn_succession(succession: Succession, turn):
+    """Take in an announced succession; the first word on a leaver stands."""
+    state = turn.state
+    if succession.leaver == state.info.incarnation:
+        return
+    if succession.leaver not in state.successions:
+        learned_ms = turn.now_ms - succession.age_ms
+        entry = KnownSuccession(tuple(succession.heirs), learned_ms)
+        state.successions[succession.leaver] = entry
+        forget_ms = learned_ms + 2 * state.timing.remember_ms
+        state.timers.add(forget_ms, ForgetSuccession(succession.leaver))
+        _mark_left(succession.leaver, turn)
+    if state.info.incarnation in succession.heirs:
+        _take_up(succession, turn)
+
+
+def _mark_left(leaver, turn):
+    membership = turn.state.membership
+    record = membership.records.get(leaver)
+    if record is not None and record.status != MemberStatus.LEFT:
+        membership.mark(leaver, MemberStatus.LEFT, turn.now_ms)
+
+
+def _take_up(succession, turn):
+    state = turn.state
+    if succession.leaver not in state.origins and not _inherit(succession, turn):
+        turn.count("succession.not_held")
+        return
+    record = state.membership.records.get(succession.leaver)
+    if record is not None:
+        ack = SuccessionAck(succession.leaver, state.info.incarnation)
+        turn.act(SendPeer(record.peer_address, ack))
+
+
+def _inherit(succession, turn):
+    """Take up a staged handover.
+
+    Returns:
+        False when the handover isn't held whole.
+    """
+    state = turn.state
+    staged = state.staged.get(succession.leaver)
+    if staged is None or not staged.complete():
+        return False
+    del state.staged[succession.leaver]
+    for number in sorted(staged.parts):
+        _take_part(staged.parts[number], staged.received_ms, turn)
+    first = staged.parts[0]
+    state.origins[succession.leaver] = OriginState(
+        first.echo_key,
+        first.echo_clock_ms,
+        staged.received_ms,
+        tuple(succession.heirs),
+    )
+    turn.count("handover.inherited")
+    turn.log("INFO", "succession taken up", leaver=f"{succession.leaver:016x}")
+    return True
+
+
+def _take_part(part, received_ms, turn):
+    origins = turn.state.origins
+    for origin in part.origins:
+        origins.setdefault(
+            origin.incarnation,
+            OriginState(
+                origin.echo_key, origin.echo_clock_ms, received_ms, tuple(origin.heirs)
+            ),
+        )
+    for record in part.remembered:
+        _take_remembered(record, turn)
+    for record in part.lines:
+        adopt_line(record, turn)
+
+
+def _take_remembered(record, turn):
+    state = turn.state
+    entry = Remembered(record.session)
+    entry.answer = _answer_of(record)
+    state.remembered.setdefault(record.key, entry)
+    due_ms = turn.now_ms + record.remaining_ms
+    state.timers.add(due_ms, ForgetRequest(record.key))
+
+
+def _answer_of(record):
+    if record.answer_kind == Forwarded.__name__:
+        return Forwarded(record.answer_body)
+    if record.answer_kind == Refused.__name__:
+        return Refused(record.retry_after_s, "refused by an earlier home")
+    return Unknown("an earlier home left while it ran")
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_leave.py
@@ -0,0 +1,290 @@
+"""A planned leave: finish, hand over, announce, linger, stop."""
+
+from enum import Enum
+
+from ._actions import Forwarded, Refused, SendPeer, Stop, Unknown
+from ._events import LeaveRequested
+from ._exchanges import finish
+from ._lines import drop_line
+from ._members import MemberStatus
+from ._peer_messages import (
+    HandoverAck,
+    HandoverPart,
+    LineRecord,
+    Origin,
+    RememberedRecord,
+    Succession,
+    SuccessionAck,
+)
+from ._rendezvous import pick_heir
+from ._state import Phase
+from ._succession import KnownSuccession
+
+RECORDS_PER_PART = 64
+PARTS_IN_FLIGHT = 8
+RESEND_MS = 300
+ANNOUNCE_MS = 3_000
+LINGER_MS = 1_000
+ATTEMPTS = 4
+
+
+class Stage(Enum):
+    """How far a leave has come."""
+
+    DRAINING = "draining"
+    HANDING_OVER = "handing over"
+    ANNOUNCED = "announced"
+    LINGERING = "lingering"
+
+
+class Departure:
+    """The progress of a balancer's own leave.
+
+    Attributes:
+        stage: How far it has come.
+        until_ms: When the stage ends at the latest.
+        attempt: Number of the handover's attempt.
+        waiting: Parts not acknowledged yet, by heir, in order.
+        sent_ms: When parts were last sent to each heir.
+        heirs: The heirs of this attempt.
+        taken_up: Heirs that have taken up the succession.
+    """
+
+    def __init__(self, until_ms):
+        self.stage = Stage.DRAINING
+        self.until_ms = until_ms
+        self.attempt = 0
+        self.waiting = {}
+        self.sent_ms = {}
+        self.heirs = ()
+        self.taken_up = set()
+
+
+def begin_leave(_event: LeaveRequested, turn):
+    """Stop taking new work; what runs is finished first."""
+    state = turn.state
+    if state.departure is not None:
+        return
+    state.phase = Phase.LEAVING
+    state.departure = Departure(turn.now_ms + state.timing.drain_ms)
+    state.membership.set_own_status(MemberStatus.LEAVING)
+    turn.log("INFO", "leaving", lines=len(state.lines), requests=len(state.exchanges))
+
+
+def advance_leave(turn):
+    """Take the next step of a leave, if it is due."""
+    departure = turn.state.departure
+    if departure is None:
+        return
+    if departure.stage is Stage.DRAINING:
+        _drain(departure, turn)
+    elif departure.stage is Stage.HANDING_OVER:
+        _hand_over(departure, turn)
+    elif departure.stage is Stage.ANNOUNCED:
+        _await_heirs(departure, turn)
+    elif turn.now_ms >= departure.until_ms:
+        _stop(turn)
+
+
+def _drain(departure, turn):
+    state = turn.state
+    if state.exchanges and turn.now_ms < departure.until_ms:
+        return
+    for exchange in list(state.exchanges.values()):
+        del state.exchanges[exchange.token]
+        finish(exchange, Unknown("the balancer left while it ran"), turn)
+    heirs = tuple(record.incarnation for record in state.membership.alive())
+    _start_attempt(departure, heirs, turn)
+
+
+def _start_attempt(departure, heirs, turn):
+    """Hand everything over to ``heirs``, or stop when there are none."""
+    if not heirs or departure.attempt >= ATTEMPTS:
+        turn.log("WARNING", "leaving without heirs", lines=len(turn.state.lines))
+        _linger(departure, turn)
+        return
+    departure.attempt += 1
+    departure.heirs = heirs
+    departure.stage = Stage.HANDING_OVER
+    departure.until_ms = turn.now_ms + turn.state.timing.handover_timeout_ms
+    departure.waiting = {}
+    departure.sent_ms = {}
+    for heir in heirs:
+        departure.waiting[heir] = _parts_for(heir, departure, turn)
+        _send_parts(heir, departure, turn)
+
+
+def _parts_for(heir, departure, turn):
+    state = turn.state
+    lines = [
+        _line_record(line, turn.now_ms)
+        for line in state.lines.values()
+        if pick_heir(line.session, departure.heirs) == heir
+    ]
+    remembered = [
+        _remembered_record(key, entry, state)
+        for key, entry in state.remembered.items()
+        if pick_heir(entry.session, departure.heirs) == heir
+    ]
+    chunks = list(_chunks(lines, remembered))
+    origins = _origins(state, turn.now_ms)
+    return {
+        number: HandoverPart(
+            state.info.incarnation,
+            state.info.peer_address,
+            departure.attempt,
+            number,
+            len(chunks),
+            state.info.echo_key,
+            turn.now_ms,
+            origins,
+            *chunk,
+        )
+        for number, chunk in enumerate(chunks)
+    }
+
+
+def _chunks(lines, remembered):
+    """Yield lines and remembered requests in parts, at least one, maybe empty."""
+    size = RECORDS_PER_PART
+    count = max(1, -(-len(lines) // size), -(-len(remembered) // size))
+    for number in range(count):
+        start = number * size
+        yield lines[start : start + size], remembered[start : start + size]
+
+
+def _origins(state, now_ms):
+    return [
+        Origin(
+            incarnation,
+            origin.echo_key,
+            origin.clock_at(now_ms),
+            list(origin.heirs),
+        )
+        for incarnation, origin in state.origins.items()
+    ]
+
+
+def _line_record(line, now_ms):
+    return LineRecord(
+        line.flow,
+        line.session,
+        line.token,
+        line.sequence,
+        line.target,
+        max(0, line.lease_until_ms - now_ms),
+        line.body,
+    )
+
+
+def _remembered_record(key, entry, state):
+    answer = entry.answer if entry.answer is not None else Unknown("")
+    body = answer.body if isinstance(answer, Forwarded) else b""
+    retry_after_s = answer.retry_after_s if isinstance(answer, Refused) else 0
+    # The full time again: an heir may keep a request for longer than needed,
+    # never for less.
+    return RememberedRecord(
+        key,
+        entry.session,
+        type(answer).__name__,
+        body,
+        retry_after_s,
+        state.timing.remember_ms,
+    )
+
+
+def _send_parts(heir, departure, turn):
+    record = turn.state.membership.records.get(heir)
+    if record is None:
+        return
+    departure.sent_ms[heir] = turn.now_ms
+    for part in list(departure.waiting[heir].values())[:PARTS_IN_FLIGHT]:
+        turn.act(SendPeer(record.peer_address, part))
+
+
+def on_handover_ack(ack: HandoverAck, _sender, turn):
+    """Note that an heir holds a part; send it the next ones."""
+    departure = turn.state.departure
+    if departure is None or departure.stage is not Stage.HANDING_OVER:
+        return
+    waiting = departure.waiting.get(ack.heir)
+    if ack.attempt != departure.attempt or waiting is None:
+        return
+    if waiting.pop(ack.part, None) is None:
+        return
+    if waiting and len(waiting) % PARTS_IN_FLIGHT == 0:
+        _send_parts(ack.heir, departure, turn)
+    if not any(departure.waiting.values()):
+        _announce(departure, turn)
+
+
+def _hand_over(departure, turn):
+    """Send again what wasn't acknowledged; give up heirs that stay silent."""
+    state = turn.state
+    silent = {heir for heir, parts in departure.waiting.items() if parts}
+    gone = {heir for heir in silent if not state.membership.reachable(heir)}
+    if turn.now_ms >= departure.until_ms:
+        gone = silent
+    if gone:
+        turn.log("WARNING", "heirs given up", heirs=len(gone))
+        remaining = tuple(heir for heir in departure.heirs if heir not in gone)
+        _start_attempt(departure, remaining, turn)
+        return
+    for heir in silent:
+        if turn.now_ms - departure.sent_ms.get(heir, 0) >= RESEND_MS:
+            _send_parts(heir, departure, turn)
+
+
+def _announce(departure, turn):
+    """Every heir holds its part: from here on they answer for this balancer."""
+    state = turn.state
+    departure.stage = Stage.ANNOUNCED
+    departure.until_ms = turn.now_ms + ANNOUNCE_MS
+    own = state.info.incarnation
+    state.successions[own] = KnownSuccession(departure.heirs, turn.now_ms)
+    state.membership.set_own_status(MemberStatus.LEFT)
+    message = Succession(own, list(departure.heirs), 0)
+    for record in state.membership.records.values():
+        if record.status <= MemberStatus.SUSPECT:
+            turn.act(SendPeer(record.peer_address, message))
+    departure.sent_ms = dict.fromkeys(departure.heirs, turn.now_ms)
+    turn.log("INFO", "succession announced", heirs=len(departure.heirs))
+
+
+def on_succession_ack(ack: SuccessionAck, _sender, turn):
+    """Note that an heir has taken up its part."""
+    departure = turn.state.departure
+    if departure is not None and ack.leaver == turn.state.info.incarnation:
+        departure.taken_up.add(ack.heir)
+
+
+def _await_heirs(departure, turn):
+    state = turn.state
+    missing = [heir for heir in departure.heirs if heir not in departure.taken_up]
+    if not missing or turn.now_ms >= departure.until_ms:
+        _linger(departure, turn)
+        return
+    message = Succession(state.info.incarnation, list(departure.heirs), 0)
+    for heir in missing:
+        record = state.membership.records.get(heir)
+        if record and turn.now_ms - departure.sent_ms[heir] >= RESEND_MS:
+            departure.sent_ms[heir] = turn.now_ms
+            turn.act(SendPeer(record.peer_address, message))
+
+
+def _linger(departure, turn):
+    """Stay a little to pass on what is still sent here."""
+    departure.stage = Stage.LINGERING
+    departure.until_ms = turn.now_ms + LINGER_MS
+    turn.state.membership.set_own_status(MemberStatus.LEFT)
+
+
+def _stop(turn):
+    state = turn.state
+    for line in list(state.lines.values()):
+        drop_line(line, "the balancer has left", turn)
+    state.phase = Phase.LEFT
+    turn.log("INFO", "left")
+    turn.act(Stop())
+
+
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_members.py
@@ -0,0 +1,231 @@
+"""Membership: which balancers are alive, by probes and gossip.
+
+Follows SWIM: each balancer probes one other at a time, asks others to probe
+in its place before it suspects, and spreads news on the probes themselves. A
+suspected balancer refutes by raising its revision. The platform's lagging list
+only says whom to greet.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from ._peer_messages import MemberRecord
+
+INDIRECT_PROBES = 3
+NEWS_PER_MESSAGE = 6
+NEWS_REPEATS = 8
+REVISION_ON_JOIN = 0
+
+
+class MemberStatus(IntEnum):
+    """What is held of a balancer; a higher value wins at the same revision."""
+
+    ALIVE = 0
+    LEAVING = 1
+    SUSPECT = 2
+    DEAD = 3
+    LEFT = 4
+
+
+class Probe(NamedTuple):
+    """A probe that hasn't been answered.
+
+    Attributes:
+        subject: Incarnation that was probed.
+        sent_ms: When.
+        indirect: True once others were asked to probe it.
+    """
+
+    subject: int
+    sent_ms: int
+    indirect: bool
+
+
+class Membership:
+    """The other balancers of the workspace.
+
+    Attributes:
+        records: What is known of each, by incarnation.
+        changed_ms: When each one's status last changed.
+        news: How often each changed record is still to be sent.
+        probes: Unanswered probes by number.
+        order: Incarnations still to be probed in this round.
+        next_number: Number of the next probe.
+        next_probe_ms: When the next probe is due.
+        revision: This balancer's own revision.
+        own_status: What this balancer says of itself.
+        proxied: Probes made for others: their address and number, by number.
+    """
+
+    def __init__(self, info, timing):
+        self.info = info
+        self.timing = timing
+        self.records: dict[int, MemberRecord] = {}
+        self.changed_ms: dict[int, int] = {}
+        self.news: dict[int, int] = {}
+        self.probes: dict[int, Probe] = {}
+        self.order: list[int] = []
+        self.next_number = 1
+        self.next_probe_ms = 0
+        self.revision = REVISION_ON_JOIN
+        self.own_status = MemberStatus.ALIVE
+        self.proxied: dict[int, tuple[str, int]] = {}
+
+    def own_record(self, wake, template_version):
+        """Return this balancer's record of itself."""
+        return MemberRecord(
+            self.info.incarnation,
+            self.info.name,
+            self.info.data_centre,
+            self.info.peer_address,
+            self.own_status,
+            self.revision,
+            wake,
+            template_version,
+        )
+
+    def reachable(self, incarnation):
+        """Tell whether messages to a balancer are worth sending."""
+        record = self.records.get(incarnation)
+        return record is not None and record.status <= MemberStatus.SUSPECT
+
+    def alive(self):
+        """Return the records of the balancers believed alive."""
+        return [
+            record
+            for record in self.records.values()
+            if record.status == MemberStatus.ALIVE
+        ]
+
+    def learn(self, record, now_ms):
+        """Take in a record.
+
+        Args:
+            record: What another balancer says of a balancer.
+            now_ms: Time of the step.
+
+        Returns:
+            The status before when the status changed, -1 for a balancer not
+            known before; None when it didn't change.
+        """
+        if record.incarnation == self.info.incarnation:
+            self._refute(record)
+            return None
+        known = self.records.get(record.incarnation)
+        if known is not None and not _supersedes(record, known):
+            return None
+        self.records[record.incarnation] = record
+        if known is None or known.status != record.status:
+            self.changed_ms[record.incarnation] = now_ms
+        if known is None or known[:6] != record[:6] or known.wake != record.wake:
+            self.news[record.incarnation] = NEWS_REPEATS
+        if known is None:
+            return -1
+        return known.status if known.status != record.status else None
+
+    def _refute(self, record):
+        """Raise the own revision when others hold a worse status."""
+        if record.status <= self.own_status:
+            return
+        self.revision = max(self.revision, record.revision + 1)
+
+    def mark(self, incarnation, status, now_ms):
+        """Set a balancer's status by own judgement and spread it."""
+        record = self.records[incarnation]._replace(status=status)
+        self.records[incarnation] = record
+        self.changed_ms[incarnation] = now_ms
+        self.news[incarnation] = NEWS_REPEATS
+
+    def heard(self, record, now_ms):
+        """Take in the record that a balancer sends of itself.
+
+        A direct message proves life, so a mere suspicion is dropped even when
+        the sender hasn't heard of it.
+        """
+        before = self.learn(record, now_ms)
+        known = self.records.get(record.incarnation)
+        if known is None or known.status != MemberStatus.SUSPECT:
+            return before
+        if record.status < MemberStatus.SUSPECT:
+            self.records[record.incarnation] = known._replace(status=record.status)
+            self.changed_ms[record.incarnation] = now_ms
+            return MemberStatus.SUSPECT
+        return before
+
+    def take_news(self):
+        """Return the records to send along, those sent least often first."""
+        order = sorted(self.news, key=self.news.get, reverse=True)
+        chosen = order[:NEWS_PER_MESSAGE]
+        for incarnation in chosen:
+            self._spend_news(incarnation)
+        return [self.records[item] for item in chosen if item in self.records]
+
+    def _spend_news(self, incarnation):
+        self.news[incarnation] -= 1
+        if self.news[incarnation] <= 0:
+            del self.news[incarnation]
+
+    def next_subject(self, random):
+        """Return the incarnation to probe next, or None when alone.
+
+        Dead ones take part too, so that a healed partition is noticed.
+        """
+        while True:
+            if not self.order:
+                self.order = self._probe_round(random)
+            if not self.order:
+                return None
+            subject = self.order.pop()
+            record = self.records.get(subject)
+            if record is not None and record.status != MemberStatus.LEFT:
+                return subject
+
+    def _probe_round(self, random):
+        subjects = [
+            record.incarnation
+            for record in self.records.values()
+            if record.status != MemberStatus.LEFT
+        ]
+        random.shuffle(subjects)
+        return subjects
+
+    def set_own_status(self, status):
+        """Change what this balancer says of itself."""
+        self.own_status = status
+        self.revision += 1
+
+    def new_probe(self, subject, now_ms):
+        """Register a probe and return its number."""
+        number = self.next_number
+        self.next_number += 1
+        self.probes[number] = Probe(subject, now_ms, False)
+        return number
+
+    def forget_old(self, now_ms):
+        """Drop balancers that have been gone for longer than an Echo matters."""
+        gone = [
+            record.incarnation
+            for record in self.records.values()
+            if record.status >= MemberStatus.DEAD
+            and now_ms - self.changed_ms[record.incarnation]
+            > self.timing.remember_ms
+        ]
+        for incarnation in gone:
+            del self.records[incarnation]
+            del self.changed_ms[incarnation]
+            self.news.pop(incarnation, None)
+        return gone
+
+
+def _supersedes(record, known):
+    """Tell whether ``record`` is newer than what is known."""
+    if known.status == MemberStatus.LEFT:
+        return False
+    if record.status == MemberStatus.LEFT:
+        return True
+    return (record.revision, record.status, record.wake, record.template_version) > (
+        known.revision,
+        known.status,
+        known.wake,
+        known.template_version,
+    )
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_operator.py
@@ -0,0 +1,94 @@
+"""Answers to operators' queries, as plain data."""
+
+from ._members import MemberStatus
+from ._state import Identity
+
+EXPLAIN_LIMIT = 200
+
+
+def answer_query(event, turn):
+    """Return the answer to an operator's query.
+
+    Args:
+        event: The ``OperatorQuery``.
+        turn: The step in progress.
+
+    Returns:
+        A dictionary ready for JSON.
+    """
+    if event.name == "status":
+        return _status(turn)
+    if event.name == "explain":
+        return _explain(event.argument, turn)
+    if event.name == "drain":
+        return {"state": turn.state.phase.value}
+    return {"error": f"no such query: {event.name}"}
+
+
+def _status(turn):
+    state = turn.state
+    return {
+        "instance": state.info.name,
+        "incarnation": f"{state.info.incarnation:016x}",
+        "workspace": state.info.workspace,
+        "data_centre": state.info.data_centre,
+        "state": state.phase.value,
+        "template_version": state.template_version,
+        "members": [_member(record) for record in state.membership.records.values()],
+        "services": {
+            name: {"targets": [_target(state.targets[item], turn) for item in items]}
+            for name, items in state.service_targets.items()
+        },
+        "lines": len(state.lines),
+        "remembered": len(state.remembered),
+        "in_flight": len(state.exchanges),
+        "inherited_from": len(state.origins),
+        "pauses": state.wake,
+    }
+
+
+def _member(record):
+    return {
+        "name": record.name,
+        "data_centre": record.data_centre,
+        "status": MemberStatus(record.status).name.lower(),
+        "template_version": record.template_version,
+    }
+
+
+def _target(target, turn):
+    return {
+        "name": target.name,
+        "address": target.address,
+        "state": _target_state(target, turn.now_ms),
+        "in_flight": target.in_flight,
+        "lines": target.lines,
+    }
+
+
+def _target_state(target, now_ms):
+    if target.leaving:
+        return "leaving"
+    if target.identity is Identity.FOREIGN:
+        return "foreign"
+    if target.identity is Identity.ASKED:
+        return "unconfirmed"
+    if target.closed_until_ms > now_ms:
+        return "closed"
+    return "active"
+
+
+def _explain(subject, turn):
+    if not subject:
+        return {"error": "explain needs a flow, a token or a target"}
+    found = turn.state.journal.about(subject)
+    entries = [
+        {
+            "ago_ms": turn.now_ms - entry.at_ms,
+            "subjects": list(entry.subjects),
+            "what": entry.what,
+            "why": entry.why,
+        }
+        for entry in found[-EXPLAIN_LIMIT:]
+    ]
+    return {"instance": turn.state.info.name, "decisions": entries}
--- a/libs/core/src/lagoontally_core/_peer_messages.py
+++ b/libs/core/src/lagoontally_core/_peer_messages.py
@@ -113,16 +113,16 @@
     """One remembered request, as handed to an heir.
 
     Attributes:
-        flow: The caller's endpoint and service.
-        token: The request's token.
+        key: Digest of the service and of the request's datagram.
+        session: The session that it came in.
         answer_kind: Name of the answer's type; ``Unknown`` while it ran.
         answer_body: The target's datagram, for a forwarded answer.
         retry_after_s: For a refusal.
         remaining_ms: How long it stays remembered.
     """
 
-    flow: Flow
-    token: bytes
+    key: bytes
+    session: int
     answer_kind: str
     answer_body: bytes
     retry_after_s: int
@@ -134,6 +134,7 @@
 
     Attributes:
         flow: The caller's endpoint and service.
+        session: The session that it belongs to.
         token: The caller's token.
         sequence: The last sequence number used.
         target: ``IP:port`` of the target that serves the line.
@@ -142,6 +143,7 @@
     """
 
     flow: Flow
+    session: int
     token: bytes
     sequence: int
     target: str
@@ -155,6 +157,7 @@
     Attributes:
         leaver: The incarnation that leaves.
         leaver_address: Where acknowledgements go.
+        attempt: Number of the attempt; parts of an earlier one are void.
         part: Number of this part, from 0.
         parts: How many parts there are.
         echo_key: The key of the leaver's Echoes.
@@ -166,6 +169,7 @@
 
     leaver: int
     leaver_address: str
+    attempt: int
     part: int
     parts: int
     echo_key: bytes
@@ -176,18 +180,28 @@
 
 
 class Origin(NamedTuple):
-    """An earlier incarnation whose Echoes an heir can judge."""
+    """An earlier incarnation whose Echoes an heir can judge.
+
+    Attributes:
+        incarnation: The incarnation that left.
+        echo_key: The key of its Echoes.
+        echo_clock_ms: Its clock, in which its Echoes are dated, at the sending.
+        heirs: The incarnations among which its flows were spread.
+    """
 
     incarnation: int
     echo_key: bytes
     echo_clock_ms: int
+    heirs: list[int]
 
 
 class HandoverAck(NamedTuple):
-    """An heir holds every part that the leaver sent it."""
+    """An heir holds one part of a handover."""
 
     leaver: int
     heir: int
+    attempt: int
+    part: int
 
 
 class Succession(NamedTuple):
@@ -204,6 +218,13 @@
     age_ms: int
 
 
+class SuccessionAck(NamedTuple):
+    """An heir has taken up its part of a succession."""
+
+    leaver: int
+    heir: int
+
+
 class TemplateDigest(NamedTuple):
     """Says which template a balancer has in force.
 
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_probing.py
@@ -0,0 +1,217 @@
+"""Probes and gossip: handlers of the membership messages."""
+
+from ._actions import SendPeer
+from ._events import Tick
+from ._members import INDIRECT_PROBES, MemberStatus
+from ._peer_messages import (
+    Join,
+    Ping,
+    PingAck,
+    PingRequest,
+    Succession,
+    Welcome,
+)
+from ._succession import learn_succession
+from ._templates import notice_version
+
+SUCCESSIONS_PER_MESSAGE = 3
+SUCCESSION_NEWS_MS = 60_000
+
+
+def own_record(turn):
+    """Return this balancer's record of itself."""
+    state = turn.state
+    return state.membership.own_record(state.wake, state.template_version)
+
+
+def recent_successions(turn):
+    """Return the latest successions to send along."""
+    known = turn.state.successions.items()
+    recent = [
+        Succession(leaver, list(entry.heirs), turn.now_ms - entry.learned_ms)
+        for leaver, entry in known
+        if turn.now_ms - entry.learned_ms < SUCCESSION_NEWS_MS
+    ]
+    if len(recent) <= SUCCESSIONS_PER_MESSAGE:
+        return recent
+    return turn.random.sample(recent, SUCCESSIONS_PER_MESSAGE)
+
+
+def send_ping(address, subject, number, turn):
+    """Send a probe, with what is held of its subject so that it can refute."""
+    news = turn.state.membership.take_news()
+    held = turn.state.membership.records.get(subject)
+    if held is not None and held.status != MemberStatus.ALIVE and held not in news:
+        news.append(held)
+    ping = Ping(number, own_record(turn), news, recent_successions(turn))
+    turn.act(SendPeer(address, ping))
+
+
+def probe_members(_tick: Tick, turn):
+    """Send the next probe and judge those that weren't answered."""
+    membership = turn.state.membership
+    _ask_others_to_probe(turn)
+    if turn.now_ms < membership.next_probe_ms:
+        return
+    membership.next_probe_ms = turn.now_ms + membership.timing.ping_interval_ms
+    _suspect_silent(turn)
+    _bury_suspects(turn)
+    for incarnation in membership.forget_old(turn.now_ms):
+        turn.log("INFO", "member forgotten", member=f"{incarnation:016x}")
+    subject = membership.next_subject(turn.random)
+    if subject is None:
+        return
+    number = membership.new_probe(subject, turn.now_ms)
+    send_ping(membership.records[subject].peer_address, subject, number, turn)
+
+
+def _ask_others_to_probe(turn):
+    membership = turn.state.membership
+    for number, probe in membership.probes.items():
+        waited_ms = turn.now_ms - probe.sent_ms
+        if probe.indirect or waited_ms < membership.timing.ping_timeout_ms:
+            continue
+        membership.probes[number] = probe._replace(indirect=True)
+        _send_ping_requests(number, probe.subject, turn)
+
+
+def _send_ping_requests(number, subject, turn):
+    membership = turn.state.membership
+    helpers = [record for record in membership.alive() if record.incarnation != subject]
+    chosen = turn.random.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
+    address = membership.records[subject].peer_address
+    request = PingRequest(number, own_record(turn), subject, address)
+    for helper in chosen:
+        turn.act(SendPeer(helper.peer_address, request))
+
+
+def _suspect_silent(turn):
+    membership = turn.state.membership
+    for number, probe in list(membership.probes.items()):
+        if turn.now_ms - probe.sent_ms < membership.timing.ping_interval_ms:
+            continue
+        del membership.probes[number]
+        record = membership.records.get(probe.subject)
+        if record is None or record.status >= MemberStatus.SUSPECT:
+            continue
+        membership.mark(probe.subject, MemberStatus.SUSPECT, turn.now_ms)
+        turn.count("members.suspected")
+        turn.log("WARNING", "member suspected", member=record.name)
+
+
+def _bury_suspects(turn):
+    membership = turn.state.membership
+    for record in list(membership.records.values()):
+        if record.status != MemberStatus.SUSPECT:
+            continue
+        since_ms = membership.changed_ms[record.incarnation]
+        if turn.now_ms - since_ms < membership.timing.suspicion_ms:
+            continue
+        membership.mark(record.incarnation, MemberStatus.DEAD, turn.now_ms)
+        turn.count("members.declared_dead")
+        turn.log("WARNING", "member declared dead", member=record.name)
+
+
+def take_news(message, turn):
+    """Take in the news that a probe, its answer or a welcome carries."""
+    for record in message.news:
+        _learn(record, turn)
+    for succession in message.successions:
+        learn_succession(succession, turn)
+    _heard(message.sender, turn)
+
+
+def _heard(record, turn):
+    before = turn.state.membership.heard(record, turn.now_ms)
+    _log_change(before, record, turn)
+    notice_version(record, turn)
+
+
+def _learn(record, turn):
+    before = turn.state.membership.learn(record, turn.now_ms)
+    _log_change(before, record, turn)
+
+
+def _log_change(before, record, turn):
+    if before is None:
+        return
+    status = MemberStatus(turn.state.membership.records[record.incarnation].status)
+    turn.log("INFO", "member changed", member=record.name, status=status.name.lower())
+
+
+def on_ping(message: Ping, _sender, turn):
+    """Answer a probe."""
+    take_news(message, turn)
+    incarnation = turn.state.info.incarnation
+    news = turn.state.membership.take_news()
+    ack = PingAck(
+        message.number, incarnation, own_record(turn), news, recent_successions(turn)
+    )
+    turn.act(SendPeer(message.sender.peer_address, ack))
+
+
+def on_ping_ack(message: PingAck, _sender, turn):
+    """Note an answered probe, or pass it on to whom it was made for."""
+    membership = turn.state.membership
+    proxied = membership.proxied.pop(message.number, None)
+    take_news(message, turn)
+    if proxied is not None:
+        address, number = proxied
+        turn.act(SendPeer(address, message._replace(number=number, news=[])))
+        return
+    probe = membership.probes.get(message.number)
+    if probe is not None and probe.subject == message.subject:
+        del membership.probes[message.number]
+
+
+def on_ping_request(message: PingRequest, _sender, turn):
+    """Probe a balancer in the sender's place."""
+    membership = turn.state.membership
+    _heard(message.sender, turn)
+    number = membership.next_number
+    membership.next_number += 1
+    membership.proxied[number] = (message.sender.peer_address, message.number)
+    if len(membership.proxied) > len(membership.records) + INDIRECT_PROBES:
+        del membership.proxied[next(iter(membership.proxied))]
+    send_ping(message.subject_address, message.subject, number, turn)
+
+
+def on_join(message: Join, _sender, turn):
+    """Tell a newcomer everything that is known of the members."""
+    _heard(message.sender, turn)
+    successions = [
+        Succession(leaver, list(entry.heirs), turn.now_ms - entry.learned_ms)
+        for leaver, entry in turn.state.successions.items()
+    ]
+    members = list(turn.state.membership.records.values())
+    welcome = Welcome(own_record(turn), members, successions)
+    turn.act(SendPeer(message.sender.peer_address, welcome))
+
+
+def on_welcome(message: Welcome, _sender, turn):
+    """Take in what a member knows."""
+    for record in message.members:
+        _learn(record, turn)
+    for succession in message.successions:
+        learn_succession(succession, turn)
+    _heard(message.sender, turn)
+    turn.state.welcomed = True
+    turn.state.refreshed = True
+
+
+def greet_instances(event, turn):
+    """Introduce this balancer to listed instances that it doesn't know."""
+    state = turn.state
+    known = {record.peer_address for record in state.membership.records.values()}
+    known.add(state.info.peer_address)
+    for instance in event.instances:
+        if instance.peer_address not in known:
+            turn.act(SendPeer(instance.peer_address, Join(own_record(turn))))
+
+
+def greet_some_members(turn):
+    """Ask a few members for what they know, after a pause."""
+    alive = turn.state.membership.alive()
+    chosen = turn.random.sample(alive, min(INDIRECT_PROBES, len(alive)))
+    for record in chosen:
+        turn.act(SendPeer(record.peer_address, Join(own_record(turn))))
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_rendezvous.py
@@ -0,0 +1,48 @@
+"""Rendezvous hashing: every balancer picks the same node for a key."""
+
+from xxhash import xxh3_64_intdigest
+
+SESSION_BYTES = 5
+
+
+def rendezvous_order(key, nodes):
+    """Return ``nodes`` in the order of their weight for ``key``, highest first.
+
+    Args:
+        key: Bytes to place.
+        nodes: Nodes, each a ``bytes`` name.
+
+    Returns:
+        A list of the nodes.
+    """
+    return sorted(
+        nodes, key=lambda node: (xxh3_64_intdigest(node + b"|" + key), node), reverse=True
+    )
+
+
+def rendezvous_pick(key, nodes):
+    """Return the node with the highest weight for ``key``; None without nodes."""
+    return max(
+        nodes,
+        key=lambda node: (xxh3_64_intdigest(node + b"|" + key), node),
+        default=None,
+    )
+
+
+def incarnation_name(incarnation):
+    """Return the bytes by which an incarnation takes part in rendezvous."""
+    return incarnation.to_bytes(8, "big")
+
+
+def flow_key(flow):
+    """Return the bytes by which a flow is placed."""
+    return f"{flow.service}|{flow.caller}".encode()
+
+
+def pick_heir(session, heirs):
+    """Return the incarnation among ``heirs`` that a session falls to, or None."""
+    names = [incarnation_name(heir) for heir in heirs]
+    name = rendezvous_pick(session.to_bytes(SESSION_BYTES, "big"), names)
+    if name is None:
+        return None
+    return int.from_bytes(name, "big")
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_succession.py
@@ -0,0 +1,94 @@
+"""Successions: which heirs answer for a balancer that has left."""
+
+from typing import NamedTuple
+
+from ._rendezvous import pick_heir
+
+CHAIN_LIMIT = 32
+
+
+class KnownSuccession(NamedTuple):
+    """A succession that was announced.
+
+    Attributes:
+        heirs: Incarnations among which the leaver's sessions are spread.
+        learned_ms: When it was announced, on this balancer's clock.
+    """
+
+    heirs: tuple[int, ...]
+    learned_ms: int
+
+
+class OriginState(NamedTuple):
+    """An incarnation whose requests this balancer has inherited.
+
+    Attributes:
+        echo_key: The key of its Echoes.
+        echo_clock_ms: Its clock at ``received_ms``, or shortly before.
+        received_ms: This balancer's clock when the handover arrived.
+        heirs: The incarnations among which its sessions were spread.
+    """
+
+    echo_key: bytes
+    echo_clock_ms: int
+    received_ms: int
+    heirs: tuple[int, ...]
+
+    def clock_at(self, now_ms):
+        """Return the origin's clock now."""
+        return self.echo_clock_ms + now_ms - self.received_ms
+
+
+def resolve_home(state, incarnation, session):
+    """Return the incarnation that answers for a session of ``incarnation`` now.
+
+    Returns:
+        An incarnation, or None when nobody alive does.
+    """
+    for _ in range(CHAIN_LIMIT):
+        succession = state.successions.get(incarnation)
+        if succession is None:
+            break
+        incarnation = pick_heir(session, succession.heirs)
+    if incarnation == state.info.incarnation:
+        return incarnation
+    if state.membership.reachable(incarnation):
+        return incarnation
+    return None
+
+
+def is_heir_of_chain(state, incarnation, session):
+    """Tell whether this balancer inherited a session of ``incarnation``.
+
+    Follows the heirs that were handed over with each origin, so it doesn't
+    depend on which announcements have arrived.
+    """
+    own = state.info.incarnation
+    for _ in range(CHAIN_LIMIT):
+        heirs = _heirs_of(state, incarnation)
+        if heirs is None:
+            return False
+        incarnation = pick_heir(session, heirs)
+        if incarnation == own:
+            return True
+    return False
+
+
+def _heirs_of(state, incarnation):
+    origin = state.origins.get(incarnation)
+    if origin is not None:
+        return origin.heirs
+    succession = state.successions.get(incarnation)
+    return succession.heirs if succession else None
+
+
+class ForgetSuccession(NamedTuple):
+    """Timer: nothing of a leaver's matters any more."""
+
+    leaver: int
+
+
+def forget_succession(timer: ForgetSuccession, turn):
+    """Drop what is held of a balancer that left long ago."""
+    turn.state.successions.pop(timer.leaver, None)
+    turn.state.origins.pop(timer.leaver, None)
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_templates.py
@@ -0,0 +1,262 @@
+"""The template in force, and its spread between balancers."""
+
+from lagoontally_model import (
+    Findings,
+    digest,
+    document_digest,
+    join_sections,
+    parse_template,
+    split_sections,
+)
+
+from ._actions import AskIdentity, ReadTemplate, SendPeer, ServeEntries
+from ._events import IdentityReply, TemplateRead, TemplateRejected
+from ._exchanges import host_name
+from ._lines import move_lines_of_leaving
+from ._peer_messages import (
+    MemberRecord,
+    TemplateDigest,
+    TemplateSections,
+    TemplateWant,
+)
+from ._state import Identity, Phase, TargetState
+
+DIGEST_FANOUT = 3
+IDENTITY_RETRY_MS = 1_000
+
+
+def on_template_read(event: TemplateRead, turn):
+    """Put a template in force if it is newer than the one in force."""
+    adopt(event.template, event.document, turn)
+
+
+def on_template_rejected(event: TemplateRejected, turn):
+    """Say loudly that a published template isn't put in force."""
+    turn.count("template.rejected")
+    turn.log("ERROR", "template rejected", version=event.version, reason=event.reason)
+
+
+def adopt(template, document, turn):
+    """Put a template in force, unless its version isn't newer.
+
+    Returns:
+        True when it was put in force.
+    """
+    state = turn.state
+    state.refreshed = True
+    if template.version <= state.template_version:
+        _refuse_older(template, document, turn)
+        return False
+    before = state.template_version
+    state.template = template
+    state.sections = split_sections(document)
+    state.digest = document_digest(document)
+    _rebuild_targets(turn)
+    workspace = template.workspaces.get(state.info.workspace)
+    if state.phase is not Phase.JOINING:
+        serve_entries(turn)
+    move_lines_of_leaving(turn)
+    turn.count("template.adopted")
+    services = sorted(workspace.services) if workspace else []
+    turn.log(
+        "INFO",
+        "template in force",
+        version=template.version,
+        before=before,
+        services=services,
+    )
+    _announce(turn)
+    return True
+
+
+def _refuse_older(template, document, turn):
+    state = turn.state
+    if template.version < state.template_version:
+        turn.count("template.older_ignored")
+        return
+    if document_digest(document) != state.digest:
+        turn.count("template.conflict")
+        turn.log(
+            "ERROR",
+            "another document carries the version in force",
+            version=template.version,
+        )
+
+
+def serve_entries(turn):
+    """Take callers' packets at the entry ports of the template in force."""
+    state = turn.state
+    workspace = state.template.workspaces.get(state.info.workspace)
+    services = workspace.services if workspace else {}
+    ports = {name: service.entry_port for name, service in services.items()}
+    turn.act(ServeEntries(ports))
+
+
+def _rebuild_targets(turn):
+    state = turn.state
+    workspace = state.template.workspaces.get(state.info.workspace)
+    services = workspace.services if workspace else {}
+    former = state.targets
+    state.targets = {}
+    state.service_targets = {}
+    for service in services.values():
+        state.service_targets[service.name] = [item.address for item in service.targets]
+        for published in service.targets:
+            _take_target(published, service.name, former, turn)
+
+
+def _take_target(published, service, former, turn):
+    state = turn.state
+    target = former.get(published.address)
+    if target is None or target.service != service:
+        target = TargetState(
+            address=published.address,
+            name=published.name,
+            service=service,
+            data_centre=published.data_centre,
+            slots=published.slots,
+            leaving=published.leaving,
+        )
+        state.targets[target.address] = target
+        ask_identity(target, turn)
+        return
+    target.name = published.name
+    target.slots = published.slots
+    target.leaving = published.leaving
+    state.targets[target.address] = target
+
+
+def ask_identity(target, turn):
+    """Ask a target which service it serves before it gets any work."""
+    host = host_name(turn.state, target.service)
+    turn.act(AskIdentity(target.address, host))
+    due_ms = turn.now_ms + IDENTITY_RETRY_MS
+    turn.state.timers.add(due_ms, IdentityTimer(target.address))
+
+
+class IdentityTimer:
+    """Timer: a target should have said which service it serves by now.
+
+    Attributes:
+        address: ``IP:port`` of the target.
+    """
+
+    __slots__ = ("address",)
+
+    def __init__(self, address):
+        self.address = address
+
+
+def on_identity_timer(timer: IdentityTimer, turn):
+    """Ask again while a target hasn't proved its service."""
+    target = turn.state.targets.get(timer.address)
+    if target is not None and target.identity is not Identity.CONFIRMED:
+        ask_identity(target, turn)
+
+
+def on_identity_reply(event: IdentityReply, turn):
+    """Use a target only if it serves what the template says of it."""
+    target = turn.state.targets.get(event.target)
+    if target is None:
+        return
+    named = (event.workspace, event.service)
+    matches = named == (turn.state.info.workspace, target.service)
+    identity = Identity.CONFIRMED if matches else Identity.FOREIGN
+    if identity is target.identity:
+        return
+    target.identity = identity
+    if matches:
+        return
+    turn.count("target.foreign")
+    turn.log(
+        "ERROR",
+        "target serves another service and isn't used",
+        target=target.name,
+        address=event.target,
+        says=f"{event.workspace}/{event.service}",
+    )
+
+
+def _announce(turn):
+    """Tell a few members at once; probes tell the others."""
+    state = turn.state
+    alive = state.membership.alive()
+    chosen = turn.random.sample(alive, min(DIGEST_FANOUT, len(alive)))
+    message = TemplateDigest(state.template_version, state.digest)
+    for record in chosen:
+        turn.act(SendPeer(record.peer_address, message))
+
+
+def notice_version(record: MemberRecord, turn):
+    """Fetch a newer template from a member that says it has one."""
+    if record.template_version > turn.state.template_version:
+        _want_from(record.peer_address, turn)
+
+
+def notice_echo_version(version, turn):
+    """Read the template when a caller's Echo names a newer version.
+
+    The Echo isn't verified, so this must stay cheap: the platform's edge
+    bounds its reads.
+    """
+    if version > turn.state.template_version:
+        turn.act(ReadTemplate("an Echo names a newer version"))
+
+
+def _want_from(address, turn):
+    state = turn.state
+    held = {name: digest(section) for name, section in state.sections.items()}
+    turn.act(SendPeer(address, TemplateWant(state.template_version, held)))
+
+
+def _address_of(sender, state):
+    record = state.membership.records.get(sender)
+    return record.peer_address if record else None
+
+
+def on_template_digest(message: TemplateDigest, sender, turn):
+    """Fetch what a member has that is newer."""
+    address = _address_of(sender, turn.state)
+    if message.version > turn.state.template_version and address:
+        _want_from(address, turn)
+
+
+def on_template_want(message: TemplateWant, sender, turn):
+    """Send a member the sections that it lacks."""
+    state = turn.state
+    address = _address_of(sender, state)
+    if address is None or message.version >= state.template_version:
+        return
+    missing = {
+        name: section
+        for name, section in state.sections.items()
+        if message.sections.get(name) != digest(section)
+    }
+    reply = TemplateSections(
+        state.template_version, state.digest, list(state.sections), missing
+    )
+    turn.act(SendPeer(address, reply))
+
+
+def on_template_sections(message: TemplateSections, _sender, turn):
+    """Put a template received from a member in force, once it is whole."""
+    state = turn.state
+    if message.version <= state.template_version:
+        return
+    sections = {
+        name: message.sections.get(name, state.sections.get(name))
+        for name in message.order
+    }
+    if None in sections.values():
+        turn.count("template.sections_missing")
+        return
+    document = join_sections(sections)
+    if isinstance(document, Findings) or document_digest(document) != message.digest:
+        turn.count("template.sections_corrupt")
+        return
+    template = parse_template(document)
+    if isinstance(template, Findings):
+        turn.count("template.rejected")
+        return
+    turn.count("template.from_peer")
+    adopt(template, document, turn)
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_turn.py
@@ -0,0 +1,81 @@
+"""One step in progress: what its handlers share."""
+
+from random import Random
+from typing import NamedTuple
+
+from ._actions import AnswerCaller, Count, LogChange, ReplyTo
+from ._echo import Echo, encode_echo
+from ._rendezvous import SESSION_BYTES
+from ._state import State
+
+TOKEN_BITS = 64
+TOKEN_BYTES = 8
+
+
+class Turn(NamedTuple):
+    """One step in progress.
+
+    Attributes:
+        state: The balancer's state.
+        now_ms: Time of the step.
+        random: Source of random numbers.
+        actions: The actions decided so far.
+    """
+
+    state: State
+    now_ms: int
+    random: Random
+    actions: list
+
+    def act(self, action):
+        """Add an action."""
+        self.actions.append(action)
+
+    def count(self, name, value=1):
+        """Add to a counter."""
+        self.actions.append(Count(name, value))
+
+    def log(self, level, text, **fields):
+        """Log a change of state."""
+        self.actions.append(LogChange(level, text, fields))
+
+    def note(self, subjects, what, why):
+        """Keep a decision for ``explain``."""
+        self.state.journal.note(self.now_ms, subjects, what, why)
+
+    def new_token(self):
+        """Return a random token for an exchange with a target."""
+        return self.random.getrandbits(TOKEN_BITS).to_bytes(TOKEN_BYTES, "big")
+
+    def new_session(self):
+        """Return a random number for a flow that hasn't one."""
+        return self.random.getrandbits(8 * SESSION_BYTES)
+
+    def fresh_echo(self, service, session, target_hint=0):
+        """Return an Echo of this balancer, issued now."""
+        info = self.state.info
+        echo = Echo(
+            info.incarnation,
+            session,
+            target_hint,
+            self.state.template_version,
+            self.now_ms,
+        )
+        return encode_echo(echo, service, info.echo_key)
+
+    def answer(self, reply_to, answer, echo=b""):
+        """Answer a caller."""
+        self.actions.append(AnswerCaller(reply_to, answer, echo))
+
+
+def reply_to_request(flow, request):
+    """Return where the answer to ``request`` goes."""
+    return ReplyTo(flow, request.token, request.message_id, request.confirmable)
+
+
+def flow_subjects(flow, token=b""):
+    """Return the names under which ``explain`` finds a flow's decisions."""
+    subjects = (flow.service, flow.caller)
+    if token:
+        return (*subjects, token.hex())
+    return subjects
