--- /dev/null
+++ b/libs/model/src/lagoontally_model/_settings.py
@@ -0,0 +1,84 @@
+"""The typed form of a balancer's settings."""
+
+from typing import NamedTuple
+
+ECHO_LIFE_MS = 120_000
+REMEMBER_MS = 420_000
+REQUEST_TIMEOUT_MS = 10_000
+LINE_LEASE_MS = 90_000
+LINE_REFRESH_MS = 15_000
+PING_INTERVAL_MS = 1_000
+PING_TIMEOUT_MS = 300
+SUSPICION_MS = 4_000
+HANDOVER_TIMEOUT_MS = 5_000
+DRAIN_MS = 8_000
+
+
+class LogSettings(NamedTuple):
+    """How a balancer logs.
+
+    Attributes:
+        level: Name of a level of ``logging``.
+        format: ``text`` or ``json``.
+    """
+
+    level: str = "INFO"
+    format: str = "text"
+
+
+class Timing(NamedTuple):
+    """Intervals and timeouts of a balancer.
+
+    Attributes:
+        echo_life_ms: How long an Echo is accepted after its issue.
+        remember_ms: How long a request that ran at most once is remembered.
+        request_timeout_ms: Deadline of a request that names none.
+        line_lease_ms: How long a line lives without renewal by its caller.
+        line_refresh_ms: Interval at which a silent line is checked upstream.
+        ping_interval_ms: Interval between two pings of peers.
+        ping_timeout_ms: How long a ping waits for its acknowledgement.
+        suspicion_ms: How long a member is suspected before it counts as dead.
+        handover_timeout_ms: How long a leaving balancer waits for an heir.
+        drain_ms: How long a leaving balancer lets requests finish.
+    """
+
+    echo_life_ms: int = ECHO_LIFE_MS
+    remember_ms: int = REMEMBER_MS
+    request_timeout_ms: int = REQUEST_TIMEOUT_MS
+    line_lease_ms: int = LINE_LEASE_MS
+    line_refresh_ms: int = LINE_REFRESH_MS
+    ping_interval_ms: int = PING_INTERVAL_MS
+    ping_timeout_ms: int = PING_TIMEOUT_MS
+    suspicion_ms: int = SUSPICION_MS
+    handover_timeout_ms: int = HANDOVER_TIMEOUT_MS
+    drain_ms: int = DRAIN_MS
+
+
+class Settings(NamedTuple):
+    """The settings of one balancer process.
+
+    Attributes:
+        instance: Name of the instance.
+        tenant: Tenant that it works for.
+        workspace: Workspace whose services it serves.
+        data_centre: Data centre that it runs in.
+        address: IPv4 number at which it binds the services' entry ports.
+        peer_address: ``IP:port`` that takes other balancers' messages.
+        operator_address: ``IP:port`` that answers operators' queries.
+        platform_url: Base URL of the platform.
+        statsd_address: ``IP:port`` of statsd, or None for no metrics.
+        log: How it logs.
+        timing: Its intervals and timeouts.
+    """
+
+    instance: str
+    tenant: str
+    workspace: str
+    data_centre: str
+    address: str
+    peer_address: str
+    operator_address: str
+    platform_url: str
+    statsd_address: str | None = None
+    log: LogSettings = LogSettings()
+    timing: Timing = Timing()
--- /dev/null
+++ b/libs/model/src/lagoontally_model/_structure.py
@@ -0,0 +1,196 @@
+"""Reads JSON and finds every structural fault of a document.
+
+A document of the right structure is accepted by msgspec, which is fast. Only a
+faulty one is walked by the slower JSON Schema validator, which finds all faults.
+"""
+
+import difflib
+import json
+from functools import cache
+from importlib.resources import files
+from itertools import islice
+from typing import Any, NamedTuple
+
+import msgspec
+from jsonschema import Draft202012Validator
+
+from ._findings import Finding, Findings
+
+MAX_DOCUMENT_BYTES = 1_000_000
+MAX_SHOWN_CHARACTERS = 64
+# A document of a megabyte can hold more faults than anyone reads.
+MAX_FAULTS = 1000
+
+
+class Fault(NamedTuple):
+    """A fault at a path of object keys and list indices."""
+
+    path: tuple[str | int, ...]
+    reason: str
+
+
+def load_json(document: bytes, *, name: str) -> Any | Findings:
+    """Decode a document of bounded size.
+
+    Args:
+        document: The encoded document.
+        name: What the document is called in findings.
+
+    Returns:
+        The decoded value, or ``Findings`` with the one fault that prevents it.
+    """
+    if len(document) > MAX_DOCUMENT_BYTES:
+        reason = f"{len(document)} bytes; at most {MAX_DOCUMENT_BYTES} are accepted"
+        return Findings(name, (Finding("document", reason),))
+    try:
+        text = document.decode()
+        return json.loads(
+            text,
+            object_pairs_hook=unique_fields,
+            parse_constant=reject_constant,
+        )
+    except json.JSONDecodeError as error:
+        place = f"line {error.lineno}, column {error.colno}"
+        return Findings(name, (Finding(place, f"not JSON: {error.msg}"),))
+    except (ValueError, RecursionError) as error:
+        return Findings(name, (Finding("document", f"not JSON: {error}"),))
+
+
+def unique_fields(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Return an object's fields, refusing a field that is given twice."""
+    fields = dict(pairs)
+    if len(fields) < len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"the field {repeated!r} is given twice in one object")
+    return fields
+
+
+def reject_constant(text: str) -> None:
+    """Refuse the numbers that JSON doesn't have, such as ``NaN``."""
+    raise ValueError(f"{text} is no JSON number")
+
+
+def structural_faults(value: Any, kind: type, schema_name: str) -> list[Fault]:
+    """Find every structural fault of a decoded document.
+
+    Args:
+        value: The decoded document.
+        kind: The type that describes its structure.
+        schema_name: Name of the committed JSON Schema of that type.
+
+    Returns:
+        The faults, empty where the structure is right.
+    """
+    try:
+        msgspec.convert(value, kind)
+    except (msgspec.ValidationError, RecursionError) as error:
+        errors = validator(schema_name).iter_errors(value)
+        found = (fault for item in errors for fault in faults_of(item))
+        faults = list(islice(found, MAX_FAULTS))
+        # The types have the last word where the two should ever disagree.
+        return list(dict.fromkeys(faults)) or [Fault((), str(error))]
+    return []
+
+
+@cache
+def validator(schema_name: str) -> Draft202012Validator:
+    """Return the validator of a committed schema."""
+    path = files(__package__) / "schema" / f"{schema_name}.schema.json"
+    return Draft202012Validator(json.loads(path.read_text()))
+
+
+def faults_of(error: Any) -> list[Fault]:
+    """Turn one error of the validator into faults with their paths."""
+    path = tuple(error.absolute_path)
+    match error.validator:
+        case "additionalProperties":
+            known = error.schema.get("properties", {})
+            names = (name for name in error.instance if name not in known)
+            unknown = islice(names, MAX_FAULTS)
+            return [
+                Fault((*path, name), unknown_field(name, known)) for name in unknown
+            ]
+        case "required":
+            missing = [n for n in error.validator_value if n not in error.instance]
+            return [Fault((*path, name), "missing") for name in missing]
+    if "propertyNames" in error.absolute_schema_path:
+        path = (*path, error.instance)
+    return [Fault(path, f"{shown(error.instance)} is not {accepted(error.schema)}")]
+
+
+def unknown_field(name: str, known: Any) -> str:
+    """Say that a field is unknown, with the closest known field."""
+    close = difflib.get_close_matches(name, known, n=1)
+    return f"unknown field; did you mean {close[0]!r}?" if close else "unknown field"
+
+
+def accepted(schema: dict[str, Any]) -> str:
+    """Describe what a schema accepts."""
+    if schema.get("type") == "object":
+        return "an object"
+    if "enum" in schema:
+        return "one of " + ", ".join(json.dumps(item) for item in schema["enum"])
+    if "anyOf" in schema:
+        return " or ".join(accepted(item) for item in schema["anyOf"])
+    if "description" in schema:
+        return schema["description"]
+    return {"array": "a list"}.get(schema.get("type"), str(schema.get("type")))
+
+
+def shown(value: Any) -> str:
+    """Return a value as short JSON text."""
+    text = json.dumps(value)
+    if len(text) <= MAX_SHOWN_CHARACTERS:
+        return text
+    return text[:MAX_SHOWN_CHARACTERS] + "..."
+
+
+def findings_in_order(name: str, value: Any, faults: list[Fault]) -> Findings:
+    """Return faults as findings, in the order of the document.
+
+    Args:
+        name: What the document is called.
+        value: The decoded document.
+        faults: At least one fault.
+
+    Returns:
+        The ``Findings``.
+    """
+    reported = faults[:MAX_FAULTS]
+    ordered = sorted(reported, key=lambda fault: position(value, fault.path))
+    findings = [Finding(place(item.path), item.reason) for item in ordered]
+    if len(faults) >= MAX_FAULTS:
+        findings.append(Finding("document", f"only {MAX_FAULTS} faults are listed"))
+    return Findings(name, tuple(findings))
+
+
+def position(value: Any, path: tuple[str | int, ...]) -> list[int]:
+    """Return where a path stands in a document, as a sortable key."""
+    key = []
+    for part in path:
+        if isinstance(value, dict) and part in value:
+            key.append(list(value).index(part))
+            value = value[part]
+        elif isinstance(value, list) and isinstance(part, int):
+            key.append(part)
+            value = value[part]
+        else:
+            # A missing field stands after those that are there.
+            key.append(len(value) if isinstance(value, dict | list) else 0)
+            break
+    return key
+
+
+def place(path: tuple[str | int, ...]) -> str:
+    """Write a path as text, such as ``services.pivot-link.targets[2]``."""
+    text = ""
+    for part in path:
+        text += f"[{part}]" if isinstance(part, int) else f".{printable(part)}"
+    return text.removeprefix(".") or "document"
+
+
+def printable(name: str) -> str:
+    """Return a field's name, short and in characters that any log can hold."""
+    short = name[:MAX_SHOWN_CHARACTERS]
+    return short.encode("ascii", "backslashreplace").decode()
