Treat 1.0 and 1 alike in templates and settings

JSON writes a whole number either way and both decoders accept both, so that a float had slipped past the checks of ports and of the quarantine, and into the typed template. Typed forms are now built from the converted document. Unpaired surrogates are refused, as msgspec can't encode them again.

--- a/libs/model/src/lagoontally_model/_parse_settings.py
+++ b/libs/model/src/lagoontally_model/_parse_settings.py
@@ -2,11 +2,13 @@
 
 from typing import Any
 
+from msgspec.structs import asdict
+
 from ._addresses import is_address, is_number, is_url
 from ._documents import SettingsDocument
 from ._findings import Findings
 from ._settings import LogSettings, Settings, Timing
-from ._structure import Fault, findings_in_order, load_json, shown, structural_faults
+from ._structure import NUMBER, Fault, convert, findings_in_order, load_json, shown
 
 SETTINGS = "settings"
 # Each first interval must be shorter than the second.
@@ -30,14 +32,15 @@
     value = load_json(document, name=SETTINGS)
     if isinstance(value, Findings):
         return value
-    faults = structural_faults(value, SettingsDocument, SETTINGS)
+    converted = convert(value, SettingsDocument, SETTINGS)
+    faults = converted if isinstance(converted, list) else []
     fields = value if isinstance(value, dict) else {}
     faults += text_faults(fields)
     faults += same_address_faults(fields)
     faults += timing_faults(fields)
     if faults:
         return findings_in_order(SETTINGS, value, faults)
-    return build_settings(value)
+    return build_settings(converted)
 
 
 def text_faults(fields: dict[str, Any]) -> list[Fault]:
@@ -73,7 +76,7 @@
     faults = []
     for shorter, longer in SHORTER_THAN:
         first, second = values[shorter], values[longer]
-        readable = isinstance(first, int) and isinstance(second, int)
+        readable = isinstance(first, NUMBER) and isinstance(second, NUMBER)
         if readable and first >= second:
             name = shorter if shorter in given else longer
             reason = f"{shorter} ({first}) must be less than {longer} ({second})"
@@ -81,9 +84,9 @@
     return faults
 
 
-def build_settings(fields: dict[str, Any]) -> Settings:
+def build_settings(document: SettingsDocument) -> Settings:
     """Return the typed form of settings without faults."""
-    values = dict(fields)
-    values["log"] = LogSettings(**fields.get("log", {}))
-    values["timing"] = Timing(**fields.get("timing", {}))
+    values = asdict(document)
+    values["log"] = LogSettings(**asdict(document.log))
+    values["timing"] = Timing(**asdict(document.timing))
     return Settings(**values)
--- a/libs/model/src/lagoontally_model/_parse_template.py
+++ b/libs/model/src/lagoontally_model/_parse_template.py
@@ -8,16 +8,24 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
+from msgspec.structs import astuple
+
 from ._addresses import is_address, parse_time
-from ._documents import TemplateDocument
+from ._documents import (
+    ServiceDocument,
+    TargetDocument,
+    TemplateDocument,
+    WorkspaceDocument,
+)
 from ._findings import Findings
 from ._structure import (
+    NUMBER,
     Fault,
+    convert,
     findings_in_order,
     load_json,
     place,
     shown,
-    structural_faults,
 )
 from ._template import (
     DEFAULT_QUARANTINE_S,
@@ -60,11 +68,12 @@
     value = load_json(document, name=TEMPLATE)
     if isinstance(value, Findings):
         return value
-    faults = structural_faults(value, TemplateDocument, TEMPLATE)
+    converted = convert(value, TemplateDocument, TEMPLATE)
+    faults = converted if isinstance(converted, list) else []
     faults += semantic_faults(value)
     if faults:
         return findings_in_order(TEMPLATE, value, faults)
-    return build_template(value)
+    return build_template(converted)
 
 
 def semantic_faults(value: Any) -> list[Fault]:
@@ -150,7 +159,9 @@
 
 def entry_port_faults(services: list[PlacedService]) -> list[Fault]:
     """Find entry ports that two services of the document share."""
-    return repeats([(item.path, item.fields) for item in services], "entry_port", int)
+    return repeats(
+        [(item.path, item.fields) for item in services], "entry_port", NUMBER
+    )
 
 
 def target_name_faults(services: list[PlacedService]) -> list[Fault]:
@@ -167,7 +178,7 @@
     return repeats([(item.path, item.fields) for item in targets], "address", str)
 
 
-def repeats(items: list[tuple[tuple, dict]], name: str, kind: type) -> list[Fault]:
+def repeats(items: list[tuple[tuple, dict]], name: str, kind: Any) -> list[Fault]:
     """Find values of a field that stand in more than one object.
 
     Args:
@@ -236,7 +247,7 @@
     published = readable_time(document.get("published_at"))
     seconds = document.get("quarantine_s", DEFAULT_QUARANTINE_S)
     held: dict[str, list[str]] = {}
-    if published is None or not isinstance(seconds, int):
+    if published is None or not isinstance(seconds, NUMBER):
         return held
     for entry in placed_retired(document):
         address = entry.fields.get("address")
@@ -254,38 +265,44 @@
     return parse_time(text) if isinstance(text, str) else None
 
 
-def build_template(document: dict[str, Any]) -> Template:
+def build_template(document: TemplateDocument) -> Template:
     """Return the typed form of a document without faults."""
-    workspaces = document["workspaces"].items()
+    workspaces = document.workspaces.items()
+    retired = document.retired
     return Template(
-        version=document["version"],
-        published_at=document["published_at"],
-        quarantine_s=document.get("quarantine_s", DEFAULT_QUARANTINE_S),
+        version=document.version,
+        published_at=document.published_at,
+        quarantine_s=document.quarantine_s,
         workspaces={name: build_workspace(name, item) for name, item in workspaces},
-        retired=tuple(RetiredAddress(**item) for item in document.get("retired", ())),
+        retired=tuple(RetiredAddress(*astuple(item)) for item in retired),
     )
 
 
-def build_workspace(name: str, fields: dict[str, Any]) -> Workspace:
+def build_workspace(name: str, document: WorkspaceDocument) -> Workspace:
     """Return the typed form of a workspace."""
-    services = fields["services"].items()
+    services = document.services.items()
     built = {service: build_service(service, item) for service, item in services}
-    return Workspace(name, fields["tenant"], built)
+    return Workspace(name, document.tenant, built)
 
 
-def build_service(name: str, fields: dict[str, Any]) -> Service:
+def build_service(name: str, document: ServiceDocument) -> Service:
     """Return the typed form of a service."""
     return Service(
         name=name,
-        entry_port=fields["entry_port"],
-        placement=Placement(fields["placement"]),
-        imbalance_weight=float(fields["imbalance_weight"]),
-        targets=tuple(build_target(item) for item in fields["targets"]),
+        entry_port=document.entry_port,
+        placement=Placement(document.placement),
+        imbalance_weight=document.imbalance_weight,
+        targets=tuple(build_target(item) for item in document.targets),
     )
 
 
-def build_target(fields: dict[str, Any]) -> Target:
+def build_target(document: TargetDocument) -> Target:
     """Return the typed form of a target."""
-    values = dict(fields)
-    leaving = values.pop("state", "active") == "leaving"
-    return Target(leaving=leaving, **values)
+    return Target(
+        name=document.name,
+        address=document.address,
+        data_centre=document.data_centre,
+        leaving=document.state == "leaving",
+        slots=document.slots,
+        connections=document.connections,
+    )
--- a/libs/model/src/lagoontally_model/_structure.py
+++ b/libs/model/src/lagoontally_model/_structure.py
@@ -9,7 +9,7 @@
 from functools import cache
 from importlib.resources import files
 from itertools import islice
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 from jsonschema import Draft202012Validator
@@ -21,6 +21,10 @@
 # A document of a megabyte can hold more faults than anyone reads.
 MAX_FAULTS = 1000
 
+Document = TypeVar("Document", bound=msgspec.Struct)
+# JSON writes a whole number as 1 or 1.0, and both are accepted.
+NUMBER = int | float
+
 
 class Fault(NamedTuple):
     """A fault at a path of object keys and list indices."""
@@ -43,12 +47,10 @@
         reason = f"{len(document)} bytes; at most {MAX_DOCUMENT_BYTES} are accepted"
         return Findings(name, (Finding("document", reason),))
     try:
-        text = document.decode()
-        return json.loads(
-            text,
-            object_pairs_hook=unique_fields,
-            parse_constant=reject_constant,
-        )
+        # Python's decoder gives the place of a fault and sees repeated fields.
+        json.loads(document.decode(), object_pairs_hook=unique_fields)
+        # The stricter decoder also refuses NaN and unpaired surrogates.
+        return msgspec.json.decode(document)
     except json.JSONDecodeError as error:
         place = f"line {error.lineno}, column {error.colno}"
         return Findings(name, (Finding(place, f"not JSON: {error.msg}"),))
@@ -66,13 +68,10 @@
     return fields
 
 
-def reject_constant(text: str) -> None:
-    """Refuse the numbers that JSON doesn't have, such as ``NaN``."""
-    raise ValueError(f"{text} is no JSON number")
-
-
-def structural_faults(value: Any, kind: type, schema_name: str) -> list[Fault]:
-    """Find every structural fault of a decoded document.
+def convert(
+    value: Any, kind: type[Document], schema_name: str
+) -> Document | list[Fault]:
+    """Convert a decoded document to its type.
 
     Args:
         value: The decoded document.
@@ -80,17 +79,23 @@
         schema_name: Name of the committed JSON Schema of that type.
 
     Returns:
-        The faults, empty where the structure is right.
+        The typed document, or every structural fault.
     """
     try:
-        msgspec.convert(value, kind)
+        return msgspec.convert(value, kind)
     except (msgspec.ValidationError, RecursionError) as error:
-        errors = validator(schema_name).iter_errors(value)
-        found = (fault for item in errors for fault in faults_of(item))
-        faults = list(islice(found, MAX_FAULTS))
         # The types have the last word where the two should ever disagree.
-        return list(dict.fromkeys(faults)) or [Fault((), str(error))]
-    return []
+        return schema_faults(value, schema_name) or [Fault((), str(error))]
+
+
+def schema_faults(value: Any, schema_name: str) -> list[Fault]:
+    """Return the faults that a committed schema finds, each once."""
+    faults: dict[Fault, None] = {}
+    for error in validator(schema_name).iter_errors(value):
+        faults |= dict.fromkeys(faults_of(error))
+        if len(faults) >= MAX_FAULTS:
+            break
+    return list(faults)
 
 
 @cache
