Report 1.0 where an integer is wanted

The types refuse 1.0 as an integer while JSON Schema takes it, so a trial got the decoder's own message in place of a finding with its place.

--- a/libs/model/src/lagoontally_model/_parse_settings.py
+++ b/libs/model/src/lagoontally_model/_parse_settings.py
@@ -8,7 +8,7 @@
 from ._documents import SettingsDocument
 from ._findings import Findings
 from ._settings import LogSettings, Settings, Timing
-from ._structure import NUMBER, Fault, convert, findings_in_order, load_json, shown
+from ._structure import Fault, convert, findings_in_order, load_json, shown
 
 SETTINGS = "settings"
 # Each first interval must be shorter than the second.
@@ -76,7 +76,7 @@
     faults = []
     for shorter, longer in SHORTER_THAN:
         first, second = values[shorter], values[longer]
-        readable = isinstance(first, NUMBER) and isinstance(second, NUMBER)
+        readable = isinstance(first, int) and isinstance(second, int)
         if readable and first >= second:
             name = shorter if shorter in given else longer
             reason = f"{shorter} ({first}) must be less than {longer} ({second})"
--- a/libs/model/src/lagoontally_model/_parse_template.py
+++ b/libs/model/src/lagoontally_model/_parse_template.py
@@ -19,7 +19,6 @@
 )
 from ._findings import Findings
 from ._structure import (
-    NUMBER,
     Fault,
     convert,
     findings_in_order,
@@ -159,9 +158,7 @@
 
 def entry_port_faults(services: list[PlacedService]) -> list[Fault]:
     """Find entry ports that two services of the document share."""
-    return repeats(
-        [(item.path, item.fields) for item in services], "entry_port", NUMBER
-    )
+    return repeats([(item.path, item.fields) for item in services], "entry_port", int)
 
 
 def target_name_faults(services: list[PlacedService]) -> list[Fault]:
@@ -247,7 +244,7 @@
     published = readable_time(document.get("published_at"))
     seconds = document.get("quarantine_s", DEFAULT_QUARANTINE_S)
     held: dict[str, list[str]] = {}
-    if published is None or not isinstance(seconds, NUMBER):
+    if published is None or not isinstance(seconds, int):
         return held
     for entry in placed_retired(document):
         address = entry.fields.get("address")
--- a/libs/model/src/lagoontally_model/_structure.py
+++ b/libs/model/src/lagoontally_model/_structure.py
@@ -13,6 +13,7 @@
 
 import msgspec
 from jsonschema import Draft202012Validator
+from jsonschema.validators import extend
 
 from ._findings import Finding, Findings
 
@@ -22,8 +23,17 @@
 MAX_FAULTS = 1000
 
 Document = TypeVar("Document", bound=msgspec.Struct)
-# JSON writes a whole number as 1 or 1.0, and both are accepted.
-NUMBER = int | float
+
+
+def is_integer(_checker: Any, value: Any) -> bool:
+    """Tell whether a value is an integer for the types, which 1.0 isn't."""
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+StrictValidator = extend(
+    Draft202012Validator,
+    type_checker=Draft202012Validator.TYPE_CHECKER.redefine("integer", is_integer),
+)
 
 
 class Fault(NamedTuple):
@@ -99,10 +109,10 @@
 
 
 @cache
-def validator(schema_name: str) -> Draft202012Validator:
+def validator(schema_name: str) -> Any:
     """Return the validator of a committed schema."""
     path = files(__package__) / "schema" / f"{schema_name}.schema.json"
-    return Draft202012Validator(json.loads(path.read_text()))
+    return StrictValidator(json.loads(path.read_text()))
 
 
 def faults_of(error: Any) -> list[Fault]:
