Compare templates, render workspace templates, add examples

compare_templates and transition_findings advise operators; acceptance stays a function of the document alone.

--- a/libs/model/src/lagoontally_model/__init__.py
+++ b/libs/model/src/lagoontally_model/__init__.py
@@ -1,8 +1,18 @@
 """Templates and settings: typed data and validation."""
 
+from ._changes import (
+    Changes,
+    MovedAddress,
+    QuarantinedAddress,
+    ServiceChanges,
+    VersionOrder,
+    compare_templates,
+    transition_findings,
+)
 from ._findings import Finding, Findings
 from ._parse_settings import parse_settings
 from ._parse_template import parse_template
+from ._render import render_template
 from ._sections import digest, document_digest, join_sections, split_sections
 from ._settings import LogSettings, Settings, Timing
 from ._template import (
@@ -16,22 +26,30 @@
 )
 
 __all__ = [
+    "Changes",
     "DEFAULT_QUARANTINE_S",
     "Finding",
     "Findings",
     "LogSettings",
+    "MovedAddress",
     "Placement",
+    "QuarantinedAddress",
     "RetiredAddress",
     "Service",
+    "ServiceChanges",
     "Settings",
     "Target",
     "Template",
     "Timing",
+    "VersionOrder",
     "Workspace",
+    "compare_templates",
     "digest",
     "document_digest",
     "join_sections",
     "parse_settings",
     "parse_template",
+    "render_template",
     "split_sections",
+    "transition_findings",
 ]
--- a/libs/model/src/lagoontally_model/_documents.py
+++ b/libs/model/src/lagoontally_model/_documents.py
@@ -5,7 +5,7 @@
 structs because a ``TypedDict`` can't forbid unknown fields.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from msgspec import Meta, Struct, field
 
@@ -126,3 +126,19 @@
     statsd_address: Address | None = None
     log: LogDocument = field(default_factory=LogDocument)
     timing: TimingDocument = field(default_factory=TimingDocument)
+
+
+class ParameterDocument(Struct, forbid_unknown_fields=True):
+    """A parameter of a workspace template; without a default it must be given."""
+
+    type: Literal["string", "integer", "number", "boolean"]
+    description: str
+    default: str | int | float | bool | None = None
+    unit: str | None = None
+
+
+class SourceDocument(Struct, forbid_unknown_fields=True):
+    """A workspace template: parameters, and a document with their placeholders."""
+
+    parameters: dict[str, ParameterDocument]
+    document: dict[str, Any]
--- a/libs/model/src/lagoontally_model/_parse_template.py
+++ b/libs/model/src/lagoontally_model/_parse_template.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterator
-from datetime import timedelta
+from datetime import datetime
 from typing import Any, NamedTuple
 
 from msgspec.structs import astuple
@@ -18,6 +18,7 @@
     WorkspaceDocument,
 )
 from ._findings import Findings
+from ._quarantine import remaining_s
 from ._structure import (
     Fault,
     convert,
@@ -251,13 +252,12 @@
         retired = readable_time(entry.fields.get("retired_at"))
         if retired is None or not isinstance(address, str):
             continue
-        # The difference can't overflow, as the end of the quarantine could.
-        if (published - retired) / timedelta(seconds=1) < seconds:
+        if remaining_s(published, retired, seconds) > 0:
             held.setdefault(address, []).append(entry.workspace)
     return held
 
 
-def readable_time(text: Any) -> Any:
+def readable_time(text: Any) -> datetime | None:
     """Return a time, or None where it can't be read."""
     return parse_time(text) if isinstance(text, str) else None
 
--- a/libs/model/src/lagoontally_model/_schemas.py
+++ b/libs/model/src/lagoontally_model/_schemas.py
@@ -8,18 +8,22 @@
 
 import msgspec
 
-from ._documents import SettingsDocument, TemplateDocument
+from ._documents import SettingsDocument, SourceDocument, TemplateDocument
 
 DIALECT = "https://json-schema.org/draft/2020-12/schema"
 SCHEMA_FOLDER = Path(__file__).parent / "schema"
-KINDS = {"template": TemplateDocument, "settings": SettingsDocument}
+KINDS = {
+    "template": TemplateDocument,
+    "settings": SettingsDocument,
+    "source": SourceDocument,
+}
 
 
 def schema_text(name: str) -> str:
     """Return the text of a document's JSON Schema.
 
     Args:
-        name: ``template`` or ``settings``.
+        name: ``template``, ``settings`` or ``source``.
 
     Returns:
         Indented JSON with a line feed at its end.
