--- /dev/null
+++ b/libs/edges/src/lagoontally_edges/_coap_checks.py
@@ -0,0 +1,119 @@
+"""Checks that a datagram passes before and while it is decoded."""
+
+from typing import NamedTuple
+
+from aiocoap import Message
+from aiocoap.error import Error
+
+REMAINING_OPTION = 65000
+MAX_TOKEN_BYTES = 8
+MAX_OPTION_NUMBER = 65_535
+HEADER_BYTES = 4
+PAYLOAD_MARKER = 0xFF
+
+# Longest value of each option that has a bound (RFC 7252, 7641, 7959, 9175).
+_MAX_OPTION_BYTES = {
+    1: 8,
+    3: 255,
+    4: 8,
+    5: 0,
+    6: 3,
+    7: 2,
+    8: 255,
+    11: 255,
+    12: 2,
+    14: 4,
+    15: 255,
+    16: 1,
+    17: 2,
+    20: 255,
+    23: 3,
+    27: 3,
+    28: 4,
+    60: 4,
+    252: 40,
+    258: 1,
+    REMAINING_OPTION: 4,
+}
+_KNOWN_CRITICAL = frozenset({1, 3, 5, 7, 9, 11, 13, 15, 17, 21, 23, 27})
+_EXTENDED = {13: (1, 13), 14: (2, 269)}
+
+
+class Malformed(NamedTuple):
+    """A datagram that can't be used; it is dropped and counted."""
+
+    reason: str
+
+
+def decode_message(data):
+    """Decode a datagram that keeps to RFC 7252.
+
+    Args:
+        data: The whole datagram.
+
+    Returns:
+        The ``aiocoap.Message``, or ``Malformed``.
+    """
+    reason = _fault(data)
+    if reason:
+        return Malformed(reason)
+    try:
+        return Message.decode(data)
+    except (Error, ValueError) as error:
+        return Malformed(f"the datagram can't be decoded: {error}")
+
+
+def _fault(data):
+    """Return the first fault that ``aiocoap`` would let pass, or an empty text."""
+    if len(data) < HEADER_BYTES:
+        return "the datagram is shorter than a header"
+    if data[0] >> 6 != 1:
+        return "the version isn't 1"
+    token_bytes = data[0] & 0x0F
+    if token_bytes > MAX_TOKEN_BYTES:
+        return "the token is longer than 8 bytes"
+    if data[1] == 0 and len(data) > HEADER_BYTES:
+        return "an empty message has content"
+    if len(data) < HEADER_BYTES + token_bytes:
+        return "the token is cut off"
+    return _option_fault(data, HEADER_BYTES + token_bytes)
+
+
+def _option_fault(data, place):
+    # ``aiocoap`` keeps every option number and content format that it ever saw,
+    # so numbers and lengths are bounded before it sees them.
+    number = 0
+    while place < len(data):
+        first = data[place]
+        if first == PAYLOAD_MARKER:
+            return "" if place + 1 < len(data) else "the payload is missing"
+        delta, place = _field(data, first >> 4, place + 1)
+        length, place = _field(data, first & 0x0F, place)
+        number += delta
+        place += length
+        if place > len(data):
+            return "an option is cut off"
+        reason = _value_fault(number, length)
+        if reason:
+            return reason
+    return ""
+
+
+def _field(data, nibble, place):
+    """Return an option's delta or length and the place after it."""
+    if nibble < 13:
+        return nibble, place
+    if nibble == 15:
+        return MAX_OPTION_NUMBER + 1, place
+    size, offset = _EXTENDED[nibble]
+    return int.from_bytes(data[place : place + size], "big") + offset, place + size
+
+
+def _value_fault(number, length):
+    if number > MAX_OPTION_NUMBER:
+        return "an option's number is out of range"
+    if number & 1 and number not in _KNOWN_CRITICAL:
+        return f"the critical option {number} isn't known"
+    if length > _MAX_OPTION_BYTES.get(number, length):
+        return f"option {number} is too long"
+    return ""
--- /dev/null
+++ b/libs/edges/src/lagoontally_edges/_peer_codec.py
@@ -0,0 +1,100 @@
+"""Codec of the messages between balancers: typed MessagePack."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from lagoontally_core import (
+    HandoverAck,
+    HandoverPart,
+    Join,
+    PeerMessage,
+    Ping,
+    PingAck,
+    PingRequest,
+    Relay,
+    RelayAck,
+    RelayFresh,
+    Succession,
+    TemplateDigest,
+    TemplateSections,
+    TemplateWant,
+    Welcome,
+)
+
+MESSAGE_TYPES = {
+    message_type.__name__: message_type
+    for message_type in (
+        HandoverAck,
+        HandoverPart,
+        Join,
+        Ping,
+        PingAck,
+        PingRequest,
+        Relay,
+        RelayAck,
+        RelayFresh,
+        Succession,
+        TemplateDigest,
+        TemplateSections,
+        TemplateWant,
+        Welcome,
+    )
+}
+
+_ENCODER = msgspec.msgpack.Encoder()
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(tuple[int, str, msgspec.Raw])
+_DECODERS = {
+    name: msgspec.msgpack.Decoder(message_type)
+    for name, message_type in MESSAGE_TYPES.items()
+}
+
+
+class DecodeError(NamedTuple):
+    """A peer's message that can't be used; it is dropped and counted."""
+
+    reason: str
+
+
+class EncodeError(NamedTuple):
+    """A message that can't be carried; it is dropped and counted."""
+
+    reason: str
+
+
+def encode_peer(sender, message):
+    """Encode a message to another balancer.
+
+    Args:
+        sender: Incarnation of the sender.
+        message: One of ``MESSAGE_TYPES``.
+
+    Returns:
+        The encoded message, or ``EncodeError``.
+    """
+    name = type(message).__name__
+    if name not in _DECODERS:
+        return EncodeError(f"{name} isn't a message between balancers")
+    try:
+        return _ENCODER.encode((sender, name, message))
+    except (msgspec.MsgspecError, TypeError, ValueError, OverflowError) as error:
+        return EncodeError(f"{name} can't be encoded: {error}")
+
+
+def decode_peer(data):
+    """Decode a message of another balancer.
+
+    Args:
+        data: The encoded message.
+
+    Returns:
+        ``PeerMessage`` or ``DecodeError``.
+    """
+    try:
+        sender, name, body = _ENVELOPE_DECODER.decode(data)
+        decoder = _DECODERS.get(name)
+        if decoder is None:
+            return DecodeError(f"{name!r} isn't a message between balancers")
+        return PeerMessage(sender, decoder.decode(body))
+    except (msgspec.MsgspecError, ValueError) as error:
+        return DecodeError(f"the message can't be decoded: {error}")
