Add the platform and operator edges, metrics and logging

The watch asks for what differs from the version that was served last, so that neither a rejected nor an older document makes it poll without a wait; where the platform's servers disagree it backs off. A rejected document's version never counts as seen, or one with a huge number would shut out every later one.

requests can't be interrupted, so a read runs in a daemon thread that the task leaves when it is told to stop.

--- a/libs/edges/src/lagoontally_edges/__init__.py
+++ b/libs/edges/src/lagoontally_edges/__init__.py
@@ -14,6 +14,9 @@
 )
 from ._coap_checks import Malformed
 from ._datagrams import BindFailed
+from ._logging import configure_logging, log_change
+from ._metrics import Metrics, merge_snapshots
+from ._operator_edge import OperatorEdge
 from ._pause import PAUSE_MS, monotonic_ms
 from ._peer_codec import (
     MESSAGE_TYPES,
@@ -23,6 +26,7 @@
     encode_peer,
 )
 from ._peer_edge import PeerEdge
+from ._platform_edge import PlatformEdge
 from ._upstream_edge import UpstreamEdge
 
 __all__ = [
@@ -34,11 +38,15 @@
     "DecodeError",
     "EncodeError",
     "Malformed",
+    "Metrics",
+    "OperatorEdge",
     "PeerEdge",
     "PingReceived",
+    "PlatformEdge",
     "ResetReceived",
     "UpstreamDatagram",
     "UpstreamEdge",
+    "configure_logging",
     "decode_caller_datagram",
     "decode_peer",
     "decode_upstream",
@@ -46,5 +54,7 @@
     "encode_notification",
     "encode_peer",
     "encode_upstream",
+    "log_change",
+    "merge_snapshots",
     "monotonic_ms",
 ]
--- /dev/null
+++ b/libs/edges/src/lagoontally_edges/_logging.py
@@ -0,0 +1,95 @@
+"""Logs: lines for changes of state, as text or JSON on standard error."""
+
+import json
+import logging
+import sys
+
+LOGGER_NAME = "lagoontally"
+HIDDEN = "<hidden>"
+_SECRET_WORDS = ("key", "token", "echo", "secret", "password")
+
+logger = logging.getLogger(LOGGER_NAME)
+
+
+def plain_fields(fields):
+    """Return fields fit for a log: no keys, no tokens and no bytes.
+
+    Args:
+        fields: Values by name; may nest.
+
+    Returns:
+        A copy in which secret values are hidden and bytes are told by length.
+    """
+    return {str(name): _plain_field(name, value) for name, value in fields.items()}
+
+
+def _plain_field(name, value):
+    lowered = str(name).lower()
+    if any(word in lowered for word in _SECRET_WORDS):
+        return HIDDEN
+    return _plain_value(value)
+
+
+def _plain_value(value):
+    if isinstance(value, bytes | bytearray | memoryview):
+        return f"<{len(value)} bytes>"
+    if isinstance(value, dict):
+        return plain_fields(value)
+    if hasattr(value, "_asdict"):
+        return plain_fields(value._asdict())
+    if isinstance(value, list | tuple | set | frozenset):
+        return [_plain_value(item) for item in value]
+    if value is None or isinstance(value, bool | int | float | str):
+        return value
+    return str(value)
+
+
+class TextFormatter(logging.Formatter):
+    """One line of text for each record, its fields as ``name=value``."""
+
+    def format(self, record):
+        """Return the line of a record."""
+        line = super().format(record)
+        fields = getattr(record, "fields", {})
+        return " ".join([line, *(f"{name}={value}" for name, value in fields.items())])
+
+
+class JsonFormatter(logging.Formatter):
+    """One JSON object a line for each record."""
+
+    def format(self, record):
+        """Return the line of a record."""
+        document = {
+            "time": self.formatTime(record),
+            "level": record.levelname,
+            "logger": record.name,
+            "text": record.getMessage(),
+        }
+        fields = getattr(record, "fields", {})
+        if fields:
+            document["fields"] = fields
+        if record.exc_info:
+            document["exception"] = self.formatException(record.exc_info)
+        return json.dumps(document)
+
+
+def configure_logging(level, format):
+    """Send the log of this process to standard error.
+
+    Args:
+        level: Name of a level of ``logging``.
+        format: ``text`` or ``json``.
+    """
+    formatter = TextFormatter("%(asctime)s %(levelname)s %(message)s")
+    if format == "json":
+        formatter = JsonFormatter()
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+
+
+def log_change(action):
+    """Log the change of state of a ``LogChange``."""
+    level = logging.getLevelNamesMapping().get(action.level.upper(), logging.INFO)
+    fields = plain_fields(action.fields)
+    logger.log(level, "%s", action.text, extra={"fields": fields})
--- /dev/null
+++ b/libs/edges/src/lagoontally_edges/_operator_edge.py
@@ -0,0 +1,138 @@
+"""The edge towards operators: JSON over a pynng ``Rep0`` socket."""
+
+import itertools
+import time
+from queue import Empty, SimpleQueue
+from typing import Literal
+
+import msgspec
+import pynng
+
+from lagoontally_core import Count, OperatorQuery
+
+from ._datagrams import ignore_count
+
+RECEIVE_WAIT_MS = 100
+POLL_S = 0.1
+ANSWER_WAIT_S = 2.0
+MAX_REQUEST_BYTES = 1 << 16
+
+
+class _RequestDocument(msgspec.Struct):
+    query: Literal["status", "explain", "drain"]
+    argument: str = ""
+
+
+_REQUEST_DECODER = msgspec.json.Decoder(_RequestDocument)
+
+
+def decode_operator_request(data, query_id):
+    """Decode an operator's request.
+
+    Args:
+        data: The encoded request.
+        query_id: Names the query in its answer.
+
+    Returns:
+        ``OperatorQuery``, or a text that says what is wrong.
+    """
+    try:
+        document = _REQUEST_DECODER.decode(data)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return f"the request is faulty: {error}"
+    return OperatorQuery(query_id, document.query, document.argument)
+
+
+def encode_operator_answer(result):
+    """Encode the answer to an operator; an error when it isn't plain data."""
+    try:
+        return msgspec.json.encode(result)
+    except (msgspec.MsgspecError, TypeError, ValueError, RecursionError) as error:
+        return encode_error(f"the answer can't be encoded: {error}")
+
+
+def encode_error(reason):
+    """Encode an answer that says why a request can't be met."""
+    return msgspec.json.encode({"error": reason})
+
+
+class OperatorEdge:
+    """Takes operators' queries, one after the other, and answers them.
+
+    Args:
+        address: ``IP:port`` to listen at; port 0 lets the system choose.
+        post: Takes events for the core.
+        count: Takes ``Count``.
+        answer_wait_s: How long the core may take to answer.
+
+    Raises:
+        pynng.NNGException: When the address can't be listened at.
+    """
+
+    def __init__(
+        self, *, address, post, count=ignore_count, answer_wait_s=ANSWER_WAIT_S
+    ):
+        self.post = post
+        self.count = count
+        self.answer_wait_s = answer_wait_s
+        self.query_ids = itertools.count(1)
+        self.answers = SimpleQueue()
+        self.socket = pynng.Rep0(
+            recv_timeout=RECEIVE_WAIT_MS, recv_max_size=MAX_REQUEST_BYTES
+        )
+        listener = self.socket.listen(f"tcp://{address}")
+        self.listen_address = str(listener.local_address)
+
+    def answer(self, action):
+        """Hand over the answer of an ``AnswerOperator``."""
+        self.answers.put(action)
+
+    def run(self, stop):
+        """Serve operators until ``stop`` is set."""
+        while not stop.is_set():
+            self.serve_one(stop)
+
+    def serve_one(self, stop):
+        """Wait a short time for a request and answer it."""
+        try:
+            data = self.socket.recv()
+        except pynng.NNGException as error:
+            if not isinstance(error, pynng.Timeout):
+                self.add("receive_failed")
+            return
+        reply = self.reply_to(data, stop)
+        try:
+            self.socket.send(reply, block=False)
+        except pynng.NNGException:
+            self.add("send_failed")
+
+    def reply_to(self, data, stop):
+        """Return the encoded answer to an encoded request."""
+        query = decode_operator_request(data, next(self.query_ids))
+        if isinstance(query, str):
+            self.add("faulty")
+            return encode_error(query)
+        self.post(query)
+        return self.wait_for_answer(query.query_id, stop)
+
+    def wait_for_answer(self, query_id, stop):
+        """Return the encoded answer to a query, or an error when none comes."""
+        due_s = time.monotonic() + self.answer_wait_s
+        while time.monotonic() < due_s and not stop.is_set():
+            try:
+                action = self.answers.get(timeout=POLL_S)
+            except Empty:
+                continue
+            # An answer that came too late belongs to an earlier query.
+            if action.query_id == query_id:
+                return encode_operator_answer(action.result)
+        self.add("unanswered")
+        return encode_error(f"no answer within {self.answer_wait_s} s")
+
+    def add(self, counter):
+        """Add one to a counter of this edge."""
+        self.count(Count(f"operator_{counter}"))
+
+    def close(self):
+        """Close the socket; call it once ``run`` has returned."""
+        self.socket.close()
--- /dev/null
+++ b/libs/edges/src/lagoontally_edges/_platform_edge.py
@@ -0,0 +1,249 @@
+"""The edge towards the platform: reads and watches, never writes."""
+
+from functools import partial, singledispatchmethod
+from threading import Event, Lock
+from typing import Literal
+
+import msgspec
+import requests
+
+from lagoontally_core import (
+    Count,
+    Instance,
+    InstancesRead,
+    TemplateRead,
+    TemplateRejected,
+)
+from lagoontally_model import Findings, parse_template
+
+from ._abandonable import call_until_stop
+from ._datagrams import ignore_count
+from ._platform_http import Document, Unavailable, Unchanged, read_document
+
+WATCH_WAIT_S = 25
+BACKOFF_MIN_S = 0.5
+BACKOFF_MAX_S = 8.0
+BACKOFF_MAX_DOUBLINGS = 4
+REREAD_MAX_S = 2.0
+INSTANCES_PERIOD_S = 5.0
+INSTANCES_JITTER_S = 1.0
+MIN_READ_GAP_S = 0.5
+WAKE_S = 0.1
+
+
+class _InstanceDocument(msgspec.Struct):
+    name: str
+    data_centre: str
+    peer_address: str
+    state: Literal["live", "leaving"]
+
+
+class _InstancesDocument(msgspec.Struct):
+    instances: list[_InstanceDocument]
+
+
+class _VersionDocument(msgspec.Struct):
+    version: int = 0
+
+
+_INSTANCES_DECODER = msgspec.json.Decoder(_InstancesDocument)
+_VERSION_DECODER = msgspec.json.Decoder(_VersionDocument)
+
+
+def decode_instances(body):
+    """Return ``InstancesRead``, or ``Unavailable`` when the body is faulty."""
+    try:
+        document = _INSTANCES_DECODER.decode(body)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Unavailable(f"the list of instances is faulty: {error}")
+    return InstancesRead(
+        tuple(
+            Instance(
+                item.name, item.data_centre, item.peer_address, item.state == "leaving"
+            )
+            for item in document.instances
+        )
+    )
+
+
+def decode_version(body):
+    """Return the version that a template's document names, 0 when it names none."""
+    try:
+        return max(0, _VERSION_DECODER.decode(body).version)
+    except (msgspec.MsgspecError, ValueError):
+        return 0
+
+
+class PlatformEdge:
+    """Watches the template and polls the list of instances.
+
+    Args:
+        url: URL of the platform without a path.
+        workspace: The balancer's workspace.
+        post: Takes events for the core.
+        random: A ``random.Random`` that spreads reads in time.
+        count: Takes ``Count``.
+    """
+
+    def __init__(self, *, url, workspace, post, random, count=ignore_count):
+        self.url = url.rstrip("/")
+        self.workspace = workspace
+        self.post = post
+        self.random = random
+        self.count = count
+        self.lock = Lock()
+        self.accepted_version = 0
+        self.served_version = 0
+        self.rejected_document = b""
+        self.failures = 0
+        self.read_wanted = Event()
+
+    def read_now(self):
+        """Have the template read soon, apart from the watch."""
+        self.read_wanted.set()
+
+    def run_template_watch(self, stop):
+        """Read the template and wait for each newer one until ``stop`` is set."""
+        with self.open_session() as session:
+            while not stop.is_set():
+                outcome = call_until_stop(partial(self.watch_once, session), stop)
+                if outcome is not None:
+                    stop.wait(self.take_template(outcome))
+
+    def watch_once(self, session):
+        """Read the template once, waiting until it isn't the one served last."""
+        url = f"{self.url}/v1/template"
+        self.add("reads")
+        if not self.served_version:
+            return read_document(session, url)
+        params = {"after": self.served_version, "wait": WATCH_WAIT_S}
+        return read_document(session, url, params=params, wait_s=WATCH_WAIT_S)
+
+    @singledispatchmethod
+    def take_template(self, outcome):
+        """Post what a read of the template gave.
+
+        Args:
+            outcome: ``Document``, ``Unchanged`` or ``Unavailable``.
+
+        Returns:
+            How long to wait before the next read, in seconds.
+        """
+        raise TypeError(f"{type(outcome).__name__} isn't the outcome of a read")
+
+    @take_template.register
+    def _(self, outcome: Unchanged):
+        self.failures = 0
+        return 0.0
+
+    @take_template.register
+    def _(self, outcome: Unavailable):
+        self.add("failures")
+        if outcome.interrupted:
+            return self.random.uniform(0, REREAD_MAX_S)
+        return self.back_off()
+
+    @take_template.register
+    def _(self, outcome: Document):
+        # The platform's servers may differ, so the next may answer at once.
+        if not self.post_template(outcome.body):
+            return self.back_off()
+        self.failures = 0
+        return 0.0
+
+    def back_off(self):
+        """Return a random delay whose bound doubles with each failure in a row."""
+        doublings = min(self.failures, BACKOFF_MAX_DOUBLINGS)
+        self.failures += 1
+        return self.random.uniform(0, min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2**doublings))
+
+    def post_template(self, body):
+        """Post a document as read or rejected unless it is an older one.
+
+        Args:
+            body: The encoded document.
+
+        Returns:
+            True when it is newer than what was accepted, or newly rejected.
+        """
+        parsed = parse_template(body)
+        if isinstance(parsed, Findings):
+            return self.post_rejected(body, parsed.reason)
+        with self.lock:
+            accepted = self.accepted_version
+            self.accepted_version = max(accepted, parsed.version)
+            self.served_version = parsed.version
+        if parsed.version < accepted:
+            self.add("older_templates")
+        else:
+            # The version in force is posted too: it has been read anew.
+            self.post(TemplateRead(parsed, body))
+        return parsed.version > accepted
+
+    def post_rejected(self, body, reason):
+        """Post a rejected document once; return True when it was posted."""
+        version = decode_version(body)
+        with self.lock:
+            # Its version guards the watch only, never what is accepted later.
+            self.served_version = version
+            repeated = body == self.rejected_document
+            self.rejected_document = body
+        if not repeated:
+            self.post(TemplateRejected(version, reason))
+        return not repeated
+
+    def run_instances_poll(self, stop):
+        """Poll the list of instances until ``stop`` is set.
+
+        The reads that ``read_now`` asks for are made here too, so that they
+        don't wait for the watch.
+        """
+        with self.open_session() as session:
+            while not stop.is_set():
+                read = partial(self.read_instances, session)
+                call_until_stop(read, stop)
+                self.serve_reads(session, stop)
+
+    def read_instances(self, session):
+        """Read the list of instances once and post it."""
+        self.add("reads")
+        params = {"workspace": self.workspace}
+        outcome = read_document(session, f"{self.url}/v1/instances", params=params)
+        decoded = outcome
+        if isinstance(outcome, Document):
+            decoded = decode_instances(outcome.body)
+        if isinstance(decoded, InstancesRead):
+            self.post(decoded)
+        else:
+            self.add("failures")
+
+    def serve_reads(self, session, stop):
+        """Make the reads that are asked for until the next poll is due."""
+        jitter_s = self.random.uniform(-INSTANCES_JITTER_S, INSTANCES_JITTER_S)
+        slices = int((INSTANCES_PERIOD_S + jitter_s) / WAKE_S)
+        for _ in range(slices):
+            if stop.is_set():
+                return
+            if self.read_wanted.wait(WAKE_S):
+                self.read_wanted.clear()
+                call_until_stop(partial(self.read_template, session), stop)
+                stop.wait(MIN_READ_GAP_S)
+
+    def read_template(self, session):
+        """Read the template once without waiting and post it."""
+        self.add("reads")
+        outcome = read_document(session, f"{self.url}/v1/template")
+        if isinstance(outcome, Document):
+            self.post_template(outcome.body)
+        else:
+            self.add("failures")
+
+    def open_session(self):
+        """Return an HTTP session that ignores the environment's proxies."""
+        session = requests.Session()
+        session.trust_env = False
+        return session
+
+    def add(self, counter):
+        """Add one to a counter of this edge."""
+        self.count(Count(f"platform_{counter}"))
