--- /dev/null
+++ b/libs/edges/features/fixtures.py
@@ -0,0 +1,140 @@
+"""Shared fixtures: recorded events, tasks, UDP peers and fuzzing."""
+
+import json
+import socket
+from collections import Counter
+from contextlib import ExitStack
+from queue import Empty, Queue
+from threading import Event, Thread
+
+import hypothesis
+
+TIMEOUT_S = 20
+
+
+class Recorder:
+    """Keeps what edges post and count, and runs their tasks."""
+
+    def __init__(self):
+        self.events = Queue()
+        self.post = self.events.put
+        self.counters = Counter()
+        self.now_ms = 0
+        self.cleanup = ExitStack()
+
+    def count(self, action):
+        """Add a ``Count``."""
+        self.counters[action.name] += action.value
+
+    def clock_ms(self):
+        """Return the virtual clock."""
+        return self.now_ms
+
+    def event(self):
+        """Wait for the next event."""
+        return self.events.get(timeout=TIMEOUT_S)
+
+    def waiting(self):
+        """Return the events posted so far."""
+        found = []
+        while True:
+            try:
+                found.append(self.events.get_nowait())
+            except Empty:
+                return found
+
+    def own(self, edge):
+        """Close an edge after the scenario."""
+        self.cleanup.callback(edge.close)
+        return edge
+
+    def start(self, run):
+        """Run a task until the scenario ends; return its stop event and thread."""
+        stop = Event()
+        task = Thread(target=run, args=(stop,))
+        task.start()
+        self.cleanup.callback(task.join)
+        self.cleanup.callback(stop.set)
+        return stop, task
+
+    def udp(self):
+        """Open a UDP socket on loopback."""
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.cleanup.callback(opened.close)
+        opened.settimeout(TIMEOUT_S)
+        opened.bind(("127.0.0.1", 0))
+        return opened
+
+    def close(self):
+        """End the tasks, then close the edges and sockets."""
+        self.cleanup.close()
+
+
+def address_of(opened):
+    """Return the ``IP:port`` of a socket."""
+    host, port = opened.getsockname()
+    return f"{host}:{port}"
+
+
+def free_port(recorder):
+    """Return a UDP port that was free a moment ago."""
+    opened = recorder.udp()
+    port = opened.getsockname()[1]
+    opened.close()
+    return port
+
+
+def template_document(version):
+    """Return an encoded template that is accepted."""
+    target = {
+        "name": "pivot-link-1",
+        "address": "127.20.1.1:7001",
+        "data_centre": "tifton",
+        "state": "active",
+        "slots": 2,
+        "connections": 4300,
+    }
+    service = {
+        "entry_port": 5701,
+        "placement": "flow",
+        "imbalance_weight": 0.3,
+        "targets": [target],
+    }
+    workspace = {"tenant": "irrigation", "services": {"pivot-link": service}}
+    document = {
+        "format": 1,
+        "version": version,
+        "published_at": "2026-12-03T21:00:00Z",
+        "quarantine_s": 600,
+        "workspaces": {"pivot-command-relay": workspace},
+        "retired": [],
+    }
+    return json.dumps(document).encode()
+
+
+def mutations(samples):
+    """Return a strategy of arbitrary bytes and of samples cut and overwritten."""
+    strategies = hypothesis.strategies
+    edits = strategies.lists(
+        strategies.tuples(strategies.integers(0, 200), strategies.binary(max_size=4)),
+        max_size=4,
+    )
+
+    def apply(sample, changes, length):
+        data = bytearray(sample)
+        for place, patch in changes:
+            data[place : place + len(patch)] = patch
+        return bytes(data[:length])
+
+    changed = strategies.builds(
+        apply, strategies.sampled_from(samples), edits, strategies.integers(0, 400)
+    )
+    return strategies.one_of(strategies.binary(max_size=64), changed)
+
+
+def fuzz(check, samples):
+    """Call ``check`` with many mutations of the samples, the same in each run."""
+    examples = hypothesis.settings(
+        max_examples=400, derandomize=True, database=None, deadline=None
+    )
+    examples(hypothesis.given(mutations(samples))(lambda data: check(data)))()
--- a/libs/edges/src/lagoontally_edges/_coap_checks.py
+++ b/libs/edges/src/lagoontally_edges/_coap_checks.py
@@ -10,6 +10,8 @@
 MAX_OPTION_NUMBER = 65_535
 HEADER_BYTES = 4
 PAYLOAD_MARKER = 0xFF
+# Decoding copies the rest of the datagram for each option.
+MAX_OPTIONS = 64
 
 # Longest value of each option that has a bound (RFC 7252, 7641, 7959, 9175).
 _MAX_OPTION_BYTES = {
@@ -83,6 +85,7 @@
     # ``aiocoap`` keeps every option number and content format that it ever saw,
     # so numbers and lengths are bounded before it sees them.
     number = 0
+    options = 0
     while place < len(data):
         first = data[place]
         if first == PAYLOAD_MARKER:
@@ -90,12 +93,13 @@
         delta, place = _field(data, first >> 4, place + 1)
         length, place = _field(data, first & 0x0F, place)
         number += delta
+        options += 1
         place += length
         if place > len(data):
             return "an option is cut off"
         reason = _value_fault(number, length)
-        if reason:
-            return reason
+        if reason or options > MAX_OPTIONS:
+            return reason or f"there are more than {MAX_OPTIONS} options"
     return ""
 
 
--- a/libs/edges/src/lagoontally_edges/_platform_edge.py
+++ b/libs/edges/src/lagoontally_edges/_platform_edge.py
@@ -247,3 +247,6 @@
     def add(self, counter):
         """Add one to a counter of this edge."""
         self.count(Count(f"platform_{counter}"))
+
+    def close(self):
+        """Do nothing: each task closes its own session."""
