--- a/libs/core/src/lagoontally_core/__init__.py
+++ b/libs/core/src/lagoontally_core/__init__.py
@@ -65,6 +65,8 @@
     TemplateWant,
     Welcome,
 )
+from ._state import Phase, SelfInfo, State
+from ._step import JOIN_WAIT_MS, PAUSE_MS, TICK_MS, step
 
 __all__ = [
     "Answer",
@@ -83,6 +85,7 @@
     "IdentityReply",
     "Instance",
     "InstancesRead",
+    "JOIN_WAIT_MS",
     "Join",
     "LeaveRequested",
     "LineRecord",
@@ -93,7 +96,9 @@
     "NotifyCaller",
     "OperatorQuery",
     "Origin",
+    "PAUSE_MS",
     "PeerMessage",
+    "Phase",
     "Ping",
     "PingAck",
     "PingRequest",
@@ -110,13 +115,16 @@
     "ReplyTo",
     "Request",
     "RequestKind",
+    "SelfInfo",
     "SendKind",
     "SendPeer",
     "SendUpstream",
     "ServeEntries",
+    "State",
     "Stop",
     "Succession",
     "SuccessionAck",
+    "TICK_MS",
     "TemplateDigest",
     "TemplateRead",
     "TemplateRejected",
@@ -126,4 +134,5 @@
     "Unknown",
     "UpstreamReply",
     "Welcome",
+    "step",
 ]
--- a/libs/core/src/lagoontally_core/_exchanges.py
+++ b/libs/core/src/lagoontally_core/_exchanges.py
@@ -68,7 +68,9 @@
     exchange.target = target.address
     target.in_flight += 1
     state.exchanges[exchange.token] = exchange
-    state.timers.add(_try_until_ms(exchange, turn.now_ms), ExchangeTimer(exchange.token))
+    state.timers.add(
+        _try_until_ms(exchange, turn.now_ms), ExchangeTimer(exchange.token)
+    )
     host = host_name(state, exchange.reply_to.flow.service)
     remaining_ms = exchange.deadline_ms - turn.now_ms
     turn.act(
--- a/libs/core/src/lagoontally_core/_inherit.py
+++ b/libs/core/src/lagoontally_core/_inherit.py
@@ -31,9 +31,10 @@
 
     def complete(self):
         """Tell whether every part is here."""
-        return bool(self.parts) and len(self.parts) == next(
-            iter(self.parts.values())
-        ).parts
+        return (
+            bool(self.parts)
+            and len(self.parts) == next(iter(self.parts.values())).parts
+        )
 
 
 class DropStaged(NamedTuple):
--- a/libs/core/src/lagoontally_core/_leave.py
+++ b/libs/core/src/lagoontally_core/_leave.py
@@ -286,5 +286,3 @@
     state.phase = Phase.LEFT
     turn.log("INFO", "left")
     turn.act(Stop())
-
-
--- a/libs/core/src/lagoontally_core/_members.py
+++ b/libs/core/src/lagoontally_core/_members.py
@@ -207,8 +207,7 @@
             record.incarnation
             for record in self.records.values()
             if record.status >= MemberStatus.DEAD
-            and now_ms - self.changed_ms[record.incarnation]
-            > self.timing.remember_ms
+            and now_ms - self.changed_ms[record.incarnation] > self.timing.remember_ms
         ]
         for incarnation in gone:
             del self.records[incarnation]
--- a/libs/core/src/lagoontally_core/_probing.py
+++ b/libs/core/src/lagoontally_core/_probing.py
@@ -2,6 +2,7 @@
 
 from ._actions import SendPeer
 from ._events import Tick
+from ._inherit import learn_succession
 from ._members import INDIRECT_PROBES, MemberStatus
 from ._peer_messages import (
     Join,
@@ -11,7 +12,6 @@
     Succession,
     Welcome,
 )
-from ._succession import learn_succession
 from ._templates import notice_version
 
 SUCCESSIONS_PER_MESSAGE = 3
--- a/libs/core/src/lagoontally_core/_rendezvous.py
+++ b/libs/core/src/lagoontally_core/_rendezvous.py
@@ -16,7 +16,9 @@
         A list of the nodes.
     """
     return sorted(
-        nodes, key=lambda node: (xxh3_64_intdigest(node + b"|" + key), node), reverse=True
+        nodes,
+        key=lambda node: (xxh3_64_intdigest(node + b"|" + key), node),
+        reverse=True,
     )
 
 
--- /dev/null
+++ b/libs/daemon/src/lagoontally_daemon/__main__.py
@@ -0,0 +1,36 @@
+"""The balancer process: ``python -m lagoontally_daemon SETTINGS``."""
+
+import signal
+import sys
+from pathlib import Path
+
+import click
+
+from lagoontally_model import Findings, parse_settings
+
+from ._composition import compose
+
+EXIT_FINDINGS = 1
+
+
+@click.command()
+@click.argument("settings_file", type=click.Path(exists=True, dir_okay=False))
+def main(settings_file):
+    """Run one balancer with the settings in SETTINGS_FILE.
+
+    It prints one line of JSON once it serves. On SIGTERM or SIGINT it hands
+    over its flows and ends.
+    """
+    settings = parse_settings(Path(settings_file).read_bytes())
+    if isinstance(settings, Findings):
+        for finding in settings.findings:
+            click.echo(f"{finding.place}: {finding.reason}", err=True)
+        sys.exit(EXIT_FINDINGS)
+    balancer = compose(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: balancer.request_leave())
+    balancer.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/daemon/src/lagoontally_daemon/_composition.py
@@ -0,0 +1,149 @@
+"""The composition root: makes every part of a balancer and wires them."""
+
+import secrets
+from concurrent.futures import FIRST_EXCEPTION, ThreadPoolExecutor, wait
+from random import Random
+from threading import Event
+from typing import NamedTuple
+
+from lagoontally_core import SelfInfo, State
+from lagoontally_edges import (
+    CallerEdge,
+    Metrics,
+    OperatorEdge,
+    PeerEdge,
+    PlatformEdge,
+    UpstreamEdge,
+    configure_logging,
+)
+
+from ._core_task import CoreTask, wall_offset_ms
+from ._performer import Performer
+
+INCARNATION_BITS = 64
+ECHO_KEY_BYTES = 32
+METRICS_PREFIX = "lagoontally"
+
+
+class Edges(NamedTuple):
+    """The edges of one balancer."""
+
+    callers: CallerEdge
+    upstreams: UpstreamEdge
+    peers: PeerEdge
+    platform: PlatformEdge
+    operators: OperatorEdge
+    metrics: Metrics
+
+
+class Balancer:
+    """One balancer: its core, its edges and the tasks that run them.
+
+    Attributes:
+        settings: Its settings.
+        stop: Set once it has left or a task has failed.
+        core: The task that takes the decisions.
+        edges: The edges.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.stop = Event()
+        random = Random(secrets.randbits(INCARNATION_BITS))
+        info = _self_info(settings)
+        self.core = CoreTask(
+            state=State(info, settings.timing), random=random, perform=self._perform
+        )
+        self.edges = _make_edges(settings, info, self.core.post, random)
+        self.performer = Performer(edges=self.edges, stop=self.stop)
+
+    def _perform(self, action, decided_ms):
+        self.performer.perform(action, decided_ms)
+
+    def request_leave(self):
+        """Ask the balancer to leave; ``run`` returns once it has."""
+        self.core.request_leave()
+
+    def run(self):
+        """Run every task until the balancer has left.
+
+        Raises:
+            Exception: What a task failed with.
+        """
+        tasks = self._tasks()
+        with ThreadPoolExecutor(len(tasks)) as pool:
+            futures = [pool.submit(task, self.stop) for task in tasks]
+            try:
+                done, _ = wait(futures, return_when=FIRST_EXCEPTION)
+            finally:
+                self.stop.set()
+        for edge in self.edges:
+            edge.close()
+        for future in done:
+            future.result()
+
+    def _tasks(self):
+        edges = self.edges
+        return [
+            self.core.run,
+            edges.callers.run,
+            edges.upstreams.run,
+            edges.peers.run,
+            edges.platform.run_template_watch,
+            edges.platform.run_instances_poll,
+            edges.operators.run,
+            edges.metrics.run,
+        ]
+
+
+def _self_info(settings):
+    return SelfInfo(
+        incarnation=secrets.randbits(INCARNATION_BITS),
+        name=settings.instance,
+        workspace=settings.workspace,
+        data_centre=settings.data_centre,
+        peer_address=settings.peer_address,
+        echo_key=secrets.token_bytes(ECHO_KEY_BYTES),
+        wall_offset_ms=wall_offset_ms(),
+    )
+
+
+def _make_edges(settings, info, post, random):
+    prefix = f"{METRICS_PREFIX}.{settings.tenant}.{settings.instance}"
+    metrics = Metrics(address=settings.statsd_address, prefix=prefix)
+    return Edges(
+        callers=CallerEdge(address=settings.address, post=post, count=metrics.count),
+        upstreams=UpstreamEdge(
+            address=settings.address, post=post, count=metrics.count
+        ),
+        peers=PeerEdge(
+            incarnation=info.incarnation,
+            listen_address=settings.peer_address,
+            post=post,
+            count=metrics.count,
+        ),
+        platform=PlatformEdge(
+            url=settings.platform_url,
+            workspace=settings.workspace,
+            post=post,
+            random=Random(random.getrandbits(INCARNATION_BITS)),
+            count=metrics.count,
+        ),
+        operators=OperatorEdge(
+            address=settings.operator_address, post=post, count=metrics.count
+        ),
+        metrics=metrics,
+    )
+
+
+def compose(settings):
+    """Return a ``Balancer`` made from its settings.
+
+    Args:
+        settings: The ``Settings`` of one balancer.
+
+    Returns:
+        The balancer, its sockets bound and its tasks not running yet.
+    """
+    configure_logging(settings.log.level, settings.log.format)
+    return Balancer(settings)
--- /dev/null
+++ b/libs/daemon/src/lagoontally_daemon/_core_task.py
@@ -0,0 +1,73 @@
+"""The task that owns the core's state and takes its decisions."""
+
+import time
+from queue import Empty, SimpleQueue
+
+from lagoontally_core import TICK_MS, LeaveRequested, Received, Tick, step
+from lagoontally_edges import monotonic_ms
+
+MS_PER_S = 1_000
+
+
+class CoreTask:
+    """Feeds events to the core and performs its actions.
+
+    Args:
+        state: The core's state; no other task touches it.
+        random: Source of random numbers for the core.
+        perform: Called with each action and the time of its step.
+
+    Attributes:
+        inbox: Events of the edges, in order of arrival.
+        ticked_ms: When the core was last told the time.
+    """
+
+    def __init__(self, *, state, random, perform):
+        self.state = state
+        self.random = random
+        self.perform = perform
+        self.inbox = SimpleQueue()
+        self.ticked_ms = 0
+
+    def post(self, event):
+        """Queue an event; it is void if the process pauses before its turn."""
+        self.inbox.put(Received(monotonic_ms(), event))
+
+    def request_leave(self):
+        """Ask the balancer to leave; a pause doesn't void this."""
+        self.inbox.put(LeaveRequested())
+
+    def run(self, stop):
+        """Take decisions until ``stop`` is set."""
+        while not stop.is_set():
+            event = self._next_event()
+            if event is not None:
+                self._take(event)
+            if monotonic_ms() - self.ticked_ms >= self._tick_after_ms():
+                self.ticked_ms = monotonic_ms()
+                self._take(Tick())
+
+    def _next_event(self):
+        wait_ms = self.ticked_ms + self._tick_after_ms() - monotonic_ms()
+        try:
+            if wait_ms <= 0:
+                return self.inbox.get_nowait()
+            return self.inbox.get(timeout=wait_ms / MS_PER_S)
+        except Empty:
+            return None
+
+    def _tick_after_ms(self):
+        due_ms = self.state.timers.next_due_ms()
+        if due_ms is None:
+            return TICK_MS
+        return max(1, min(TICK_MS, due_ms - self.ticked_ms))
+
+    def _take(self, event):
+        now_ms = monotonic_ms()
+        for action in step(self.state, event, now_ms, self.random):
+            self.perform(action, now_ms)
+
+
+def wall_offset_ms():
+    """Return the wall clock minus the monotonic clock, in milliseconds."""
+    return int(time.time() * MS_PER_S) - monotonic_ms()
--- /dev/null
+++ b/libs/daemon/src/lagoontally_daemon/_performer.py
@@ -0,0 +1,122 @@
+"""Performs the core's actions by handing them to the edges."""
+
+import json
+import sys
+from functools import singledispatchmethod
+
+from lagoontally_core import (
+    PAUSE_MS,
+    AnswerCaller,
+    AnswerOperator,
+    AskIdentity,
+    AskLoad,
+    Count,
+    LogChange,
+    NotifyCaller,
+    ReadTemplate,
+    RecordLatency,
+    SendPeer,
+    SendUpstream,
+    ServeEntries,
+    Stop,
+)
+from lagoontally_edges import log_change, monotonic_ms
+
+
+class Performer:
+    """Hands each action to the edge that it is for.
+
+    Args:
+        edges: The edges, an ``Edges``.
+        stop: Event that is set once the balancer has left.
+
+    Attributes:
+        announced: True once readiness has been printed.
+    """
+
+    def __init__(self, *, edges, stop):
+        self.edges = edges
+        self.stop = stop
+        self.announced = False
+
+    def perform(self, action, decided_ms):
+        """Perform an action that was decided at ``decided_ms``.
+
+        A request isn't sent to a target when the process was paused since it
+        was decided: its caller may have been told by now that it is unknown.
+        """
+        stale = monotonic_ms() - decided_ms >= PAUSE_MS
+        if stale and isinstance(action, SendUpstream):
+            self.edges.metrics.count(Count("upstream.discarded_after_pause"))
+            return
+        self.hand_over(action)
+
+    @singledispatchmethod
+    def hand_over(self, action):
+        """Hand an action to its edge.
+
+        Raises:
+            TypeError: There is no edge for it.
+        """
+        raise TypeError(f"no edge for {type(action).__name__}")
+
+    @hand_over.register
+    def _(self, action: AnswerCaller):
+        self.edges.callers.answer(action)
+
+    @hand_over.register
+    def _(self, action: NotifyCaller):
+        self.edges.callers.notify(action)
+
+    @hand_over.register
+    def _(self, action: SendUpstream):
+        self.edges.upstreams.send(action)
+
+    @hand_over.register
+    def _(self, action: AskIdentity):
+        self.edges.upstreams.ask_identity(action)
+
+    @hand_over.register
+    def _(self, action: AskLoad):
+        self.edges.upstreams.ask_load(action)
+
+    @hand_over.register
+    def _(self, action: SendPeer):
+        self.edges.peers.send(action)
+
+    @hand_over.register
+    def _(self, action: ReadTemplate):
+        self.edges.platform.read_now()
+
+    @hand_over.register
+    def _(self, action: Count):
+        self.edges.metrics.count(action)
+
+    @hand_over.register
+    def _(self, action: RecordLatency):
+        self.edges.metrics.record(action)
+
+    @hand_over.register
+    def _(self, action: LogChange):
+        log_change(action)
+
+    @hand_over.register
+    def _(self, action: AnswerOperator):
+        if "members" in action.result:
+            action.result.update(self.edges.metrics.snapshot())
+        self.edges.operators.answer(action)
+
+    @hand_over.register
+    def _(self, action: ServeEntries):
+        failed = self.edges.callers.serve(action.ports)
+        for item in failed:
+            log_change(LogChange("ERROR", "entry port not bound", item._asdict()))
+        if not self.announced and not failed:
+            self.announced = True
+            print(json.dumps({"ready": True}), flush=True)
+
+    @hand_over.register
+    def _(self, action: Stop):
+        # What was sent last is still in the sockets' hands.
+        sys.stdout.flush()
+        self.stop.set()
