Add the stand-ins for platform, fabric and upstreams, and a deployment

Nothing outside of the system existed to run it against. The platform answers reads and watches and can be down, stale, lagging or late for some readers; the fabric chooses a balancer anew for each datagram; an upstream serves CoAP from a state machine that takes datagrams and the time. 'up' starts all of them as processes in a block of loopback addresses of its own.

--- a/libs/standins/src/lagoontally_standins/__init__.py
+++ b/libs/standins/src/lagoontally_standins/__init__.py
@@ -1,1 +1,48 @@
 """Stand-ins for the outside systems, with the load tool."""
+
+from ._children import NotReadyError, ProcessRecord
+from ._content import resource_body, resource_etag
+from ._deployment import Deployment, Options
+from ._fabric import Entry, Fabric, FabricSettings, serve_fabric_control
+from ._fabric_rules import (
+    Delivery,
+    FabricRules,
+    changed_rules,
+    to_balancers,
+    to_caller,
+)
+from ._fleet import FRANCHISE, IRRIGATION, TENANTS, template_document
+from ._platform import Platform, PlatformMode, serve_platform
+from ._upstream import Outgoing, Upstream, UpstreamMode, UpstreamSettings
+from ._upstream_process import UpstreamProcess, serve_upstream_control
+
+__all__ = [
+    "FRANCHISE",
+    "IRRIGATION",
+    "TENANTS",
+    "Delivery",
+    "Deployment",
+    "Entry",
+    "Fabric",
+    "FabricRules",
+    "FabricSettings",
+    "NotReadyError",
+    "Options",
+    "Outgoing",
+    "Platform",
+    "PlatformMode",
+    "ProcessRecord",
+    "Upstream",
+    "UpstreamMode",
+    "UpstreamProcess",
+    "UpstreamSettings",
+    "changed_rules",
+    "resource_body",
+    "resource_etag",
+    "serve_fabric_control",
+    "serve_platform",
+    "serve_upstream_control",
+    "template_document",
+    "to_balancers",
+    "to_caller",
+]
--- /dev/null
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -0,0 +1,112 @@
+"""Command line of the stand-ins; ``up`` and ``run`` start the processes."""
+
+import json
+import signal
+import sys
+import threading
+from pathlib import Path
+
+import click
+
+from ._deployment import Deployment, Options
+from ._fabric import Fabric, load_fabric_settings, serve_fabric_control
+from ._platform import Platform, serve_platform
+from ._upstream_process import (
+    UpstreamProcess,
+    load_upstream_settings,
+    serve_upstream_control,
+)
+
+SETTINGS_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.group()
+def main():
+    """Stand-ins for the platform, the fabric and the upstreams."""
+
+
+@main.command()
+@click.option("--address", default="127.9.0.2:8500", show_default=True)
+def platform(address):
+    """Serve the platform until ended."""
+    ended = ended_by_signal()
+    server = serve_platform(address, Platform())
+    print_ready()
+    ended.wait()
+    server.stop()
+
+
+@main.command()
+@click.argument("settings", type=SETTINGS_FILE)
+def fabric(settings):
+    """Run the fabric of a settings file until ended."""
+    ended = ended_by_signal()
+    loop = Fabric(load_fabric_settings(settings.read_text()))
+    run_loop(loop, serve_fabric_control(loop), ended)
+
+
+@main.command()
+@click.argument("settings", type=SETTINGS_FILE)
+def upstream(settings):
+    """Run the upstream of a settings file until ended."""
+    ended = ended_by_signal()
+    loop = UpstreamProcess(load_upstream_settings(settings.read_text()))
+    run_loop(loop, serve_upstream_control(loop), ended)
+
+
+@main.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of all choices.")
+@click.option("--no-balancers", is_flag=True, help="Start the stand-ins alone.")
+@click.option("--work-ms", default=20.0, show_default=True)
+@click.option("--notify-ms", default=1000.0, show_default=True)
+def up(seed, no_balancers, work_ms, notify_ms):
+    """Keep a whole deployment up until interrupted."""
+    ended = ended_by_signal()
+    options = Options(
+        seed=seed,
+        balancers=not no_balancers,
+        work_ms=work_ms,
+        notify_ms=notify_ms,
+    )
+    with Deployment(options) as deployment:
+        click.echo(json.dumps(deployment.report()))
+        ended.wait()
+
+
+@main.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of all choices.")
+def run(seed):
+    """Run callers against a whole deployment and audit the ledgers."""
+    # Imported here because the other commands need no callers.
+    from ._run import run as run_load
+
+    sys.exit(run_load(seed))
+
+
+def run_loop(loop, control, ended):
+    """Run a loop in a thread until the process is told to end."""
+    thread = threading.Thread(target=loop.run)
+    thread.start()
+    print_ready()
+    ended.wait()
+    control.stop()
+    loop.inbox.submit(None)
+    thread.join()
+
+
+def print_ready():
+    """Tell the parent process that this one serves."""
+    click.echo(json.dumps({"ready": True}))
+    sys.stdout.flush()
+
+
+def ended_by_signal() -> threading.Event:
+    """Return an event that an interrupt or a request to end sets."""
+    ended = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: ended.set())
+    return ended
+
+
+if __name__ == "__main__":
+    main()
