Split the upstream and the deployment, and test the stand-ins

A deployment gets a new folder each time: by process id, a reused id would have appended to an old ledger. A failed start waits for the other starts, so that no process is started after the others were ended.

--- /dev/null
+++ b/libs/standins/features/deployment.feature
@@ -0,0 +1,12 @@
+Feature: A deployment of separate processes
+
+  Scenario: Stand-ins are started, changed and ended
+    Given a deployment of one small tenant without balancers
+    Then its report names every process and its entry address
+    And the platform serves the template that was published
+    When the target "pivot-link-2" of "pivot-link" is drained
+    Then the platform serves version 2 with that target leaving
+    When "pivot-link-1" is set to work for 1 ms
+    Then "pivot-link-1" answers the command "c9" and has it in its ledger
+    When the deployment is stopped
+    Then none of its processes is left
--- a/libs/standins/src/lagoontally_standins/__init__.py
+++ b/libs/standins/src/lagoontally_standins/__init__.py
@@ -2,7 +2,7 @@
 
 from ._children import NotReadyError, ProcessRecord
 from ._content import resource_body, resource_etag
-from ._deployment import Deployment, Options
+from ._deployment import Deployment
 from ._fabric import Entry, Fabric, FabricSettings, serve_fabric_control
 from ._fabric_rules import (
     Delivery,
@@ -13,8 +13,10 @@
 )
 from ._fleet import FRANCHISE, IRRIGATION, TENANTS, template_document
 from ._platform import Platform, PlatformMode, serve_platform
-from ._upstream import Outgoing, Upstream, UpstreamMode, UpstreamSettings
+from ._starts import Options
+from ._upstream import Upstream
 from ._upstream_process import UpstreamProcess, serve_upstream_control
+from ._upstream_types import Outgoing, UpstreamMode, UpstreamSettings
 
 __all__ = [
     "FRANCHISE",
--- a/libs/standins/src/lagoontally_standins/__main__.py
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -8,9 +8,10 @@
 
 import click
 
-from ._deployment import Deployment, Options
+from ._deployment import Deployment
 from ._fabric import Fabric, load_fabric_settings, serve_fabric_control
 from ._platform import Platform, serve_platform
+from ._starts import Options
 from ._upstream_process import (
     UpstreamProcess,
     load_upstream_settings,
--- a/libs/standins/src/lagoontally_standins/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/_deployment.py
@@ -1,34 +1,38 @@
 """A whole deployment on loopback, as separate processes."""
 
 import copy
-import json
 import os
 import signal
 import socket
-from concurrent.futures import ThreadPoolExecutor
+import tempfile
+from concurrent.futures import ThreadPoolExecutor, wait
 from pathlib import Path
 from random import Random
-from typing import NamedTuple
 
 import requests
 
 from ._children import Child, NotReadyError, ProcessRecord
 from ._fleet import (
-    OPERATOR_PORT,
-    PEER_PORT,
-    TENANTS,
     Addresses,
     BalancerPlan,
-    TenantPlan,
     plan_balancer,
     plan_balancers,
     plan_upstreams,
     template_document,
     time_text,
 )
+from ._starts import (
+    Options,
+    Start,
+    balancer_start,
+    fabric_start,
+    instance_entry,
+    ledger_dir,
+    make_directories,
+    platform_start,
+    upstream_start,
+)
 
-STANDINS = "lagoontally_standins"
-BALANCER = "lagoontally_daemon"
 OUTPUT_DIR = Path(".out")
 HTTP_WAIT_S = 10.0
 # The second octets that a deployment chooses its addresses from.
@@ -38,30 +42,6 @@
 STARTS_AT_ONCE = 8
 
 
-class Options(NamedTuple):
-    """What a deployment consists of.
-
-    Attributes:
-        seed: Seed of the fabric's choices.
-        balancers: Whether balancers are started.
-        directory: Folder for settings, logs and ledgers, chosen when None.
-        work_ms: Time that an upstream takes for a request.
-        notify_ms: Interval between a line's notifications.
-        cold_start_ms: How long after its start an upstream is slow.
-        list_lag_s: Age of the platform's instance lists.
-        tenants: The tenants and their fleets.
-    """
-
-    seed: int = 1
-    balancers: bool = True
-    directory: Path | None = None
-    work_ms: float = 20.0
-    notify_ms: float = 1000.0
-    cold_start_ms: float = 0.0
-    list_lag_s: float = 2.0
-    tenants: tuple[TenantPlan, ...] = TENANTS
-
-
 class Deployment:
     """Starts, changes and ends the processes of a deployment.
 
@@ -80,8 +60,8 @@
     def __init__(self, options: Options = Options()):  # noqa: B008
         self.options = options
         self.addresses, self.claim = claim_addresses(Random(os.getpid()))
-        self.directory = options.directory or OUTPUT_DIR / f"deployment-{os.getpid()}"
-        self.ledgers = self.directory / "ledgers"
+        self.directory = options.directory or new_directory()
+        self.ledgers = ledger_dir(self.directory)
         self.upstreams = plan_upstreams(self.addresses, options.tenants)
         self.balancers: dict[str, BalancerPlan] = {}
         self.document = template_document(self.upstreams, options.tenants)
@@ -116,9 +96,17 @@
         Raises:
             NotReadyError: A process doesn't serve.
         """
-        for name in ("settings", "logs", "ledgers"):
-            (self.directory / name).mkdir(parents=True, exist_ok=True)
-        self.start_all(self.standin_starts())
+        make_directories(self.directory)
+        self.start_all(
+            [
+                platform_start(self.addresses),
+                fabric_start(self.addresses, self.options, self.directory),
+                *(
+                    upstream_start(plan, self.options, self.directory)
+                    for plan in self.upstreams
+                ),
+            ]
+        )
         if self.options.balancers:
             for plan in plan_balancers(self.addresses, self.options.tenants):
                 self.balancers[plan.name] = plan
@@ -153,9 +141,13 @@
             "platform": self.platform_url,
             "fabric_control": self.fabric_control,
             "ledgers": str(self.ledgers.resolve()),
-            "processes": [record._asdict() for record in self.records.values()],
+            "processes": [record._asdict() for record in self.sorted_records()],
         }
 
+    def sorted_records(self) -> list[ProcessRecord]:
+        """Return the running processes by role and name."""
+        return sorted(self.records.values(), key=lambda r: (r.role, r.name))
+
     def publish(self, document: dict) -> None:
         """Publish a template document; the caller sets its version."""
         self.document = document
@@ -170,12 +162,12 @@
 
         Returns:
             The new version.
+
+        Raises:
+            KeyError: There is no such target.
         """
         document = copy.deepcopy(self.document)
-        for workspace in document["workspaces"].values():
-            for found in workspace["services"].get(service, {}).get("targets", ()):
-                if found["name"] == target:
-                    found["state"] = "leaving"
+        find_target(document, service, target)["state"] = "leaving"
         document["version"] += 1
         document["published_at"] = time_text()
         self.publish(document)
@@ -242,6 +234,7 @@
     def forget_balancer(self, name: str) -> None:
         """Take a balancer that has ended off the platform's and fabric's lists."""
         del self.balancers[name]
+        self.records.pop(name, None)
         self.announce()
 
     def kill(self, name: str) -> None:
@@ -249,6 +242,7 @@
         child = self.children[name]
         child.process.kill()
         child.wait_end()
+        self.records.pop(name, None)
 
     def freeze(self, name: str) -> None:
         """Stop a process until it is woken."""
@@ -272,113 +266,50 @@
             ips[plan.workspace].append(plan.address)
         self.set_fabric({"balancers": ips})
 
-    def start_all(self, starts: list[tuple[ProcessRecord, list[str]]]) -> None:
+    def balancer_start(self, plan: BalancerPlan) -> Start:
+        """Return how to start a balancer."""
+        return balancer_start(plan, self.platform_url, self.directory)
+
+    def start_all(self, starts: list[Start]) -> None:
         """Start processes at the same time and wait until all of them serve."""
-        list(self.pool.map(self.start_one, starts))
+        started = [self.pool.submit(self.start_one, start) for start in starts]
+        # Waits for all, also after a failure, so that none starts unseen later.
+        wait(started)
+        for one in started:
+            one.result()
 
-    def start_one(self, start: tuple[ProcessRecord, list[str]]) -> None:
+    def start_one(self, start: Start) -> None:
         """Start one process and wait until it serves."""
-        record, arguments = start
+        record = start.record
         log = self.directory / "logs" / f"{record.name}.log"
-        child = Child(record.name, arguments, log)
+        child = Child(record.name, start.arguments, log)
         self.children[record.name] = child
         with ThreadPoolExecutor(1) as reader:
             child.wait_ready(reader)
         self.records[record.name] = record._replace(pid=child.process.pid)
 
-    def standin_starts(self) -> list[tuple[ProcessRecord, list[str]]]:
-        """Return the records and arguments of all stand-ins."""
-        at = self.addresses
-        platform = ProcessRecord(
-            "platform", "platform", "", "", 0, at.platform, self.platform_url
-        )
-        fabric = ProcessRecord(
-            "fabric", "fabric", "", "", 0, at.fabric, self.fabric_control
-        )
-        fabric_file = self.write_settings("fabric", self.fabric_settings())
-        starts = [
-            (platform, [STANDINS, "platform", "--address", at.platform]),
-            (fabric, [STANDINS, "fabric", fabric_file]),
-        ]
-        return starts + [self.upstream_start(plan) for plan in self.upstreams]
-
-    def upstream_start(self, plan) -> tuple[ProcessRecord, list[str]]:
-        """Return the record and the arguments of an upstream."""
-        settings = {
-            "target": plan.name,
-            "workspace": plan.workspace,
-            "service": plan.service,
-            "address": plan.address,
-            "control": plan.control,
-            "ledger_dir": str(self.ledgers),
-            "work_ms": self.options.work_ms,
-            "notify_ms": self.options.notify_ms,
-            "cold_start_ms": self.options.cold_start_ms,
-            "connections": plan.connections,
-        }
-        file = self.write_settings(plan.name, settings)
-        control = f"http://{plan.control}/control"
-        place = (plan.data_centre, plan.tenant)
-        record = ProcessRecord("upstream", plan.name, *place, 0, plan.address, control)
-        return record, [STANDINS, "upstream", file]
-
-    def balancer_start(self, plan: BalancerPlan) -> tuple[ProcessRecord, list[str]]:
-        """Return the record and the arguments of a balancer."""
-        settings = {
-            "instance": plan.name,
-            "tenant": plan.tenant,
-            "workspace": plan.workspace,
-            "data_centre": plan.data_centre,
-            "address": plan.address,
-            "peer_address": f"{plan.address}:{PEER_PORT}",
-            "operator_address": f"{plan.address}:{OPERATOR_PORT}",
-            "platform_url": self.platform_url,
-            "statsd_address": None,
-            "log": {"level": "INFO", "format": "text"},
-        }
-        file = self.write_settings(plan.name, settings)
-        place = (plan.data_centre, plan.tenant)
-        record = ProcessRecord("balancer", plan.name, *place, 0, plan.address)
-        return record, [BALANCER, file]
-
-    def fabric_settings(self) -> dict:
-        """Return the settings of the fabric."""
-        entries = [
-            {
-                "workspace": tenant.workspace,
-                "service": service.name,
-                "port": service.entry_port,
-            }
-            for tenant in self.options.tenants
-            for service in tenant.services
-        ]
-        return {
-            "address": self.addresses.fabric,
-            "control": self.addresses.fabric_control,
-            "seed": self.options.seed,
-            "entries": entries,
-            "balancers": {},
-        }
-
-    def write_settings(self, name: str, settings: dict) -> str:
-        """Write a settings file and return its path."""
-        file = self.directory / "settings" / f"{name}.json"
-        file.write_text(json.dumps(settings, indent=2))
-        return str(file)
-
     def put_json(self, url: str, value: dict) -> None:
         """Send a value to a control or a publishing path."""
         requests.put(url, json=value, timeout=HTTP_WAIT_S).raise_for_status()
 
 
-def instance_entry(plan: BalancerPlan, state: str) -> dict:
-    """Return a balancer's entry in the platform's list."""
-    return {
-        "name": plan.name,
-        "data_centre": plan.data_centre,
-        "peer_address": f"{plan.address}:{PEER_PORT}",
-        "state": state,
-    }
+def find_target(document: dict, service: str, target: str) -> dict:
+    """Return the entry of a target in a template document.
+
+    Raises:
+        KeyError: There is no such target.
+    """
+    for workspace in document["workspaces"].values():
+        for entry in workspace["services"].get(service, {}).get("targets", ()):
+            if entry["name"] == target:
+                return entry
+    raise KeyError(f"no target {target} in {service}")
+
+
+def new_directory() -> Path:
+    """Make a folder of its own for a deployment, so that its ledgers are empty."""
+    OUTPUT_DIR.mkdir(exist_ok=True)
+    return Path(tempfile.mkdtemp(prefix="deployment-", dir=OUTPUT_DIR))
 
 
 def claim_addresses(random: Random) -> tuple[Addresses, socket.socket]:
@@ -394,12 +325,25 @@
         NotReadyError: Every block that was tried is in use.
     """
     for _ in range(BLOCK_TRIES):
-        block = random.randint(FIRST_BLOCK, LAST_BLOCK)
+        addresses = Addresses(random.randint(FIRST_BLOCK, LAST_BLOCK))
         claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
-            claim.bind((f"127.{block}.0.1", CLAIM_PORT))
+            claim.bind((f"127.{addresses.block}.0.1", CLAIM_PORT))
+            require_free(addresses.platform)
+            require_free(addresses.fabric_control)
         except OSError:
             claim.close()
             continue
-        return Addresses(block), claim
+        return addresses, claim
     raise NotReadyError("no free block of loopback addresses")
+
+
+def require_free(address: str) -> None:
+    """Check that no process of an earlier deployment listens at an address.
+
+    Raises:
+        OSError: The address is in use.
+    """
+    host, _, port = address.rpartition(":")
+    with socket.create_server((host, int(port))):
+        pass
--- a/libs/standins/src/lagoontally_standins/_http.py
+++ b/libs/standins/src/lagoontally_standins/_http.py
@@ -9,6 +9,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 LISTEN_BACKLOG = 512
+STOP_POLL_S = 0.1
 
 
 class HttpRequest(NamedTuple):
@@ -60,7 +61,10 @@
 
     def start(self) -> None:
         """Serve in a thread of its own until ``stop`` is called."""
-        threading.Thread(target=self.serve_forever, daemon=True).start()
+        loop = threading.Thread(
+            target=self.serve_forever, args=(STOP_POLL_S,), daemon=True
+        )
+        loop.start()
 
     def stop(self) -> None:
         """Stop serving and close the socket."""
--- a/libs/standins/src/lagoontally_standins/_resources.py
+++ b/libs/standins/src/lagoontally_standins/_resources.py
@@ -6,6 +6,11 @@
 
 from aiocoap import GET, POST, PUT, Code, Message
 
+from ._content import resource_etag
+
+DEADLINE_OPTION = 65000
+MAX_DEADLINE_BYTES = 4
+LARGEST_SIZE_EXPONENT = 6
 LOAD_PATH = ("load",)
 IDENTITY_PATH = (".well-known", "lagoontally")
 
@@ -80,3 +85,35 @@
     message = Message(code=code, payload=json.dumps(value).encode())
     message.opt.content_format = 50
     return message
+
+
+def time_left_ms(request: Message) -> float:
+    """Return the time to a request's deadline, infinite without one."""
+    options = request.opt.get_option(DEADLINE_OPTION) or ()
+    for option in options:
+        value = option.encode()
+        if len(value) <= MAX_DEADLINE_BYTES:
+            return int.from_bytes(value, "big")
+    return float("inf")
+
+
+def block_number(request: Message) -> int:
+    """Return the number of the block that a request asks for."""
+    return request.opt.block2.block_number if request.opt.block2 else 0
+
+
+def block_of(request: Message, body: bytes) -> Message:
+    """Return the answer with the block of a body that a request asks for."""
+    asked = request.opt.block2
+    number = block_number(request)
+    exponent = LARGEST_SIZE_EXPONENT
+    if asked:
+        exponent = min(asked.size_exponent, LARGEST_SIZE_EXPONENT)
+    size = 1 << (exponent + 4)
+    start = number * size
+    if start >= len(body):
+        return Message(code=Code.BAD_OPTION)
+    answer = Message(code=Code.CONTENT, payload=body[start : start + size])
+    answer.opt.block2 = (number, start + size < len(body), exponent)
+    answer.opt.etag = resource_etag(body)
+    return answer
--- a/libs/standins/src/lagoontally_standins/_upstream.py
+++ b/libs/standins/src/lagoontally_standins/_upstream.py
@@ -3,115 +3,38 @@
 import heapq
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
-from enum import StrEnum
 from itertools import count
-from typing import NamedTuple
 
 from aiocoap import ACK, CON, EMPTY, GET, NON, RST, Code, Message
 from aiocoap.error import UnparsableMessage
 
-from ._content import resource_body, resource_etag
+from ._content import resource_body
+from ._load import LoadHistory
 from ._resources import (
     IDENTITY_PATH,
     LOAD_PATH,
     Kind,
-    Resource,
+    block_number,
+    block_of,
     find_resource,
     json_message,
     path_text,
     payload_id,
+    time_left_ms,
+)
+from ._upstream_types import (
+    Endpoint,
+    Line,
+    Outgoing,
+    UpstreamMode,
+    UpstreamSettings,
+    Work,
 )
 
-DEADLINE_OPTION = 65000
-MAX_DEADLINE_BYTES = 4
 EXCHANGE_LIFETIME_MS = 247_000
 SHED_MAX_AGE_S = 1
 COLD_START_SLOWDOWN = 5
-DEFAULT_SIZE_EXPONENT = 6
 SEQUENCE_MODULUS = 1 << 24
-# Changes of the load that a lagging report can look back over.
-LOAD_SAMPLES = 10_000
-
-Endpoint = tuple[str, int]
-LedgerLine = dict
-
-
-class UpstreamMode(StrEnum):
-    """How an upstream treats work that is new to it."""
-
-    UP = "up"
-    DRAINING = "draining"
-    SILENT = "silent"
-    SHED = "shed"
-
-
-class UpstreamSettings(NamedTuple):
-    """Settings of one upstream.
-
-    Attributes:
-        target: Name of the target.
-        workspace: Workspace that it serves.
-        service: Service that it serves.
-        address: ``IP:port`` of its CoAP socket.
-        control: ``IP:port`` of its control over HTTP.
-        ledger_dir: Folder of its ledger.
-        work_ms: Time that one request takes.
-        notify_ms: Interval between a line's notifications.
-        cold_start_ms: How long after its start requests take longer.
-        slots: Requests that run at the same time.
-        connections: Lines that it holds at most.
-        queue: Requests that wait for a slot at most.
-        blocks: Number of 64-byte parts in a block-wise body.
-    """
-
-    target: str
-    workspace: str
-    service: str
-    address: str
-    control: str
-    ledger_dir: str
-    work_ms: float = 20.0
-    notify_ms: float = 1000.0
-    cold_start_ms: float = 0.0
-    slots: int = 2
-    connections: int = 4300
-    queue: int = 16
-    blocks: int = 64
-
-
-class Outgoing(NamedTuple):
-    """A datagram to send."""
-
-    endpoint: Endpoint
-    data: bytes
-
-
-class Work(NamedTuple):
-    """A request that waits for a slot or runs in one."""
-
-    endpoint: Endpoint
-    request: Message
-    resource: Resource
-    deadline_ms: float
-
-
-class Line:
-    """One open line of an endpoint."""
-
-    def __init__(self, endpoint: Endpoint, token: bytes, path: tuple[str, ...]):
-        self.endpoint = endpoint
-        self.token = token
-        self.path = path
-        self.sequence = 0
-        self.last_mid = -1
-
-
-class Load(NamedTuple):
-    """The load at one time."""
-
-    time_ms: float
-    busy: int
-    lines: int
 
 
 class Upstream:
@@ -123,6 +46,7 @@
         lines: Open lines by endpoint and token.
         running: Number of requests in slots.
         waiting: Requests that wait for a slot.
+        loads: The load, as it is reported.
         counts: Datagrams and requests by what became of them.
     """
 
@@ -130,16 +54,14 @@
         self,
         settings: UpstreamSettings,
         *,
-        ledger: Callable[[LedgerLine], None],
+        ledger: Callable[[dict], None],
         now_ms: float,
     ):
         self.settings = settings
         self.ledger = ledger
         self.started_at_ms = now_ms
         self.mode = UpstreamMode.UP
-        self.load_lag_ms = 0.0
-        self.load_lie: dict | None = None
-        self.loads = deque([Load(now_ms, 0, 0)], maxlen=LOAD_SAMPLES)
+        self.loads = LoadHistory(now_ms=now_ms)
         self.lines: dict[tuple[Endpoint, bytes], Line] = {}
         self.running = 0
         self.waiting: deque[Work] = deque()
@@ -206,12 +128,12 @@
         """
         change = dict(change)
         mode = UpstreamMode(change.pop("mode", self.mode))
-        load_lag_s = float(change.pop("load_lag_s", self.load_lag_ms / 1000))
-        load_lie = change.pop("load_lie", self.load_lie)
+        load_lag_s = float(change.pop("load_lag_s", self.loads.lag_ms / 1000))
+        load_lie = change.pop("load_lie", self.loads.lie)
         self.settings = self.settings._replace(**change)
         self.mode = mode
-        self.load_lag_ms = load_lag_s * 1000
-        self.load_lie = load_lie
+        self.loads.lag_ms = load_lag_s * 1000
+        self.loads.lie = load_lie
 
     def handle_request(self, request: Message, endpoint: Endpoint, now_ms: float):
         """Answer a request, or queue it; a repeated one isn't run again."""
@@ -230,7 +152,7 @@
             }
             self.answer(endpoint, request, json_message(Code.CONTENT, identity))
         elif path == LOAD_PATH and request.code is GET:
-            report = json_message(Code.CONTENT, self.load_report(now_ms))
+            report = json_message(Code.CONTENT, self.loads.report(now_ms=now_ms))
             self.answer(endpoint, request, report)
         else:
             self.handle_resource(request, endpoint, now_ms)
@@ -403,22 +325,6 @@
         }
         self.ledger(line)
 
-    def load_report(self, now_ms: float) -> dict:
-        """Return the load as it is reported, late or false where so set."""
-        self.sample_load(now_ms)
-        seen = self.loads[0]
-        for load in self.loads:
-            if load.time_ms <= now_ms - self.load_lag_ms:
-                seen = load
-        return {"busy": seen.busy, "lines": seen.lines} | (self.load_lie or {})
-
-    def sample_load(self, now_ms: float):
-        """Keep the present load for later reports."""
-        busy = self.running + len(self.waiting)
-        last = self.loads[-1]
-        if (last.busy, last.lines) != (busy, len(self.lines)):
-            self.loads.append(Load(now_ms, busy, len(self.lines)))
-
     def work_time_ms(self, now_ms: float) -> float:
         """Return how long work takes that starts now."""
         age_ms = now_ms - self.started_at_ms
@@ -433,36 +339,7 @@
 
     def take_outgoing(self, now_ms: float) -> list[Outgoing]:
         """Return the datagrams to send and start a new list."""
-        self.sample_load(now_ms)
+        busy = self.running + len(self.waiting)
+        self.loads.sample(busy, len(self.lines), now_ms=now_ms)
         taken, self.outgoing = self.outgoing, []
         return [] if self.mode is UpstreamMode.SILENT else taken
-
-
-def time_left_ms(request: Message) -> float:
-    """Return the time to a request's deadline, infinite without one."""
-    options = request.opt.get_option(DEADLINE_OPTION) or ()
-    for option in options:
-        value = option.encode()
-        if len(value) <= MAX_DEADLINE_BYTES:
-            return int.from_bytes(value, "big")
-    return float("inf")
-
-
-def block_number(request: Message) -> int:
-    """Return the number of the block that a request asks for."""
-    return request.opt.block2.block_number if request.opt.block2 else 0
-
-
-def block_of(request: Message, body: bytes) -> Message:
-    """Return the answer with the block of a body that a request asks for."""
-    asked = request.opt.block2
-    number = block_number(request)
-    exponent = min(asked.size_exponent, DEFAULT_SIZE_EXPONENT) if asked else 6
-    size = 1 << (exponent + 4)
-    start = number * size
-    if start >= len(body):
-        return Message(code=Code.BAD_OPTION)
-    answer = Message(code=Code.CONTENT, payload=body[start : start + size])
-    answer.opt.block2 = (number, start + size < len(body), exponent)
-    answer.opt.etag = resource_etag(body)
-    return answer
--- a/libs/standins/src/lagoontally_standins/_upstream_process.py
+++ b/libs/standins/src/lagoontally_standins/_upstream_process.py
@@ -8,7 +8,8 @@
 from ._fabric import bind_udp, receive_all
 from ._http import HttpReply, HttpRequest, HttpServer, json_reply
 from ._inbox import ControlInbox
-from ._upstream import Outgoing, Upstream, UpstreamSettings
+from ._upstream import Upstream
+from ._upstream_types import Outgoing, UpstreamSettings
 
 LONGEST_WAIT_S = 1.0
 CONTROL_WAIT_S = 5.0
