Drop an Echo that brought no answer

A command that ends at its deadline may have been sent to a home that is frozen or cut off. The next command would go there too for as long as other answers keep the path in use; it now asks for a fresh Echo instead.

--- a/libs/caller/src/lagoontally_caller/_exchange.py
+++ b/libs/caller/src/lagoontally_caller/_exchange.py
@@ -57,6 +57,7 @@
         self.reply = None
         self.sent = 0
         self.datagram = b""
+        self.echo = b""
         self.interval_s = 0.0
         self.echo_rounds = 0
         self.last_refusal = None
@@ -143,11 +144,12 @@
             self.first_token = None
         self.tokens.append(token)
         self.last_refusal = None
+        self.echo = self.echoes.current(now_s=now_s)
         self.datagram = encode_request(
             self.request,
             message_id=self.identifiers.message_id(),
             token=token,
-            echo=self.echoes.current(now_s=now_s),
+            echo=self.echo,
             time_left_ms=(self.deadline_s - now_s) * MS_PER_S,
         )
         self.sent += 1
@@ -159,7 +161,8 @@
         self.due_s = min(now_s + self.interval_s, self.deadline_s)
 
     def _expire(self):
-        """Finish at the deadline."""
+        """Finish at the deadline; the home that the Echo names may be lost."""
+        self.echoes.drop(self.echo)
         self._finish(self.last_refusal or Unknown("no answer by the deadline"), None)
 
     def _finish(self, outcome, reply):
--- a/libs/caller/src/lagoontally_caller/_identifiers.py
+++ b/libs/caller/src/lagoontally_caller/_identifiers.py
@@ -46,6 +46,11 @@
             self.echo = echo
             self.received_s = now_s
 
+    def drop(self, echo):
+        """Drop an Echo that brought no answer; a newer one stays."""
+        if echo == self.echo:
+            self.echo = b""
+
     def current(self, *, now_s):
         """Return the Echo, or nothing once it is about to expire."""
         if now_s - self.received_s > ECHO_KEPT_S:
--- a/libs/caller/src/lagoontally_caller/_path.py
+++ b/libs/caller/src/lagoontally_caller/_path.py
@@ -14,8 +14,8 @@
     """A socket of its own towards the entry address.
 
     The socket is connected, so the kernel passes on only what comes from the
-    entry address. An Echo belongs to the address that it was sent to, so each
-    path keeps its own.
+    entry address. Each path keeps its own Echo. A new path starts without one,
+    because the home that the old one names may be what has gone silent.
 
     Attributes:
         socket: The UDP socket.
