--- a/libs/standins/src/lagoontally_standins/_upstream.py
+++ b/libs/standins/src/lagoontally_standins/_upstream.py
@@ -9,7 +9,7 @@
 from aiocoap.error import UnparsableMessage
 
 from ._content import resource_body
-from ._load import LoadHistory
+from ._load_report import LoadHistory
 from ._resources import (
     IDENTITY_PATH,
     LOAD_PATH,
