Bound the nesting of documents

Values nested some 990 levels passed both decoders but raised in a later step that recursed a little deeper.

--- a/libs/model/src/lagoontally_model/_render.py
+++ b/libs/model/src/lagoontally_model/_render.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ._documents import ParameterDocument, SourceDocument
-from ._findings import Finding, Findings
+from ._findings import Findings
 from ._structure import (
     Fault,
     convert,
@@ -55,21 +55,12 @@
     converted = convert(value, SourceDocument, SOURCE)
     if isinstance(converted, list):
         return findings_in_order(SOURCE, value, converted)
-    try:
-        return fill_source(value, converted, parameters)
-    except RecursionError:
-        return Findings(SOURCE, (Finding("document", "nested too deeply"),))
-
-
-def fill_source(
-    value: Any, source: SourceDocument, parameters: dict[str, Any]
-) -> bytes | Findings:
-    """Fill in a source whose structure is right."""
-    values, faults = fill_parameters(source.parameters, parameters)
-    faults += placeholder_faults(("document",), source.document, source.parameters)
+    declared = converted.parameters
+    values, faults = fill_parameters(declared, parameters)
+    faults += placeholder_faults(("document",), converted.document, declared)
     if faults:
         return findings_in_order(SOURCE, value, faults)
-    filled = fill_in(source.document, values)
+    filled = fill_in(converted.document, values)
     return json.dumps(filled, indent=2).encode() + b"\n"
 
 
--- a/libs/model/src/lagoontally_model/_structure.py
+++ b/libs/model/src/lagoontally_model/_structure.py
@@ -19,6 +19,8 @@
 
 MAX_DOCUMENT_BYTES = 1_000_000
 MAX_SHOWN_CHARACTERS = 64
+# No document has a reason to nest even half as deep.
+MAX_DEPTH = 32
 # A document of a megabyte can hold more faults than anyone reads.
 MAX_FAULTS = 1000
 
@@ -60,12 +62,35 @@
         # Python's decoder gives the place of a fault and sees repeated fields.
         json.loads(document.decode(), object_pairs_hook=unique_fields)
         # The stricter decoder also refuses NaN and unpaired surrogates.
-        return msgspec.json.decode(document)
+        value = msgspec.json.decode(document)
     except json.JSONDecodeError as error:
         place = f"line {error.lineno}, column {error.colno}"
         return Findings(name, (Finding(place, f"not JSON: {error.msg}"),))
     except (ValueError, RecursionError) as error:
         return Findings(name, (Finding("document", f"not JSON: {error}"),))
+    if is_too_deep(value):
+        reason = f"nested more than {MAX_DEPTH} levels deep"
+        return Findings(name, (Finding("document", reason),))
+    return value
+
+
+def is_too_deep(value: Any) -> bool:
+    """Tell whether a value is nested deeper than later steps can follow."""
+    level = [value]
+    for _ in range(MAX_DEPTH):
+        level = [child for item in level for child in containers(item)]
+        if not level:
+            return False
+    return True
+
+
+def containers(value: Any) -> list[Any]:
+    """Return the objects and lists that a value holds."""
+    if isinstance(value, dict):
+        value = value.values()
+    elif not isinstance(value, list):
+        return []
+    return [child for child in value if isinstance(child, dict | list)]
 
 
 def unique_fields(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
@@ -93,7 +118,7 @@
     """
     try:
         return msgspec.convert(value, kind)
-    except (msgspec.ValidationError, RecursionError) as error:
+    except msgspec.ValidationError as error:
         # The types have the last word where the two should ever disagree.
         return schema_faults(value, schema_name) or [Fault((), str(error))]
 
