--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_check.py
@@ -0,0 +1,146 @@
+"""The check of a finished world: what upstreams ran and callers were told.
+
+It never reads the core's own counters.
+"""
+
+import json
+from collections import Counter
+from typing import NamedTuple
+
+from lagoontally_caller import Answered, Failed, NotRun
+
+FORCE_WITHIN_MS = 17_000
+LEAVING_GRACE_MS = 5_000
+
+
+class Breach(NamedTuple):
+    """A promise that didn't hold.
+
+    Attributes:
+        promise: Which one.
+        detail: What was seen.
+    """
+
+    promise: str
+    detail: str
+
+
+def check_requests(world):
+    """Return the breaches of what was run and what was told."""
+    runs = Counter(line["id"] for line in world.ledger if line["method"] == "POST")
+    told = {item.request_id: item for item in world.told if item.request_id}
+    breaches = [
+        Breach("at most once", f"{request_id} ran {count} times")
+        for request_id, count in runs.items()
+        if count > 1
+    ]
+    for request_id, item in told.items():
+        breaches += _check_told(item, runs[request_id])
+    return breaches
+
+
+def _check_told(item, runs):
+    if isinstance(item.outcome, NotRun | Failed) and runs:
+        detail = f"{item.request_id} ran but was told {item.outcome}"
+        return [Breach("told not run means not run", detail)]
+    if not isinstance(item.outcome, Answered):
+        return []
+    answer = json.loads(item.outcome.body)
+    if answer.get("id") != item.request_id or answer.get("path") != item.path:
+        detail = f"{item.request_id} was answered {answer}"
+        return [Breach("own and whole answer", detail)]
+    if not runs:
+        detail = f"{item.request_id} was answered but never ran"
+        return [Breach("own and whole answer", detail)]
+    return []
+
+
+def check_isolation(world):
+    """Return the breaches of the wall between the workspaces."""
+    owners = {item.request_id: item.workspace for item in world.told}
+    return [
+        Breach("workspaces apart", f"{line['target']} got {line['path']}")
+        for line in world.ledger
+        if line["foreign"]
+        or owners.get(line["id"], line["workspace"]) != line["workspace"]
+    ]
+
+
+def check_versions(world, *, published, exempt=()):
+    """Return the breaches of template versions.
+
+    Args:
+        world: The finished world.
+        published: ``(time, version)`` of what was published.
+        exempt: Names of balancers that were out of reach.
+    """
+    breaches = _reverts(world)
+    for at_ms, version in published:
+        for node in world.balancers.values():
+            if node.name in exempt or not node.alive:
+                continue
+            breaches += _in_force_late(world, node, at_ms, version)
+    return breaches
+
+
+def _reverts(world):
+    highest = Counter()
+    breaches = []
+    for at_ms, name, version in world.versions:
+        if version < highest[name]:
+            detail = f"{name} went back to {version} at {at_ms} ms"
+            breaches.append(Breach("template never reverts", detail))
+        highest[name] = max(highest[name], version)
+    return breaches
+
+
+def _in_force_late(world, node, at_ms, version):
+    in_force = [
+        when
+        for when, name, newer in world.versions
+        if name == node.name and newer >= version
+    ]
+    due_ms = max(at_ms, node.started_ms) + FORCE_WITHIN_MS
+    if in_force and min(in_force) <= due_ms:
+        return []
+    detail = f"{node.name} has version {version} since {in_force[:1]}, due {due_ms}"
+    return [Breach("template in force in time", detail)]
+
+
+def check_leaving(world, target, published_ms, *, slack_ms=0):
+    """Return the breaches of an upstream's leave: new work after the grace."""
+    limit_ms = published_ms + LEAVING_GRACE_MS + slack_ms
+    late = [
+        line
+        for line in world.ledger
+        if line["target"] == target and line["at_ms"] > limit_ms
+    ]
+    return [
+        Breach(
+            "no new work on a leaving upstream", f"{line['path']} at {line['at_ms']}"
+        )
+        for line in late
+    ]
+
+
+def check_lines(callers, *, allowed_breaks=0):
+    """Return the breaches of open lines: broken ones, or not whole at the end."""
+    breaches = []
+    for caller in callers:
+        if caller.line is None:
+            continue
+        if caller.line.breaks > allowed_breaks:
+            detail = f"{caller.name} broke {caller.line.breaks} times"
+            breaches.append(Breach("lines survive", detail))
+        if caller.line.status != "open":
+            detail = f"{caller.name} is {caller.line.status} at the end"
+            breaches.append(Breach("lines are whole again", detail))
+    return breaches
+
+
+def check_progress(world):
+    """Return a breach when callers got nothing done: silence proves nothing."""
+    answered = sum(isinstance(item.outcome, Answered) for item in world.told)
+    if answered * 2 > len(world.told):
+        return []
+    return [Breach("callers are served", f"{answered} of {len(world.told)} answered")]
--- a/libs/core/src/lagoontally_core/_actions.py
+++ b/libs/core/src/lagoontally_core/_actions.py
@@ -142,6 +142,10 @@
     reason: str
 
 
+class ReadInstances(NamedTuple):
+    """Read the platform's list of instances now."""
+
+
 class Count(NamedTuple):
     """Add to a counter."""
 
--- a/libs/core/src/lagoontally_core/_ingress.py
+++ b/libs/core/src/lagoontally_core/_ingress.py
@@ -1,6 +1,6 @@
 """Ingress: what any balancer does with a packet that it happens to get."""
 
-from ._actions import Refused, Rejected, SendPeer
+from ._actions import Refused, SendPeer
 from ._echo import decode_echo
 from ._events import CallerAck, CallerRequest, CallerReset, Flow, RequestKind
 from ._exchanges import start_exchange
@@ -15,14 +15,19 @@
 from ._lines import COUNTER_BITS, message_slot, on_line_ack, on_line_reset
 from ._members import MemberStatus
 from ._peer_messages import Ping, Relay, RelayAck, RelayFresh
-from ._probing import own_record
+from ._probing import NO_PROBE, own_record
 from ._state import Phase
+from ._strangers import (
+    StrangerKnown,
+    StrangerTimer,
+    hold_for_stranger,
+    take_held,
+)
 from ._succession import is_heir_of_chain, resolve_home
 from ._templates import notice_echo_version
 from ._turn import reply_to_request
 
 REFRESH_LIMIT_MS = 1_000
-NO_PROBE = 0
 
 
 def takes_requests(turn):
@@ -45,8 +50,8 @@
         turn.count("request.dropped_not_serving")
         return
     if flow.service not in turn.state.service_targets:
-        answer = Rejected("the workspace has no such service")
-        turn.answer(reply_to_request(flow, request), answer)
+        # Its template may be newer elsewhere, where a copy may be run.
+        turn.count("request.dropped_no_service")
         return
     if request.kind is RequestKind.IDEMPOTENT:
         _serve_idempotent(flow, request, turn)
@@ -77,10 +82,28 @@
     home = resolve_home(state, echo.home, echo.session)
     if home == state.info.incarnation:
         _judge(flow, request, echo, turn)
-    elif home is None:
-        answer_lost_home(flow, request, turn)
-    else:
+    elif home is not None:
         _relay(home, flow, request, turn)
+    elif _was_known(state, echo.home) or not hold_for_stranger(
+        echo.home, flow, request, turn
+    ):
+        answer_lost_home(flow, request, turn)
+
+
+def _was_known(state, incarnation):
+    return incarnation in state.membership.records or incarnation in state.successions
+
+
+def on_stranger_timer(timer: StrangerTimer, turn):
+    """Give up requests whose home no member could name."""
+    for flow, request in take_held(timer.incarnation, turn):
+        answer_lost_home(flow, request, turn)
+
+
+def on_stranger_known(release: StrangerKnown, turn):
+    """Route the requests that waited for a balancer to become known."""
+    for flow, request in take_held(release.incarnation, turn):
+        _route_to_home(flow, request, turn)
 
 
 def _relay(home, flow, request, turn):
--- a/libs/core/src/lagoontally_core/_members.py
+++ b/libs/core/src/lagoontally_core/_members.py
@@ -54,6 +54,7 @@
         next_probe_ms: When the next probe is due.
         revision: This balancer's own revision.
         own_status: What this balancer says of itself.
+        greeted: Balancers that have spoken to this one since it started.
         proxied: Probes made for others: their address and number, by number.
     """
 
@@ -69,6 +70,7 @@
         self.next_probe_ms = 0
         self.revision = REVISION_ON_JOIN
         self.own_status = MemberStatus.ALIVE
+        self.greeted: set[int] = set()
         self.proxied: dict[int, tuple[str, int]] = {}
 
     def own_record(self, wake, template_version):
@@ -89,6 +91,10 @@
         record = self.records.get(incarnation)
         return record is not None and record.status <= MemberStatus.SUSPECT
 
+    def everyone_greeted(self):
+        """Tell whether every balancer believed alive knows this one."""
+        return all(record.incarnation in self.greeted for record in self.alive())
+
     def alive(self):
         """Return the records of the balancers believed alive."""
         return [
@@ -142,6 +148,7 @@
         A direct message proves life, so a mere suspicion is dropped even when
         the sender hasn't heard of it.
         """
+        self.greeted.add(record.incarnation)
         before = self.learn(record, now_ms)
         known = self.records.get(record.incarnation)
         if known is None or known.status != MemberStatus.SUSPECT:
@@ -213,6 +220,7 @@
             del self.records[incarnation]
             del self.changed_ms[incarnation]
             self.news.pop(incarnation, None)
+            self.greeted.discard(incarnation)
         return gone
 
 
--- a/libs/core/src/lagoontally_core/_probing.py
+++ b/libs/core/src/lagoontally_core/_probing.py
@@ -12,10 +12,12 @@
     Succession,
     Welcome,
 )
+from ._strangers import release_strangers
 from ._templates import notice_version
 
 SUCCESSIONS_PER_MESSAGE = 3
 SUCCESSION_NEWS_MS = 60_000
+NO_PROBE = 0
 
 
 def own_record(turn):
@@ -124,12 +126,14 @@
 def _heard(record, turn):
     before = turn.state.membership.heard(record, turn.now_ms)
     _log_change(before, record, turn)
+    release_strangers(record.incarnation, turn)
     notice_version(record, turn)
 
 
 def _learn(record, turn):
     before = turn.state.membership.learn(record, turn.now_ms)
     _log_change(before, record, turn)
+    release_strangers(record.incarnation, turn)
 
 
 def _log_change(before, record, turn):
@@ -197,6 +201,20 @@
     _heard(message.sender, turn)
     turn.state.welcomed = True
     turn.state.refreshed = True
+    _greet_unheard(turn)
+
+
+def _greet_unheard(turn):
+    """Introduce this balancer to the members that it only knows by hearsay.
+
+    A member that doesn't know the home of a flow can't relay to it, so a
+    newcomer serves only once the others know it.
+    """
+    membership = turn.state.membership
+    for record in membership.alive():
+        if record.incarnation not in membership.greeted:
+            ping = Ping(NO_PROBE, own_record(turn), [], [])
+            turn.act(SendPeer(record.peer_address, ping))
 
 
 def greet_instances(event, turn):
@@ -204,6 +222,8 @@
     state = turn.state
     known = {record.peer_address for record in state.membership.records.values()}
     known.add(state.info.peer_address)
+    listed = [instance.peer_address for instance in event.instances]
+    state.listed_alone = listed == [state.info.peer_address]
     for instance in event.instances:
         if instance.peer_address not in known:
             turn.act(SendPeer(instance.peer_address, Join(own_record(turn))))
--- a/libs/core/src/lagoontally_core/_state.py
+++ b/libs/core/src/lagoontally_core/_state.py
@@ -259,6 +259,9 @@
         clock_ms: Time of the latest step; None before the first.
         resumed_ms: When the latest pause was noticed.
         wake: Pauses noticed so far.
+        listed_alone: True while the platform lists this balancer and no other.
+        next_list_ms: When the platform's list is read next, while joining.
+        strangers: Requests that wait for an unknown home, by incarnation.
         welcomed: True once a peer has told what it knows.
         refreshed: False after a pause, until its view has been refreshed.
         template: The template in force, or None.
@@ -295,6 +298,9 @@
         self.template: Template | None = None
         self.sections: dict[str, bytes] = {}
         self.digest = b""
+        self.listed_alone = False
+        self.next_list_ms = 0
+        self.strangers: dict[int, list] = {}
         self.welcomed = False
         self.targets: dict[str, TargetState] = {}
         self.service_targets: dict[str, list[str]] = {}
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from . import _peer_messages as peer
-from ._actions import AnswerOperator, ReadTemplate
+from ._actions import AnswerOperator, ReadInstances, ReadTemplate
 from ._events import (
     CallerAck,
     CallerRequest,
@@ -30,6 +30,8 @@
     on_relay,
     on_relay_ack,
     on_relay_fresh,
+    on_stranger_known,
+    on_stranger_timer,
 )
 from ._inherit import DropStaged, drop_staged, learn_succession, on_handover_part
 from ._leave import (
@@ -59,6 +61,12 @@
     probe_members,
 )
 from ._state import Phase, State
+from ._strangers import (
+    StrangerForgotten,
+    StrangerKnown,
+    StrangerTimer,
+    forget_stranger,
+)
 from ._succession import ForgetSuccession, forget_succession
 from ._templates import (
     IdentityTimer,
@@ -75,7 +83,8 @@
 
 TICK_MS = 100
 PAUSE_MS = 1_000
-JOIN_WAIT_MS = 2_000
+JOIN_WAIT_MS = 5_000
+LIST_READ_MS = 500
 
 
 def step(state: State, event, now_ms: int, random: Random) -> list:
@@ -184,23 +193,41 @@
     for timer in turn.state.timers.take_due(turn.now_ms):
         fire(timer, turn)
     probe_members(event, turn)
+    _read_list_while_joining(turn)
     _finish_joining(turn)
     advance_leave(turn)
 
 
+def _read_list_while_joining(turn):
+    """Read the platform's list often until this balancer serves."""
+    state = turn.state
+    if state.phase is Phase.JOINING and turn.now_ms >= state.next_list_ms:
+        state.next_list_ms = turn.now_ms + LIST_READ_MS
+        turn.act(ReadInstances())
+
+
 def _finish_joining(turn):
     """Serve once a template is in force and the peers were asked for theirs."""
     state = turn.state
     if state.phase is not Phase.JOINING or state.template is None:
         return
-    waited_ms = turn.now_ms - state.started_ms
-    if not state.welcomed and waited_ms < JOIN_WAIT_MS:
+    if not _is_known(turn):
         return
     state.phase = Phase.SERVING
     serve_entries(turn)
     turn.log("INFO", "serving", version=state.template_version)
 
 
+def _is_known(turn):
+    """Tell whether the other balancers know this one, or had time to."""
+    state = turn.state
+    if turn.now_ms - state.started_ms >= JOIN_WAIT_MS:
+        return True
+    if state.listed_alone:
+        return True
+    return state.welcomed and state.membership.everyone_greeted()
+
+
 @singledispatch
 def receive(message, sender, turn):
     """Handle a peer message by its type.
@@ -251,3 +278,6 @@
 fire.register(IdentityTimer, on_identity_timer)
 fire.register(ForgetSuccession, forget_succession)
 fire.register(DropStaged, drop_staged)
+fire.register(StrangerTimer, on_stranger_timer)
+fire.register(StrangerKnown, on_stranger_known)
+fire.register(StrangerForgotten, forget_stranger)
--- a/libs/daemon/src/lagoontally_daemon/_performer.py
+++ b/libs/daemon/src/lagoontally_daemon/_performer.py
@@ -13,6 +13,7 @@
     Count,
     LogChange,
     NotifyCaller,
+    ReadInstances,
     ReadTemplate,
     RecordLatency,
     SendPeer,
@@ -88,6 +89,10 @@
     def _(self, action: ReadTemplate):
         self.edges.platform.read_now()
 
+    @hand_over.register
+    def _(self, action: ReadInstances):
+        self.edges.platform.read_instances_now()
+
     @hand_over.register
     def _(self, action: Count):
         self.edges.metrics.count(action)
