Test the caller, upstream and peer edges

A scenario with the flows that a peer may hand over showed that an address with a null character raised, and that a host name would have been looked up while the core's task waited: addresses are IP numbers now, for peers as well.

Pauses are tested on a virtual clock through the edges' own loop.

--- /dev/null
+++ b/libs/edges/features/datagrams.feature
@@ -0,0 +1,81 @@
+Feature: The edges towards callers and targets
+
+  Scenario: A caller's request is posted and answered from its entry port
+    Given a caller edge that serves pivot-link
+    When a caller sends a confirmable command
+    Then its request is posted with the caller's address
+    When the edge answers it with NeedEcho
+    Then the caller receives the answer from the entry port
+
+  Scenario: Acknowledgements, resets, pings and junk are told apart
+    Given a caller edge that serves pivot-link
+    When a caller sends an acknowledgement, a reset, a ping and junk
+    Then the acknowledgement and the reset are posted, and the junk is counted
+    And the caller receives a reset for its ping
+
+  Scenario: Entry ports open and close while the edge runs
+    Given a caller edge that serves pivot-link
+    When its service is renamed to dossier-desk
+    And a caller sends a confirmable command
+    Then its request is posted for dossier-desk
+    When no service is served any longer
+    Then the socket of the entry port is closed
+
+  Scenario: An entry port that is taken is reported and tried again
+    Given a caller edge whose entry port is taken
+    Then the bind failure names the port
+    When the port is free and the services are set again
+    Then no bind failure is left
+
+  Scenario: An answer that can't be sent is counted
+    Given a caller edge that serves pivot-link
+    When the edge answers flows of other services and addresses
+    Then each of those answers is counted as not sent
+
+  Scenario Outline: What waited during a pause is discarded
+    Given a caller edge that serves pivot-link
+    When a caller sends 100 commands and the clock moves on by <gap> ms
+    Then <posted> commands are posted and <discarded> are counted as discarded
+
+    Examples:
+      | gap  | posted | discarded |
+      | 1000 | 100    | 0         |
+      | 1001 | 0      | 100       |
+
+  Scenario: After a pause the edge serves what comes next
+    Given a caller edge that serves pivot-link
+    When a caller sends 5 commands and the clock moves on by 5000 ms
+    Then 0 commands are posted and 5 are counted as discarded
+    When a caller sends 3 commands and the clock moves on by 10 ms
+    Then 3 commands are posted and 5 are counted as discarded
+
+  Scenario: A target's reply is posted with its path
+    Given an upstream edge and a target
+    When a request is sent by path 7 and the target replies confirmably
+    Then the reply is posted with the target and path 7
+    And the target receives an acknowledgement
+
+  Scenario: Targets answer questions of identity and load
+    Given an upstream edge and a target
+    When the target answers its identity and its load
+    Then the identity and the load are posted
+
+  Scenario: Answers to questions are held to their form and sender
+    Given an upstream edge and a target
+    When a question is answered by a stranger, then with junk and with 4.04
+    Then no answer is posted and each is counted
+
+  Scenario: The number of paths is bounded and the default path stays
+    Given an upstream edge and a target
+    When requests are sent by path 0 and by 70 others
+    Then 65 sockets are open, path 0 among them
+
+  Scenario: Message ids towards one target don't repeat early
+    Given an upstream edge and a target
+    When 1000 requests are sent by changing paths
+    Then their message ids follow one another
+
+  Scenario: Edges end soon after they are told to stop
+    Given a caller edge that serves pivot-link
+    When the edge runs and is told to stop
+    Then its task has ended
--- a/libs/edges/features/fixtures.py
+++ b/libs/edges/features/fixtures.py
@@ -76,14 +76,6 @@
     return f"{host}:{port}"
 
 
-def free_port(recorder):
-    """Return a UDP port that was free a moment ago."""
-    opened = recorder.udp()
-    port = opened.getsockname()[1]
-    opened.close()
-    return port
-
-
 def template_document(version):
     """Return an encoded template that is accepted."""
     target = {
--- /dev/null
+++ b/libs/edges/features/steps/datagrams_steps.py
@@ -0,0 +1,365 @@
+"""Steps for the edges towards callers and targets."""
+
+from aiocoap import Message
+from aiocoap.numbers import codes
+from aiocoap.numbers.types import NON
+from behave import given, then, when
+from fixtures import TIMEOUT_S, address_of
+
+from lagoontally_core import (
+    AnswerCaller,
+    AskIdentity,
+    AskLoad,
+    CallerAck,
+    CallerReset,
+    Flow,
+    IdentityReply,
+    LoadReply,
+    NeedEcho,
+    ReplyTo,
+    SendKind,
+    SendUpstream,
+)
+from lagoontally_edges import CallerEdge, UpstreamEdge
+
+COMMAND = bytes.fromhex("42020007 6162 b170")
+TOKEN = b"12345678"
+
+
+def caller_edge(context):
+    """Return a caller edge on the virtual clock."""
+    recorder = context.recorder
+    edge = CallerEdge(
+        address="127.0.0.1",
+        post=recorder.post,
+        count=recorder.count,
+        clock_ms=recorder.clock_ms,
+    )
+    return recorder.own(edge)
+
+
+def request_to(target, path):
+    """Return the action that sends a request to a target."""
+    return SendUpstream(target, path, TOKEN, SendKind.REQUEST, "a.b", 4000, COMMAND)
+
+
+def turn_until(loop, done):
+    """Take turns of a loop until a condition holds."""
+    for _ in range(200):
+        if done():
+            return
+        loop.turn(0.1)
+    raise AssertionError("the condition never held")
+
+
+@given("a caller edge that serves pivot-link")
+def step_caller_edge(context):
+    """The edge binds the entry port."""
+    context.edge = caller_edge(context)
+    assert context.edge.serve({"pivot-link": 0}) == ()
+    context.edge.loop.turn(0)
+    context.entry_socket = context.edge.loop.sockets[0]
+    context.caller = context.recorder.udp()
+    context.caller.connect(context.entry_socket.getsockname())
+
+
+@when("a caller sends a confirmable command")
+def step_send_command(context):
+    """The command waits at the entry port."""
+    context.caller.send(COMMAND)
+    context.edge.loop.turn(TIMEOUT_S)
+
+
+@then("its request is posted with the caller's address")
+def step_request_posted(context):
+    """The event names the flow."""
+    (context.event,) = context.recorder.waiting()
+    assert context.event.flow == Flow("pivot-link", address_of(context.caller))
+    assert context.event.request.body == COMMAND
+
+
+@then("its request is posted for {service}")
+def step_request_posted_for(context, service):
+    """The event names the service that has the port now."""
+    turn_until(context.edge.loop, lambda: not context.recorder.events.empty())
+    assert context.recorder.event().flow.service == service
+
+
+@when("the edge answers it with NeedEcho")
+def step_answer(context):
+    """The answer is sent at once."""
+    reply_to = ReplyTo(context.event.flow, b"ab", 7, True)
+    context.edge.answer(AnswerCaller(reply_to, NeedEcho("none"), b"e"))
+
+
+@then("the caller receives the answer from the entry port")
+def step_answered(context):
+    """A connected socket takes datagrams of the entry port only."""
+    message = Message.decode(context.caller.recv(2000))
+    assert (message.code, message.mid) == (codes.UNAUTHORIZED, 7)
+
+
+@when("a caller sends an acknowledgement, a reset, a ping and junk")
+def step_send_others(context):
+    """Four datagrams wait at the entry port."""
+    for data in ("60000001", "70000002", "40000003", "ff"):
+        context.caller.send(bytes.fromhex(data))
+    context.edge.loop.turn(TIMEOUT_S)
+
+
+@then("the acknowledgement and the reset are posted, and the junk is counted")
+def step_others_posted(context):
+    """Each kind has its event or its counter."""
+    flow = Flow("pivot-link", address_of(context.caller))
+    assert context.recorder.waiting() == [CallerAck(flow, 1), CallerReset(flow, 2)]
+    assert context.recorder.counters["caller_malformed"] == 1
+
+
+@then("the caller receives a reset for its ping")
+def step_ping_reset(context):
+    """The reset names the ping's message id."""
+    assert context.caller.recv(100) == bytes.fromhex("70000003")
+
+
+@when("its service is renamed to {service}")
+def step_rename(context, service):
+    """The port keeps its socket."""
+    assert context.edge.serve({service: 0}) == ()
+
+
+@when("no service is served any longer")
+def step_serve_none(context):
+    """The socket is closed by the loop's next turn."""
+    context.edge.serve({})
+    context.edge.loop.turn(0)
+
+
+@then("the socket of the entry port is closed")
+def step_port_closed(context):
+    """A closed socket has no descriptor."""
+    assert context.entry_socket.fileno() == -1
+
+
+@given("a caller edge whose entry port is taken")
+def step_port_taken(context):
+    """Another socket has the port."""
+    context.other = context.recorder.udp()
+    context.port = context.other.getsockname()[1]
+    context.edge = caller_edge(context)
+    context.failures = context.edge.serve({"pivot-link": context.port})
+
+
+@then("the bind failure names the port")
+def step_bind_failure(context):
+    """The failure is returned and counted."""
+    assert [item.port for item in context.failures] == [context.port]
+    assert context.recorder.counters["caller_bind_failed"] == 1
+
+
+@when("the port is free and the services are set again")
+def step_serve_again(context):
+    """The other socket is closed first."""
+    context.other.close()
+    context.failures = context.edge.serve({"pivot-link": context.port})
+
+
+@then("no bind failure is left")
+def step_bound(context):
+    """The port is bound."""
+    assert context.failures == ()
+
+
+@when("the edge answers flows of other services and addresses")
+def step_answer_unsendable(context):
+    """The flows come from a peer, so they may hold anything."""
+    flows = [Flow("usage-ledger", "127.0.0.1:5")]
+    flows += [Flow("pivot-link", caller) for caller in ("", "a", ":1", "127.0.0.1:x")]
+    flows += [Flow("pivot-link", caller) for caller in ("127.0.0.1:99999", "\0:1")]
+    flows.append(Flow("pivot-link", "localhost:5"))
+    for flow in flows:
+        reply_to = ReplyTo(flow, b"ab", 7, True)
+        context.edge.answer(AnswerCaller(reply_to, NeedEcho("none"), b"e"))
+    context.unsent = len(flows)
+
+
+@then("each of those answers is counted as not sent")
+def step_unsent(context):
+    """Nothing raises."""
+    counters = context.recorder.counters
+    counted = counters["caller_send_unaddressed"] + counters["caller_send_failed"]
+    assert counted == context.unsent, counters
+
+
+@when("a caller sends {number:d} commands and the clock moves on by {gap:d} ms")
+def step_pause(context, number, gap):
+    """The commands wait in the kernel while the clock moves."""
+    for _ in range(number):
+        context.caller.send(COMMAND)
+    context.recorder.now_ms += gap
+    for _ in range(3):
+        context.edge.loop.turn(0)
+
+
+@then("{posted:d} commands are posted and {discarded:d} are counted as discarded")
+def step_discarded(context, posted, discarded):
+    """Nothing that waited during a pause is posted."""
+    assert len(context.recorder.waiting()) == posted
+    counted = context.recorder.counters["caller_discarded_after_pause"]
+    assert counted == discarded, counted
+
+
+@given("an upstream edge and a target")
+def step_upstream_edge(context):
+    """The target is a plain UDP socket."""
+    recorder = context.recorder
+    edge = UpstreamEdge(
+        address="127.0.0.1",
+        post=recorder.post,
+        count=recorder.count,
+        clock_ms=recorder.clock_ms,
+    )
+    context.edge = recorder.own(edge)
+    context.target_socket = recorder.udp()
+    context.target = address_of(context.target_socket)
+
+
+@when("a request is sent by path {path:d} and the target replies confirmably")
+def step_reply(context, path):
+    """The reply goes to the socket that the request came from."""
+    context.edge.send(request_to(context.target, path))
+    data, context.path_address = context.target_socket.recvfrom(2000)
+    assert Message.decode(data).token == TOKEN
+    context.reply = bytes.fromhex("48450063") + TOKEN
+    context.target_socket.sendto(context.reply, context.path_address)
+    turn_until(context.edge.loop, lambda: not context.recorder.events.empty())
+
+
+@then("the reply is posted with the target and path {path:d}")
+def step_reply_posted(context, path):
+    """The event names where the reply came from."""
+    event = context.recorder.event()
+    expected = (context.target, path, TOKEN, context.reply)
+    assert (event.target, event.path, event.token, event.body) == expected
+
+
+@then("the target receives an acknowledgement")
+def step_target_acked(context):
+    """The acknowledgement names the reply's message id."""
+    data, sender = context.target_socket.recvfrom(100)
+    assert (data, sender) == (bytes.fromhex("60000063"), context.path_address)
+
+
+def receive_question(context):
+    """Return the next question that the target gets, and its sender."""
+    data, sender = context.target_socket.recvfrom(2000)
+    return Message.decode(data), sender
+
+
+def answer_question(by, question, sender, payload, code=codes.CONTENT):
+    """Answer a question from a socket."""
+    message = Message(code=code, payload=payload)
+    message.mtype, message.mid, message.token = NON, 1, question.token
+    by.sendto(message.encode(), sender)
+
+
+@when("the target answers its identity and its load")
+def step_answer_questions(context):
+    """The paths and the host are those of the protocol."""
+    replies = {
+        (".well-known", "lagoontally"): b'{"workspace": "w", "service": "s"}',
+        ("load",): b'{"busy": 1, "lines": 2}',
+    }
+    context.edge.ask_identity(AskIdentity(context.target, "s.w"))
+    context.edge.ask_load(AskLoad(context.target, "s.w"))
+    for _ in replies:
+        question, sender = receive_question(context)
+        assert question.opt.uri_host == "s.w"
+        payload = replies[question.opt.uri_path]
+        answer_question(context.target_socket, question, sender, payload)
+    turn_until(context.edge.loop, lambda: context.recorder.events.qsize() == 2)
+
+
+@then("the identity and the load are posted")
+def step_questions_posted(context):
+    """Each becomes its own event."""
+    expected = [
+        IdentityReply(context.target, "w", "s"),
+        LoadReply(context.target, 1, 2),
+    ]
+    assert context.recorder.waiting() == expected
+
+
+@when("a question is answered by a stranger, then with junk and with 4.04")
+def step_faulty_answers(context):
+    """Only the target that was asked may answer."""
+    stranger, target = context.recorder.udp(), context.target_socket
+    good = b'{"busy": 1, "lines": 2}'
+    for by, payload, code in (
+        (stranger, good, codes.CONTENT),
+        (target, b'{"busy": "1"}', codes.CONTENT),
+        (target, good, codes.NOT_FOUND),
+    ):
+        context.edge.ask_load(AskLoad(context.target, "s.w"))
+        answer_question(by, *receive_question(context), payload, code)
+    counters = context.recorder.counters
+    turn_until(context.edge.loop, lambda: sum(counters.values()) == 3)
+
+
+@then("no answer is posted and each is counted")
+def step_faulty_counted(context):
+    """Each fault has a counter of its own."""
+    assert context.recorder.waiting() == []
+    assert context.recorder.counters == {
+        "upstream_unasked_answer": 1,
+        "upstream_question_faulty_answer": 1,
+        "upstream_question_refused": 1,
+    }
+
+
+@when("requests are sent by path 0 and by {number:d} others")
+def step_many_paths(context, number):
+    """Each path opens a socket."""
+    for path in range(number + 1):
+        context.edge.send(request_to(context.target, path))
+    context.edge.loop.turn(0)
+
+
+@then("{number:d} sockets are open, path 0 among them")
+def step_paths_bounded(context, number):
+    """The paths unused for longest were closed."""
+    open_paths = set(context.edge.loop.sockets)
+    assert open_paths == {0, *range(7, 71)}, open_paths
+    assert len(open_paths) == number
+    # The loop reads these and its own socket that ends a wait.
+    assert len(context.edge.loop.selector.get_map()) == number + 1
+
+
+@when("{number:d} requests are sent by changing paths")
+def step_many_requests(context, number):
+    """The target notes the message ids."""
+    context.message_ids = []
+    for index in range(number):
+        context.edge.send(request_to(context.target, index % 3))
+        context.message_ids.append(receive_question(context)[0].mid)
+
+
+@then("their message ids follow one another")
+def step_message_ids(context):
+    """Each is one above the last, with 0 after the highest."""
+    first = context.message_ids[0]
+    expected = [(first + index) % 65536 for index in range(len(context.message_ids))]
+    assert context.message_ids == expected
+
+
+@when("the edge runs and is told to stop")
+def step_run_and_stop(context):
+    """The task waits for datagrams when it is told to stop."""
+    stop, context.task = context.recorder.start(context.edge.run)
+    stop.set()
+    context.task.join(TIMEOUT_S)
+
+
+@then("its task has ended")
+def step_task_ended(context):
+    """No thread is left."""
+    assert not context.task.is_alive()
--- a/libs/edges/src/lagoontally_edges/_datagrams.py
+++ b/libs/edges/src/lagoontally_edges/_datagrams.py
@@ -15,6 +15,7 @@
 DISCARD_LIMIT = 20_000
 RECEIVE_BUFFER_BYTES = 1 << 20
 MAX_DATAGRAM_BYTES = 65_535
+MAX_PORT_DIGITS = 5
 
 
 class Datagram(NamedTuple):
@@ -44,9 +45,16 @@
 
 
 def split_address(address):
-    """Return the IP number and port of ``IP:port``, or None when it is neither."""
+    """Return the IP number and port of ``IP:port``, or None when it is neither.
+
+    A host name is refused: looking it up would block.
+    """
     host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or len(port) > 5:
+    if not port.isascii() or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
+        return None
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
         return None
     return host, int(port)
 
--- a/libs/edges/src/lagoontally_edges/_peer_edge.py
+++ b/libs/edges/src/lagoontally_edges/_peer_edge.py
@@ -8,7 +8,7 @@
 
 from lagoontally_core import Count
 
-from ._datagrams import ignore_count
+from ._datagrams import ignore_count, split_address
 from ._pause import monotonic_ms
 from ._peer_codec import DecodeError, EncodeError, decode_peer, encode_peer
 
@@ -84,9 +84,8 @@
     def send_by_link(self, peer_address, data):
         """Send encoded data by the peer's link, dialed at its first use."""
         link = self.links.pop(peer_address, None)
-        try:
-            socket = link.socket if link else self.dial(peer_address)
-        except pynng.NNGException:
+        socket = link.socket if link else self.dial(peer_address)
+        if socket is None:
             self.add("dial_failed")
             return
         self.links[peer_address] = Link(socket, self.clock_ms())
@@ -99,7 +98,9 @@
             self.add("send_dropped")
 
     def dial(self, peer_address):
-        """Return a socket that connects to the peer in the background."""
+        """Return a socket that connects in the background, or None."""
+        if split_address(peer_address) is None:
+            return None
         socket = pynng.Push0(
             send_buffer_size=SEND_QUEUE,
             reconnect_time_min=RECONNECT_MIN_MS,
@@ -109,7 +110,7 @@
             socket.dial(f"tcp://{peer_address}", block=False)
         except pynng.NNGException:
             socket.close()
-            raise
+            return None
         return socket
 
     def forget(self, peer_address):
