--- a/libs/model/src/lagoontally_model/__init__.py
+++ b/libs/model/src/lagoontally_model/__init__.py
@@ -1,5 +1,6 @@
 """Templates and settings: typed data and validation."""
 
+from ._addresses import is_address
 from ._changes import (
     Changes,
     MovedAddress,
@@ -46,6 +47,7 @@
     "compare_templates",
     "digest",
     "document_digest",
+    "is_address",
     "join_sections",
     "parse_settings",
     "parse_template",
