--- a/libs/model/src/lagoontally_model/_parse_template.py
+++ b/libs/model/src/lagoontally_model/_parse_template.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterator
-from datetime import timedelta
+from datetime import datetime
 from typing import Any, NamedTuple
 
 from msgspec.structs import astuple
@@ -18,8 +18,8 @@
     WorkspaceDocument,
 )
 from ._findings import Findings
+from ._quarantine import remaining_s
 from ._structure import (
-    NUMBER,
     Fault,
     convert,
     findings_in_order,
@@ -159,9 +159,7 @@
 
 def entry_port_faults(services: list[PlacedService]) -> list[Fault]:
     """Find entry ports that two services of the document share."""
-    return repeats(
-        [(item.path, item.fields) for item in services], "entry_port", NUMBER
-    )
+    return repeats([(item.path, item.fields) for item in services], "entry_port", int)
 
 
 def target_name_faults(services: list[PlacedService]) -> list[Fault]:
@@ -247,20 +245,19 @@
     published = readable_time(document.get("published_at"))
     seconds = document.get("quarantine_s", DEFAULT_QUARANTINE_S)
     held: dict[str, list[str]] = {}
-    if published is None or not isinstance(seconds, NUMBER):
+    if published is None or not isinstance(seconds, int):
         return held
     for entry in placed_retired(document):
         address = entry.fields.get("address")
         retired = readable_time(entry.fields.get("retired_at"))
         if retired is None or not isinstance(address, str):
             continue
-        # The difference can't overflow, as the end of the quarantine could.
-        if (published - retired) / timedelta(seconds=1) < seconds:
+        if remaining_s(published, retired, seconds) > 0:
             held.setdefault(address, []).append(entry.workspace)
     return held
 
 
-def readable_time(text: Any) -> Any:
+def readable_time(text: Any) -> datetime | None:
     """Return a time, or None where it can't be read."""
     return parse_time(text) if isinstance(text, str) else None
 
