Notice pauses between the datagrams of a batch; rotate question paths

A pause in the middle of a batch was noticed only at the next turn, when up to the rest of the batch had been posted as fresh. The clock is looked at once more for each event, right before it is posted; a confirmable reply that is discarded so isn't acknowledged.

Questions of identity and load change their socket every 10 s: a socket whose way to a target has gone silent would have kept the target unknown for good.

A turn reads at most 256 datagrams over all sockets.

--- a/libs/edges/features/datagrams.feature
+++ b/libs/edges/features/datagrams.feature
@@ -49,6 +49,12 @@
     When a caller sends 3 commands and the clock moves on by 10 ms
     Then 3 commands are posted and 5 are counted as discarded
 
+  Scenario: A pause while a batch is handled discards the rest of it
+    Given a caller edge that serves pivot-link
+    And the clock moves on by 5000 ms when the third event is posted
+    When a caller sends 10 commands and the clock moves on by 10 ms
+    Then 3 commands are posted and 7 are counted as discarded
+
   Scenario: A target's reply is posted with its path
     Given an upstream edge and a target
     When a request is sent by path 7 and the target replies confirmably
@@ -60,6 +66,11 @@
     When the target answers its identity and its load
     Then the identity and the load are posted
 
+  Scenario: Questions don't stay on a path that may have gone silent
+    Given an upstream edge and a target
+    When 3 questions are asked 10 seconds apart
+    Then each came from a socket of its own, of which 2 are open
+
   Scenario: Answers to questions are held to their form and sender
     Given an upstream edge and a target
     When a question is answered by a stranger, then with junk and with 4.04
--- a/libs/edges/features/steps/datagrams_steps.py
+++ b/libs/edges/features/steps/datagrams_steps.py
@@ -190,6 +190,19 @@
     assert counted == context.unsent, counters
 
 
+@given("the clock moves on by {gap:d} ms when the third event is posted")
+def step_pause_in_batch(context, gap):
+    """The pause falls between two datagrams of a batch."""
+    recorder = context.recorder
+
+    def post(event):
+        recorder.post(event)
+        if recorder.events.qsize() == 3:
+            recorder.now_ms += gap
+
+    context.edge.loop.post_event = post
+
+
 @when("a caller sends {number:d} commands and the clock moves on by {gap:d} ms")
 def step_pause(context, number, gap):
     """The commands wait in the kernel while the clock moves."""
@@ -289,6 +302,23 @@
     assert context.recorder.waiting() == expected
 
 
+@when("{number:d} questions are asked 10 seconds apart")
+def step_questions_apart(context, number):
+    """The target notes where they come from."""
+    context.senders = []
+    for _ in range(number):
+        context.edge.ask_load(AskLoad(context.target, "s.w"))
+        context.senders.append(receive_question(context)[1])
+        context.recorder.now_ms += 10_000
+
+
+@then("each came from a socket of its own, of which {number:d} are open")
+def step_question_sockets(context, number):
+    """The socket used last and the one before are open."""
+    assert len(set(context.senders)) == len(context.senders)
+    assert len(context.edge.loop.sockets) == number
+
+
 @when("a question is answered by a stranger, then with junk and with 4.04")
 def step_faulty_answers(context):
     """Only the target that was asked may answer."""
--- a/libs/edges/src/lagoontally_edges/_caller_edge.py
+++ b/libs/edges/src/lagoontally_edges/_caller_edge.py
@@ -44,9 +44,12 @@
         first_message_id=0,
     ):
         self.address = address
-        self.post = post
         self.loop = DatagramLoop(
-            name="caller", handle=self.handle, count=count, clock_ms=clock_ms
+            name="caller",
+            handle=self.handle,
+            post=post,
+            count=count,
+            clock_ms=clock_ms,
         )
         self.message_ids = itertools.count(first_message_id)
         self.ports = {}
@@ -104,15 +107,15 @@
 
     @post_decoded.register
     def _(self, decoded: Request, flow):
-        self.post(CallerRequest(flow, decoded))
+        self.loop.post(CallerRequest(flow, decoded))
 
     @post_decoded.register
     def _(self, decoded: Acknowledged, flow):
-        self.post(CallerAck(flow, decoded.message_id))
+        self.loop.post(CallerAck(flow, decoded.message_id))
 
     @post_decoded.register
     def _(self, decoded: ResetReceived, flow):
-        self.post(CallerReset(flow, decoded.message_id))
+        self.loop.post(CallerReset(flow, decoded.message_id))
 
     @post_decoded.register
     def _(self, decoded: PingReceived, flow):
--- a/libs/edges/src/lagoontally_edges/_datagrams.py
+++ b/libs/edges/src/lagoontally_edges/_datagrams.py
@@ -11,7 +11,8 @@
 from ._pause import PauseGuard, monotonic_ms
 
 TURN_S = 0.1
-BATCH = 64
+# Few enough that a turn ends well within TURN_S.
+TURN_DATAGRAMS = 256
 DISCARD_LIMIT = 20_000
 RECEIVE_BUFFER_BYTES = 1 << 20
 MAX_DATAGRAM_BYTES = 65_535
@@ -67,14 +68,19 @@
 
     Args:
         name: Prefix of the counters.
-        handle: Called with each ``Datagram``.
+        handle: Called with each ``Datagram``; posts events by ``post``.
+        post: Takes events for the core.
         count: Takes ``Count``.
         clock_ms: Returns the monotonic clock in milliseconds.
     """
 
-    def __init__(self, *, name, handle, count=ignore_count, clock_ms=monotonic_ms):
+    def __init__(
+        self, *, name, handle, post, count=ignore_count, clock_ms=monotonic_ms
+    ):
         self.name = name
         self.handle = handle
+        self.post_event = post
+        self.stale = False
         self.count = count
         self.guard = PauseGuard(clock_ms=clock_ms)
         self.sockets = {}
@@ -163,14 +169,37 @@
         """Wait at most ``timeout_s`` for datagrams and handle those that came."""
         ready = self.selector.select(timeout_s)
         self.apply_changes()
-        datagrams = [item for key, _ in ready for item in self.read(key, BATCH)]
+        share = max(1, TURN_DATAGRAMS // max(1, len(ready)))
+        datagrams = [item for key, _ in ready for item in self.read(key, share)]
         # Checked after the read, so that a pause during the wait or the read is
         # noticed before anything that waited in the kernel is handed on.
-        if self.guard.paused():
-            self.discard(len(datagrams))
-            return
-        for datagram in datagrams:
-            self.handle(datagram)
+        self.stale = self.guard.paused()
+        handled = self.handle_fresh(datagrams)
+        if self.stale:
+            self.discard(len(datagrams) - handled)
+
+    def handle_fresh(self, datagrams):
+        """Handle datagrams until a pause is noticed; return how many were."""
+        for index, datagram in enumerate(datagrams):
+            if not self.stale:
+                self.handle(datagram)
+            if self.stale:
+                return index
+        return len(datagrams)
+
+    def post(self, event):
+        """Post an event unless the process paused since its datagram was read.
+
+        Args:
+            event: The event.
+
+        Returns:
+            True when it was posted.
+        """
+        self.stale = self.stale or self.guard.paused()
+        if not self.stale:
+            self.post_event(event)
+        return not self.stale
 
     def apply_changes(self):
         """Register the sockets that were opened and close the retired ones."""
--- a/libs/edges/src/lagoontally_edges/_upstream_edge.py
+++ b/libs/edges/src/lagoontally_edges/_upstream_edge.py
@@ -1,7 +1,7 @@
 """The edge towards targets: one UDP socket for each path."""
 
 import secrets
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from threading import Lock
 from typing import NamedTuple
 
@@ -29,6 +29,8 @@
 # The core's tokens have 8 bytes, so a length tells the two kinds apart.
 QUESTION_TOKEN_BYTES = 6
 QUESTION_REMAINING_MS = 1000
+QUESTION_PATHS = (-1, -2)
+QUESTION_PATH_MS = 10_000
 IDENTITY_PATH = (".well-known", "lagoontally")
 LOAD_PATH = ("load",)
 
@@ -67,9 +69,15 @@
 
     def __init__(self, *, address, post, count=ignore_count, clock_ms=monotonic_ms):
         self.address = address
-        self.post = post
+        self.clock_ms = clock_ms
+        self.question_paths = deque(QUESTION_PATHS)
+        self.question_path_due_ms = clock_ms()
         self.loop = DatagramLoop(
-            name="upstream", handle=self.handle, count=count, clock_ms=clock_ms
+            name="upstream",
+            handle=self.handle,
+            post=post,
+            count=count,
+            clock_ms=clock_ms,
         )
         self.lock = Lock()
         self.paths = OrderedDict()
@@ -103,7 +111,20 @@
         data = encode_question(
             path, action.host, token, message_id, QUESTION_REMAINING_MS
         )
-        self.send_by(DEFAULT_PATH, data, action.target)
+        self.send_by(self.question_path(), data, action.target)
+
+    def question_path(self):
+        """Return the path for questions, a new socket every few seconds.
+
+        A socket whose way to a target has gone silent would else keep the target
+        unknown for good. Two take turns, so that late answers still arrive.
+        """
+        now_ms = self.clock_ms()
+        if now_ms >= self.question_path_due_ms:
+            self.question_path_due_ms = now_ms + QUESTION_PATH_MS
+            self.question_paths.rotate()
+            self.loop.retire(self.question_paths[0])
+        return self.question_paths[0]
 
     def next_message_id(self, target):
         """Return a message id that this target hasn't seen for long.
@@ -131,7 +152,7 @@
 
     def touch(self, path):
         """Note that a path is in use, and close the one unused for longest."""
-        if path == DEFAULT_PATH:
+        if path == DEFAULT_PATH or path in QUESTION_PATHS:
             return
         with self.lock:
             self.paths[path] = None
@@ -150,24 +171,28 @@
             return
         host, port = datagram.sender
         target = f"{host}:{port}"
-        if decoded.confirmable:
-            ack = encode_empty(ACK, decoded.message_id)
-            self.loop.send(datagram.key, ack, target)
         if len(decoded.token) == QUESTION_TOKEN_BYTES:
             self.post_answer(decoded.token, target, datagram.data)
-            return
-        self.note_use(datagram.key)
-        self.post(
-            UpstreamReply(
-                target,
-                datagram.key,
-                decoded.token,
-                decoded.status,
-                decoded.observed,
-                decoded.retry_after_s,
-                datagram.data,
-            )
+        else:
+            self.note_use(datagram.key)
+            self.post_reply(decoded, target, datagram)
+        # A reply that a pause has made stale isn't acknowledged: it comes again.
+        if decoded.confirmable and not self.loop.stale:
+            ack = encode_empty(ACK, decoded.message_id)
+            self.loop.send(datagram.key, ack, target)
+
+    def post_reply(self, decoded, target, datagram):
+        """Post a target's reply to one of the core's tokens."""
+        reply = UpstreamReply(
+            target,
+            datagram.key,
+            decoded.token,
+            decoded.status,
+            decoded.observed,
+            decoded.retry_after_s,
+            datagram.data,
         )
+        self.loop.post(reply)
 
     def note_use(self, path):
         """Note that a path that is still open has received a datagram."""
@@ -196,7 +221,7 @@
             self.loop.add("question_faulty_answer")
             return
         fields = msgspec.structs.astuple(document)
-        self.post(question.reply_type(target, *fields))
+        self.loop.post(question.reply_type(target, *fields))
 
     def run(self, stop):
         """Read targets' datagrams until ``stop`` is set."""
