Add the operators' command

check, render, status, explain, drain and completion, with examples in each help text and exit statuses 0 fine, 1 findings, 2 usage, 3 unreachable.

--- /dev/null
+++ b/libs/cli/features/steps/servers.py
@@ -0,0 +1,67 @@
+"""Small servers that take a balancer's and the platform's place."""
+
+import json
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, HTTPServer
+
+import pynng
+
+RECEIVE_TIMEOUT_MS = 50
+
+
+@contextmanager
+def balancer(answer):
+    """Answer every query with the same bytes; yield address and queries."""
+    queries = []
+    with (
+        pynng.Rep0(recv_timeout=RECEIVE_TIMEOUT_MS) as rep,
+        ThreadPoolExecutor(1) as pool,
+    ):
+        listener = rep.listen("tcp://127.0.0.1:0")
+        open_ends = [True]
+        pool.submit(answer_queries, rep, answer, queries, open_ends)
+        try:
+            yield str(listener.local_address), queries
+        finally:
+            open_ends.clear()
+
+
+def answer_queries(rep, answer, queries, open_ends):
+    """Answer until ``open_ends`` is empty."""
+    while open_ends:
+        try:
+            queries.append(json.loads(rep.recv()))
+        except pynng.Timeout:
+            continue
+        rep.send(answer)
+
+
+@contextmanager
+def platform(document):
+    """Publish one document; yield the platform's URL."""
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_GET(self):  # noqa: N802
+            found = self.path == "/v1/template"
+            self.send_response(200 if found else 404)
+            self.end_headers()
+            self.wfile.write(document if found else b"")
+
+        def log_message(self, *args):
+            pass
+
+    with HTTPServer(("127.0.0.1", 0), Handler) as server, ThreadPoolExecutor(1) as pool:
+        pool.submit(server.serve_forever, 0.01)
+        try:
+            yield f"http://127.0.0.1:{server.server_port}"
+        finally:
+            server.shutdown()
+
+
+def closed_address():
+    """Return an address that nothing listens at."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
--- /dev/null
+++ b/libs/cli/src/lagoontally/_main.py
@@ -0,0 +1,45 @@
+"""The group of the operators' commands."""
+
+import click
+from click.shell_completion import get_completion_class
+
+from ._check import check
+from ._command import Command, Group
+from ._query_commands import drain, explain, status
+from ._render import render
+
+PROGRAM = "lagoontally"
+COMPLETION_VARIABLE = "_LAGOONTALLY_COMPLETE"
+SHELLS = ("bash", "zsh", "fish")
+
+
+@click.group(
+    cls=Group,
+    context_settings={"help_option_names": ["-h", "--help"]},
+    examples=(
+        "lagoontally check filled.json --against http://127.9.0.2:8500",
+        "lagoontally status 127.10.1.1:7947 --watch 2",
+    ),
+)
+def main():
+    """Check and render templates, and ask balancers what they do.
+
+    The exit status is 0 when all is fine, 1 with findings or where the balancer
+    can't meet the request, 2 on wrong usage, and 3 where the balancer or the
+    platform can't be reached.
+    """
+
+
+@main.command(
+    cls=Command,
+    examples=("source <(lagoontally completion bash)",),
+)
+@click.argument("shell", type=click.Choice(SHELLS))
+def completion(shell):
+    """Print the completion script of a shell."""
+    kind = get_completion_class(shell)
+    click.echo(kind(main, {}, PROGRAM, COMPLETION_VARIABLE).source())
+
+
+for command in (check, render, status, explain, drain):
+    main.add_command(command)
--- /dev/null
+++ b/libs/cli/src/lagoontally/_status_text.py
@@ -0,0 +1,73 @@
+"""Lays out a balancer's status; parts that are absent are left out."""
+
+from typing import Any
+
+from ._text import describe, pairs, section, table
+
+HEADLINES = (
+    "instance",
+    "incarnation",
+    "workspace",
+    "data_centre",
+    "state",
+    "template_version",
+    "lines",
+    "remembered",
+)
+MEMBER_COLUMNS = ("name", "data_centre", "status", "template_version")
+TARGET_COLUMNS = ("service", "name", "address", "state", "in_flight", "lines")
+LATENCY_COLUMNS = ("service/kind", "count", "p50", "p99")
+
+
+def status_text(status: dict[str, Any]) -> list[str]:
+    """Return a status as lines.
+
+    Args:
+        status: The balancer's answer.
+
+    Returns:
+        Headlines, then a table for each part that is present.
+    """
+    rest = dict(status)
+    headlines = {name: rest.pop(name) for name in HEADLINES if name in rest}
+    members = objects(rest.pop("members", []))
+    targets = target_rows(rest.pop("services", {}))
+    latencies = latency_rows(rest.pop("latency_ms", {}))
+    counters = fields(rest.pop("counters", {}))
+    lines = pairs(headlines)
+    lines += section("members", table(MEMBER_COLUMNS, members))
+    lines += section("targets", table(TARGET_COLUMNS, targets))
+    lines += section("latency in ms", table(LATENCY_COLUMNS, latencies))
+    lines += section("counters", pairs(dict(sorted(counters.items()))))
+    # A newer balancer may say more than this command knows.
+    for name, value in rest.items():
+        lines += section(name, describe(value))
+    return lines
+
+
+def fields(value: Any) -> dict[str, Any]:
+    """Return an object as it is, and anything else as an empty one."""
+    return value if isinstance(value, dict) else {}
+
+
+def objects(value: Any) -> list[dict[str, Any]]:
+    """Return the objects of a list; anything else is left out."""
+    items = value if isinstance(value, list) else []
+    return [item for item in items if isinstance(item, dict)]
+
+
+def target_rows(services: Any) -> list[dict[str, Any]]:
+    """Return one row for each target of each service."""
+    return [
+        target | {"service": name}
+        for name, service in fields(services).items()
+        for target in objects(fields(service).get("targets"))
+    ]
+
+
+def latency_rows(latencies: Any) -> list[dict[str, Any]]:
+    """Return one row for each service and kind of request."""
+    return [
+        fields(values) | {"service/kind": name}
+        for name, values in sorted(fields(latencies).items())
+    ]
