--- a/libs/model/features/steps/documents.py
+++ b/libs/model/features/steps/documents.py
@@ -43,12 +43,28 @@
     return json.loads((EXAMPLES / "tifton-1.settings.json").read_text())
 
 
-def put(document, path, value):
-    """Set the value at a path such as ``workspaces.alpha.tenant``."""
+def put(document, path, text):
+    """Set a place such as ``workspaces.alpha.tenant`` to a JSON value.
+
+    ``nothing`` removes what is there, and the index after a list's end appends.
+    """
     *parents, last = path.split(".")
     for part in parents:
         document = document[int(part) if isinstance(document, list) else part]
-    document[last] = value
+    if isinstance(document, list):
+        last = int(last)
+        if last == len(document):
+            document.append(None)
+    if text == "nothing":
+        del document[last]
+    else:
+        document[last] = json.loads(text)
+
+
+def put_all(document, table):
+    """Change a document as the rows of a step's table say."""
+    for row in table:
+        put(document, row["place"], row["value"])
 
 
 def targets(document, name):
--- a/libs/model/features/steps/settings_steps.py
+++ b/libs/model/features/steps/settings_steps.py
@@ -1,9 +1,7 @@
 """Steps for the settings of a balancer."""
 
-import json
-
 from behave import given, then, when
-from documents import EXAMPLES, encode, example_settings, put
+from documents import EXAMPLES, encode, example_settings, put_all
 
 from lagoontally_model import Settings, parse_settings
 
@@ -12,8 +10,7 @@
 def step_settings(context):
     """Each row puts a JSON value at a place of the example settings."""
     context.settings = example_settings() | {"timing": {}}
-    for row in context.table:
-        put(context.settings, row["place"], json.loads(row["value"]))
+    put_all(context.settings, context.table)
 
 
 @when("the settings are parsed")
--- a/libs/model/features/steps/template_steps.py
+++ b/libs/model/features/steps/template_steps.py
@@ -1,11 +1,10 @@
 """Steps for the acceptance of templates and for findings."""
 
-import json
 from itertools import permutations
 
 import msgspec
 from behave import given, then, when
-from documents import encode, following, put, targets, two_workspaces
+from documents import encode, following, put, put_all, targets, two_workspaces
 from hypothesis import given as drawn
 from strategies import DETERMINISTIC, SETTINGS, TEMPLATES
 
@@ -35,14 +34,13 @@
 @given("the template is changed so")
 def step_change_all(context):
     """Each row puts a JSON value at a place."""
-    for row in context.table:
-        put(context.template, row["place"], json.loads(row["value"]))
+    put_all(context.template, context.table)
 
 
 @given('"{field}" of the template is {value}')
 def step_change(context, field, value):
     """One field gets a JSON value."""
-    put(context.template, field, json.loads(value))
+    put(context.template, field, value)
 
 
 @given('{address} of "{name}" was retired by "{workspace}" at "{time}"')
--- a/libs/model/features/steps/transition_steps.py
+++ b/libs/model/features/steps/transition_steps.py
@@ -1,160 +1,64 @@
 """Steps for going from one template to the next."""
 
-from datetime import datetime, timedelta
+from behave import then, when
+from documents import encode, following, put, put_all
 
-from behave import given, then, when
-from documents import PUBLISHED_AT, encode, following, target, targets, two_workspaces
-
-from lagoontally_model import (
-    Template,
-    compare_templates,
-    parse_template,
-    transition_findings,
-)
-
-ADDRESS = "127.20.1.3:7001"
+from lagoontally_model import compare_templates, parse_template, transition_findings
 
 
 def compare(context, document):
     """Parse both templates and compare them."""
-    previous = parse_template(encode(context.template))
-    next_one = parse_template(encode(document))
-    assert isinstance(previous, Template), previous
-    assert isinstance(next_one, Template), next_one
-    context.changes = compare_templates(previous, next_one)
-    found = transition_findings(previous, next_one)
+    templates = [parse_template(encode(item)) for item in (context.template, document)]
+    context.changes = compare_templates(*templates)
+    found = transition_findings(*templates)
     context.findings = found.findings if found else ()
 
 
-def retire(document, address, *, time=PUBLISHED_AT):
-    """Add an entry for an address of alpha."""
-    entry = {"address": address, "workspace": "alpha", "retired_at": time}
-    document["retired"].append(entry)
-
-
-@given("a template of two workspaces is in force")
-def step_in_force(context):
-    """The previous template has no faults."""
-    context.template = two_workspaces()
-
-
-@given('front-3 of "{name}" is leaving in the template in force')
-def step_leaving(context, name):
-    """The last target takes no new work already."""
-    targets(context.template, name)[2]["state"] = "leaving"
-
-
-@given("the template in force retires {address} at its publication")
-def step_retires(context, address):
-    """The quarantine starts as the previous template is published."""
-    retire(context.template, address)
-
-
-@when('the next template adds a target, lets one leave and removes one of "{name}"')
-def step_three_changes(context, name):
-    """One target of each kind of change."""
+@when("the next template is changed so")
+def step_next_table(context):
+    """Each row changes a place of the next version."""
     document = following(context.template)
-    service = targets(document, name)
-    service[2] = target("front-9", "127.20.1.9:7001")
-    service[1]["state"] = "leaving"
+    put_all(document, context.table)
     compare(context, document)
 
 
-@when("the next template removes front-3")
-def step_removes(context):
-    """The target is gone and nothing says where its address was."""
+@when("the next template has {value} at {place}")
+def step_next(context, value, place):
+    """One place of the next version changes."""
     document = following(context.template)
-    targets(document, "alpha/front").pop()
+    put(document, place, value)
     compare(context, document)
 
 
-@when("the next template removes front-3 and retires its address")
-def step_removes_and_retires(context):
-    """The target is gone and its address starts its quarantine."""
-    document = following(context.template)
-    retire(document, targets(document, "alpha/front").pop()["address"])
-    compare(context, document)
-
-
-@when('the next template moves the address of front-3 to "{name}"')
-def step_moves(context, name):
-    """The address serves another workspace at once."""
-    document = following(context.template)
-    targets(document, name).append(targets(document, "alpha/front").pop())
-    compare(context, document)
-
-
-@when("the next template comes {seconds:d} s later and {does} the entry")
-def step_later(context, seconds, does):
-    """The entry of the previous template is kept, dropped or changed."""
-    document = following(context.template)
-    time = datetime.fromisoformat(PUBLISHED_AT) + timedelta(seconds=seconds)
-    document["published_at"] = time.isoformat()
-    entry = document["retired"][0]
-    if does == "drops":
-        document["retired"] = []
-    elif does == "dates back":
-        entry["retired_at"] = "2026-12-03T20:00:00Z"
-    compare(context, document)
-
-
-@when("the next template has the same version")
-def step_same_version(context):
-    """Nothing differs."""
-    compare(context, context.template)
-
-
 @then(
-    'the changes of "{name}" are "{added}" added, "{leaving}" leaving,'
-    ' "{removed}" removed'
+    'only "{name}" changes: "{added}" added, "{removed}" removed, "{leaving}" leaving'
 )
-def step_changes(context, name, added, leaving, removed):
+def step_changes(context, name, added, removed, leaving):
     """One service changed, in these targets."""
     (changes,) = context.changes.services
-    assert changes.service == name
     found = [[item.name for item in kind] for kind in changes[1:]]
-    assert found == [[added], [removed], [leaving]], found
+    assert (changes.service, found) == (name, [[added], [removed], [leaving]]), found
 
 
-@then('the version "{order}"')
-def step_order(context, order):
-    """The versions stand to each other in this order."""
+@then('the version "{order}", with "{address}" in quarantine for {seconds:d} s')
+def step_order(context, order, address, seconds):
+    """Versions are compared, and addresses in quarantine listed."""
     assert context.changes.version_order == order
-
-
-@then("the transition has no findings")
-def step_no_findings(context):
-    """Nothing is reported."""
-    assert not context.findings, context.findings
-
-
-@then("the transition has {count:d} findings")
-def step_count(context, count):
-    """This many faults are reported."""
-    assert len(context.findings) == count, context.findings
-
-
-@then("its address is in quarantine for {seconds:d} s")
-def step_in_quarantine(context, seconds):
-    """The address is listed with the rest of its quarantine."""
-    (entry,) = context.changes.quarantine
-    assert entry == (ADDRESS, "alpha", seconds)
-
-
-@then('the transition has a finding that says "{reason}"')
-def step_has_finding(context, reason):
-    """One of the findings has this reason."""
-    assert any(reason in item.reason for item in context.findings), context.findings
+    assert context.changes.quarantine == ((address, "alpha", seconds),)
 
 
 @then('the only transition finding says "{reason}"')
-def step_only_reason(context, reason):
-    """There is one finding, with this reason."""
-    (finding,) = context.findings
-    assert reason in finding.reason, finding
-
-
-@then("the address of front-3 is among the moved")
-def step_moved(context):
+@then('the transition has "{reason}"')
+@then('the transition has ""')
+def step_reasons(context, reason=""):
+    """The findings have these reasons, divided by semicolons, and no others."""
+    reasons = reason.split("; ") if reason else []
+    assert len(context.findings) == len(reasons), context.findings
+    for finding, text in zip(context.findings, reasons, strict=True):
+        assert text in finding.reason, finding
+
+
+@then('"{address}" has moved from "{previous}" to "{next_one}"')
+def step_moved(context, address, previous, next_one):
     """The address is listed with both workspaces."""
-    assert context.changes.moved == ((ADDRESS, "alpha", "beta"),)
+    assert context.changes.moved == ((address, previous, next_one),)
--- a/libs/model/features/transition.feature
+++ b/libs/model/features/transition.feature
@@ -1,46 +1,61 @@
 Feature: Going from one template to the next
 
   Background:
-    Given a template of two workspaces is in force
+    Given a template of two workspaces
+    And the template is changed so
+      | place                                            | value     |
+      | workspaces.alpha.services.front.targets.2.state  | "leaving" |
+      | retired | [{"address": "127.20.9.9:7001", "workspace": "alpha", "retired_at": "2026-12-03T21:00:00Z"}] |
 
   Scenario: Targets added, leaving and removed are told apart
-    When the next template adds a target, lets one leave and removes one of "alpha/front"
-    Then the changes of "alpha/front" are "front-9" added, "front-2" leaving, "front-3" removed
-    And the version "rises"
+    When the next template is changed so
+      | place                                             | value             |
+      | workspaces.alpha.services.front.targets.2.name    | "front-9"         |
+      | workspaces.alpha.services.front.targets.2.address | "127.20.1.9:7001" |
+      | workspaces.alpha.services.front.targets.1.state   | "leaving"         |
+    Then only "alpha/front" changes: "front-9" added, "front-3" removed, "front-2" leaving
+    And the version "rises", with "127.20.9.9:7001" in quarantine for 600 s
+
+  Scenario Outline: A fault of the transition is the only finding
+    When the next template has <value> at <place>
+    Then the only transition finding says "<reason>"
 
-  Scenario: A transition by the rules has no findings
-    Given front-3 of "alpha/front" is leaving in the template in force
-    When the next template removes front-3 and retires its address
-    Then the transition has no findings
-    And its address is in quarantine for 600 s
-
-  Scenario: An address that moves is a finding unless its workspace retired it
-    When the next template moves the address of front-3 to "beta/front"
-    Then the transition has a finding that says "without an entry in retired"
-    And the address of front-3 is among the moved
-
-  Scenario: An address that is gone without being retired is a finding
-    Given front-3 of "alpha/front" is leaving in the template in force
-    When the next template removes front-3
-    Then the only transition finding says "has no entry here"
+    Examples:
+      | place                                             | value             | reason                                 |
+      | version                                           | 1                 | doesn't rise above 1                   |
+      | workspaces.alpha.services.front.targets.2         | nothing           | has no entry here                      |
+      | retired                                           | []                | dropped 600 s before                   |
+      | retired.0.retired_at                              | "2026-12-03T20:59:59Z" | dropped 600 s before              |
+
+  Scenario: A target that is removed while it is active is a finding
+    When the next template is changed so
+      | place                                             | value   |
+      | workspaces.alpha.services.back                    | nothing |
+    Then the transition has "127.20.2.1:7001 left alpha; back-1 is removed without"
+
+  Scenario Outline: A quarantine may be dropped once it is over
+    When the next template is changed so
+      | place                                             | value     |
+      | published_at                                      | "<time>"  |
+      | retired                                           | []        |
+    Then the transition has "<findings>"
 
-  Scenario: An active target that is removed is a finding
-    When the next template removes front-3 and retires its address
-    Then the only transition finding says "front-3 is removed without having been leaving"
+    Examples:
+      | time                 | findings           |
+      | 2026-12-03T21:09:59Z | dropped 1 s before |
+      | 2026-12-03T21:10:00Z |                    |
 
-  Scenario Outline: A quarantine that is cut short is a finding
-    Given the template in force retires 127.20.9.9:7001 at its publication
-    When the next template comes <seconds> s later and <does> the entry
-    Then the transition has <count> findings
+  Scenario: An address may come back to the workspace that it left
+    When the next template is changed so
+      | place                                             | value     |
+      | retired                                           | []        |
+      | workspaces.alpha.services.front.targets.3 | {"name": "f", "address": "127.20.9.9:7001", "data_centre": "d"} |
+    Then the transition has ""
 
-    Examples:
-      | seconds | does  | count |
-      | 599     | drops | 1     |
-      | 600     | drops | 0     |
-      | 599     | keeps | 0     |
-      | 599     | dates back | 1     |
-
-  Scenario: A version that doesn't rise is a finding
-    When the next template has the same version
-    Then the only transition finding says "doesn't rise above 1"
-    And the version "same"
+  Scenario: An address that moves is a finding unless its workspace retired it
+    When the next template is changed so
+      | place                                             | value             |
+      | workspaces.alpha.services.front.targets.2         | nothing           |
+      | workspaces.beta.services.front.targets.2 | {"name": "f", "address": "127.20.1.3:7001", "data_centre": "d"} |
+    Then the transition has "moves from alpha without an entry in retired"
+    And "127.20.1.3:7001" has moved from "alpha" to "beta"
