--- a/libs/core/src/lagoontally_core/__init__.py
+++ b/libs/core/src/lagoontally_core/__init__.py
@@ -19,6 +19,7 @@
     SendKind,
     SendPeer,
     SendUpstream,
+    ServeEntries,
     Stop,
     Unknown,
 )
@@ -58,11 +59,14 @@
     RelayFresh,
     RememberedRecord,
     Succession,
+    SuccessionAck,
     TemplateDigest,
     TemplateSections,
     TemplateWant,
     Welcome,
 )
+from ._state import Phase, SelfInfo, State
+from ._step import JOIN_WAIT_MS, PAUSE_MS, TICK_MS, step
 
 __all__ = [
     "Answer",
@@ -81,6 +85,7 @@
     "IdentityReply",
     "Instance",
     "InstancesRead",
+    "JOIN_WAIT_MS",
     "Join",
     "LeaveRequested",
     "LineRecord",
@@ -91,7 +96,9 @@
     "NotifyCaller",
     "OperatorQuery",
     "Origin",
+    "PAUSE_MS",
     "PeerMessage",
+    "Phase",
     "Ping",
     "PingAck",
     "PingRequest",
@@ -108,11 +115,16 @@
     "ReplyTo",
     "Request",
     "RequestKind",
+    "SelfInfo",
     "SendKind",
     "SendPeer",
     "SendUpstream",
+    "ServeEntries",
+    "State",
     "Stop",
     "Succession",
+    "SuccessionAck",
+    "TICK_MS",
     "TemplateDigest",
     "TemplateRead",
     "TemplateRejected",
@@ -122,4 +134,5 @@
     "Unknown",
     "UpstreamReply",
     "Welcome",
+    "step",
 ]
