End frozen processes without killing them

A process frozen by SIGSTOP and then asked to end took the signal in a thread other than its main one, whose Event.wait() without a timeout never woke, so ending it needed a kill after 15 s. A trial of freeze, signal order and kind of wait showed that the order of SIGTERM and SIGCONT makes no difference and that only the endless wait hangs; the stand-ins now wait in short steps. stop() names the processes that had to be killed, and the deployment's scenario freezes one first.

--- a/libs/standins/features/platform.feature
+++ b/libs/standins/features/platform.feature
@@ -19,14 +19,14 @@
   Scenario: A platform that goes down answers nobody
     Given a served platform with template version 1
     When a reader watches for a version after 1
-    And the platform's mode is "down"
+    And the platform's control sets {"mode": "down"}
     Then the watch is answered with status 503
-    And a read of the template has status 503
-    And a read of the instances has status 503
+    And a read of "/v1/template" has status 503
+    And a read of "/v1/instances?workspace=relay" has status 503
 
   Scenario: No template has been published
     Given a served platform without a template
-    Then a read of the template has status 404
+    Then a read of "/v1/template" has status 404
 
   Scenario: A faulty document is handed out as it is
     Given a served platform without a template
@@ -42,16 +42,16 @@
 
   Scenario: A stale platform answers what it had
     Given a platform on a virtual clock with template version 1
-    When the platform's mode is "stale"
+    When the platform's control sets {"mode": "stale"}
     And 5 s pass on the platform
     And template version 2 is published
     Then reader "127.0.0.1" sees version 1
-    When the platform's mode is "up"
+    When the platform's control sets {"mode": "up"}
     Then reader "127.0.0.1" sees version 2
 
   Scenario: Readers see a new version unevenly
     Given a platform on a virtual clock with template version 1
-    When the reader "127.0.0.2" is 10 s late
+    When the platform's control sets {"late_readers": {"127.0.0.2": 10}}
     And 5 s pass on the platform
     And template version 2 is published
     Then reader "127.0.0.1" sees version 2
@@ -61,7 +61,7 @@
 
   Scenario: The list of instances lags
     Given a platform on a virtual clock with template version 1
-    When the list lags by 3 s
+    When the platform's control sets {"lag_s": 3}
     And the instances "a" are published
     And 1 s pass on the platform
     And the instances "a b" are published
--- a/libs/standins/features/steps/deployment_steps.py
+++ b/libs/standins/features/steps/deployment_steps.py
@@ -52,12 +52,13 @@
     context.deployment.set_upstream(name, {"work_ms": work_ms})
 
 
-@when("the deployment is stopped")
-def step_stop(context):
-    """Every process is ended."""
+@when('"{name}" is frozen and the deployment is stopped')
+def step_stop(context, name):
+    """Every process is ended, a frozen one too."""
     records = context.deployment.report()["processes"]
     context.pids = [record["pid"] for record in records]
-    context.deployment.stop()
+    context.deployment.freeze(name)
+    context.killed = context.deployment.stop()
 
 
 @then("its report names every process and its entry address")
@@ -103,9 +104,10 @@
     assert json.loads(ledger.read_text())["id"] == command
 
 
-@then("none of its processes is left")
+@then("each process has ended by itself")
 def step_none_left(context):
-    """No process id of the deployment is in use by a child."""
+    """No process had to be killed and none is left."""
+    assert not context.killed, context.killed
     assert len(context.pids) == 4
     for pid in context.pids:
         try:
--- a/libs/standins/features/steps/platform_steps.py
+++ b/libs/standins/features/steps/platform_steps.py
@@ -92,10 +92,10 @@
     requests.put(url, data=text.encode(), timeout=WAIT_S).raise_for_status()
 
 
-@when('the platform\'s mode is "{mode}"')
-def step_platform_mode(context, mode):
-    """The platform's mode changes."""
-    context.platform.control({"mode": mode})
+@when("the platform's control sets {change}")
+def step_control_platform(context, change):
+    """A mode, a lag or the late readers change."""
+    context.platform.control(json.loads(change))
 
 
 @when("the template is read {number:d} times")
@@ -111,18 +111,6 @@
     context.now_s += duration_s
 
 
-@when('the reader "{reader}" is {late_s:d} s late')
-def step_late(context, reader, late_s):
-    """One reader gets everything later than the others."""
-    context.platform.control({"late_readers": {reader: late_s}})
-
-
-@when("the list lags by {lag_s:d} s")
-def step_list_lag(context, lag_s):
-    """The list of instances is old."""
-    context.platform.control({"lag_s": lag_s})
-
-
 @when('the instances "{names}" are published')
 def step_instances(context, names):
     """The list of instances changes."""
@@ -142,16 +130,10 @@
     assert context.watch.result(WAIT_S).status_code == status
 
 
-@then("a read of the template has status {status:d}")
-def step_read_status(context, status):
-    """A read of the template returns no document."""
-    assert read(context, "/v1/template").status_code == status
-
-
-@then("a read of the instances has status {status:d}")
-def step_list_status(context, status):
-    """A read of the list returns no list."""
-    assert read(context, "/v1/instances?workspace=relay").status_code == status
+@then('a read of "{path}" has status {status:d}')
+def step_read_status(context, path, status):
+    """A read returns nothing."""
+    assert read(context, path).status_code == status
 
 
 @then('a read of the template returns the bytes "{text}"')
--- a/libs/standins/features/steps/upstream_steps.py
+++ b/libs/standins/features/steps/upstream_steps.py
@@ -4,7 +4,7 @@
 
 from aiocoap import CON, EMPTY, GET, NON, POST, RST, Code, Message
 from aiocoap.optiontypes import UintOption
-from behave import given, then, when
+from behave import given, step, then, when
 
 from lagoontally_standins import (
     Upstream,
@@ -24,24 +24,6 @@
 }
 
 
-def start(context, service, **settings):
-    """Start an upstream whose ledger is a list."""
-    context.now_ms = 0.0
-    context.ledger = []
-    context.answers = []
-    context.next_mid = 100
-    values = UpstreamSettings(
-        target=f"{service}-1",
-        workspace=WORKSPACES[service],
-        service=service,
-        address="",
-        control="",
-        ledger_dir="",
-        **settings,
-    )
-    context.upstream = Upstream(values, ledger=context.ledger.append, now_ms=0.0)
-
-
 def deliver(context, message, *, mid=None):
     """Hand a message to the upstream and return what it answers at once."""
     context.next_mid += 1
@@ -77,20 +59,13 @@
 
 @given("an upstream of {service}")
 def step_start(context, service):
-    """An upstream starts with its defaults."""
-    start(context, service)
-
-
-@given("an upstream whose queue holds {length:d}")
-def step_start_queue(context, length):
-    """An upstream starts with a short queue."""
-    start(context, "pivot-link", queue=length)
-
-
-@given("an upstream that is cold for {cold_start_ms:d} ms")
-def step_start_cold(context, cold_start_ms):
-    """An upstream starts cold."""
-    start(context, "pivot-link", cold_start_ms=cold_start_ms)
+    """An upstream starts whose ledger is a list."""
+    context.now_ms, context.next_mid = 0.0, 100
+    context.ledger, context.answers = [], []
+    names = (f"{service}-1", WORKSPACES[service], service)
+    settings = UpstreamSettings(*names, address="", control="", ledger_dir="")
+    ledger = context.ledger.append
+    context.upstream = Upstream(settings, ledger=ledger, now_ms=0.0)
 
 
 @when('a confirmable command "{name}" with message id {mid:d} arrives')
@@ -136,22 +111,10 @@
     keep(context, context.upstream.advance(now_ms=context.now_ms))
 
 
-@when('the control sets the mode "{mode}"')
-def step_mode(context, mode):
-    """The mode changes."""
-    context.upstream.control({"mode": mode})
-
-
-@when("the control sets the load lag to {lag_s:d} s")
-def step_lag(context, lag_s):
-    """The load report gets late."""
-    context.upstream.control({"load_lag_s": lag_s})
-
-
-@when("the control lets the load report lie with {busy:d} busy")
-def step_lie(context, busy):
-    """The load report gets false."""
-    context.upstream.control({"load_lie": {"busy": busy}})
+@step("the control sets {change}")
+def step_control_upstream(context, change):
+    """A mode, a fault or a setting changes."""
+    context.upstream.control(json.loads(change))
 
 
 @when('the body of "{path}" is read in blocks of size exponent {exponent:d}')
--- a/libs/standins/features/upstream.feature
+++ b/libs/standins/features/upstream.feature
@@ -18,7 +18,8 @@
     And the answers are "2.04"
 
   Scenario: Requests beyond the slots and the queue are shed and not run
-    Given an upstream whose queue holds 1
+    Given an upstream of pivot-link
+    And the control sets {"queue": 1}
     When the commands "c1 c2 c3 c4" arrive
     And 20 ms pass
     And 20 ms pass
@@ -29,7 +30,7 @@
   Scenario Outline: An upstream that refuses new work finishes what it runs
     Given an upstream of pivot-link
     When the commands "c1" arrive
-    And the control sets the mode "<mode>"
+    And the control sets {"mode": "<mode>"}
     And the commands "c2" arrive
     And a line is asked for
     And 20 ms pass
@@ -43,7 +44,7 @@
 
   Scenario: A silent upstream answers nothing and runs nothing new
     Given an upstream of pivot-link
-    When the control sets the mode "silent"
+    When the control sets {"mode": "silent"}
     And the commands "c1" arrive
     And 20 ms pass
     Then the ledger holds the ids ""
@@ -80,7 +81,8 @@
     And the answers are "2.04"
 
   Scenario: An upstream is slower after its start
-    Given an upstream that is cold for 1000 ms
+    Given an upstream of pivot-link
+    And the control sets {"cold_start_ms": 1000}
     When the commands "c1" arrive
     And 20 ms pass
     Then the answers are ""
@@ -131,7 +133,7 @@
     Given an upstream of pivot-link
     When the commands "c1 c2 c3" arrive
     Then the load report is 3 busy and 0 lines
-    When the control sets the load lag to 5 s
+    When the control sets {"load_lag_s": 5}
     Then the load report is 0 busy and 0 lines
-    When the control lets the load report lie with 9 busy
+    When the control sets {"load_lie": {"busy": 9}}
     Then the load report is 9 busy and 0 lines
--- a/libs/standins/src/lagoontally_standins/__main__.py
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -18,6 +18,7 @@
     serve_upstream_control,
 )
 
+SIGNAL_POLL_S = 0.5
 SETTINGS_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
@@ -30,7 +31,7 @@
 @click.option("--address", default="127.9.0.2:8500", show_default=True)
 def platform(address):
     """Serve the platform until ended."""
-    ended = ended_by_signal()
+    ended = EndSignal()
     server = serve_platform(address, Platform())
     print_ready()
     ended.wait()
@@ -41,7 +42,7 @@
 @click.argument("settings", type=SETTINGS_FILE)
 def fabric(settings):
     """Run the fabric of a settings file until ended."""
-    ended = ended_by_signal()
+    ended = EndSignal()
     loop = Fabric(load_fabric_settings(settings.read_text()))
     run_loop(loop, serve_fabric_control(loop), ended)
 
@@ -50,7 +51,7 @@
 @click.argument("settings", type=SETTINGS_FILE)
 def upstream(settings):
     """Run the upstream of a settings file until ended."""
-    ended = ended_by_signal()
+    ended = EndSignal()
     loop = UpstreamProcess(load_upstream_settings(settings.read_text()))
     run_loop(loop, serve_upstream_control(loop), ended)
 
@@ -62,7 +63,7 @@
 @click.option("--notify-ms", default=1000.0, show_default=True)
 def up(seed, no_balancers, work_ms, notify_ms):
     """Keep a whole deployment up until interrupted."""
-    ended = ended_by_signal()
+    ended = EndSignal()
     options = Options(
         seed=seed,
         balancers=not no_balancers,
@@ -101,12 +102,20 @@
     sys.stdout.flush()
 
 
-def ended_by_signal() -> threading.Event:
-    """Return an event that an interrupt or a request to end sets."""
-    ended = threading.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: ended.set())
-    return ended
+class EndSignal:
+    """Set by an interrupt or a request to end."""
+
+    def __init__(self):
+        self.event = threading.Event()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, lambda *_: self.event.set())
+
+    def wait(self):
+        """Wait for the signal."""
+        # A signal that another thread takes runs its handler only once the
+        # main thread wakes, so the wait is cut into short ones.
+        while not self.event.wait(SIGNAL_POLL_S):
+            pass
 
 
 if __name__ == "__main__":
--- a/libs/standins/src/lagoontally_standins/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/_deployment.py
@@ -40,6 +40,7 @@
 CLAIM_PORT = 8499
 BLOCK_TRIES = 50
 STARTS_AT_ONCE = 8
+STOP_ORDER = ("balancer", "fabric", "upstream", "platform")
 
 
 class Deployment:
@@ -116,22 +117,35 @@
         self.put_json(f"{self.platform_url}/control", lag)
         self.start_all([self.balancer_start(p) for p in self.balancers.values()])
 
-    def stop(self) -> None:
-        """End every process, the balancers first."""
-        order = ("balancer", "fabric", "upstream", "platform")
-        for role in order:
+    def stop(self) -> list[str]:
+        """End every process, the balancers first.
+
+        Returns:
+            Names of the processes that had to be killed.
+        """
+        killed = []
+        for role in STOP_ORDER:
             names = [name for name, r in self.records.items() if r.role == role]
-            children = [self.children.pop(n) for n in names if n in self.children]
-            for child in children:
-                child.ask_to_end()
-            for child in children:
-                child.wait_end()
-        for child in self.children.values():
-            child.end()
-        self.children.clear()
+            killed += self.end_all(names)
+        killed += self.end_all(list(self.children))
         self.records.clear()
         self.pool.shutdown()
         self.claim.close()
+        return killed
+
+    def end_all(self, names: list[str]) -> list[str]:
+        """End processes at the same time.
+
+        Args:
+            names: Names of the processes.
+
+        Returns:
+            Names of those that had to be killed.
+        """
+        children = [self.children.pop(name) for name in names]
+        for child in children:
+            child.ask_to_end()
+        return [child.name for child in children if not child.wait_end()]
 
     def report(self) -> dict:
         """Return what ``up`` prints once the deployment serves."""
