--- /dev/null
+++ b/libs/caller/src/lagoontally_caller/protocol.py
@@ -0,0 +1,38 @@
+"""The caller's protocol decisions, for whoever brings the sockets and the clock."""
+
+from ._codec import (
+    ACK,
+    CON,
+    GET,
+    POST,
+    PUT,
+    RST,
+    Malformed,
+    Request,
+    decode_reply,
+    encode_empty,
+)
+from ._exchange import Exchange
+from ._identifiers import EchoStore, Identifiers
+from ._line import ChangeSocket, Deliver, LineState, LineStatus, SendDatagram
+
+__all__ = [
+    "ACK",
+    "CON",
+    "GET",
+    "POST",
+    "PUT",
+    "RST",
+    "ChangeSocket",
+    "Deliver",
+    "EchoStore",
+    "Exchange",
+    "Identifiers",
+    "LineState",
+    "LineStatus",
+    "Malformed",
+    "Request",
+    "SendDatagram",
+    "decode_reply",
+    "encode_empty",
+]
--- a/libs/edges/features/peers.feature
+++ b/libs/edges/features/peers.feature
@@ -9,7 +9,7 @@
 
   Scenario: The encoding of a message is fixed
     When a HandoverAck of 1 and 2 is encoded for sender 5
-    Then the message is 93 05 ab 48616e646f76657241636b 92 01 02
+    Then the message is 93 05 ab 48616e646f76657241636b 94 01 02 01 00
 
   Scenario: Whatever bytes come, decoding a peer's message gives a typed result
     When peers send anything
--- a/libs/edges/src/lagoontally_edges/_platform_edge.py
+++ b/libs/edges/src/lagoontally_edges/_platform_edge.py
@@ -97,11 +97,16 @@
         self.rejected_document = b""
         self.failures = 0
         self.read_wanted = Event()
+        self.list_wanted = Event()
 
     def read_now(self):
         """Have the template read soon, apart from the watch."""
         self.read_wanted.set()
 
+    def read_instances_now(self):
+        """Have the list of instances read soon."""
+        self.list_wanted.set()
+
     def run_template_watch(self, stop):
         """Read the template and wait for each newer one until ``stop`` is set."""
         with self.open_session() as session:
@@ -222,7 +227,8 @@
         jitter_s = self.random.uniform(-INSTANCES_JITTER_S, INSTANCES_JITTER_S)
         slices = int((INSTANCES_PERIOD_S + jitter_s) / WAKE_S)
         for _ in range(slices):
-            if stop.is_set():
+            if stop.is_set() or self.list_wanted.is_set():
+                self.list_wanted.clear()
                 return
             if self.read_wanted.wait(WAKE_S):
                 self.read_wanted.clear()
