--- a/libs/caller/src/lagoontally_caller/_caller.py
+++ b/libs/caller/src/lagoontally_caller/_caller.py
@@ -177,7 +177,7 @@
         return line
 
     def close(self):
-        """End the caller; calls under way end as unknown."""
+        """End the caller; calls under way end as unknown, lines are closed."""
         self.loop.post(StopLoop())
         self.thread.join()
 
--- a/libs/caller/src/lagoontally_caller/_loop.py
+++ b/libs/caller/src/lagoontally_caller/_loop.py
@@ -208,6 +208,8 @@
 
     @_handle.register
     def _(self, _message: StopLoop):
+        for line in list(self.lines):
+            self._handle(CloseLine(line))
         self.stopping = True
 
     def _advance(self, call, datagrams):
--- a/libs/standins/src/lagoontally_standins/_load.py
+++ b/libs/standins/src/lagoontally_standins/_load.py
@@ -214,6 +214,13 @@
         self.pool = ThreadPoolExecutor(len(self.callers), thread_name_prefix="load")
         self.futures = []
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_exception):
+        # Otherwise the threads would keep the process from ending.
+        self.ended.set()
+
     def start(self):
         """Start every caller."""
         self.futures = [self.pool.submit(c.run, self.ended) for c in self.callers]
