Add the fault matrix on a virtual clock; hold back after a pause until the view is fresh

Cause: struck at 'target change', a frozen balancer woke and registered a line at an upstream that had been published as leaving 10 s before: timers fired on its old view.

--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_faults.py
@@ -0,0 +1,272 @@
+"""The faults of the matrix, each struck at the node where a step happens."""
+
+from typing import NamedTuple
+
+from lagoontally_standins import UpstreamMode
+
+from ._links import CALLER, PEER, PLATFORM, UPSTREAM, LinkFaults
+
+FREEZE_MS = 10_000
+SHORT_FREEZE_MS = 2_500
+OUTAGE_MS = 15_000
+LONG_OUTAGE_MS = 40_000
+LATE_WATCH_MS = 15_000
+SLOW_WORK_MS = 1_500
+NORMAL_WORK_MS = 20
+
+
+class Fault(NamedTuple):
+    """One fault.
+
+    Attributes:
+        name: Its name in the table.
+        strike: Called with the scenario and the moment that it strikes at.
+        planned: True for a change that operators make; it must break no line.
+        unreachable: True when balancers may be out of reach of a new template.
+    """
+
+    name: str
+    strike: object
+    planned: bool = False
+    unreachable: bool = False
+
+
+def _balancer_at(scenario, moment):
+    """Return the balancer that a moment happened at, else any live one."""
+    world = scenario.world
+    node = world.balancers.get(moment.node)
+    if node is not None and node.alive:
+        return node
+    live = [item for item in world.balancers.values() if item.alive]
+    return world.random.choice(live)
+
+
+def _upstream_at(scenario, moment):
+    """Return the upstream that a moment names, else any of the pivot service."""
+    world = scenario.world
+    named = getattr(moment.subject, "target", None)
+    for upstream in world.upstreams.values():
+        if moment.node == upstream.name or named == upstream.address:
+            return upstream
+    live = [
+        item
+        for item in world.upstreams.values()
+        if item.alive and item.service == "pivot-link"
+    ]
+    return world.random.choice(live)
+
+
+def kill_balancer(scenario, moment):
+    """End the balancer without a word."""
+    _balancer_at(scenario, moment).kill()
+
+
+def join_balancer(scenario, moment):
+    """Start another balancer beside it."""
+    node = _balancer_at(scenario, moment)
+    name = f"{node.data_centre}-j{len(scenario.world.balancers)}"
+    scenario.world.add_balancer(name, node.data_centre, node.workspace)
+
+
+def leave_balancer(scenario, moment):
+    """Let the balancer leave, as long as another one stays."""
+    node = _balancer_at(scenario, moment)
+    staying = [
+        other
+        for other in scenario.world.live_balancers(node.workspace)
+        if other is not node and not other.leaving
+    ]
+    if staying and not node.leaving:
+        node.leave()
+
+
+def freeze_balancer(scenario, moment):
+    """Stop the process for long enough to be declared dead."""
+    _balancer_at(scenario, moment).freeze(FREEZE_MS)
+
+
+def freeze_shortly(scenario, moment):
+    """Stop the process for less time than a suspicion takes."""
+    _balancer_at(scenario, moment).freeze(SHORT_FREEZE_MS)
+
+
+def drain_upstream(scenario, moment):
+    """Publish the upstream as leaving; it sheds what comes too late."""
+    scenario.drain(_upstream_at(scenario, moment).name)
+
+
+def drain_several(scenario, moment):
+    """Drain all upstreams of the pivot service but one."""
+    scenario.drain_all_but_one()
+
+
+def kill_upstream(scenario, moment):
+    """End the upstream without a word."""
+    _upstream_at(scenario, moment).alive = False
+
+
+def shed_upstream(scenario, moment):
+    """Let the upstream refuse new work for a while."""
+    _set_mode_for_a_while(scenario, moment, UpstreamMode.SHED)
+
+
+def silence_upstream(scenario, moment):
+    """Let the upstream look healthy to nobody: it answers nothing for a while."""
+    _set_mode_for_a_while(scenario, moment, UpstreamMode.SILENT)
+
+
+def _set_mode_for_a_while(scenario, moment, mode):
+    upstream = _upstream_at(scenario, moment)
+    upstream.set_mode(mode)
+    scenario.world.after(OUTAGE_MS, upstream.set_mode, UpstreamMode.UP)
+
+
+def cold_start_upstream(scenario, moment):
+    """Let the upstream work slowly for a while, as just after its start."""
+    upstream = _upstream_at(scenario, moment)
+    upstream.set_work_ms(SLOW_WORK_MS)
+    scenario.world.after(OUTAGE_MS, upstream.set_work_ms, NORMAL_WORK_MS)
+
+
+def lie_about_health(scenario, moment):
+    """Let the upstream prove its identity, and take requests without answers."""
+    upstream = _upstream_at(scenario, moment)
+    upstream.mute_requests = True
+    scenario.world.after(OUTAGE_MS, setattr, upstream, "mute_requests", False)
+
+
+def uneven_template(scenario, moment):
+    """Publish a new version that half of the balancers see late."""
+    world = scenario.world
+    names = sorted(world.balancers)
+    world.late_watch_ms = dict.fromkeys(names[::2], LATE_WATCH_MS)
+    scenario.publish()
+    world.late_watch_ms = {}
+
+
+def stale_template(scenario, moment):
+    """Let the platform serve its first version again for a while."""
+    world = scenario.world
+    world.platform_stale = scenario.first_document
+    for node in world.balancers.values():
+        world.read_template(node)
+    world.after(OUTAGE_MS, _platform_returns, scenario)
+
+
+def platform_down(scenario, moment):
+    """Let the platform answer nothing for a while."""
+    world = scenario.world
+    world.platform_up = False
+    world.after(LONG_OUTAGE_MS, _platform_returns, scenario)
+
+
+def _platform_returns(scenario):
+    """Bring the platform back, up to date; the watches see it soon."""
+    world = scenario.world
+    world.platform_up = True
+    world.platform_stale = None
+    for node in world.balancers.values():
+        world.after(world.random.randrange(2_000), world.read_template, node)
+
+
+def lying_list(scenario, moment):
+    """Let the platform list an instance that is gone and miss a live one."""
+    scenario.world.listed = scenario.world.listed[1:]
+
+
+def cut_one_way(scenario, moment):
+    """Let nothing pass from the balancer to one of its peers for a while."""
+    _cut_from_peer(scenario, moment, both_ways=False)
+
+
+def cut_both_ways(scenario, moment):
+    """Let nothing pass between the balancer and one of its peers for a while."""
+    _cut_from_peer(scenario, moment, both_ways=True)
+
+
+def _cut_from_peer(scenario, moment, *, both_ways):
+    world = scenario.world
+    node = _balancer_at(scenario, moment)
+    others = [
+        other for other in world.live_balancers(node.workspace) if other is not node
+    ]
+    if others:
+        other = world.random.choice(others)
+        world.links.cut(node.name, other.name, both_ways=both_ways)
+        world.after(OUTAGE_MS, world.links.heal)
+
+
+def cut_data_centres(scenario, moment):
+    """Cut the two data centres of the pivot workspace from each other."""
+    scenario.world.links.cut("tifton", "moultrie")
+    scenario.world.after(OUTAGE_MS, scenario.world.links.heal)
+
+
+def cut_from_platform(scenario, moment):
+    """Cut one data centre from the platform."""
+    world = scenario.world
+    world.links.cut("platform", "tifton")
+    world.after(LONG_OUTAGE_MS, world.links.heal)
+
+
+def lose(scenario, moment):
+    """Lose a fifth of what passes on every link for a while."""
+    _disturb(scenario, LinkFaults(loss=0.2))
+
+
+def duplicate(scenario, moment):
+    """Let a third of the datagrams arrive twice for a while."""
+    _disturb(scenario, LinkFaults(duplicate=0.3, jitter_ms=300))
+
+
+def reorder(scenario, moment):
+    """Delay each message by up to 800 ms for a while."""
+    _disturb(scenario, LinkFaults(jitter_ms=800))
+
+
+def _disturb(scenario, faults):
+    links = scenario.world.links
+    for kind in (CALLER, PEER, UPSTREAM, PLATFORM):
+        links.faults[kind] = faults
+    scenario.world.after(OUTAGE_MS, links.faults.clear)
+
+
+def silent_paths(scenario, moment):
+    """Let every caller's present address go silent for good; new ones work."""
+    for caller in scenario.callers:
+        scenario.world.silenced.add(caller.address)
+
+
+def rebind_callers(scenario, moment):
+    """Give every caller another address, as a device on the way may."""
+    for caller in scenario.callers:
+        caller.change_address()
+
+
+FAULTS = (
+    Fault("balancer killed", kill_balancer),
+    Fault("balancer joins", join_balancer, planned=True),
+    Fault("balancer leaves", leave_balancer, planned=True),
+    Fault("balancer frozen 10 s", freeze_balancer),
+    Fault("balancer frozen 2.5 s", freeze_shortly),
+    Fault("upstream drained", drain_upstream, planned=True),
+    Fault("several upstreams drained", drain_several, planned=True),
+    Fault("upstream killed", kill_upstream),
+    Fault("upstream sheds", shed_upstream),
+    Fault("upstream silent", silence_upstream),
+    Fault("upstream cold", cold_start_upstream),
+    Fault("upstream health lies", lie_about_health),
+    Fault("template uneven", uneven_template, planned=True),
+    Fault("template stale", stale_template, unreachable=True),
+    Fault("platform down", platform_down, unreachable=True),
+    Fault("list lies", lying_list),
+    Fault("peers cut one way", cut_one_way),
+    Fault("peers cut both ways", cut_both_ways),
+    Fault("data centres cut", cut_data_centres),
+    Fault("data centre cut from platform", cut_from_platform),
+    Fault("loss", lose),
+    Fault("doubling", duplicate),
+    Fault("reordering", reorder),
+    Fault("silent paths", silent_paths),
+    Fault("callers rebound", rebind_callers),
+)
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_mutations.py
@@ -0,0 +1,142 @@
+"""Deliberate faults of the core, one for each promise.
+
+A check that doesn't notice them proves nothing.
+"""
+
+from contextlib import contextmanager
+from unittest.mock import patch
+
+from lagoontally_core import Refused
+
+
+def _forget_at_once(standing_module):
+    """Let the home forget each command before it is answered."""
+    original = standing_module._run_command
+
+    def run_command(flow, request, key, standing, turn):
+        original(flow, request, key, standing, turn)
+        turn.state.remembered.pop(key, None)
+
+    return patch.object(standing_module, "_run_command", run_command)
+
+
+@contextmanager
+def apply_mutation(name):
+    """Run the body with the core mutated.
+
+    Args:
+        name: A name in ``MUTATIONS``; empty for none.
+    """
+    if not name:
+        yield
+        return
+    with MUTATIONS[name]():
+        yield
+
+
+def repeats_run_again():
+    """A repeated command isn't known as one."""
+    from lagoontally_core import _home
+
+    return _forget_at_once(_home)
+
+
+def lost_home_told_not_run():
+    """A command whose home is gone is answered as not run."""
+    from lagoontally_core import _home
+
+    def answer(flow, request, turn):
+        _home.ask_echo(flow, request, "mutated", turn)
+
+    return patch("lagoontally_core._ingress.answer_lost_home", answer)
+
+
+def timeout_told_not_run():
+    """A command that isn't answered in time is refused as not run."""
+
+    def refuse(reason):
+        return Refused(1, reason)
+
+    return patch("lagoontally_core._exchanges.Unknown", refuse)
+
+
+def answers_swapped():
+    """Each command is answered with the answer to the one before."""
+    from lagoontally_core import _exchanges
+
+    original = _exchanges.finish
+    last = []
+
+    def finish(exchange, answer, turn, *, hint=0):
+        last.append(answer)
+        original(exchange, last[-2] if len(last) > 1 else answer, turn, hint=hint)
+
+    return patch("lagoontally_core._exchanges.finish", finish)
+
+
+def lines_not_handed_over():
+    """A leaving balancer forgets its lines and stops notifying them."""
+
+    def no_lines(lines, remembered):
+        yield [], remembered
+
+    return patch("lagoontally_core._leave._chunks", no_lines)
+
+
+def leaving_target_chosen():
+    """A leaving target gets new work as before."""
+    from lagoontally_core import _choice
+
+    def candidates(state, service, now_ms, tried=()):
+        usable = map(state.targets.get, state.service_targets.get(service, ()))
+        return [target for target in usable if target.address not in tried]
+
+    return patch.object(_choice, "candidates", candidates)
+
+
+def older_template_adopted():
+    """Any template that is read is put in force."""
+    from lagoontally_core import _templates
+
+    original = _templates.adopt
+
+    def adopt(template, document, turn):
+        if turn.state.template and template.version < turn.state.template_version:
+            turn.state.template = None
+        return original(template, document, turn)
+
+    return patch("lagoontally_core._templates.adopt", adopt)
+
+
+def foreign_target_used():
+    """Requests go to a target of the other workspace."""
+    from lagoontally_core import _exchanges
+
+    original = _exchanges._send
+
+    def send(exchange, target, turn):
+        original(exchange, target, turn)
+        last = next(
+            number
+            for number in range(len(turn.actions) - 1, -1, -1)
+            if type(turn.actions[number]).__name__ == "SendUpstream"
+        )
+        action = turn.actions[last]
+        turn.actions[last] = action._replace(target="127.20.2.1:7001")
+
+    return patch("lagoontally_core._exchanges._send", send)
+
+
+MUTATIONS = {
+    function.__name__.replace("_", " "): function
+    for function in (
+        repeats_run_again,
+        lost_home_told_not_run,
+        timeout_told_not_run,
+        answers_swapped,
+        lines_not_handed_over,
+        leaving_target_chosen,
+        older_template_adopted,
+        foreign_target_used,
+    )
+}
--- a/libs/bench/src/lagoontally_bench/_outer_nodes.py
+++ b/libs/bench/src/lagoontally_bench/_outer_nodes.py
@@ -28,6 +28,7 @@
         address: Its address, as templates name it.
         logic: The stand-in's logic.
         alive: False once it has been killed.
+        mute_requests: True while it takes requests and answers none.
     """
 
     def __init__(self, world, *, name, address, data_centre, service, workspace):
@@ -38,7 +39,7 @@
         self.service = service
         self.workspace = workspace
         self.alive = True
-        self.paths = {}
+        self.mute_requests = False
         settings = UpstreamSettings(
             target=name,
             workspace=workspace,
@@ -63,6 +64,10 @@
         """Change how it treats new work."""
         self.logic.control({"mode": mode})
 
+    def set_work_ms(self, work_ms):
+        """Change how long a request takes."""
+        self.logic.control({"work_ms": work_ms})
+
     def take(self, path, datagram):
         """Take a balancer's datagram from one of its sockets."""
         if not self.alive:
@@ -83,6 +88,8 @@
         self._arm()
 
     def _send(self, outgoing):
+        if self.mute_requests:
+            return
         for item in outgoing:
             name, path = item.endpoint
             node = self.world.balancers[name]
--- a/libs/bench/src/lagoontally_bench/_scenario.py
+++ b/libs/bench/src/lagoontally_bench/_scenario.py
@@ -46,7 +46,10 @@
     Attributes:
         world: The world.
         version: Version published last.
-        drained: When the leaving upstream's template was published, or None.
+        drained: When the planned drain was published, or None.
+        published: ``(time, version)`` of each version.
+        drains: ``(target, version)`` of each drain.
+        first_document: The document published first.
         planned_leaver: Name of the balancer that is replaced.
     """
 
@@ -60,7 +63,9 @@
             ),
         }
         self.drained = None
-        self.drained_target = self.targets[PIVOT_SERVICE][0].name
+        self.published = []
+        self.drains = []
+        self.first_document = b""
         self.callers = []
         self.command_number = 0
         self.planned_leaver = f"{PIVOT_CENTRES[0]}-1"
@@ -119,7 +124,10 @@
     def publish(self):
         """Publish the targets as they now stand, as a new version."""
         self.version += 1
-        self.world.publish(self.document())
+        self.published.append((self.world.now_ms, self.version))
+        document = self.document()
+        self.first_document = self.first_document or document
+        self.world.publish(document)
 
     def document(self):
         """Return the document of the present targets and version."""
@@ -171,11 +179,30 @@
             node.leave()
 
     def drain_target(self):
-        """Mark one target as leaving; it sheds new work a few seconds later."""
-        first, *others = self.targets[PIVOT_SERVICE]
-        self.targets[PIVOT_SERVICE] = [first._replace(state="leaving"), *others]
-        self.publish()
+        """Drain one target, as planned."""
         self.drained = self.world.now_ms
+        self.drain(self.targets[PIVOT_SERVICE][0].name)
+
+    def drain(self, *names):
+        """Publish targets as leaving, unless none would stay."""
+        for service, sketches in self.targets.items():
+            leaving = [
+                sketch._replace(state="leaving") if sketch.name in names else sketch
+                for sketch in sketches
+            ]
+            if all(sketch.state == "leaving" for sketch in leaving):
+                continue
+            self.drains += [
+                (after.name, self.version + 1)
+                for before, after in zip(sketches, leaving, strict=True)
+                if before != after
+            ]
+            self.targets[service] = leaving
+        self.publish()
+
+    def drain_all_but_one(self):
+        """Drain the pivot service's targets but the last."""
+        self.drain(*(sketch.name for sketch in self.targets[PIVOT_SERVICE][:-1]))
 
     def run(self):
         """Run to the end; return the world."""
--- a/libs/bench/src/lagoontally_bench/_world.py
+++ b/libs/bench/src/lagoontally_bench/_world.py
@@ -56,6 +56,7 @@
         listeners: Called with each ``Moment``.
         versions: ``(time, balancer, version)`` of each template put in force.
         counts: The balancers' counters, added up.
+        silenced: Callers' addresses that no packet reaches or leaves any more.
     """
 
     def __init__(self, seed, *, timing=None):
@@ -78,6 +79,7 @@
         self.listeners = []
         self.versions = []
         self.counts = Counter()
+        self.silenced = set()
         self.listed = []
         self.after(0, self._refresh_list)
 
@@ -173,7 +175,7 @@
     def spray(self, caller, workspace, service, datagram):
         """Hand a caller's datagram to any balancer of its workspace."""
         live = self.live_balancers(workspace)
-        if not live:
+        if not live or caller in self.silenced:
             return
         source = ("callers", caller)
         for delay_ms in self.links.delays(CALLER, source, ("fabric",)):
@@ -183,7 +185,7 @@
     def to_caller(self, node, address, datagram):
         """Bring a balancer's datagram to a caller."""
         caller = self.callers.get(address)
-        if caller is None:
+        if caller is None or address in self.silenced:
             return
         for delay_ms in self.links.delays(CALLER, node.places, ("callers", address)):
             self.after(delay_ms, caller.take, address, datagram)
--- a/libs/core/src/lagoontally_core/_ingress.py
+++ b/libs/core/src/lagoontally_core/_ingress.py
@@ -27,20 +27,15 @@
 from ._templates import notice_echo_version
 from ._turn import reply_to_request
 
-REFRESH_LIMIT_MS = 1_000
-
 
 def takes_requests(turn):
     """Tell whether requests are served now.
 
-    A joining balancer serves none. After a pause the view is old: requests
-    are dropped until it is refreshed, for a second at most, as if the pause
-    had lasted that much longer.
+    A joining balancer serves none, nor does one whose view is old.
     """
-    state = turn.state
-    if state.phase in (Phase.JOINING, Phase.LEFT):
+    if turn.state.phase in (Phase.JOINING, Phase.LEFT):
         return False
-    return state.refreshed or turn.now_ms - state.resumed_ms >= REFRESH_LIMIT_MS
+    return turn.view_is_fresh()
 
 
 def on_caller_request(event: CallerRequest, turn):
--- a/libs/core/src/lagoontally_core/_probing.py
+++ b/libs/core/src/lagoontally_core/_probing.py
@@ -200,7 +200,8 @@
         learn_succession(succession, turn)
     _heard(message.sender, turn)
     turn.state.welcomed = True
-    turn.state.refreshed = True
+    if message.sender.template_version <= turn.state.template_version:
+        turn.state.refreshed = True
     _greet_unheard(turn)
 
 
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -190,8 +190,9 @@
 @handle.register
 def on_tick(event: Tick, turn):
     """Do what is due."""
-    for timer in turn.state.timers.take_due(turn.now_ms):
-        fire(timer, turn)
+    if turn.view_is_fresh():
+        for timer in turn.state.timers.take_due(turn.now_ms):
+            fire(timer, turn)
     probe_members(event, turn)
     _read_list_while_joining(turn)
     _finish_joining(turn)
--- a/libs/core/src/lagoontally_core/_templates.py
+++ b/libs/core/src/lagoontally_core/_templates.py
@@ -43,7 +43,8 @@
         True when it was put in force.
     """
     state = turn.state
-    state.refreshed = True
+    if template.version >= state.template_version:
+        state.refreshed = True
     if template.version <= state.template_version:
         _refuse_older(template, document, turn)
         return False
--- a/libs/core/src/lagoontally_core/_turn.py
+++ b/libs/core/src/lagoontally_core/_turn.py
@@ -8,6 +8,7 @@
 from ._rendezvous import SESSION_BYTES
 from ._state import State
 
+REFRESH_LIMIT_MS = 1_000
 TOKEN_BITS = 64
 TOKEN_BYTES = 8
 
@@ -27,6 +28,16 @@
     random: Random
     actions: list
 
+    def view_is_fresh(self):
+        """Tell whether the view was refreshed since the latest pause.
+
+        Until then nothing new is begun, as if the pause had lasted longer; for
+        a second at most, since a balancer that is cut off has to go on.
+        """
+        state = self.state
+        waited_ms = self.now_ms - state.resumed_ms
+        return state.refreshed or waited_ms >= REFRESH_LIMIT_MS
+
     def act(self, action):
         """Add an action."""
         self.actions.append(action)
