Watch the health of silent targets, greet seeds, and wire the fault matrix

Change: settings may name seeds that a lone balancer greets; a target that owes answers and is silent for 1 s is asked for its identity, closed after 3 misses and reopened by any answer; the main thread waits in turns of 0.2 s. The check of a leaving upstream reads what was sent to it, since its queue may run later what it got in time, and a line's longest silence under planned changes is bounded at 5 s, since the callers' renewal hid lines that were not handed over (found by a mutation).

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,9 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/$(lib)/src))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: run up test lint format clean
+WORKERS ?= 4
+
+.PHONY: run up matrix mutations test lint format clean
 
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -23,6 +25,12 @@
 up: $(VENV)/.installed
 	$(BIN)/python -m lagoontally_standins up --seed $(SEED)
 
+matrix: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench matrix --seed $(SEED) --workers $(WORKERS)
+
+mutations: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench mutations --seed $(SEED) --workers $(WORKERS)
+
 test: $(VENV)/.installed
 	$(BIN)/python tests/run_features.py
 
--- /dev/null
+++ b/libs/bench/features/matrix.feature
@@ -0,0 +1,41 @@
+Feature: Every promise holds under every fault at every step
+
+  Scenario Outline: <fault> at every step
+    When "<fault>" strikes at every step
+    Then every promise holds
+
+    Examples:
+      | fault                         |
+      | balancer killed               |
+      | balancer joins                |
+      | balancer leaves               |
+      | balancer frozen 10 s          |
+      | balancer frozen 2.5 s         |
+      | upstream drained              |
+      | several upstreams drained     |
+      | upstream killed               |
+      | upstream sheds                |
+      | upstream silent               |
+      | upstream cold                 |
+      | upstream health lies          |
+      | template uneven               |
+      | template stale                |
+      | platform down                 |
+      | list lies                     |
+      | peers cut one way             |
+      | peers cut both ways           |
+      | data centres cut              |
+      | data centre cut from platform |
+      | loss                          |
+      | doubling                      |
+      | reordering                    |
+      | silent paths                  |
+      | callers rebound               |
+
+  Scenario: Faults struck twice and in pairs
+    When 40 seeded pairs of faults strike
+    Then every promise holds
+
+  Scenario: The check notices a core that is broken on purpose
+    When the core is broken in each of the ways
+    Then the check notices each
--- /dev/null
+++ b/libs/bench/features/steps/matrix_steps.py
@@ -0,0 +1,54 @@
+"""Steps for the fault matrix."""
+
+from behave import then, when
+
+from lagoontally_bench._commands_matrix import run_mutations
+from lagoontally_bench._matrix import (
+    FAULTS,
+    STEPS,
+    Cell,
+    Strike,
+    pair_cells,
+    run_cells,
+)
+
+SEED = 1
+PAIR_SEED = 5_000
+WORKERS = 3
+
+
+@when('"{fault}" strikes at every step')
+def step_strike(context, fault):
+    """Each fault of the matrix strikes at each of its steps."""
+    assert fault in {item.name for item in FAULTS}
+    cells = [Cell(SEED, (Strike(fault, step.name),)) for step in STEPS]
+    context.results = list(run_cells(cells, workers=WORKERS))
+
+
+@when("{count:d} seeded pairs of faults strike")
+def step_pairs(context, count):
+    """Two faults strike in one run."""
+    cells = pair_cells(PAIR_SEED, count)
+    context.results = list(run_cells(cells, workers=WORKERS))
+
+
+@then("every promise holds")
+def step_holds(context):
+    """No promise is broken, and every fault found its step."""
+    failed = [item for item in context.results if item.breaches or not item.struck]
+    assert not failed, "\n".join(
+        f"{item.cell.name}: {item.breaches[:3]}" for item in failed
+    )
+
+
+@when("the core is broken in each of the ways")
+def step_break(context):
+    """Each mutation breaks one promise."""
+    context.noticed = run_mutations(SEED, workers=WORKERS)
+
+
+@then("the check notices each")
+def step_noticed(context):
+    """A check that misses a mutation proves nothing."""
+    missed = [name for name, promises in context.noticed.items() if not promises]
+    assert not missed, missed
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/__main__.py
@@ -0,0 +1,17 @@
+"""The command line of the proofs: ``python -m lagoontally_bench``."""
+
+import click
+
+from ._commands_matrix import matrix, mutations
+
+
+@click.group()
+def main():
+    """Prove and measure the balancer on a virtual clock."""
+
+
+main.add_command(matrix)
+main.add_command(mutations)
+
+if __name__ == "__main__":
+    main()
--- a/libs/bench/src/lagoontally_bench/_balancer_node.py
+++ b/libs/bench/src/lagoontally_bench/_balancer_node.py
@@ -53,6 +53,7 @@
 MESSAGE_ID_MASK = 0xFFFF
 WALL_CLOCK_MS = 1_700_000_000_000
 CLOCK_SPREAD_MS = 10_000_000
+SEEDS = 3
 
 
 class ListedInstance(NamedTuple):
@@ -121,8 +122,17 @@
             peer_address=self.peer_address,
             echo_key=self.random.randbytes(32),
             wall_offset_ms=WALL_CLOCK_MS - self.clock_offset_ms,
+            seeds=self._seeds(),
         )
 
+    def _seeds(self):
+        """Return the peers that its settings name: the oldest of its workspace."""
+        return tuple(
+            node.peer_address
+            for node in self.world.balancers.values()
+            if node.workspace == self.workspace
+        )[:SEEDS]
+
     @property
     def places(self):
         """The names by which a cut may reach it."""
@@ -225,7 +235,7 @@
         decoded = decode_upstream(datagram)
         if isinstance(decoded, Malformed):
             return
-        self.world.moment("answer on its way", self.name, decoded)
+        self.world.moment("answer on its way", self.name, decoded, target=target)
         reply = UpstreamReply(
             target,
             path,
@@ -254,7 +264,8 @@
             return
         name = self._name_of(action)
         if name is not None and not self.frozen:
-            self.world.moment(name, self.name, action)
+            target = getattr(action, "target", "")
+            self.world.moment(name, self.name, action, target=target)
         if not self.alive:
             return
         if self.frozen:
@@ -320,6 +331,7 @@
         upstream = self.world.upstreams.get(action.target)
         if upstream is None:
             return
+        self.world.note_sent(self.name, action)
         self.message_id = (self.message_id + 1) & MESSAGE_ID_MASK
         datagram = encode_upstream(action, self.message_id)
         path = (self.name, action.path)
--- a/libs/bench/src/lagoontally_bench/_check.py
+++ b/libs/bench/src/lagoontally_bench/_check.py
@@ -5,6 +5,7 @@
 
 import json
 from collections import Counter
+from itertools import pairwise
 from typing import NamedTuple
 
 from lagoontally_caller import Answered, Failed, NotRun
@@ -66,18 +67,18 @@
     ]
 
 
-def check_versions(world, *, published, exempt=()):
+def check_versions(world, *, published):
     """Return the breaches of template versions.
 
     Args:
         world: The finished world.
-        published: ``(time, version)`` of what was published.
-        exempt: Names of balancers that were out of reach.
+        published: ``(time, version, workspace)`` of what was published, and
+            when the workspace's balancers could know of it.
     """
     breaches = _reverts(world)
-    for at_ms, version in published:
+    for at_ms, version, workspace in published:
         for node in world.balancers.values():
-            if node.name in exempt or not node.alive:
+            if node.workspace != workspace or not node.alive:
                 continue
             breaches += _in_force_late(world, node, at_ms, version)
     return breaches
@@ -107,30 +108,30 @@
     return [Breach("template in force in time", detail)]
 
 
-def check_leaving(world, target, published_ms, *, slack_ms=0):
+def check_leaving(world, target, published_ms):
     """Return the breaches of an upstream's leave: new work after the grace."""
-    limit_ms = published_ms + LEAVING_GRACE_MS + slack_ms
-    late = [
-        line
-        for line in world.ledger
-        if line["target"] == target
-        and line["at_ms"] > limit_ms
-        and line["method"] != "CLOSE"
-    ]
+    limit_ms = published_ms + LEAVING_GRACE_MS
     return [
-        Breach(
-            "no new work on a leaving upstream", f"{line['path']} at {line['at_ms']}"
-        )
-        for line in late
+        Breach("no new work on a leaving upstream", f"{kind} for {target} at {at_ms}")
+        for at_ms, address, kind in world.sent
+        if address == target and at_ms > limit_ms
     ]
 
 
-def check_lines(callers, *, allowed_breaks=0):
-    """Return the breaches of open lines: broken ones, or not whole at the end."""
+def check_lines(callers, *, end_ms, allowed_breaks=0, gap_ms=None):
+    """Return the breaches of open lines: broken ones, or not whole at the end.
+
+    Args:
+        callers: The callers.
+        end_ms: When the world ended.
+        allowed_breaks: Breaks that the faults may cause on each line.
+        gap_ms: The longest time without a notification, None for any.
+    """
     breaches = []
     for caller in callers:
         if caller.line is None:
             continue
+        breaches += _check_gap(caller, gap_ms, end_ms)
         if caller.line.breaks > allowed_breaks:
             detail = f"{caller.name} broke {caller.line.breaks} times"
             breaches.append(Breach("lines survive", detail))
@@ -140,6 +141,19 @@
     return breaches
 
 
+def _check_gap(caller, gap_ms, end_ms):
+    """A line that only its caller's renewal brings back was broken."""
+    if gap_ms is None:
+        return []
+    times = [at_ms for at_ms, _ in caller.heard] + [end_ms]
+    gaps = [(after - before, before) for before, after in pairwise(times)]
+    longest, since_ms = max(gaps, default=(end_ms, 0))
+    if longest <= gap_ms:
+        return []
+    detail = f"{caller.name} heard nothing for {longest} ms since {since_ms} ms"
+    return [Breach("lines survive", detail)]
+
+
 def check_progress(world):
     """Return a breach when callers got nothing done: silence proves nothing."""
     answered = sum(isinstance(item.outcome, Answered) for item in world.told)
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_commands_matrix.py
@@ -0,0 +1,99 @@
+"""The command that runs the fault matrix."""
+
+import sys
+from collections import defaultdict
+from pathlib import Path
+
+import click
+
+from ._matrix import FAULTS, STEPS, Cell, Strike, pair_cells, run_cells, single_cells
+from ._mutations import MUTATIONS
+
+DEFAULT_WORKERS = 4
+MUTATION_STRIKES = (
+    Strike("balancer killed", "at the upstream"),
+    Strike("balancer killed", "at the home"),
+    Strike("upstream silent", "at the upstream"),
+    Strike("balancer leaves", "notification on its way"),
+    Strike("template stale", "template taking effect"),
+    Strike("doubling", "relayed"),
+    Strike("callers rebound", "at the upstream"),
+)
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of the scenario.")
+@click.option("--twice", is_flag=True, help="Strike each fault twice.")
+@click.option("--pairs", default=0, help="Also run this many random pairs.")
+@click.option("--workers", default=DEFAULT_WORKERS, show_default=True)
+@click.option("--table", type=click.Path(), help="Write the table to this file.")
+def matrix(seed, twice, pairs, workers, table):
+    """Strike every fault at every step, and check every promise."""
+    cells = single_cells(seed, times=2 if twice else 1) + pair_cells(seed, pairs)
+    results = list(run_cells(cells, workers=workers))
+    failed = [result for result in results if result.breaches or not result.struck]
+    for result in failed:
+        print_failure(result)
+    text = table_text(results[: len(FAULTS) * len(STEPS)])
+    if table:
+        Path(table).write_text(text)
+    else:
+        click.echo(text)
+    click.echo(f"{len(results) - len(failed)} passed, {len(failed)} failed")
+    sys.exit(1 if failed else 0)
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of the scenario.")
+@click.option("--workers", default=DEFAULT_WORKERS, show_default=True)
+def mutations(seed, workers):
+    """Break the core on purpose, once for each promise; the check must notice."""
+    found = run_mutations(seed, workers=workers)
+    for name, promises in found.items():
+        noticed = ", ".join(sorted(promises)) or "NOT NOTICED"
+        click.echo(f"{name}: {noticed}")
+    missed = sum(not promises for promises in found.values())
+    click.echo(f"{len(found) - missed} passed, {missed} failed")
+    sys.exit(1 if missed else 0)
+
+
+def run_mutations(seed, *, workers):
+    """Return the promises whose breach was noticed, by mutation."""
+    cells = [
+        Cell(seed, (strike,), mutation)
+        for mutation in MUTATIONS
+        for strike in MUTATION_STRIKES
+    ]
+    found = {mutation: set() for mutation in MUTATIONS}
+    for result in run_cells(cells, workers=workers):
+        promises = {breach.promise for breach in result.breaches}
+        found[result.cell.mutation] |= promises
+    return found
+
+
+def print_failure(result):
+    """Say which cell failed, with its seed and what was seen."""
+    click.echo(f"seed {result.cell.seed}: {result.cell.name}")
+    if not result.struck:
+        click.echo("    the step never came")
+    for breach in result.breaches:
+        click.echo(f"    {breach.promise}: {breach.detail}")
+
+
+def table_text(results):
+    """Return the table of faults by steps as Markdown."""
+    rows = defaultdict(dict)
+    for result in results:
+        strike = result.cell.strikes[0]
+        promises = sorted({breach.promise for breach in result.breaches})
+        share = f"{result.answered}/{result.told}"
+        rows[strike.fault][strike.step] = "; ".join(promises) or share
+    steps = [step.name for step in STEPS]
+    lines = [_row("fault", steps), _row("---", ["---"] * len(steps))]
+    for fault, cells in rows.items():
+        lines.append(_row(fault, [cells.get(step, "") for step in steps]))
+    return "\n".join(lines) + "\n"
+
+
+def _row(first, others):
+    return "| " + " | ".join([first, *others]) + " |"
--- a/libs/bench/src/lagoontally_bench/_faults.py
+++ b/libs/bench/src/lagoontally_bench/_faults.py
@@ -44,10 +44,8 @@
 def _upstream_at(scenario, moment):
     """Return the upstream that a moment names, else any of the pivot service."""
     world = scenario.world
-    named = getattr(moment.subject, "target", None)
-    for upstream in world.upstreams.values():
-        if moment.node == upstream.name or named == upstream.address:
-            return upstream
+    if moment.target in world.upstreams:
+        return world.upstreams[moment.target]
     live = [
         item
         for item in world.upstreams.values()
@@ -101,8 +99,10 @@
 
 
 def kill_upstream(scenario, moment):
-    """End the upstream without a word."""
-    _upstream_at(scenario, moment).alive = False
+    """End the upstream without a word, as long as another one stays."""
+    upstream = _upstream_at(scenario, moment)
+    if scenario.staying(upstream):
+        upstream.alive = False
 
 
 def shed_upstream(scenario, moment):
--- a/libs/bench/src/lagoontally_bench/_matrix.py
+++ b/libs/bench/src/lagoontally_bench/_matrix.py
@@ -16,10 +16,12 @@
 )
 from ._faults import FAULTS, Fault
 from ._mutations import apply_mutation
-from ._scenario import START_LOAD_MS, Scenario
+from ._scenario import START_LOAD_MS, WORKSPACES, Scenario
 
 SETTLED_MS = START_LOAD_MS + 2_000
 TWICE_AFTER_MS = 3_000
+LASTING_FAULT_BREAKS = 2
+PLANNED_GAP_MS = 5_000
 
 
 class Step(NamedTuple):
@@ -29,15 +31,17 @@
         name: Its name in the table.
         moment: Name of the moment that marks it.
         after_drain: True when only a moment after the planned drain counts.
+        from_ms: Earlier moments don't count.
     """
 
     name: str
     moment: str
     after_drain: bool = False
+    from_ms: int = SETTLED_MS
 
 
 STEPS = (
-    Step("Echo asked", "echo asked"),
+    Step("Echo asked", "echo asked", from_ms=START_LOAD_MS),
     Step("request at ingress", "request at ingress"),
     Step("relayed", "Relay sent"),
     Step("at the home", "request sent upstream"),
@@ -113,7 +117,7 @@
         self.step = STEPS_BY_NAME[strike.step]
         self.fault = FAULTS_BY_NAME[strike.fault]
         self.left = strike.times
-        self.next_ms = SETTLED_MS
+        self.next_ms = self.step.from_ms
         self.struck = 0
 
     def __call__(self, moment):
@@ -159,40 +163,45 @@
     breaches = check_requests(world)
     breaches += check_isolation(world)
     breaches += check_progress(world)
-    breaches += check_lines(scenario.callers, allowed_breaks=_allowed_breaks(faults))
+    planned = all(fault.planned for fault in faults)
+    breaches += check_lines(
+        scenario.callers,
+        end_ms=world.now_ms,
+        allowed_breaks=0 if planned else LASTING_FAULT_BREAKS,
+        gap_ms=PLANNED_GAP_MS if planned else None,
+    )
     unreachable = any(fault.unreachable for fault in faults)
     published = _reached(scenario, scenario.published, unreachable)
     breaches += check_versions(world, published=published)
-    for target, version in scenario.drains:
-        drained = [(at_ms, other) for at_ms, other in published if other == version]
-        for at_ms, _ in drained:
-            breaches += check_leaving(world, target, at_ms)
+    for target, version, workspace in scenario.drains:
+        for at_ms, other, reached in published:
+            if (other, reached) == (version, workspace):
+                breaches += check_leaving(world, target, at_ms)
     return breaches
 
 
 def _reached(scenario, published, unreachable):
-    """Return when each version could be known.
+    """Return when each version could be known in each workspace.
 
     That is when it was published, but where the platform was out of reach of
-    every balancer, when the first one had it.
+    every balancer of the workspace, when the first of them had it.
     """
-    if not unreachable:
-        return published
-    versions = scenario.world.versions
-    return [
-        (min(at_ms for at_ms, _, newer in versions if newer >= version), version)
-        for _, version in published
-        if any(newer >= version for _, _, newer in versions)
+    reached = []
+    for workspace, (at_ms, version) in itertools.product(WORKSPACES, published):
+        if unreachable:
+            at_ms = _first_in_force(scenario.world, version, workspace)
+        if at_ms is not None:
+            reached.append((at_ms, version, workspace))
+    return reached
+
+
+def _first_in_force(world, version, workspace):
+    times = [
+        at_ms
+        for at_ms, name, newer in world.versions
+        if newer >= version and world.balancers[name].workspace == workspace
     ]
-
-
-def _allowed_breaks(faults):
-    """Return how often a line may be silent for longer than its limit.
-
-    A planned change and a single crash break none: the caller's renewal comes
-    before the limit. Faults that last longer than the limit may.
-    """
-    return 0 if all(fault.planned for fault in faults) else 2
+    return min(times, default=None)
 
 
 def single_cells(seed, *, times=1):
--- a/libs/bench/src/lagoontally_bench/_scenario.py
+++ b/libs/bench/src/lagoontally_bench/_scenario.py
@@ -10,6 +10,7 @@
 
 PIVOT_WORKSPACE = "pivot-command-relay"
 DOSSIER_WORKSPACE = "dossier-hub-balancing"
+WORKSPACES = (PIVOT_WORKSPACE, DOSSIER_WORKSPACE)
 PIVOT_SERVICE = "pivot-link"
 DOSSIER_SERVICE = "dossier-desk"
 PIVOT_CENTRES = ("tifton", "moultrie")
@@ -48,7 +49,7 @@
         version: Version published last.
         drained: When the planned drain was published, or None.
         published: ``(time, version)`` of each version.
-        drains: ``(target, version)`` of each drain.
+        drains: ``(target, version, workspace)`` of each drain.
         first_document: The document published first.
         planned_leaver: Name of the balancer that is replaced.
     """
@@ -193,13 +194,25 @@
             if all(sketch.state == "leaving" for sketch in leaving):
                 continue
             self.drains += [
-                (after.name, self.version + 1)
+                (after.address, self.version + 1, _SERVICES[service])
                 for before, after in zip(sketches, leaving, strict=True)
                 if before != after
             ]
             self.targets[service] = leaving
         self.publish()
 
+    def staying(self, upstream):
+        """Return the targets that serve on when an upstream goes."""
+        upstreams = self.world.upstreams
+        first = self.targets[PIVOT_SERVICE][0].address
+        return [
+            sketch.name
+            for sketch in self.targets[upstream.service]
+            if sketch.state == "active"
+            and upstreams[sketch.address].alive
+            and sketch.address not in (upstream.address, first)
+        ]
+
     def drain_all_but_one(self):
         """Drain the pivot service's targets but the last."""
         self.drain(*(sketch.name for sketch in self.targets[PIVOT_SERVICE][:-1]))
--- a/libs/bench/src/lagoontally_bench/_world.py
+++ b/libs/bench/src/lagoontally_bench/_world.py
@@ -11,6 +11,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from lagoontally_core import SendKind
 from lagoontally_model import Findings, Timing, parse_template
 
 from ._balancer_node import BalancerNode
@@ -18,6 +19,7 @@
 
 TEMPLATE_READ_MS = 5
 WATCH_SPREAD_MS = 200
+WATCH_WAIT_MS = 10_000
 LIST_INTERVAL_MS = 5_000
 LIST_LAG_MS = 3_000
 TICK_MS = 100
@@ -30,11 +32,13 @@
         name: What happened, such as ``relayed``.
         node: Name of the node that it happened at.
         subject: What it was about.
+        target: Address of the upstream that has to do with it, or empty.
     """
 
     name: str
     node: str
     subject: Any = None
+    target: str = ""
 
 
 class World:
@@ -56,6 +60,8 @@
         listeners: Called with each ``Moment``.
         versions: ``(time, balancer, version)`` of each template put in force.
         counts: The balancers' counters, added up.
+        last_sender: Address and latest sender of work, by the target's name.
+        sent: ``(time, target, kind)`` of each new piece of work sent upstream.
         silenced: Callers' addresses that no packet reaches or leaves any more.
     """
 
@@ -80,6 +86,9 @@
         self.versions = []
         self.counts = Counter()
         self.silenced = set()
+        self.sent = []
+        self.sent_tokens = set()
+        self.last_sender = {}
         self.listed = []
         self.after(0, self._refresh_list)
 
@@ -96,9 +105,9 @@
             action(*arguments)
         self.now_ms = until_ms
 
-    def moment(self, name, node, subject=None):
+    def moment(self, name, node, subject=None, *, target=""):
         """Tell the listeners what has happened."""
-        moment = Moment(name, node, subject)
+        moment = Moment(name, node, subject, target)
         for listener in list(self.listeners):
             listener(moment)
 
@@ -107,10 +116,16 @@
         node = BalancerNode(self, name, data_centre, workspace)
         self.balancers[name] = node
         self.after(0, self._tick, node)
-        self.after(1, self.read_template, node)
+        self.after(1, self._watch, node)
         self.after(1, self._poll_list, node)
         return node
 
+    def _watch(self, node):
+        """Read the template again and again, as a watch that times out does."""
+        if node.alive:
+            self.read_template(node)
+            self.after(WATCH_WAIT_MS, self._watch, node)
+
     def _tick(self, node):
         if not node.alive:
             return
@@ -190,8 +205,19 @@
         for delay_ms in self.links.delays(CALLER, node.places, ("callers", address)):
             self.after(delay_ms, caller.take, address, datagram)
 
+    def note_sent(self, sender, action):
+        """Note new work on its way upstream; a line's refresh is none."""
+        if action.kind is SendKind.REQUEST:
+            name = self.upstreams[action.target].name
+            self.last_sender[name] = (action.target, sender)
+        if action.kind is SendKind.LINE_CLOSE or action.token in self.sent_tokens:
+            return
+        self.sent_tokens.add(action.token)
+        self.sent.append((self.now_ms, action.target, action.kind.name))
+
     def record_run(self, line):
         """Take a line of an upstream's ledger."""
         self.ledger.append({**line, "at_ms": self.now_ms})
         if line["method"] == "POST":
-            self.moment("at the upstream", line["target"], line["id"])
+            address, sender = self.last_sender.get(line["target"], ("", ""))
+            self.moment("at the upstream", sender, line["id"], target=address)
--- a/libs/core/src/lagoontally_core/_choice.py
+++ b/libs/core/src/lagoontally_core/_choice.py
@@ -24,7 +24,11 @@
         and not target.leaving
         and target.address not in tried
     ]
-    open_ones = [target for target in usable if target.closed_until_ms <= now_ms]
+    open_ones = [
+        target
+        for target in usable
+        if target.closed_until_ms <= now_ms and not target.unreachable
+    ]
     return open_ones or usable
 
 
--- a/libs/core/src/lagoontally_core/_probing.py
+++ b/libs/core/src/lagoontally_core/_probing.py
@@ -230,6 +230,13 @@
             turn.act(SendPeer(instance.peer_address, Join(own_record(turn))))
 
 
+def greet_seeds(turn):
+    """Introduce this balancer to the peers that its settings name."""
+    for address in turn.state.info.seeds:
+        if address != turn.state.info.peer_address:
+            turn.act(SendPeer(address, Join(own_record(turn))))
+
+
 def greet_some_members(turn):
     """Ask a few members for what they know, after a pause."""
     alive = turn.state.membership.alive()
--- a/libs/core/src/lagoontally_core/_state.py
+++ b/libs/core/src/lagoontally_core/_state.py
@@ -41,6 +41,7 @@
         peer_address: ``IP:port`` that takes peer messages.
         echo_key: Random key of this incarnation's Echoes.
         wall_offset_ms: Wall clock minus monotonic clock at the start.
+        seeds: Peer addresses to greet whatever the platform lists.
     """
 
     incarnation: int
@@ -50,6 +51,7 @@
     peer_address: str
     echo_key: bytes
     wall_offset_ms: int
+    seeds: tuple[str, ...] = ()
 
 
 class TargetState:
@@ -67,6 +69,9 @@
         lines: Lines of this balancer that it serves.
         failures: Exchanges without an answer since the last answer.
         closed_until_ms: It gets no new work before this time.
+        heard_ms: When it was last heard.
+        misses: Questions in a row that it hasn't answered.
+        unreachable: True while it answers nothing.
     """
 
     __slots__ = (
@@ -74,13 +79,16 @@
         "closed_until_ms",
         "data_centre",
         "failures",
+        "heard_ms",
         "identity",
         "in_flight",
         "leaving",
         "lines",
+        "misses",
         "name",
         "service",
         "slots",
+        "unreachable",
     )
 
     def __init__(self, *, address, name, service, data_centre, slots, leaving):
@@ -95,6 +103,9 @@
         self.lines = 0
         self.failures = 0
         self.closed_until_ms = 0
+        self.heard_ms = 0
+        self.misses = 0
+        self.unreachable = False
 
 
 class Exchange:
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -22,6 +22,7 @@
     UpstreamReply,
 )
 from ._exchanges import ExchangeTimer, on_exchange_reply, on_exchange_timer
+from ._health import HealthTimer, check_health, note_heard
 from ._home import ForgetRequest, forget_request
 from ._ingress import (
     on_caller_ack,
@@ -52,6 +53,7 @@
 from ._operator import answer_query
 from ._probing import (
     greet_instances,
+    greet_seeds,
     greet_some_members,
     on_join,
     on_ping,
@@ -154,6 +156,9 @@
 @handle.register
 def on_upstream_reply(event: UpstreamReply, turn):
     """Match a target's reply to its exchange or line."""
+    target = turn.state.targets.get(event.target)
+    if target is not None:
+        note_heard(target, turn)
     exchange = turn.state.exchanges.get(event.token)
     if exchange is not None:
         on_exchange_reply(exchange, event, turn)
@@ -194,19 +199,27 @@
         for timer in turn.state.timers.take_due(turn.now_ms):
             fire(timer, turn)
     probe_members(event, turn)
-    _read_list_while_joining(turn)
+    _look_for_members(turn)
     _finish_joining(turn)
     advance_leave(turn)
 
 
-def _read_list_while_joining(turn):
-    """Read the platform's list often until this balancer serves."""
+def _look_for_members(turn):
+    """Read the platform's list, and greet the seeds, often while joining."""
     state = turn.state
-    if state.phase is Phase.JOINING and turn.now_ms >= state.next_list_ms:
-        state.next_list_ms = turn.now_ms + LIST_READ_MS
+    joining = state.phase is Phase.JOINING
+    if turn.now_ms < state.next_list_ms or not (joining or _is_alone(state)):
+        return
+    state.next_list_ms = turn.now_ms + LIST_READ_MS
+    greet_seeds(turn)
+    if joining:
         turn.act(ReadInstances())
 
 
+def _is_alone(state):
+    return not state.membership.alive()
+
+
 def _finish_joining(turn):
     """Serve once a template is in force and the peers were asked for theirs."""
     state = turn.state
@@ -271,6 +284,7 @@
     raise TypeError(f"no handler for {type(timer).__name__}")
 
 
+fire.register(HealthTimer, check_health)
 fire.register(ExchangeTimer, on_exchange_timer)
 fire.register(ForgetRequest, forget_request)
 fire.register(LineTimer, check_line)
--- a/libs/core/src/lagoontally_core/_templates.py
+++ b/libs/core/src/lagoontally_core/_templates.py
@@ -12,6 +12,7 @@
 from ._actions import AskIdentity, ReadTemplate, SendPeer, ServeEntries
 from ._events import IdentityReply, TemplateRead, TemplateRejected
 from ._exchanges import host_name
+from ._health import arm_health, note_heard
 from ._lines import move_lines_of_leaving
 from ._peer_messages import (
     MemberRecord,
@@ -120,6 +121,7 @@
         )
         state.targets[target.address] = target
         ask_identity(target, turn)
+        arm_health(target.address, turn)
         return
     target.name = published.name
     target.slots = published.slots
@@ -160,6 +162,7 @@
     target = turn.state.targets.get(event.target)
     if target is None:
         return
+    note_heard(target, turn)
     named = (event.workspace, event.service)
     matches = named == (turn.state.info.workspace, target.service)
     identity = Identity.CONFIRMED if matches else Identity.FOREIGN
--- a/libs/daemon/src/lagoontally_daemon/_composition.py
+++ b/libs/daemon/src/lagoontally_daemon/_composition.py
@@ -23,6 +23,7 @@
 INCARNATION_BITS = 64
 ECHO_KEY_BYTES = 32
 METRICS_PREFIX = "lagoontally"
+SIGNAL_WAIT_S = 0.2
 
 
 class Edges(NamedTuple):
@@ -74,7 +75,7 @@
         with ThreadPoolExecutor(len(tasks)) as pool:
             futures = [pool.submit(task, self.stop) for task in tasks]
             try:
-                done, _ = wait(futures, return_when=FIRST_EXCEPTION)
+                done = _wait_for_end(futures)
             finally:
                 self.stop.set()
         for edge in self.edges:
@@ -96,6 +97,19 @@
         ]
 
 
+def _wait_for_end(futures):
+    """Wait until a task fails or all have ended; return those that have.
+
+    Waits in short turns: a signal that another thread has taken is handled
+    only when the main thread runs.
+    """
+    while True:
+        done, _ = wait(futures, SIGNAL_WAIT_S, return_when=FIRST_EXCEPTION)
+        failed = any(future.exception() for future in done)
+        if failed or len(done) == len(futures):
+            return done
+
+
 def _self_info(settings):
     return SelfInfo(
         incarnation=secrets.randbits(INCARNATION_BITS),
