Explore the at-most-once and the template protocols for small sizes

These models step the real cores and let every message arrive at any later time, in any order, twice or never; balancers crash, leave, freeze, wake and are wrongly declared dead at any point. States are compared by a digest of all that decides what may follow; random numbers follow from the event, so that orders which lead to the same state are searched once. Probes are left out: a model that sends them has too many states, and a wrong suspicion, a lagging view and a lost message are moves of their own.

The check reads what the fake target ran and what callers were sent. Copying a state with deepcopy was ruled out for its cost; states are pickled without their shared parts, and steps made before are looked up.

--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_commands_explore.py
@@ -0,0 +1,62 @@
+"""The command that explores the protocols."""
+
+import sys
+
+import click
+
+from ._explore import EXPLORATIONS, explore
+from ._walk import walk
+
+STATES_LIMIT = 300_000
+
+
+@click.command("explore")
+@click.option("--states", default=STATES_LIMIT, help="States of each at most.")
+@click.option("--quick", is_flag=True, help="Only the small ones.")
+@click.option("--only", default="", help="Only those whose name holds this text.")
+@click.option("--walks", default=0, help="Random walks of each one cut short.")
+@click.option("--length", default=60, help="Moves of a walk at most.")
+def explore_command(states, quick, only, walks, length):
+    """Explore the protocols for small sizes and print the states visited."""
+    chosen = [
+        item for item in EXPLORATIONS if only in item.name and (item.quick or not quick)
+    ]
+    failed = 0
+    for exploration in chosen:
+        explored = explore(exploration, states_limit=states)
+        print_explored(explored)
+        broken = explored.report.violation is not None
+        if walks and not explored.report.complete and not broken:
+            broken = print_walks(exploration, walks, length)
+        failed += broken
+    click.echo(f"{len(chosen) - failed} passed, {failed} failed")
+    sys.exit(1 if failed or not chosen else 0)
+
+
+def print_explored(explored):
+    """Print the result of one exploration."""
+    report = explored.report
+    extent = "all" if report.complete else "cut short"
+    click.echo(
+        f"{explored.name}: {report.states} states ({extent}), {report.moves} moves,"
+        f" depth {report.depth}, {explored.seconds:.1f} s"
+    )
+    shown = ", ".join(f"{name} {count}" for name, count in report.outcomes.items())
+    click.echo(f"  {shown}")
+    if report.violation is not None:
+        click.echo(f"  BROKEN: {report.violation.detail}")
+        for move in report.violation.trace:
+            click.echo(f"    {move}")
+
+
+def print_walks(exploration, walks, length):
+    """Follow random walks; return True when one breaks a promise."""
+    report = walk(exploration.model(), walks=walks, length=length)
+    click.echo(f"  {walks} walks, {report.steps} moves")
+    if report.violation:
+        click.echo(f"  BROKEN: {report.violation}")
+    return bool(report.violation)
+
+
+if __name__ == "__main__":
+    explore_command()
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_explore.py
@@ -0,0 +1,118 @@
+"""The explorations that are kept: which sizes, and how far each is searched."""
+
+import time
+from typing import NamedTuple
+
+from ._explore_once import OnceModel, Scope
+from ._explore_templates import TemplateBudget, TemplateModel
+from ._once_state import Budget
+from ._search import SearchReport, search
+
+
+class Exploration(NamedTuple):
+    """One exploration.
+
+    Attributes:
+        name: What it is about.
+        model: Makes its model.
+        quick: True when it is small enough for every test run.
+    """
+
+    name: str
+    model: object
+    quick: bool = False
+
+
+class Explored(NamedTuple):
+    """The result of one exploration.
+
+    Attributes:
+        name: Its name.
+        report: What the search found.
+        seconds: How long it took.
+    """
+
+    name: str
+    report: SearchReport
+    seconds: float
+
+
+def _once(balancers, commands, *, holds_echo=True, **budget):
+    return lambda: OnceModel(Scope(balancers, commands, Budget(**budget), holds_echo))
+
+
+def _template(balancers, **budget):
+    return lambda: TemplateModel(balancers, TemplateBudget(**budget))
+
+
+EXPLORATIONS = (
+    Exploration(
+        "first contact, copies, a rebound address",
+        _once(2, 1, holds_echo=False, rebinds=1, ticks=1),
+        quick=True,
+    ),
+    Exploration(
+        "first contact, copies, expiry",
+        _once(2, 1, holds_echo=False, jumps=1),
+        quick=True,
+    ),
+    Exploration(
+        "a crash, a wrong suspicion, expiry",
+        _once(2, 1, crashes=1, declares=1, jumps=1),
+        quick=True,
+    ),
+    Exploration("sheds, expiry", _once(2, 1, sheds=2, ticks=1, jumps=1), quick=True),
+    Exploration("a freeze, expiry", _once(2, 1, freezes=1, ticks=1, jumps=1)),
+    Exploration("a leave, copies", _once(2, 1, leaves=1, ticks=3)),
+    Exploration(
+        "a leave, a crash", _once(2, 1, copies=1, leaves=1, ticks=3, crashes=1)
+    ),
+    Exploration("a leave, expiry", _once(2, 1, copies=1, leaves=1, ticks=2, jumps=1)),
+    Exploration(
+        "a leave, a freeze",
+        _once(2, 1, copies=1, leaves=1, ticks=2, jumps=1, freezes=1),
+    ),
+    Exploration("two commands, a crash", _once(2, 2, copies=1, crashes=1, declares=1)),
+    Exploration(
+        "two heirs, a leave, a crash, a freeze",
+        _once(3, 2, leaves=1, ticks=3, crashes=1, freezes=1, declares=1, jumps=1),
+    ),
+    Exploration("versions, stale reads", _template(2, reads=3), quick=True),
+    Exploration("versions, stale reads, three balancers", _template(3, reads=2)),
+    Exploration(
+        "a newcomer, stale reads",
+        _template(2, publishes=1, replacements=1, ticks=1),
+        quick=True,
+    ),
+    Exploration(
+        "a newcomer, a cut, the longest wait",
+        _template(2, publishes=1, replacements=1, waits=1, cuts=1),
+    ),
+    Exploration(
+        "a newcomer among three, a cut",
+        _template(3, publishes=1, replacements=1, ticks=1, cuts=1),
+    ),
+)
+
+
+def explore(exploration, *, states_limit):
+    """Run one exploration.
+
+    Args:
+        exploration: The exploration.
+        states_limit: Stop after so many states.
+
+    Returns:
+        An ``Explored``.
+    """
+    started_s = time.monotonic()
+    report = search(exploration.model(), states_limit=states_limit)
+    if report.violation is not None:
+        report = _shorter(exploration, report, states_limit)
+    return Explored(exploration.name, report, time.monotonic() - started_s)
+
+
+def _shorter(exploration, report, states_limit):
+    """Look for a shorter trace of a violation."""
+    again = search(exploration.model(), states_limit=states_limit, breadth_first=True)
+    return report if again.violation is None else again
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_explore_once.py
@@ -0,0 +1,251 @@
+"""The at-most-once protocol as a model: real cores on a hostile small network.
+
+Every message may be delivered at any later time, in any order, or never; a
+caller's datagram may arrive several times, at any balancer and from a rebound
+address. Balancers crash, leave, freeze, wake and are wrongly declared dead at
+any point. What is checked is what the upstream ran and what callers were told.
+"""
+
+from typing import NamedTuple
+
+from lagoontally_core import (
+    AnswerCaller,
+    CallerRequest,
+    Flow,
+    LeaveRequested,
+    Request,
+    RequestKind,
+    Unknown,
+)
+
+from ._once_network import Draft
+from ._once_state import Budget, Command, Message, World, body_of
+from ._small_fleet import SERVICE, TICK_MS, TIMING, kit, warm_fleet
+from ._snapshots import MODE_FROZEN, MODE_GONE, Stepper, digest_of, pack, step_seeded
+
+ADDRESSES = ("caller:1", "caller:2")
+JUMPS_MS = {
+    "past the request's deadline": 2_100,
+    "past the life of an Echo": 6_200,
+    "past what is remembered": 77_000,
+}
+JUMP_STEP_MS = 700
+
+
+class Scope(NamedTuple):
+    """The size of a model.
+
+    Attributes:
+        balancers: How many balancers there are.
+        commands: How many commands the caller sends, all to one service.
+        budget: How often each fault may strike.
+        holds_echo: True when the caller holds an Echo of the first balancer.
+    """
+
+    balancers: int
+    commands: int
+    budget: Budget
+    holds_echo: bool = False
+
+
+class OnceModel:
+    """The at-most-once protocol at one scope."""
+
+    def __init__(self, scope):
+        self.scope = scope
+        self.stepper = Stepper(kit())
+
+    def initial(self):
+        """Return a fleet that serves, and a caller that sent nothing yet."""
+        fleet = warm_fleet(self.scope.balancers)
+        for state in fleet.states.values():
+            state.retry_tokens = 1.0
+        echo = _first_echo(fleet) if self.scope.holds_echo else b""
+        balancers = tuple(pack(state) for state in fleet.states.values())
+        commands = tuple(Command() for _ in range(self.scope.commands))
+        budget = self.scope.budget
+        return World(fleet.now_ms, balancers, {}, commands, budget, echo=echo)
+
+    def digest(self, world):
+        """Return the digest of all that decides what may follow."""
+        balancers = [
+            (item.mark, item.mode, item.held, item.unperformed)
+            for item in world.balancers
+        ]
+        messages = sorted((key, item.copies) for key, item in world.messages.items())
+        rest = world._replace(balancers=(), messages={})
+        return digest_of((balancers, messages, rest))
+
+    def outcomes(self, world):
+        """Name what this state shows, so that an empty search is noticed."""
+        names = [command.status for command in world.commands]
+        names += ["a command ran"] * bool(world.runs)
+        names += [f"a balancer is {item.mode}" for item in world.balancers]
+        return sorted(set(names))
+
+    def breach(self, world):
+        """Return what is wrong with a state, or None."""
+        if world.fault:
+            return world.fault
+        ran = set(world.runs)
+        if len(ran) < len(world.runs):
+            return f"one datagram ran twice: {world.runs}"
+        if len({command for command, _ in ran}) < len(ran):
+            return f"one command ran twice: {world.runs}"
+        if ran & world.denied:
+            return f"told not run, but ran: {sorted(ran & world.denied)}"
+        return None
+
+    def successors(self, world):
+        """Yield each move and the state that it leads to."""
+        yield from self._caller_moves(world)
+        yield from self._deliveries(world)
+        yield from self._faults(world)
+        yield from self._time_moves(world)
+
+    def _draft(self, world):
+        return Draft(world, self.stepper)
+
+    def _caller_moves(self, world):
+        for number, command in enumerate(world.commands):
+            if command.status == "idle":
+                yield f"send command {number}", send_command(world, number)
+
+    def _deliveries(self, world):
+        for key, message in world.messages.items():
+            if message.what == "request":
+                yield from self._ingress_moves(world, key, message)
+            elif message.what == "answer":
+                yield f"tell the caller {message.text}", take_answer(world, key)
+            elif message.what == "upstream":
+                yield from self._upstream_moves(world, key, message)
+            else:
+                yield from self._step_moves(world, key, message)
+
+    def _ingress_moves(self, world, key, message):
+        rebinds = world.budget.rebinds
+        for address in ADDRESSES if rebinds else ADDRESSES[:1]:
+            event = CallerRequest(Flow(SERVICE, address), message.payload)
+            for balancer in world.balancers:
+                aimed = message._replace(to=balancer.info.name, payload=event)
+                rebound = address != ADDRESSES[0]
+                yield from self._step_moves(world, key, aimed, rebound=rebound)
+
+    def _step_moves(self, world, key, message, *, rebound=False):
+        number = world.number_of(message.to)
+        balancer = world.balancers[number]
+        if balancer.mode == MODE_GONE:
+            return
+        text = f"{message.text} -> {message.to}"
+        if balancer.mode == MODE_FROZEN:
+            if message.what != "peer":
+                draft = self._draft(world).spend(key, rebound=rebound)
+                yield f"{text}, held", draft.hold(number, message.payload).world()
+            return
+        draft = self._draft(world).spend(key, rebound=rebound)
+        yield text, draft.deliver(number, message.payload).world()
+        if world.budget.freezes:
+            draft = self._draft(world).spend(key, rebound=rebound)
+            draft.deliver(number, message.payload, freeze=True)
+            if draft.balancers[number].unperformed:
+                yield f"{text}, frozen before its actions", draft.world()
+
+    def _upstream_moves(self, world, key, message):
+        draft = self._draft(world).spend(key)
+        yield f"the target runs {message.text}", draft.run(message).world()
+        if world.budget.sheds:
+            draft = self._draft(world).spend(key)
+            yield f"the target sheds {message.text}", draft.shed(message).world()
+
+    def _faults(self, world):
+        for number, balancer in enumerate(world.balancers):
+            name, mode = balancer.info.name, balancer.mode
+            if mode == MODE_GONE:
+                continue
+            if world.budget.crashes:
+                yield f"{name} crashes", self._draft(world).crash(number).world()
+            if mode == MODE_FROZEN:
+                yield f"{name} wakes", self._draft(world).wake(number).world()
+                continue
+            if world.budget.freezes:
+                yield f"{name} freezes", self._draft(world).freeze(number).world()
+            if world.budget.leaves:
+                draft = self._draft(world).use("leaves")
+                draft.deliver(number, LeaveRequested(), bare=True)
+                yield f"{name} is asked to leave", draft.world()
+            if world.budget.declares:
+                yield from self._declarations(world, number)
+
+    def _declarations(self, world, number):
+        for other, subject in enumerate(world.balancers):
+            if other != number:
+                names = world.balancers[number].info.name, subject.info.name
+                draft = self._draft(world).declare_dead(number, subject)
+                yield f"{names[0]} declares {names[1]} dead", draft.world()
+
+    def _time_moves(self, world):
+        if world.budget.ticks:
+            draft = self._draft(world).use("ticks").advance(TICK_MS, TICK_MS)
+            yield f"{TICK_MS} ms pass", draft.world()
+        if world.budget.jumps:
+            for name, jump_ms in JUMPS_MS.items():
+                draft = self._draft(world).use("jumps")
+                draft.advance(jump_ms, JUMP_STEP_MS)
+                yield f"time goes {name}", draft.world()
+
+
+def _first_echo(fleet):
+    state = next(iter(fleet.states.values()))
+    request = Request(RequestKind.COMMAND, b"\xff", 0, True, b"", 1_000, b"")
+    event = CallerRequest(Flow(SERVICE, ADDRESSES[0]), request)
+    actions = step_seeded(state, event, fleet.now_ms)
+    return next(item.echo for item in actions if isinstance(item, AnswerCaller))
+
+
+def send_command(world, number):
+    """Let the caller send a command, with the newest Echo that it holds."""
+    command = world.commands[number]
+    attempt = command.attempt + 1
+    body = body_of(number, attempt, world.echo)
+    request = Request(
+        kind=RequestKind.COMMAND,
+        token=bytes([number, attempt]),
+        message_id=100 * number + attempt,
+        confirmable=True,
+        echo=world.echo,
+        remaining_ms=TIMING.request_timeout_ms,
+        body=body,
+    )
+    text = f"datagram {number}.{attempt}"
+    message = Message("request", "", request, text, world.budget.copies)
+    waiting = command._replace(status="waiting", attempt=attempt)
+    return world.with_command(number, waiting).with_message(message)
+
+
+def take_answer(world, key):
+    """Let the caller take an answer; one to an earlier datagram is ignored."""
+    message = world.messages[key]
+    world = world.without(key)
+    (number, attempt), answer, echo = message.payload
+    command = world.commands[number]
+    if echo:
+        world = world._replace(echo=echo)
+    kind = type(answer).__name__
+    if kind == "NeedEcho" and attempt < world.budget.attempts:
+        return send_command(without_answers(world, number), number)
+    status = _STATUS.get(kind, "told not run")
+    world = without_answers(world, number)
+    return world.with_command(number, command._replace(status=status))
+
+
+def without_answers(world, number):
+    """Return the state without answers of which the caller takes no notice."""
+    left = {
+        key: item
+        for key, item in world.messages.items()
+        if item.what != "answer" or item.payload[0][0] != number
+    }
+    return world._replace(messages=left)
+
+
+_STATUS = {"Forwarded": "answered", Unknown.__name__: "told unknown"}
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_explore_templates.py
@@ -0,0 +1,204 @@
+"""The template protocol as a model: real cores, a platform that answers stale.
+
+The platform answers a read with any version that was published so far. Messages
+between balancers may be delivered at any later time, in any order, or never.
+Balancers are replaced by newcomers and cut off at any point. What is checked is
+the version in force at each balancer, whom it takes callers' packets at, and
+that the balancers agree once they talk to each other again.
+"""
+
+from typing import NamedTuple
+
+from lagoontally_core import JOIN_WAIT_MS, InstancesRead, Phase, TemplateRead
+
+from ._small_fleet import document, instances, kit, warm_fleet
+from ._snapshots import Balancer, Stepper, digest_of, pack
+from ._template_network import TemplateDraft
+
+GOSSIP_ROUNDS = 4
+
+
+class TemplateBudget(NamedTuple):
+    """How often each thing may still happen.
+
+    Attributes:
+        publishes: Versions that are published, from 2 on.
+        reads: Reads of the platform's template, by any balancer.
+        gossips: Probes of one balancer by another.
+        ticks: Short passages of time.
+        waits: Passages of time past the longest wait of a newcomer.
+        replacements: Balancers that end and start again.
+        cuts: Pairs of balancers that are cut off from each other.
+        lists: Reads of the platform's list by newcomers.
+    """
+
+    publishes: int = 2
+    reads: int = 2
+    gossips: int = 0
+    ticks: int = 0
+    waits: int = 0
+    replacements: int = 0
+    cuts: int = 0
+    lists: int = 1
+
+
+class TemplateWorld(NamedTuple):
+    """One state of the model.
+
+    Attributes:
+        now_ms: The time.
+        balancers: The balancers; one that was replaced is gone from them.
+        phases: The phase of each.
+        messages: What is on its way, by key.
+        published: The newest version that the platform has.
+        budget: What may still happen.
+        cuts: Pairs of names between which nothing passes now.
+        newcomer: Name of the balancer that joins, or empty.
+        floor: The newest version that its reachable peers had at its start.
+        started_ms: When it started.
+        generation: How many balancers were replaced.
+        fault: A broken promise that was seen at once, or empty.
+    """
+
+    now_ms: int
+    balancers: tuple[Balancer, ...]
+    phases: tuple[Phase, ...]
+    messages: dict
+    published: int
+    budget: TemplateBudget
+    cuts: frozenset = frozenset()
+    newcomer: str = ""
+    floor: int = 0
+    started_ms: int = 0
+    generation: int = 0
+    fault: str = ""
+
+    def number_of(self, name):
+        """Return the position of a balancer."""
+        names = [item.info.name for item in self.balancers]
+        return names.index(name)
+
+
+class TemplateModel:
+    """The template protocol at one size."""
+
+    def __init__(self, balancers, budget):
+        self.size = balancers
+        self.budget = budget
+        versions = range(1, 2 + budget.publishes)
+        self.stepper = Stepper(kit(versions))
+        self.agreed = {}
+
+    def initial(self):
+        """Return a fleet that serves version 1."""
+        fleet = warm_fleet(self.size)
+        balancers = tuple(pack(state) for state in fleet.states.values())
+        phases = (Phase.SERVING,) * self.size
+        return TemplateWorld(fleet.now_ms, balancers, phases, {}, 1, self.budget)
+
+    def digest(self, world):
+        """Return the digest of all that decides what may follow."""
+        marks = [item.mark for item in world.balancers]
+        rest = world._replace(balancers=(), messages=(), cuts=sorted(world.cuts))
+        return digest_of((marks, sorted(world.messages), rest))
+
+    def outcomes(self, world):
+        """Name what this state shows, so that an empty search is noticed."""
+        versions = {item.version for item in world.balancers}
+        names = [f"version {number} is in force" for number in versions]
+        names += ["versions differ"] * (len(versions) > 1)
+        joining = Phase.JOINING in world.phases
+        if world.newcomer:
+            names.append("a newcomer joins" if joining else "a newcomer serves")
+        return sorted(names)
+
+    def breach(self, world):
+        """Return what is wrong with a state, or None."""
+        return world.fault or self._disagreement(world)
+
+    def _disagreement(self, world):
+        """Return what keeps balancers apart that talk again, or None.
+
+        What is on its way is lost, and the platform is out of reach: the worst
+        start for an agreement.
+        """
+        key = (world.now_ms, *(item.mark for item in world.balancers))
+        if key not in self.agreed:
+            self.agreed[key] = self._gossip_to_the_end(world)
+        return self.agreed[key]
+
+    def _gossip_to_the_end(self, world):
+        lonely = world._replace(messages={}, cuts=frozenset(), fault="")
+        draft = TemplateDraft(lonely, self.stepper)
+        for _ in range(GOSSIP_ROUNDS):
+            for sender in range(self.size):
+                for receiver in range(self.size):
+                    if sender != receiver:
+                        draft.gossip(sender, receiver)
+                        draft.deliver_all()
+        after = draft.world()
+        versions = [item.version for item in after.balancers]
+        if len(set(versions)) == 1:
+            return after.fault
+        return f"versions {versions} stay after all have talked to each other"
+
+    def successors(self, world):
+        """Yield each move and the state that it leads to."""
+        yield from self._platform_moves(world)
+        yield from self._peer_moves(world)
+        yield from self._newcomer_moves(world)
+        yield from self._time_moves(world)
+
+    def _draft(self, world):
+        return TemplateDraft(world, self.stepper)
+
+    def _platform_moves(self, world):
+        if world.budget.publishes:
+            draft = self._draft(world).use("publishes")
+            version = world.published + 1
+            yield f"version {version} is published", draft.publish().world()
+        if not world.budget.reads:
+            return
+        for number, balancer in enumerate(world.balancers):
+            for version in range(1, world.published + 1):
+                event = TemplateRead(
+                    self.stepper.kit.templates[version], document(version)
+                )
+                draft = self._draft(world).use("reads").deliver(number, event)
+                yield f"{balancer.info.name} reads version {version}", draft.world()
+
+    def _peer_moves(self, world):
+        for key, message in world.messages.items():
+            if not world.cuts & {frozenset((message.sender, message.to))}:
+                text = f"{message.text} -> {message.to}"
+                yield text, self._draft(world).deliver_message(key).world()
+        for number, balancer in enumerate(world.balancers):
+            for other, peer in enumerate(world.balancers):
+                names = balancer.info.name, peer.info.name
+                if other != number and world.budget.gossips:
+                    draft = self._draft(world).use("gossips").gossip(number, other)
+                    yield f"{names[0]} probes {names[1]}", draft.world()
+                if other > number and world.budget.cuts:
+                    draft = self._draft(world).use("cuts").cut(*names)
+                    yield f"{names[0]} and {names[1]} are cut off", draft.world()
+        if world.cuts:
+            yield "the cut heals", self._draft(world).heal().world()
+
+    def _newcomer_moves(self, world):
+        if world.budget.replacements and not world.newcomer:
+            for number, balancer in enumerate(world.balancers):
+                draft = self._draft(world).use("replacements").replace(number)
+                yield f"{balancer.info.name} is replaced", draft.world()
+        if world.newcomer and world.budget.lists:
+            number = world.number_of(world.newcomer)
+            names = [item.info.name for item in world.balancers]
+            event = InstancesRead(instances(names))
+            draft = self._draft(world).use("lists").deliver(number, event)
+            yield f"{world.newcomer} reads the list", draft.world()
+
+    def _time_moves(self, world):
+        if world.budget.ticks:
+            yield "time passes", self._draft(world).use("ticks").advance(100).world()
+        if world.budget.waits:
+            draft = self._draft(world).use("waits").advance(JOIN_WAIT_MS)
+            yield "time passes the longest wait", draft.world()
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_search.py
@@ -0,0 +1,98 @@
+"""A search of every state that a nondeterministic model can reach.
+
+A model gives an initial state, the moves that each state allows and what is
+wrong with a state. States are compared by a digest of all that decides what may
+follow, so that orders which lead to the same state are searched once.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+
+class Violation(NamedTuple):
+    """A state in which a promise is broken.
+
+    Attributes:
+        detail: What is wrong with it.
+        trace: The moves that lead there, in order.
+    """
+
+    detail: str
+    trace: tuple[str, ...]
+
+
+class SearchReport(NamedTuple):
+    """What a search found.
+
+    Attributes:
+        states: Different states visited.
+        moves: Moves made, also those that led to a state known before.
+        depth: Length of the longest path followed.
+        complete: True when every reachable state was visited.
+        outcomes: How many states showed each outcome, by its name.
+        violation: The first ``Violation``, None when there is none.
+    """
+
+    states: int
+    moves: int
+    depth: int
+    complete: bool
+    outcomes: dict[str, int]
+    violation: Violation | None
+
+
+class Path(NamedTuple):
+    """The moves that led to a state, shared between states."""
+
+    before: "Path | None"
+    move: str
+    length: int
+
+    def moves(self):
+        """Return the moves in order."""
+        found = []
+        path = self
+        while path is not None:
+            found.append(path.move)
+            path = path.before
+        return tuple(reversed(found))
+
+
+def search(model, *, states_limit, breadth_first=False):
+    """Visit the states of a model.
+
+    Args:
+        model: Has ``initial()``, ``successors(state)`` with pairs of a move's
+            name and a state, ``digest(state)``, ``breach(state)`` with a text
+            or None, and ``outcomes(state)`` with names.
+        states_limit: Stop after so many states.
+        breadth_first: Find shortest traces, at the cost of memory.
+
+    Returns:
+        A ``SearchReport``; the search stops at the first violation.
+    """
+    first = model.initial()
+    frontier = deque([(first, None)])
+    known = {model.digest(first)}
+    take = frontier.popleft if breadth_first else frontier.pop
+    outcomes: dict[str, int] = {}
+    moves = depth = 0
+    violation = None
+    while frontier and len(known) <= states_limit and violation is None:
+        state, path = take()
+        length = path.length if path else 0
+        depth = max(depth, length)
+        for name in model.outcomes(state):
+            outcomes[name] = outcomes.get(name, 0) + 1
+        detail = model.breach(state)
+        if detail:
+            violation = Violation(detail, path.moves() if path else ())
+            break
+        for move, following in model.successors(state):
+            moves += 1
+            digest = model.digest(following)
+            if digest not in known:
+                known.add(digest)
+                frontier.append((following, Path(path, move, length + 1)))
+    complete = not frontier and violation is None
+    return SearchReport(len(known), moves, depth, complete, outcomes, violation)
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_snapshots.py
@@ -0,0 +1,158 @@
+"""Balancers as values: a core's state packed, compared and stepped again.
+
+A step draws its random numbers from the event itself, so that the same event
+leads to the same state on every path.
+"""
+
+import pickle
+from enum import Enum
+from hashlib import blake2b
+from random import Random
+from typing import NamedTuple
+
+from lagoontally_core import Count, LogChange, RecordLatency, SelfInfo, State, step
+from lagoontally_model import Template
+
+DIGEST_BYTES = 16
+PLAIN = frozenset((int, str, bytes, bool, float, type(None)))
+IGNORED = frozenset(("journal", "info", "timing", "sections", "order"))
+KNOWN_LIMIT = 30_000
+UNSEEN = (Count, LogChange, RecordLatency)
+MODE_UP = "up"
+MODE_FROZEN = "frozen"
+MODE_GONE = "gone"
+
+
+class Balancer(NamedTuple):
+    """One balancer of a model.
+
+    Attributes:
+        info: Who it is.
+        packed: Its core's state without what all states share.
+        version: The template version in force; 0 for none.
+        mark: Digest of its core's state.
+        mode: Whether its process runs.
+        held: ``(time, event)`` that wait while it is frozen.
+        unperformed: ``(time, action)`` decided before it was frozen.
+    """
+
+    info: SelfInfo
+    packed: bytes
+    version: int
+    mark: bytes
+    mode: str = MODE_UP
+    held: tuple = ()
+    unperformed: tuple = ()
+
+
+class Kit(NamedTuple):
+    """What the states of a model share.
+
+    Attributes:
+        timing: The balancers' time limits.
+        templates: The templates by version.
+    """
+
+    timing: object
+    templates: dict[int, Template]
+
+
+def digest_of(value):
+    """Return a digest of plain data."""
+    return blake2b(repr(value).encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def plain(value):
+    """Return ``value`` as plain data in an order of its own."""
+    kind = type(value)
+    if kind in PLAIN:
+        return value
+    if isinstance(value, Enum):
+        return value.name
+    if kind is Template:
+        return value.version
+    if isinstance(value, tuple):
+        return (kind.__name__, *map(plain, value))
+    if isinstance(value, dict):
+        pairs = ((plain(key), plain(item)) for key, item in value.items())
+        return sorted(pairs, key=repr)
+    if isinstance(value, set | frozenset):
+        return sorted(map(plain, value), key=repr)
+    if hasattr(value, "__iter__"):
+        return list(map(plain, value))
+    return _plain_object(value)
+
+
+def _plain_object(value):
+    names = getattr(value, "__slots__", None) or sorted(vars(value))
+    fields = [
+        (name, plain(getattr(value, name))) for name in names if name not in IGNORED
+    ]
+    return (type(value).__name__, fields)
+
+
+def pack(state, **changes):
+    """Return a ``Balancer`` of a core's state, which must not be used again."""
+    mark = digest_of((state.info.incarnation, plain(state)))
+    info = state.info
+    version = state.template_version
+    state.template = state.info = state.timing = None
+    state.membership.info = state.membership.timing = None
+    state.journal.entries.clear()
+    packed = pickle.dumps(state, pickle.HIGHEST_PROTOCOL)
+    return Balancer(info, packed, version, mark)._replace(**changes)
+
+
+def unpack(balancer, kit) -> State:
+    """Return a core's state that may be changed."""
+    state = pickle.loads(balancer.packed)
+    state.info = state.membership.info = balancer.info
+    state.timing = state.membership.timing = kit.timing
+    state.template = kit.templates.get(balancer.version)
+    return state
+
+
+def step_seeded(state, event, now_ms):
+    """Step a core with random numbers that follow from the event and time."""
+    random = Random(f"{state.info.name} {now_ms} {event!r}")
+    return step(state, event, now_ms, random)
+
+
+class Stepper:
+    """Steps balancers, and knows the steps that it has made before.
+
+    Attributes:
+        kit: What the states share.
+        known: The results of steps, by balancer, events and time.
+    """
+
+    def __init__(self, kit):
+        self.kit = kit
+        self.known = {}
+
+    def step(self, balancer, events):
+        """Step a balancer.
+
+        Args:
+            balancer: The balancer.
+            events: ``(time, event)`` in order.
+
+        Returns:
+            The balancer after the events, running and with nothing held, and
+            the actions that it decided.
+        """
+        key = (balancer.mark, digest_of(events))
+        found = self.known.get(key)
+        if found is None:
+            if len(self.known) >= KNOWN_LIMIT:
+                self.known.clear()
+            found = self.known[key] = self._step(balancer, events)
+        return found
+
+    def _step(self, balancer, events):
+        state = unpack(balancer, self.kit)
+        actions = []
+        for now_ms, event in events:
+            actions += step_seeded(state, event, now_ms)
+        wanted = [item for item in actions if not isinstance(item, UNSEEN)]
+        return pack(state), tuple(wanted)
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_walk.py
@@ -0,0 +1,76 @@
+"""Random walks through models that are too large for a whole search."""
+
+from typing import NamedTuple
+
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+CHOICES = 1 << 16
+
+
+class WalkReport(NamedTuple):
+    """What a number of walks found.
+
+    Attributes:
+        steps: Moves made in all.
+        violation: The text of the first broken promise with its shortest
+            walk, or empty.
+    """
+
+    steps: int
+    violation: str
+
+
+def walk(model, *, walks, length):
+    """Follow random walks, the same ones in each run.
+
+    Args:
+        model: A model as ``search`` takes it.
+        walks: How many walks.
+        length: Moves of each at most.
+
+    Returns:
+        A ``WalkReport``.
+    """
+    first = model.initial()
+    made = []
+
+    class Machine(RuleBasedStateMachine):
+        def __init__(self):
+            super().__init__()
+            self.state = first
+            self.moves = []
+
+        @rule(choice=strategies.integers(0, CHOICES - 1))
+        def move(self, choice):
+            options = list(model.successors(self.state))
+            if not options:
+                return
+            name, self.state = options[choice % len(options)]
+            self.moves.append(name)
+            made.append(None)
+            detail = model.breach(self.state)
+            if detail:
+                raise BrokenPromiseError(detail, self.moves)
+
+    options = settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=walks,
+        stateful_step_count=length,
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    try:
+        run_state_machine_as_test(Machine, settings=options)
+    except BrokenPromiseError as broken:
+        return WalkReport(len(made), str(broken))
+    return WalkReport(len(made), "")
+
+
+class BrokenPromiseError(Exception):
+    """A walk came to a state in which a promise is broken."""
+
+    def __init__(self, detail, moves):
+        super().__init__("; ".join((detail, *moves)))
