--- /dev/null
+++ b/libs/core/features/home.feature
@@ -0,0 +1,53 @@
+Feature: Home of a flow
+
+  Background:
+    Given a balancer that serves
+
+  Scenario Outline: A command whose Echo doesn't let it run is answered truthfully
+    When a command comes with <echo>
+    Then no target gets it
+    And its caller is told <answer>
+
+    Examples:
+      | echo                                  | answer   |
+      | no Echo                               | NeedEcho |
+      | a forged Echo                         | NeedEcho |
+      | an Echo of another service            | NeedEcho |
+      | an expired Echo                       | NeedEcho |
+      | an Echo older than what is remembered | Unknown  |
+      | an Echo of a dead home                | Unknown  |
+      | an Echo of a home that nobody knows   | Unknown  |
+
+  Scenario: A copy from a rebound address gets the remembered answer
+    Given a command that was run and answered
+    When a copy of it comes from another address
+    Then no target gets it
+    And the answer is sent again, to that address
+
+  Scenario: A copy from a rebound address while it runs gets the only answer
+    Given a command that runs
+    When a copy of it comes from another address
+    And the target answers
+    Then the answer is sent again, to that address
+
+  Scenario: A command of another home is relayed to it with the wake that is known
+    Given a peer that noticed 2 pauses
+    When a command comes with an Echo of the peer
+    Then it is relayed to the peer for its wake 2
+
+  Scenario: What was queued before a pause is discarded
+    When a command that was queued before a pause is handled after it
+    Then no target gets it
+    And its caller is told nothing
+
+  Scenario: A relay that names an earlier wake is void
+    Given a peer that noticed 0 pauses
+    When the peer relays a command with the wake before a pause
+    Then no target gets it
+    And the peer learns of the new wake
+
+  Scenario: A target that says it serves another service gets no work
+    Given a target that says it serves another service
+    When a command comes with a fresh Echo
+    Then no target gets it
+    And its caller is told Refused
