Let a newcomer wait for the newer template that a peer has

Cause: a joining balancer served as soon as it had any template, was welcomed and was greeted by all. A welcome names its sender's version, but the template itself comes two messages later, so that a tick in between let a newcomer that had read a stale platform serve an older version. Found by the exploration "a newcomer, stale reads":

version 2 is published; A reads version 2; B is replaced; B reads version 1; B reads the list; B's Join -> A; A's Welcome -> B; time passes

Change: it also waits while an alive member is known to have a newer version, for 5 s at most as before, so that it isn't kept out by a member that can't deliver. The word of the platform's list that it is alone no longer overrides this. Waiting without a limit was ruled out: one member with a version that can't be fetched would keep every newcomer out.

--- a/libs/core/src/lagoontally_core/_members.py
+++ b/libs/core/src/lagoontally_core/_members.py
@@ -103,6 +103,10 @@
             if record.status == MemberStatus.ALIVE
         ]
 
+    def newest_version(self):
+        """Return the newest template version that an alive balancer has."""
+        return max((record.template_version for record in self.alive()), default=0)
+
     def learn(self, record, now_ms):
         """Take in a record.
 
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -212,18 +212,26 @@
     state = turn.state
     if state.phase is not Phase.JOINING or state.template is None:
         return
-    if not _is_known(turn):
+    if not _had_time_to_ask(turn) and not _is_known(turn):
         return
     state.phase = Phase.SERVING
     serve_entries(turn)
     turn.log("INFO", "serving", version=state.template_version)
 
 
+def _had_time_to_ask(turn):
+    """Tell whether the peers had their time, whether they used it or not."""
+    return turn.now_ms - turn.state.started_ms >= JOIN_WAIT_MS
+
+
 def _is_known(turn):
-    """Tell whether the other balancers know this one, or had time to."""
+    """Tell whether the others know this balancer, and have nothing newer.
+
+    A welcome names its sender's version before the template itself arrives.
+    """
     state = turn.state
-    if turn.now_ms - state.started_ms >= JOIN_WAIT_MS:
-        return True
+    if state.membership.newest_version() > state.template_version:
+        return False
     if state.listed_alone:
         return True
     return state.welcomed and state.membership.everyone_greeted()
