Keep the small explorations in the tests, with mutations that they must find

Each exploration that ends within seconds runs whole in the suite; a search in which nothing happens would prove nothing, so an outcome is asked for too.

--- /dev/null
+++ b/libs/bench/features/steps/explore_steps.py
@@ -0,0 +1,84 @@
+"""Steps for the exploration of the protocols."""
+
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from lagoontally_bench._explore import EXPLORATIONS, explore
+from lagoontally_bench._mutations import apply_mutation
+from lagoontally_bench._walk import walk
+
+STATES_LIMIT = 20_000
+OWN_MUTATIONS = {
+    "inherited runs forgotten": (
+        "lagoontally_core._inherit._take_remembered",
+        lambda record, turn: None,
+    ),
+    "newcomers don't ask": ("lagoontally_core._step._is_known", lambda turn: True),
+}
+
+
+def _named(name):
+    (found,) = [item for item in EXPLORATIONS if item.name == name]
+    return found
+
+
+@given("the core is mutated: {name}")
+def step_mutated(context, name):
+    """The core breaks one promise on purpose."""
+    if name in OWN_MUTATIONS:
+        context.undo.enter_context(patch(*OWN_MUTATIONS[name]))
+    else:
+        context.undo.enter_context(apply_mutation(name))
+
+
+@when('"{name}" is explored')
+def step_explored(context, name):
+    """The states are visited up to a limit."""
+    context.report = explore(_named(name), states_limit=STATES_LIMIT).report
+
+
+@when('"{name}" is walked {walks:d} times for {length:d} moves')
+def step_walked(context, name, walks, length):
+    """Walks are drawn from a fixed seed."""
+    context.walk = lambda: walk(_named(name).model(), walks=walks, length=length)
+    context.walked = context.walk()
+
+
+@then("every state is visited and no promise is broken")
+def step_complete(context):
+    """The search came to its end."""
+    assert context.report.violation is None, context.report.violation
+    assert context.report.complete, context.report
+
+
+@then('some states show "{outcome}"')
+def step_shows(context, outcome):
+    """A search in which nothing happens proves nothing."""
+    assert context.report.outcomes.get(outcome), context.report.outcomes
+
+
+@then("it finds that {broken}")
+def step_found(context, broken):
+    """The search ends at a state that breaks the promise."""
+    assert context.report.violation is not None, context.report
+    assert broken in context.report.violation.detail, context.report.violation
+
+
+@then("no walk breaks a promise")
+def step_walks_hold(context):
+    """Every state on the walks holds what is promised."""
+    assert not context.walked.violation, context.walked.violation
+    assert context.walked.steps, context.walked
+
+
+@then("a second round of walks makes as many moves")
+def step_walks_alike(context):
+    """Nothing depends on the run."""
+    assert context.walk() == context.walked
+
+
+@then("a walk breaks a promise")
+def step_walk_breaks(context):
+    """The walk that is reported names the promise."""
+    assert context.walked.violation, context.walked
