Leave a line alone whose registration was answered

Cause: the check 2 s after a registration asked whether the target was heard within the last 2 s, not whether it was heard since the registration. A line that is notified less often than every 2 s was held for silent: every 2.1 s it was registered at another target and cancelled at its own, and its healthy target was counted as failing, which closes a target after three.

A longer check interval was ruled out, as it only moves the limit.

--- a/libs/core/features/fixtures.py
+++ b/libs/core/features/fixtures.py
@@ -11,6 +11,7 @@
     MemberRecord,
     PeerMessage,
     Ping,
+    ReplyStatus,
     Request,
     RequestKind,
     SelfInfo,
@@ -19,6 +20,7 @@
     State,
     TemplateRead,
     Tick,
+    UpstreamReply,
     step,
 )
 from lagoontally_model import Timing, parse_template
@@ -139,6 +141,21 @@
         """Take a command of a caller."""
         return self.take(CallerRequest(Flow(service, caller), command(echo)))
 
+    def open_line(self):
+        """Take a caller's registration; return what is sent to a target."""
+        echo = self.echo()
+        request = command(echo)._replace(kind=RequestKind.LINE_OPEN, token=b"\x02")
+        self.take(CallerRequest(Flow(SERVICE, CALLER), request))
+        (sent,) = self.sent_upstream()
+        return sent
+
+    def notify(self, sent, body=b"state"):
+        """Take a target's answer to a registration, or a notification."""
+        answered = ReplyStatus.ANSWERED
+        self.take(
+            UpstreamReply(sent.target, sent.path, sent.token, answered, True, 0, body)
+        )
+
     def echo(self, *, service=SERVICE):
         """Return an Echo that this core issues."""
         self.command(b"", service=service)
--- /dev/null
+++ b/libs/core/features/line.feature
@@ -0,0 +1,23 @@
+Feature: Open lines at their home
+
+  Background:
+    Given a balancer that serves
+    And an open line
+
+  Scenario: A line that is notified seldom stays where it is
+    When the target sends nothing for 10000 ms
+    Then nothing is sent to a target for the line
+
+  Scenario: A silent line is checked at its target
+    When the target sends nothing for 16000 ms
+    Then its registration is refreshed, with the same token
+
+  Scenario: A line whose refresh isn't answered is registered from a new socket
+    When the target sends nothing for 18000 ms
+    Then it is registered anew, from another socket
+
+  Scenario: A line whose refresh is answered stays where it is
+    When the target sends nothing for 16000 ms
+    And the target notifies
+    And the target sends nothing for 10000 ms
+    Then nothing is sent to a target for the line
