--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_describe.py
@@ -0,0 +1,151 @@
+"""Messages in one line of text each, for people to read and tests to compare."""
+
+from functools import singledispatch
+
+from aiocoap import Message
+from aiocoap.numbers.types import CON
+
+from lagoontally_core import (
+    HandoverAck,
+    HandoverPart,
+    Join,
+    Ping,
+    PingAck,
+    PingRequest,
+    Relay,
+    RelayAck,
+    RelayFresh,
+    Succession,
+    SuccessionAck,
+    TemplateDigest,
+    TemplateSections,
+    TemplateWant,
+    Welcome,
+)
+
+HOME_START = 1
+HOME_END = 9
+SESSION_END = 14
+SHOWN_HEX = 4
+SHOWN_PAYLOAD = 40
+GOSSIP = (Join, Ping, PingAck, PingRequest, Welcome)
+
+
+def describe_datagram(data, names):
+    """Return a CoAP datagram's text.
+
+    Args:
+        data: The datagram.
+        names: Names of balancers by incarnation.
+    """
+    message = Message.decode(data)
+    words = [message.mtype.name, message.code.dotted]
+    if not message.code:
+        return f"{words[0]} {message.mid:04x}"
+    if message.mtype == CON and not message.code.is_request():
+        words.append(f"id {message.mid:04x}")
+    words.append(f"token {_short(message.token)}")
+    words += _options(message.opt, names)
+    if message.payload:
+        words.append(_payload(message.payload))
+    return " ".join(words)
+
+
+def _short(data):
+    return data.hex()[:SHOWN_HEX] or "-"
+
+
+def _options(options, names):
+    words = []
+    if options.uri_path:
+        words.append("/" + "/".join(options.uri_path))
+    if options.observe is not None:
+        words.append(f"observe {options.observe}")
+    if options.block2 is not None:
+        more = "+" if options.block2.more else ""
+        words.append(f"block {options.block2.block_number}{more}")
+    if options.max_age is not None:
+        words.append(f"max-age {options.max_age}")
+    if options.echo:
+        words.append(f"echo {describe_echo(options.echo, names)}")
+    return words
+
+
+def describe_echo(echo, names):
+    """Return the home and the session that an Echo names."""
+    home = int.from_bytes(echo[HOME_START:HOME_END], "big")
+    session = echo[HOME_END:SESSION_END].hex()[:SHOWN_HEX]
+    return f"{names.get(home, 'stranger')}/{session}"
+
+
+def _payload(payload):
+    text = payload.decode("utf-8", "replace")
+    if len(text) <= SHOWN_PAYLOAD and text.isprintable():
+        return text
+    return f"{len(payload)} bytes"
+
+
+@singledispatch
+def describe_peer(message, names):
+    """Return the text of a message between balancers."""
+    return type(message).__name__
+
+
+@describe_peer.register
+def _(message: Relay, names):
+    echo = describe_echo(message.request.echo, names)
+    token = _short(message.request.token)
+    return f"Relay to wake {message.wake} token {token} echo {echo}"
+
+
+@describe_peer.register
+def _(message: RelayFresh, names):
+    return f"RelayFresh token {_short(message.request.token)}"
+
+
+@describe_peer.register
+def _(message: RelayAck, names):
+    kind = "reset" if message.reset else "ack"
+    return f"RelayAck {kind} {message.message_id:04x}"
+
+
+@describe_peer.register
+def _(message: HandoverPart, names):
+    origins = " ".join(names[origin.incarnation] for origin in message.origins)
+    return (
+        f"HandoverPart {message.part + 1} of {message.parts}:"
+        f" {len(message.lines)} lines, {len(message.remembered)} remembered,"
+        f" origins {origins or '-'}"
+    )
+
+
+@describe_peer.register
+def _(message: HandoverAck, names):
+    return f"HandoverAck part {message.part + 1}"
+
+
+@describe_peer.register
+def _(message: Succession, names):
+    heirs = " ".join(names[heir] for heir in message.heirs)
+    return f"Succession of {names[message.leaver]} to {heirs}"
+
+
+@describe_peer.register
+def _(message: SuccessionAck, names):
+    return f"SuccessionAck for {names[message.leaver]}"
+
+
+@describe_peer.register
+def _(message: TemplateDigest, names):
+    return f"TemplateDigest version {message.version}"
+
+
+@describe_peer.register
+def _(message: TemplateWant, names):
+    return f"TemplateWant above version {message.version}"
+
+
+@describe_peer.register
+def _(message: TemplateSections, names):
+    sections = " ".join(sorted(message.sections))
+    return f"TemplateSections of version {message.version}: {sections}"
