Never call a command not run whose memory went with another leaver

A leaves to B and C while B leaves to A and C. B hands over before it takes up A's part, so what A remembered of B's sessions is lost. C learns of A as an origin from B's handover before A's own announcement arrives. It then took A's own handover for taken up, though it wasn't, and dropped its share of what A remembered.

Change: an origin names those of its heirs that took up their share, and were handed on from there; a chain counts only over such heirs, and a handover is taken up unless this balancer itself is one of them. Without the memory a command is answered as unknown. So that less is lost, a leaving balancer declines to be an heir and says why, a leaver drops heirs that leave or are dead also when they had acknowledged, and begins its handover again when it has inherited in between; eight attempts instead of four leave room for that.

Ruled out: to answer every inherited command that isn't remembered as unknown, which would leave callers in doubt after each planned leave; and to pass late handovers on from a leaver that has announced, which only shortens the race.

The message Origin between balancers has one field more, takers.

--- a/libs/bench/features/explore.feature
+++ b/libs/bench/features/explore.feature
@@ -37,3 +37,55 @@
     Given the core is mutated: repeats run again
     When "first contact, copies, expiry" is walked 300 times for 30 moves
     Then a walk breaks a promise
+
+  Scenario: What fell to an heir that left at the same time isn't said to be not run
+    Given three balancers, and a command that A ran, to fall to B and from B to C
+    When these moves are made, where they can be
+      """
+      A is asked to leave
+      100 ms pass
+      HandoverPart of A -> B
+      HandoverPart of A -> C
+      HandoverAck of B -> A
+      B is asked to leave
+      100 ms pass
+      HandoverPart of B -> A
+      Ping of A -> B
+      HandoverAck of A -> B
+      100 ms pass
+      HandoverPart of B -> C
+      HandoverPart of B -> C
+      HandoverAck of C -> B
+      HandoverAck of C -> B
+      HandoverAck of C -> A
+      Succession of B -> C
+      Succession of A -> C
+      datagram 0.1 -> C
+      """
+    Then no promise is broken on the way
+    And a copy of the command is answered: Unknown
+
+  Scenario: An heir takes up its own share after it has heard of the leaver from another
+    Given three balancers, and a command that A ran, to fall to C
+    When these moves are made, where they can be
+      """
+      A is asked to leave
+      100 ms pass
+      HandoverPart of A -> B
+      HandoverPart of A -> C
+      HandoverAck of B -> A
+      B is asked to leave
+      100 ms pass
+      HandoverAck of C -> A
+      Succession of A -> B
+      100 ms pass
+      HandoverPart of B -> C
+      HandoverPart of B -> C
+      HandoverAck of C -> B
+      HandoverAck of C -> B
+      Succession of B -> C
+      Succession of A -> C
+      datagram 0.1 -> C
+      """
+    Then no promise is broken on the way
+    And a copy of the command is answered: Forwarded
--- a/libs/bench/features/steps/explore_steps.py
+++ b/libs/bench/features/steps/explore_steps.py
@@ -4,8 +4,16 @@
 
 from behave import given, then, when
 
-from lagoontally_bench._explore import EXPLORATIONS, explore
+from lagoontally_bench._explore import (
+    CROSSWISE,
+    EXPLORATIONS,
+    STRAIGHT,
+    TWO_LEAVE,
+    explore,
+)
+from lagoontally_bench._explore_once import OnceModel, Scope
 from lagoontally_bench._mutations import apply_mutation
+from lagoontally_bench._once_state import Budget
 from lagoontally_bench._walk import walk
 
 STATES_LIMIT = 20_000
@@ -82,3 +90,47 @@
 def step_walk_breaks(context):
     """The walk that is reported names the promise."""
     assert context.walked.violation, context.walked
+
+
+@given("three balancers, and a command that A ran, to fall to B and from B to C")
+def step_crosswise(context):
+    """A's session falls to B among B and C, and to C among A and C."""
+    _begin(context, CROSSWISE)
+
+
+@given("three balancers, and a command that A ran, to fall to C")
+def step_straight(context):
+    """A's session falls to C among B and C, and among A and C."""
+    _begin(context, STRAIGHT)
+
+
+def _begin(context, falls):
+    budget = Budget(copies=2, leaves=2, ticks=4)
+    scope = Scope(3, 1, budget, True, falls, TWO_LEAVE[:4])
+    context.model = OnceModel(scope)
+    context.states = [context.model.initial()]
+
+
+@when("these moves are made, where they can be")
+def step_moves(context):
+    """A move that isn't there, as the message wasn't sent, is left out."""
+    for start in context.text.splitlines():
+        for move, following in context.model.successors(context.states[-1]):
+            if move.startswith(start):
+                context.states.append(following)
+                break
+
+
+@then("no promise is broken on the way")
+def step_moves_hold(context):
+    """Each state holds what is promised."""
+    breaches = [context.model.breach(state) for state in context.states]
+    assert not any(breaches), breaches
+
+
+@then("a copy of the command is answered: {kind}")
+def step_copy_answered(context, kind):
+    """The last move led to an answer of the type named."""
+    before, after = (set(state.messages) for state in context.states[-2:])
+    (new,) = (context.states[-1].messages[key].text for key in after - before)
+    assert new == f"{kind} to datagram 0.1", new
--- a/libs/bench/src/lagoontally_bench/_explore.py
+++ b/libs/bench/src/lagoontally_bench/_explore.py
@@ -37,14 +37,30 @@
     seconds: float
 
 
-def _once(balancers, commands, *, holds_echo=True, **budget):
-    return lambda: OnceModel(Scope(balancers, commands, Budget(**budget), holds_echo))
+def _once(balancers, commands, *, holds_echo=True, falls=(), prelude=(), **budget):
+    scope = Scope(balancers, commands, Budget(**budget), holds_echo, falls, prelude)
+    return lambda: OnceModel(scope)
 
 
 def _template(balancers, **budget):
     return lambda: TemplateModel(balancers, TemplateBudget(**budget))
 
 
+TWO_LEAVE = (
+    "send command 0",
+    "datagram 0.1 -> A",
+    "the target runs",
+    "answered",
+    "B is asked to leave",
+    "A is asked to leave",
+    "100 ms pass",
+)
+# The first leaves to B and C, the second to A and C. The session falls to the
+# other leaver, or to the one that stays.
+CROSSWISE = (("BC", "B"), ("AC", "C"))
+STRAIGHT = (("BC", "C"), ("AC", "C"))
+TWO_LEAVES = {"leaves": 2, "ticks": 3, "prelude": TWO_LEAVE}
+
 EXPLORATIONS = (
     Exploration(
         "first contact, copies, a rebound address",
@@ -72,6 +88,8 @@
         "a leave, a freeze",
         _once(2, 1, copies=1, leaves=1, ticks=2, jumps=1, freezes=1),
     ),
+    Exploration("two leaves, crosswise", _once(3, 1, falls=CROSSWISE, **TWO_LEAVES)),
+    Exploration("two leaves, straight", _once(3, 1, falls=STRAIGHT, **TWO_LEAVES)),
     Exploration("two commands, a crash", _once(2, 2, copies=1, crashes=1, declares=1)),
     Exploration(
         "two heirs, a leave, a crash, a freeze",
--- a/libs/bench/src/lagoontally_bench/_explore_once.py
+++ b/libs/bench/src/lagoontally_bench/_explore_once.py
@@ -17,6 +17,8 @@
     RequestKind,
     Unknown,
 )
+from lagoontally_core._echo import decode_echo
+from lagoontally_core._rendezvous import pick_heir
 
 from ._once_network import Draft
 from ._once_state import Budget, Command, Message, World, body_of
@@ -30,6 +32,7 @@
     "past what is remembered": 77_000,
 }
 JUMP_STEP_MS = 700
+SALTS = 100
 
 
 class Scope(NamedTuple):
@@ -40,12 +43,17 @@
         commands: How many commands the caller sends, all to one service.
         budget: How often each fault may strike.
         holds_echo: True when the caller holds an Echo of the first balancer.
+        falls: Pairs of heirs, as their names in one word, and the one among
+            them that the caller's session must fall to.
+        prelude: Moves made before the search, each by the start of its name.
     """
 
     balancers: int
     commands: int
     budget: Budget
     holds_echo: bool = False
+    falls: tuple[tuple[str, str], ...] = ()
+    prelude: tuple[str, ...] = ()
 
 
 class OnceModel:
@@ -56,15 +64,25 @@
         self.stepper = Stepper(kit())
 
     def initial(self):
-        """Return a fleet that serves, and a caller that sent nothing yet."""
+        """Return a fleet that serves and a caller, after the prelude."""
         fleet = warm_fleet(self.scope.balancers)
         for state in fleet.states.values():
             state.retry_tokens = 1.0
-        echo = _first_echo(fleet) if self.scope.holds_echo else b""
+        echo = first_echo(fleet, self.scope.falls) if self.scope.holds_echo else b""
         balancers = tuple(pack(state) for state in fleet.states.values())
         commands = tuple(Command() for _ in range(self.scope.commands))
         budget = self.scope.budget
-        return World(fleet.now_ms, balancers, {}, commands, budget, echo=echo)
+        world = World(fleet.now_ms, balancers, {}, commands, budget, echo=echo)
+        for start in self.scope.prelude:
+            world = self._follow(world, start)
+        return world
+
+    def _follow(self, world, start):
+        return next(
+            following
+            for move, following in self.successors(world)
+            if move.startswith(start)
+        )
 
     def digest(self, world):
         """Return the digest of all that decides what may follow."""
@@ -194,12 +212,29 @@
                 yield f"time goes {name}", draft.world()
 
 
-def _first_echo(fleet):
+def first_echo(fleet, falls):
+    """Return an Echo of the first balancer, whose session falls as asked.
+
+    Args:
+        fleet: The fleet.
+        falls: As in ``Scope``.
+    """
     state = next(iter(fleet.states.values()))
-    request = Request(RequestKind.COMMAND, b"\xff", 0, True, b"", 1_000, b"")
-    event = CallerRequest(Flow(SERVICE, ADDRESSES[0]), request)
-    actions = step_seeded(state, event, fleet.now_ms)
-    return next(item.echo for item in actions if isinstance(item, AnswerCaller))
+    for salt in range(SALTS):
+        request = Request(
+            RequestKind.COMMAND, b"\xff", 0, True, b"", 1_000, bytes([salt])
+        )
+        event = CallerRequest(Flow(SERVICE, ADDRESSES[0]), request)
+        actions = step_seeded(state, event, fleet.now_ms)
+        echo = next(item.echo for item in actions if isinstance(item, AnswerCaller))
+        if all(_heir(echo, names, fleet) == heir for names, heir in falls):
+            return echo
+    raise ValueError(f"no session falls as {falls}")
+
+
+def _heir(echo, names, fleet):
+    incarnations = {fleet.states[name].info.incarnation: name for name in names}
+    return incarnations[pick_heir(decode_echo(echo).session, list(incarnations))]
 
 
 def send_command(world, number):
--- a/libs/core/src/lagoontally_core/_inherit.py
+++ b/libs/core/src/lagoontally_core/_inherit.py
@@ -6,11 +6,23 @@
 from ._home import ForgetRequest
 from ._lines import adopt_line
 from ._members import MemberStatus
-from ._peer_messages import HandoverAck, HandoverPart, Succession, SuccessionAck
-from ._state import Remembered
-from ._succession import ForgetSuccession, KnownSuccession, OriginState
+from ._peer_messages import (
+    HandoverAck,
+    HandoverPart,
+    Ping,
+    Succession,
+    SuccessionAck,
+)
+from ._state import Phase, Remembered
+from ._succession import (
+    ForgetSuccession,
+    KnownSuccession,
+    OriginState,
+    has_taken_up,
+)
 
 STAGED_LIFE_MS = 60_000
+NO_PROBE = 0
 
 
 class Staged:
@@ -46,7 +58,10 @@
 def on_handover_part(part: HandoverPart, _sender, turn):
     """Keep a part of a handover and acknowledge it."""
     state = turn.state
-    if part.leaver in state.origins:
+    if has_taken_up(state, part.leaver):
+        return
+    if state.phase in (Phase.LEAVING, Phase.LEFT):
+        _decline(part, turn)
         return
     staged = state.staged.get(part.leaver)
     if staged is None or staged.attempt < part.attempt:
@@ -60,6 +75,14 @@
     turn.act(SendPeer(part.leaver_address, ack))
 
 
+def _decline(part, turn):
+    """Tell a leaver that this balancer leaves too and can't be its heir."""
+    state = turn.state
+    record = state.membership.own_record(state.wake, state.template_version)
+    turn.act(SendPeer(part.leaver_address, Ping(NO_PROBE, record, [], [])))
+    turn.count("handover.declined")
+
+
 def drop_staged(timer: DropStaged, turn):
     """Drop a handover whose leaver never announced it."""
     staged = turn.state.staged.get(timer.leaver)
@@ -98,7 +121,8 @@
 
 def _take_up(succession, turn):
     state = turn.state
-    if succession.leaver not in state.origins and not _inherit(succession, turn):
+    known = has_taken_up(state, succession.leaver)
+    if not known and not _inherit(succession, turn):
         turn.count("succession.not_held")
         return
     record = state.membership.records.get(succession.leaver)
@@ -121,26 +145,38 @@
     for number in sorted(staged.parts):
         _take_part(staged.parts[number], staged.received_ms, turn)
     first = staged.parts[0]
-    state.origins[succession.leaver] = OriginState(
+    origin = OriginState(
         first.echo_key,
         first.echo_clock_ms,
         staged.received_ms,
         tuple(succession.heirs),
+        frozenset((state.info.incarnation,)),
     )
+    _add_origin(succession.leaver, origin, turn)
     turn.count("handover.inherited")
     turn.log("INFO", "succession taken up", leaver=f"{succession.leaver:016x}")
     return True
 
 
-def _take_part(part, received_ms, turn):
+def _add_origin(incarnation, origin, turn):
+    """Hold an origin; what is known of its heirs' takings adds up."""
     origins = turn.state.origins
-    for origin in part.origins:
-        origins.setdefault(
-            origin.incarnation,
-            OriginState(
-                origin.echo_key, origin.echo_clock_ms, received_ms, tuple(origin.heirs)
-            ),
+    known = origins.get(incarnation)
+    if known is not None:
+        origin = known._replace(takers=known.takers | origin.takers)
+    origins[incarnation] = origin
+
+
+def _take_part(part, received_ms, turn):
+    for item in part.origins:
+        origin = OriginState(
+            item.echo_key,
+            item.echo_clock_ms,
+            received_ms,
+            tuple(item.heirs),
+            frozenset(item.takers),
         )
+        _add_origin(item.incarnation, origin, turn)
     for record in part.remembered:
         _take_remembered(record, turn)
     for record in part.lines:
--- a/libs/core/src/lagoontally_core/_leave.py
+++ b/libs/core/src/lagoontally_core/_leave.py
@@ -25,7 +25,8 @@
 RESEND_MS = 300
 ANNOUNCE_MS = 3_000
 LINGER_MS = 1_000
-ATTEMPTS = 4
+ATTEMPTS = 8
+STAYING = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
 
 class Stage(Enum):
@@ -47,6 +48,7 @@
         waiting: Parts not acknowledged yet, by heir, in order.
         sent_ms: When parts were last sent to each heir.
         heirs: The heirs of this attempt.
+        origins: What was inherited when this attempt began.
         taken_up: Heirs that have taken up the succession.
     """
 
@@ -57,6 +59,7 @@
         self.waiting = {}
         self.sent_ms = {}
         self.heirs = ()
+        self.origins = {}
         self.taken_up = set()
 
 
@@ -105,6 +108,7 @@
         return
     departure.attempt += 1
     departure.heirs = heirs
+    departure.origins = dict(turn.state.origins)
     departure.stage = Stage.HANDING_OVER
     departure.until_ms = turn.now_ms + turn.state.timing.handover_timeout_ms
     departure.waiting = {}
@@ -160,6 +164,7 @@
             origin.echo_key,
             origin.clock_at(now_ms),
             list(origin.heirs),
+            sorted(origin.takers),
         )
         for incarnation, origin in state.origins.items()
     ]
@@ -215,20 +220,44 @@
     if waiting and len(waiting) % PARTS_IN_FLIGHT == 0:
         _send_parts(ack.heir, departure, turn)
     if not any(departure.waiting.values()):
-        _announce(departure, turn)
+        _end_attempt(departure, turn)
+
+
+def _end_attempt(departure, turn):
+    """Announce the heirs, unless what they were handed no longer holds."""
+    gone = _gone(departure, turn.state)
+    if gone or departure.origins != turn.state.origins:
+        _start_again(departure, gone, turn)
+        return
+    _announce(departure, turn)
+
+
+def _gone(departure, state):
+    """Return the heirs that are dead, or leave themselves."""
+    return {heir for heir in departure.heirs if not _stays(heir, state)}
+
+
+def _stays(heir, state):
+    record = state.membership.records.get(heir)
+    return record is not None and record.status in STAYING
+
+
+def _start_again(departure, gone, turn):
+    if gone:
+        turn.log("WARNING", "heirs given up", heirs=len(gone))
+    remaining = tuple(heir for heir in departure.heirs if heir not in gone)
+    _start_attempt(departure, remaining, turn)
 
 
 def _hand_over(departure, turn):
     """Send again what wasn't acknowledged; give up heirs that stay silent."""
     state = turn.state
     silent = {heir for heir, parts in departure.waiting.items() if parts}
-    gone = {heir for heir in silent if not state.membership.reachable(heir)}
+    gone = _gone(departure, state)
     if turn.now_ms >= departure.until_ms:
-        gone = silent
+        gone |= silent
     if gone:
-        turn.log("WARNING", "heirs given up", heirs=len(gone))
-        remaining = tuple(heir for heir in departure.heirs if heir not in gone)
-        _start_attempt(departure, remaining, turn)
+        _start_again(departure, gone, turn)
         return
     for heir in silent:
         if turn.now_ms - departure.sent_ms.get(heir, 0) >= RESEND_MS:
--- a/libs/core/src/lagoontally_core/_peer_messages.py
+++ b/libs/core/src/lagoontally_core/_peer_messages.py
@@ -187,12 +187,15 @@
         echo_key: The key of its Echoes.
         echo_clock_ms: Its clock, in which its Echoes are dated, at the sending.
         heirs: The incarnations among which its flows were spread.
+        takers: Those of the heirs that took up their share, and whose own
+            share, if they have left since, is in this handover's line.
     """
 
     incarnation: int
     echo_key: bytes
     echo_clock_ms: int
     heirs: list[int]
+    takers: list[int]
 
 
 class HandoverAck(NamedTuple):
--- a/libs/core/src/lagoontally_core/_succession.py
+++ b/libs/core/src/lagoontally_core/_succession.py
@@ -27,12 +27,15 @@
         echo_clock_ms: Its clock at ``received_ms``, or shortly before.
         received_ms: This balancer's clock when the handover arrived.
         heirs: The incarnations among which its sessions were spread.
+        takers: Those of them that took up their share before they handed over
+            what this balancer holds; itself too once it has taken up its own.
     """
 
     echo_key: bytes
     echo_clock_ms: int
     received_ms: int
     heirs: tuple[int, ...]
+    takers: frozenset[int]
 
     def clock_at(self, now_ms):
         """Return the origin's clock now."""
@@ -57,31 +60,36 @@
     return None
 
 
+def has_taken_up(state, leaver):
+    """Tell whether this balancer has taken up its own share of a handover.
+
+    To know an origin isn't enough: another heir may have handed its share on.
+    """
+    origin = state.origins.get(leaver)
+    return origin is not None and state.info.incarnation in origin.takers
+
+
 def is_heir_of_chain(state, incarnation, session):
     """Tell whether this balancer inherited a session of ``incarnation``.
 
     Follows the heirs that were handed over with each origin, so it doesn't
-    depend on which announcements have arrived.
+    depend on which announcements have arrived. Each heir on the way must have
+    taken up its share before it handed over: one that left at the same time
+    has lost what it was to remember.
     """
-    own = state.info.incarnation
     for _ in range(CHAIN_LIMIT):
-        heirs = _heirs_of(state, incarnation)
-        if heirs is None:
+        origin = state.origins.get(incarnation)
+        if origin is None:
             return False
-        incarnation = pick_heir(session, heirs)
-        if incarnation == own:
+        heir = pick_heir(session, origin.heirs)
+        if heir not in origin.takers:
+            return False
+        if heir == state.info.incarnation:
             return True
+        incarnation = heir
     return False
 
 
-def _heirs_of(state, incarnation):
-    origin = state.origins.get(incarnation)
-    if origin is not None:
-        return origin.heirs
-    succession = state.successions.get(incarnation)
-    return succession.heirs if succession else None
-
-
 class ForgetSuccession(NamedTuple):
     """Timer: nothing of a leaver's matters any more."""
 
--- a/libs/edges/features/steps/peers_steps.py
+++ b/libs/edges/features/steps/peers_steps.py
@@ -45,7 +45,7 @@
 MEMBER = MemberRecord(HIGHEST, "tifton-1", "tifton", "127.0.0.1:1", 0, 3, 1, 9)
 SUCCESSION = Succession(HIGHEST, [1, 2], 40)
 PARTS = [
-    [Origin(3, b"k", 10, [7, 9])],
+    [Origin(3, b"k", 10, [7, 9], [7])],
     [LineRecord(FLOW, 77, b"ab", 5, "127.0.0.1:9", 90, b"\x00")],
     [RememberedRecord(b"0" * 16, 77, "Unknown", b"", 0, 400)],
 ]
