Search in another order by seed; test how leavers treat each other

Where the limit cuts a search short, its order decides what is visited; a seed gives another one. Two scenarios state what a leaving balancer says to a leaver that would make it an heir, and what that one does then.

--- a/libs/bench/src/lagoontally_bench/_commands_explore.py
+++ b/libs/bench/src/lagoontally_bench/_commands_explore.py
@@ -15,15 +15,16 @@
 @click.option("--quick", is_flag=True, help="Only the small ones.")
 @click.option("--only", default="", help="Only those whose name holds this text.")
 @click.option("--walks", default=0, help="Random walks of each one cut short.")
+@click.option("--seed", default=0, help="Another order where one is cut short.")
 @click.option("--length", default=60, help="Moves of a walk at most.")
-def explore_command(states, quick, only, walks, length):
+def explore_command(states, quick, only, walks, seed, length):
     """Explore the protocols for small sizes and print the states visited."""
     chosen = [
         item for item in EXPLORATIONS if only in item.name and (item.quick or not quick)
     ]
     failed = 0
     for exploration in chosen:
-        explored = explore(exploration, states_limit=states)
+        explored = explore(exploration, states_limit=states, seed=seed)
         print_explored(explored)
         broken = explored.report.violation is not None
         if walks and not explored.report.complete and not broken:
--- a/libs/bench/src/lagoontally_bench/_explore.py
+++ b/libs/bench/src/lagoontally_bench/_explore.py
@@ -113,18 +113,19 @@
 )
 
 
-def explore(exploration, *, states_limit):
+def explore(exploration, *, states_limit, seed=0):
     """Run one exploration.
 
     Args:
         exploration: The exploration.
         states_limit: Stop after so many states.
+        seed: As in ``search``.
 
     Returns:
         An ``Explored``.
     """
     started_s = time.monotonic()
-    report = search(exploration.model(), states_limit=states_limit)
+    report = search(exploration.model(), states_limit=states_limit, seed=seed)
     if report.violation is not None:
         report = _shorter(exploration, report, states_limit)
     return Explored(exploration.name, report, time.monotonic() - started_s)
--- a/libs/bench/src/lagoontally_bench/_search.py
+++ b/libs/bench/src/lagoontally_bench/_search.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from random import Random
 from typing import NamedTuple
 
 
@@ -58,7 +59,7 @@
         return tuple(reversed(found))
 
 
-def search(model, *, states_limit, breadth_first=False):
+def search(model, *, states_limit, breadth_first=False, seed=0):
     """Visit the states of a model.
 
     Args:
@@ -67,6 +68,8 @@
             or None, and ``outcomes(state)`` with names.
         states_limit: Stop after so many states.
         breadth_first: Find shortest traces, at the cost of memory.
+        seed: Order of the moves, which decides what is visited where the limit
+            cuts the search short; 0 for the model's own order.
 
     Returns:
         A ``SearchReport``; the search stops at the first violation.
@@ -74,6 +77,7 @@
     first = model.initial()
     frontier = deque([(first, None)])
     known = {model.digest(first)}
+    random = Random(seed)
     take = frontier.popleft if breadth_first else frontier.pop
     outcomes: dict[str, int] = {}
     moves = depth = 0
@@ -88,7 +92,10 @@
         if detail:
             violation = Violation(detail, path.moves() if path else ())
             break
-        for move, following in model.successors(state):
+        options = list(model.successors(state))
+        if seed:
+            random.shuffle(options)
+        for move, following in options:
             moves += 1
             digest = model.digest(following)
             if digest not in known:
--- a/libs/core/features/fleet.feature
+++ b/libs/core/features/fleet.feature
@@ -58,3 +58,16 @@
   Scenario: The journal keeps the latest decisions by subject
     Given a journal of 3 entries that got 5 about two subjects
     Then the latest of each are found by a part of their subject
+
+  Scenario: A leaving balancer declines to be an heir
+    Given a balancer that serves
+    And a peer that doesn't answer probes
+    When it is asked to leave, and the peer hands over to it
+    Then the peer gets no acknowledgement but the word that it leaves
+
+  Scenario: A leaver drops an heir that leaves itself
+    Given a balancer that serves
+    And a peer that doesn't answer probes
+    And another peer
+    When it hands over and the first peer says that it leaves
+    Then only the other peer gets the next attempt
--- a/libs/core/features/steps/fleet_steps.py
+++ b/libs/core/features/steps/fleet_steps.py
@@ -4,7 +4,10 @@
 from fixtures import Core, document, record
 
 from lagoontally_core import (
+    HandoverPart,
+    LeaveRequested,
     Phase,
+    Ping,
     ServeEntries,
     TemplateSections,
     Welcome,
@@ -16,6 +19,7 @@
 from lagoontally_model import document_digest, split_sections
 
 PEER = 3_000_003
+OTHER_PEER = 4_000_004
 
 
 @given("a newcomer that read version {version:d}")
@@ -120,6 +124,54 @@
     assert held == MemberStatus[expected], held
 
 
+@given("another peer")
+def step_other_peer(context):
+    """A second peer speaks once."""
+    context.other = record(OTHER_PEER)
+    context.core.hear(context.other)
+
+
+@when("it is asked to leave, and the peer hands over to it")
+def step_both_leave(context):
+    """The peer doesn't know yet that this balancer leaves."""
+    context.core.take(LeaveRequested())
+    address = context.peer.peer_address
+    part = HandoverPart(PEER, address, 1, 0, 1, b"k" * 32, 0, [], [], [])
+    context.core.tell(context.peer, part)
+
+
+@then("the peer gets no acknowledgement but the word that it leaves")
+def step_declined(context):
+    """A leaver that hears this tries without this balancer."""
+    (message,) = context.core.sent_to(context.peer)
+    assert isinstance(message, Ping), message
+    assert message.sender.status == MemberStatus.LEAVING, message
+
+
+@when("it hands over and the first peer says that it leaves")
+def step_heir_leaves(context):
+    """Both get a part; one of them answers that it leaves."""
+    context.core.take(LeaveRequested())
+    context.core.wait(100)
+    leaving = MemberStatus.LEAVING
+    context.core.hear(context.peer._replace(status=leaving, revision=1))
+    context.core.wait(100)
+
+
+@then("only the other peer gets the next attempt")
+def step_next_attempt(context):
+    """The next attempt's only heir is the one that stays."""
+    parts = {
+        peer.incarnation: [
+            item.attempt
+            for item in context.core.sent_to(peer)
+            if isinstance(item, HandoverPart)
+        ]
+        for peer in (context.peer, context.other)
+    }
+    assert parts == {PEER: [], OTHER_PEER: [2]}, parts
+
+
 @given("the heirs 11, 12, 13 and 14 of 200 sessions")
 def step_heirs(context):
     """Sessions are spread over the heirs by rendezvous."""
