--- a/libs/core/src/lagoontally_core/_actions.py
+++ b/libs/core/src/lagoontally_core/_actions.py
@@ -126,12 +126,26 @@
     message: Any
 
 
+class ServeEntries(NamedTuple):
+    """Take callers' packets at these ports only.
+
+    Attributes:
+        ports: The entry port of each service.
+    """
+
+    ports: dict[str, int]
+
+
 class ReadTemplate(NamedTuple):
     """Read the template from the platform now."""
 
     reason: str
 
 
+class ReadInstances(NamedTuple):
+    """Read the platform's list of instances now."""
+
+
 class Count(NamedTuple):
     """Add to a counter."""
 
