Renew a line with the Echo that came on the line itself

Calls on the same path may have another home. A line now keeps the newest Echo of its own answers and notifications, falls back to the path's while it has none, and drops it when it moves. Both scenarios failed before.

--- a/libs/caller/features/line.feature
+++ b/libs/caller/features/line.feature
@@ -36,6 +36,18 @@
     When its registration is answered by notification 6
     Then the line is open
 
+  Scenario: A renewal finds its home again while calls go to another one
+    Given a line that was last heard at 5
+    When a call on the same path is given another Echo
+    And 30 s pass
+    Then it registers with the line's Echo under the same token
+
+  Scenario: A line that moves leaves the home that its Echo names
+    Given a line that was last heard at 5
+    When a call on the same path is given another Echo
+    And 36 s pass
+    Then it registers with the call's Echo under a new token
+
   Scenario: The answer of a renewal may count from a lower number
     Given a line that was last heard at 500
     When 30 s pass
--- a/libs/caller/features/steps/line_steps.py
+++ b/libs/caller/features/steps/line_steps.py
@@ -76,6 +76,13 @@
     answer_registration(context, "5.03", max_age_s=seconds)
 
 
+@when("a call on the same path is given another Echo")
+def step_call_echo(context):
+    """The path's newest Echo is a call's, not the line's."""
+    context.call_echo = b"call"
+    context.time.echoes.keep(context.call_echo, now_s=context.time.now_s)
+
+
 @when("{seconds:d} s pass")
 def step_time(context, seconds):
     """The line's timers run; nothing is heard."""
@@ -119,6 +126,20 @@
     assert last.mid != before.mid
 
 
+@then("it registers with the line's Echo under the same token")
+def step_line_echo(context):
+    """Calls that have another home don't move the line's home."""
+    step_same_token(context)
+
+
+@then("it registers with the call's Echo under a new token")
+def step_path_echo(context):
+    """The home that the line's Echo names may be what is silent."""
+    first, last = context.registrations[0], context.registrations[-1]
+    assert last.opt.echo == context.call_echo
+    assert last.token == context.line.token != first.token
+
+
 @then("the line is {status}")
 def step_status(context, status):
     """The line has this status."""
--- a/libs/caller/src/lagoontally_caller/_line.py
+++ b/libs/caller/src/lagoontally_caller/_line.py
@@ -16,6 +16,7 @@
     encode_request,
 )
 from ._exchange import ACK_RANDOM_FACTOR, MS_PER_S
+from ._identifiers import EchoStore
 
 RENEW_S = 30.0
 SILENCE_S = 45.0
@@ -95,11 +96,16 @@
     A registration that isn't answered in time, or silence, moves the line to a
     new socket with a new token. A renewal keeps the token.
 
+    A renewal carries the newest Echo that came on the line itself, so that it
+    finds its home: calls on the same path may have another home, and a line
+    with two homes gets each notification twice.
+
     Attributes:
         status: The ``LineStatus``.
         token: The token of the registration.
         due_s: When ``on_timer`` has to be called.
         heard_s: When the line was last heard; None until then.
+        own: The newest Echo that came on this line, from its current socket.
         opened: True once a registration was answered.
         breaks: Intervals of more than ``silence_s`` in which nothing was heard.
         moves: How often the line has changed its socket.
@@ -112,6 +118,7 @@
     ):
         self.request = Request(GET, path, observe=0)
         self.identifiers = identifiers
+        self.own = EchoStore()
         self.renew_s = renew_s
         self.silence_s = silence_s
         self.answer_s = ANSWER_WAIT_S if answer_s is None else answer_s
@@ -147,6 +154,10 @@
         self.message_id = None
         return self._send_registration(echoes, now_s)
 
+    def echoes(self, path_echoes, now_s):
+        """Return the line's own Echoes, or its path's while it has none."""
+        return self.own if self.own.current(now_s=now_s) else path_echoes
+
     def on_timer(self, echoes, now_s):
         """Return what to do once ``due_s`` has come."""
         if now_s < self.due_s:
@@ -170,6 +181,7 @@
         if reply.token != self.token:
             return []
         echoes.keep(reply.echo, now_s=now_s)
+        self.own.keep(reply.echo, now_s=now_s)
         acknowledges = reply.type == ACK
         answers = acknowledges and self.pending and reply.message_id == self.message_id
         if reply.code_class != SUCCESS_CLASS:
@@ -262,7 +274,7 @@
             self.request,
             message_id=self.message_id,
             token=self.token,
-            echo=echoes.current(now_s=now_s),
+            echo=self.echoes(echoes, now_s).current(now_s=now_s),
             time_left_ms=wait_s * MS_PER_S,
         )
         jitter = self.identifiers.random.uniform(1.0, ACK_RANDOM_FACTOR)
@@ -288,6 +300,8 @@
     def _move(self, reason, now_s):
         """Continue from a new socket; a new registration has its own order."""
         self.moves += 1
+        # The home that it names may be what has gone silent.
+        self.own = EchoStore()
         self.unanswered = min(self.unanswered + 1, 2)
         self.refusals = 0
         self.sequence = None
--- a/libs/caller/src/lagoontally_caller/_loop.py
+++ b/libs/caller/src/lagoontally_caller/_loop.py
@@ -199,7 +199,7 @@
             Request(GET, line.registration.request.path, observe=1),
             deadline_s=now_s + LINE_CLOSE_S,
             identifiers=self.identifiers,
-            echoes=path.echoes,
+            echoes=line.registration.echoes(path.echoes, now_s),
             token=line.registration.token,
         )
         call = _Call(machine, Future(), path, now_s, closes_line=True)
