--- a/libs/standins/src/lagoontally_standins/_starts.py
+++ b/libs/standins/src/lagoontally_standins/_starts.py
@@ -31,6 +31,9 @@
         cold_start_ms: How long after its start an upstream is slow.
         list_lag_s: Age of the platform's instance lists.
         tenants: The tenants and their fleets.
+        start_limit_s: Time in which everything has to serve.
+        change_limit_s: Time in which one more process has to serve, or to end.
+        stop_limit_s: Time after which what hasn't ended is killed.
     """
 
     seed: int = 1
@@ -41,6 +44,9 @@
     cold_start_ms: float = 0.0
     list_lag_s: float = 2.0
     tenants: tuple[TenantPlan, ...] = TENANTS
+    start_limit_s: float = 45.0
+    change_limit_s: float = 15.0
+    stop_limit_s: float = 30.0
 
 
 class Start(NamedTuple):
