Make seeded faults on real processes and audit them

make chaos starts a deployment under load and kills, freezes, cuts off and replaces balancers, drains, kills and freezes upstreams, takes the platform down, lets it go stale, adds loss, doubling and reordering, and silences callers' paths. Each silence of a line is judged by the fault behind it: none that counts as a break after a planned change, at most one renewal after any other.

Links between balancers aren't cut here: a balancer announces the address that it listens at, so a relay in between would be passed by.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 SEED ?= 1
+SECONDS ?= 290
 BIN := $(VENV)/bin
 LIBS := $(wildcard libs/*)
 empty :=
@@ -9,7 +10,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/$(lib)/src))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: run up test lint format clean
+.PHONY: run up chaos test lint format clean
 
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -23,6 +24,9 @@
 up: $(VENV)/.installed
 	$(BIN)/python -m lagoontally_standins up --seed $(SEED)
 
+chaos: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_standins chaos --seed $(SEED) --seconds $(SECONDS)
+
 test: $(VENV)/.installed
 	$(BIN)/python tests/run_features.py
 
--- a/libs/caller/src/lagoontally_caller/protocol.py
+++ b/libs/caller/src/lagoontally_caller/protocol.py
@@ -14,10 +14,18 @@
 )
 from ._exchange import Exchange
 from ._identifiers import EchoStore, Identifiers
-from ._line import ChangeSocket, Deliver, LineState, LineStatus, SendDatagram
+from ._line import (
+    ANSWER_WAIT_S,
+    ChangeSocket,
+    Deliver,
+    LineState,
+    LineStatus,
+    SendDatagram,
+)
 
 __all__ = [
     "ACK",
+    "ANSWER_WAIT_S",
     "CON",
     "GET",
     "POST",
--- a/libs/standins/src/lagoontally_standins/__main__.py
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -85,6 +85,28 @@
     sys.exit(run_load(seed))
 
 
+@main.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of all choices.")
+@click.option(
+    "--seconds",
+    type=click.FloatRange(30.0, 300.0),
+    default=290.0,
+    show_default=True,
+    help="How long it takes in all.",
+)
+@click.option("--kind", "kinds", multiple=True, help="Make only faults of this kind.")
+def chaos(seed, seconds, kinds):
+    """Make seeded faults in turn under load and audit the ledgers."""
+    # Imported here because the other commands need no callers.
+    from ._chaos import chaos as run_chaos
+    from ._faults import FAULT_KINDS
+
+    unknown = sorted(set(kinds) - set(FAULT_KINDS))
+    if unknown:
+        raise click.BadParameter(f"{unknown} not in {FAULT_KINDS}")
+    sys.exit(run_chaos(seed, seconds, kinds))
+
+
 def run_loop(loop, control, ended):
     """Run a loop in a thread until the process is told to end."""
     thread = threading.Thread(target=loop.run)
--- a/libs/standins/src/lagoontally_standins/_audit.py
+++ b/libs/standins/src/lagoontally_standins/_audit.py
@@ -41,6 +41,7 @@
         wrong: True when the answer isn't the one to this call.
         latency_ms: Time to the outcome.
         reason: Code, or reason where it wasn't answered.
+        began_s: When it was made, on the monotonic clock.
     """
 
     workspace: str
@@ -52,6 +53,7 @@
     wrong: bool
     latency_ms: float
     reason: str
+    began_s: float = 0.0
 
 
 class LineRecord(NamedTuple):
@@ -66,6 +68,8 @@
         moves: How often its caller changed the socket.
         wrong: Notifications of another resource, or out of order.
         notifications: Notifications received.
+        heard_s: When each of them was, on the monotonic clock.
+        open: Whether it was open at the end.
     """
 
     workspace: str
@@ -76,6 +80,8 @@
     moves: int
     wrong: int
     notifications: int
+    heard_s: tuple[float, ...] = ()
+    open: bool = True
 
 
 class LedgerRun(NamedTuple):
--- a/libs/standins/src/lagoontally_standins/_fabric.py
+++ b/libs/standins/src/lagoontally_standins/_fabric.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import NamedTuple
 
-from ._fabric_rules import FabricRules, changed_rules, to_balancers, to_caller
+from ._fabric_rules import SETS, FabricRules, changed_rules, to_balancers, to_caller
 from ._http import HttpReply, HttpRequest, HttpServer, json_reply
 from ._inbox import ControlInbox
 
@@ -126,6 +126,8 @@
 
     def from_caller(self, opened: _EntrySocket, data: bytes, caller: tuple) -> None:
         """Pass a caller's datagram to the balancers that the rules choose."""
+        if self.is_muted(caller):
+            return
         target = self.caller_socket(opened, caller)
         deliveries = to_balancers(self.rules, opened.entry.workspace, self.random)
         self.counts["lost" if not deliveries else "to_balancer"] += 1
@@ -136,12 +138,20 @@
     def from_balancer(self, origin: _CallerSocket, data: bytes, source: tuple) -> None:
         """Pass a balancer's datagram to the caller of the socket it arrived at."""
         origin.used_at_s = time.monotonic()
+        if self.is_muted(origin.caller):
+            return
         deliveries = to_caller(self.rules, source[0], self.random)
         self.counts["lost" if not deliveries else "to_caller"] += 1
         for delivery in deliveries:
             sock = origin.entry_socket.sock
             self.send_later(delivery.delay_ms, sock, data, origin.caller)
 
+    def is_muted(self, caller: tuple) -> bool:
+        """Return whether a caller's path is silent; count what it loses."""
+        muted = f"{caller[0]}:{caller[1]}" in self.rules.muted
+        self.counts["muted"] += muted
+        return muted
+
     def caller_socket(self, opened: _EntrySocket, caller: tuple) -> _CallerSocket:
         """Return the fabric-side socket of a caller, bound at its first use."""
         key = (opened.entry, caller)
@@ -249,7 +259,8 @@
             fabric.inbox.submit(json.loads(request.body)).result(CONTROL_WAIT_S)
             return HttpReply(200)
         case "GET", "/control":
-            rules = fabric.rules._asdict() | {"blocked": sorted(fabric.rules.blocked)}
+            rules = fabric.rules._asdict()
+            rules |= {name: sorted(rules[name]) for name in SETS}
             callers = len(fabric.callers)
             return json_reply(rules | {"counts": fabric.counts, "callers": callers})
     return HttpReply(404)
--- a/libs/standins/src/lagoontally_standins/_fabric_rules.py
+++ b/libs/standins/src/lagoontally_standins/_fabric_rules.py
@@ -5,6 +5,7 @@
 
 # A reordered datagram is held back for a random time of up to this long.
 REORDER_MS = 30.0
+SETS = ("blocked", "muted")
 
 
 class FabricRules(NamedTuple):
@@ -17,6 +18,7 @@
         reorder: Share of datagrams that are overtaken by later ones.
         delay_ms: Time that every datagram takes.
         blocked: Balancer addresses that nothing passes to or from.
+        muted: Callers, as ``IP:port``, that nothing passes to or from.
     """
 
     balancers: dict[str, tuple[str, ...]] = {}
@@ -25,6 +27,7 @@
     reorder: float = 0.0
     delay_ms: float = 0.0
     blocked: frozenset[str] = frozenset()
+    muted: frozenset[str] = frozenset()
 
 
 class Delivery(NamedTuple):
@@ -59,8 +62,9 @@
     if "balancers" in change:
         given = change["balancers"]
         values["balancers"] = {name: tuple(ips) for name, ips in given.items()}
-    if "blocked" in change:
-        values["blocked"] = frozenset(change["blocked"])
+    for name in SETS:
+        if name in change:
+            values[name] = frozenset(change[name])
     return rules._replace(**values)
 
 
@@ -102,7 +106,7 @@
 
 
 def _is_number(name):
-    return name not in ("balancers", "blocked")
+    return name != "balancers" and name not in SETS
 
 
 def _copies(rules, random):
--- a/libs/standins/src/lagoontally_standins/_load.py
+++ b/libs/standins/src/lagoontally_standins/_load.py
@@ -8,7 +8,14 @@
 from random import Random
 from typing import NamedTuple
 
-from lagoontally_caller import Answered, Caller, Failed, NotRun, Unknown
+from lagoontally_caller import (
+    Answered,
+    Caller,
+    Failed,
+    LineStatus,
+    NotRun,
+    Unknown,
+)
 
 from ._audit import CallRecord, LineRecord, Told
 from ._content import resource_body
@@ -91,7 +98,7 @@
         )
         self.calls = []
         self.line = None
-        self.notifications = 0
+        self.heard_s = []
         self.wrong_notifications = 0
         self.last_sequence = None
 
@@ -111,6 +118,11 @@
         self.caller.close()
         return record
 
+    def path_address(self):
+        """Return the ``IP:port`` that it sends from at present."""
+        ip, port = self.caller.loop.paths.current.socket.getsockname()
+        return f"{ip}:{port}"
+
     def _path(self, template):
         """Return a path with this caller's id."""
         return template.format(id=self.name)
@@ -166,12 +178,13 @@
                 wrong=isinstance(result, Answered) and not is_own(result),
                 latency_ms=latency_ms,
                 reason=reason(result),
+                began_s=began_s,
             )
         )
 
     def _on_notification(self, notification):
         """Check a notification of the line."""
-        self.notifications += 1
+        self.heard_s.append(time.monotonic())
         last = self.last_sequence
         ahead = 1 if last is None else (notification.sequence - last) % SEQUENCE_LIMIT
         in_order = 0 < ahead < SEQUENCE_HALF
@@ -192,7 +205,9 @@
             breaks=registration.breaks,
             moves=registration.moves,
             wrong=self.wrong_notifications,
-            notifications=self.notifications,
+            notifications=len(self.heard_s),
+            heard_s=tuple(self.heard_s),
+            open=self.line.state is not LineStatus.BROKEN,
         )
 
 
