--- a/libs/standins/src/lagoontally_standins/__init__.py
+++ b/libs/standins/src/lagoontally_standins/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins for the outside systems, with the load tool."""
 
+from ._audit import read_ledgers
 from ._children import NotReadyError, ProcessRecord
 from ._content import resource_body, resource_etag
 from ._deployment import Deployment
@@ -12,6 +13,7 @@
     to_caller,
 )
 from ._fleet import FRANCHISE, IRRIGATION, TENANTS, template_document
+from ._operator import ask_balancer
 from ._platform import Platform, PlatformMode, serve_platform
 from ._starts import Options
 from ._upstream import Upstream
@@ -38,7 +40,9 @@
     "UpstreamMode",
     "UpstreamProcess",
     "UpstreamSettings",
+    "ask_balancer",
     "changed_rules",
+    "read_ledgers",
     "resource_body",
     "resource_etag",
     "serve_fabric_control",
