--- a/libs/caller/src/lagoontally_caller/protocol.py
+++ b/libs/caller/src/lagoontally_caller/protocol.py
@@ -11,6 +11,7 @@
     Request,
     decode_reply,
     encode_empty,
+    encode_request,
 )
 from ._exchange import Exchange
 from ._identifiers import EchoStore, Identifiers
@@ -43,4 +44,5 @@
     "SendDatagram",
     "decode_reply",
     "encode_empty",
+    "encode_request",
 ]
--- a/libs/standins/src/lagoontally_standins/__main__.py
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -107,6 +107,23 @@
     sys.exit(run_chaos(seed, seconds, kinds))
 
 
+@main.command()
+@click.option("--entry", required=True, help="IP:port of an entry address.")
+@click.option("--requests", "requests_s", default=100.0, show_default=True)
+@click.option("--commands", "commands_s", default=0.0, show_default=True)
+@click.option("--lines", default=0, show_default=True)
+@click.option("--flows", default=20, show_default=True)
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--resource", default="/pivot", show_default=True)
+@click.option("--pid", type=int, help="Balancer whose CPU and memory are read.")
+def load(**offer):
+    """Offer requests and commands a second to an entry address, and lines."""
+    # Imported here because the other commands need no callers.
+    from ._direct_load import DirectLoad, Offer
+
+    click.echo(json.dumps(DirectLoad(Offer(**offer)).run()))
+
+
 def run_loop(loop, control, ended):
     """Run a loop in a thread until the process is told to end."""
     thread = threading.Thread(target=loop.run)
--- a/libs/standins/src/lagoontally_standins/_chaos.py
+++ b/libs/standins/src/lagoontally_standins/_chaos.py
@@ -91,10 +91,11 @@
     def make(self, fault):
         """Make one fault and note when."""
         from_s = time.monotonic()
+        log.info("%.1f s: %s", from_s - self.began_s, fault.kind)
         target = fault.act(self.stage)
         made = Timed(fault.kind, target, fault.planned, from_s, time.monotonic())
         self.faults.append(made)
-        log.info("%.1f s: %s %s", from_s - self.began_s, fault.kind, target)
+        log.info("%.1f s: undone on %s", made.until_s - self.began_s, target)
 
     def save_status(self):
         """Keep what every balancer says of itself beside its log."""
