Test the judging of silences, muted callers and the offered load

A line that was never opened counts as not open at the end. A call under way when a fault began is counted with that fault. An up that was started with interrupts ignored ends on one.

--- a/libs/standins/features/deployment.feature
+++ b/libs/standins/features/deployment.feature
@@ -1,5 +1,10 @@
 Feature: A deployment of separate processes
 
+  Scenario: A deployment ends on an interrupt that its parent ignores
+    Given stand-ins that were started with interrupts ignored
+    When they are interrupted once they serve
+    Then they end with status 0 and leave no process
+
   Scenario: Stand-ins are started, changed and ended
     Given a deployment of one small tenant without balancers
     Then its report names every process and its entry address
--- a/libs/standins/features/fabric.feature
+++ b/libs/standins/features/fabric.feature
@@ -16,6 +16,13 @@
     When 50 datagrams for "relay" are decided twice with seed 5
     Then nothing was delivered
 
+  Scenario: A muted caller's path is silent, others' aren't
+    Given a running fabric with 2 balancers that echo
+    When 2 callers send 1 datagrams each
+    And the control mutes the first caller
+    And the second caller's datagram comes back after one of the first
+    Then the fabric has counted 1 muted datagrams
+
   Scenario Outline: A fault strikes a share of the datagrams
     Given a fabric's rules with 3 balancers of "relay" and {"<rule>": 0.25}
     When 2000 datagrams for "relay" are decided twice with seed 5
--- a/libs/standins/features/steps/deployment_steps.py
+++ b/libs/standins/features/steps/deployment_steps.py
@@ -2,7 +2,10 @@
 
 import json
 import os
+import signal
 import socket
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 
@@ -27,6 +30,15 @@
             yield
 
 
+def is_alive(pid):
+    """Return whether there is a process with an id."""
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
 def read_template(context):
     """Read the template as a balancer does."""
     url = context.deployment.platform_url + "/v1/template"
@@ -39,6 +51,44 @@
     use_fixture(small_deployment, context)
 
 
+@fixture
+def up_ignoring(context):
+    """Run ``up`` as a shell does in the background."""
+    command = [sys.executable, "-m", "lagoontally_standins", "up", "--no-balancers"]
+    with (
+        tempfile.TemporaryDirectory() as scratch,
+        subprocess.Popen(
+            command,
+            cwd=scratch,
+            stdout=subprocess.PIPE,
+            preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_IGN),
+        ) as context.up,
+    ):
+        yield
+
+
+@given("stand-ins that were started with interrupts ignored")
+def step_up_ignoring(context):
+    """The interrupt is ignored until the process asks for it."""
+    use_fixture(up_ignoring, context)
+
+
+@when("they are interrupted once they serve")
+def step_interrupt(context):
+    """The report says that they serve."""
+    report = json.loads(context.up.stdout.readline())
+    context.pids = [record["pid"] for record in report["processes"]]
+    context.up.send_signal(signal.SIGINT)
+
+
+@then("they end with status 0 and leave no process")
+def step_up_ended(context):
+    """The parent ends its children first."""
+    assert context.up.wait(WAIT_S) == 0
+    assert context.pids
+    assert not [pid for pid in context.pids if is_alive(pid)]
+
+
 @when('the target "{target}" of "{service}" is drained')
 def step_drain(context, target, service):
     """A version is published in which a target is leaving."""
@@ -110,9 +160,5 @@
     """No process had to be killed and none is left."""
     assert not context.killed, context.killed
     assert len(context.pids) == 4
-    for pid in context.pids:
-        try:
-            os.kill(pid, 0)
-        except ProcessLookupError:
-            continue
-        raise AssertionError(f"process {pid} is left")
+    left = [pid for pid in context.pids if is_alive(pid)]
+    assert not left, left
--- a/libs/standins/features/steps/fabric_steps.py
+++ b/libs/standins/features/steps/fabric_steps.py
@@ -121,6 +121,32 @@
     requests.put(url, json=change, timeout=WAIT_S).raise_for_status()
 
 
+@when("the control mutes the first caller")
+def step_mute(context):
+    """One caller's address is named over HTTP."""
+    ip, port = context.callers[0].getsockname()
+    url = context.control.url + "/control"
+    change = {"muted": [f"{ip}:{port}"]}
+    requests.put(url, json=change, timeout=WAIT_S).raise_for_status()
+
+
+@when("the second caller's datagram comes back after one of the first")
+def step_after_muted(context):
+    """The fabric has handled the first caller's datagram by then."""
+    first, second = context.callers
+    first.sendto(b"first", context.entry)
+    second.sendto(b"second", context.entry)
+    assert second.recvfrom(100)[0] == b"second"
+
+
+@then("the fabric has counted {number:d} muted datagrams")
+def step_muted(context, number):
+    """Nothing of the first caller went on."""
+    url = context.control.url + "/control"
+    counts = requests.get(url, timeout=WAIT_S).json()["counts"]
+    assert counts["muted"] == number, counts
+
+
 @then("both runs chose alike")
 def step_alike(context):
     """The choices follow from the seed."""
--- a/libs/standins/src/lagoontally_standins/_chaos.py
+++ b/libs/standins/src/lagoontally_standins/_chaos.py
@@ -110,7 +110,9 @@
         log_reasons(calls)
         counts = audit(ledgers.runs, calls, lines)
         counts["late_on_leaving"] = late_on_leaving(ledgers.runs, self.stage.drains)
-        counts["lines_not_open"] = sum(not line.open for line in lines)
+        counts["lines_not_open"] = sum(
+            not (line.opened and line.open) for line in lines
+        )
         entries = timeline(
             self.faults, calls, lines, began_s=self.began_s, end_s=self.ended_s
         )
--- a/libs/standins/src/lagoontally_standins/_silence.py
+++ b/libs/standins/src/lagoontally_standins/_silence.py
@@ -14,6 +14,8 @@
 # A line is whole again within one renewal: it is due, answered and notified.
 ONE_RENEWAL_S = RENEW_S + ANSWER_WAIT_S + NOTIFY_S
 LATE_ON_LEAVING_S = 5.0
+# A call that was under way when a fault began belongs to that fault.
+IN_FLIGHT_S = 0.1
 
 
 class Timed(NamedTuple):
@@ -87,7 +89,7 @@
         after = faults[number + 1 :]
         next_s = after[0].from_s if after else end_s
         own = [s for s in quiet if cause(s, faults) is fault]
-        during = [c for c in calls if fault.from_s <= c.began_s < next_s]
+        during = [c for c in calls if fault.from_s <= c.began_s + IN_FLIGHT_S < next_s]
         missed = [c for c in during if c.told is not Told.ANSWERED]
         entries.append(
             {
--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -30,6 +30,11 @@
     Then it is answered 2.04
     And "c2" was run 1 times
 
+  Scenario: Load is offered to one balancer at a fixed rate
+    When a balancer is offered 20 requests and 5 commands a second for 2 s
+    Then every one sent is answered or counted as unanswered
+    And the balancer's CPU time and memory are reported
+
   Scenario: A faulty template is refused and the last good one stays
     When a template is published whose target has no address
     Then each balancer says loudly that it refuses the template
--- a/tests/features/steps/change_steps.py
+++ b/tests/features/steps/change_steps.py
@@ -119,6 +119,50 @@
         context.done = run_python("lagoontally_daemon", str(file))
 
 
+LOAD = "{rate:d} requests and {commands:d} commands a second for {seconds:d} s"
+
+
+@when("a balancer is offered " + LOAD)
+def step_load(context, rate, commands, seconds):
+    """The load goes to the balancer's own entry port."""
+    plan = next(iter(context.deployment.balancers.values()))
+    port = context.deployment.entry[ENTRY].rpartition(":")[2]
+    options = {
+        "--entry": f"{plan.address}:{port}",
+        "--requests": rate,
+        "--commands": commands,
+        "--lines": 2,
+        "--seconds": seconds,
+        "--pid": context.deployment.records[plan.name].pid,
+    }
+    words = [str(word) for pair in options.items() for word in pair]
+    done = run_python("lagoontally_standins", "load", *words)
+    assert done.returncode == 0, done.stderr
+    context.sent = seconds * (rate + commands) + 2
+    context.measured = json.loads(done.stdout)
+
+
+@then("every one sent is answered or counted as unanswered")
+def step_measured(context):
+    """Nothing that was sent goes missing from the counts."""
+    counts = context.measured["counts"]
+    kinds = ("request ", "command ", "line ")
+    answered = sum(
+        number
+        for name, number in counts.items()
+        if name.startswith(kinds) and not name.endswith("sent")
+    )
+    assert answered + context.measured["unanswered"] == context.sent, counts
+    assert counts["request 2.05"] > 0 and counts["command 2.04"] > 0, counts
+
+
+@then("the balancer's CPU time and memory are reported")
+def step_use(context):
+    """Both come from the process named."""
+    assert context.measured["balancer_cores"] > 0
+    assert context.measured["balancer_rss_mib"] > 1
+
+
 @when('the command "drain" is given to a balancer')
 def step_drain(context):
     """An operator asks a balancer to leave."""
