--- a/libs/model/features/settings.feature
+++ b/libs/model/features/settings.feature
@@ -8,12 +8,13 @@
       | place                | value            |
       | instance             | "No Name"        |
       | address              | "127.10.1.1:80"  |
-      | operator_address     | "127.10.1.1:7946"|
+      | operator_address     | "127.20.10.1:7946"|
       | platform_url         | "http://platform:8500" |
       | statsd_address       | "127.10.1.1"     |
       | log.level            | "LOUD"           |
       | timing.echo_life_ms  | 420000           |
       | timing.drain         | 5                |
+      | seeds                | ["127.10.1.2", "127.10.1.2:1", "127.10.1.2:1", 7, "127.20.10.1:7946"] |
     When the settings are parsed
     Then these findings are reported
       | place               | reason                                |
@@ -25,6 +26,10 @@
       | log.level           | "WARNING"                             |
       | timing.echo_life_ms | must be less than remember_ms         |
       | timing.drain        | did you mean 'drain_ms'?              |
+      | seeds[0]            | not IP:port                           |
+      | seeds[2]            | given twice                           |
+      | seeds[3]            | IP:port in numbers                    |
+      | seeds[4]            | own address                           |
 
   Scenario: Intervals that aren't given have their defaults
     Given settings changed so
--- a/libs/model/src/lagoontally_model/_documents.py
+++ b/libs/model/src/lagoontally_model/_documents.py
@@ -124,6 +124,7 @@
     operator_address: Address
     platform_url: Url
     statsd_address: Address | None = None
+    seeds: list[Address] = field(default_factory=list)
     log: LogDocument = field(default_factory=LogDocument)
     timing: TimingDocument = field(default_factory=TimingDocument)
 
--- a/libs/model/src/lagoontally_model/_parse_settings.py
+++ b/libs/model/src/lagoontally_model/_parse_settings.py
@@ -36,6 +36,7 @@
     faults = converted if isinstance(converted, list) else []
     fields = value if isinstance(value, dict) else {}
     faults += text_faults(fields)
+    faults += seed_faults(fields)
     faults += same_address_faults(fields)
     faults += timing_faults(fields)
     if faults:
@@ -60,6 +61,23 @@
     return faults
 
 
+def seed_faults(fields: dict[str, Any]) -> list[Fault]:
+    """Find seeds that are malformed, given twice or the balancer itself."""
+    seeds = fields.get("seeds")
+    faults = []
+    for index, text in enumerate(seeds if isinstance(seeds, list) else []):
+        if not isinstance(text, str):
+            continue
+        path = ("seeds", index)
+        if not is_address(text):
+            faults.append(Fault(path, f"{shown(text)} is not IP:port in numbers"))
+        elif text == fields.get("peer_address"):
+            faults.append(Fault(path, f"{shown(text)} is the balancer's own address"))
+        elif text in seeds[:index]:
+            faults.append(Fault(path, f"{shown(text)} is given twice"))
+    return faults
+
+
 def same_address_faults(fields: dict[str, Any]) -> list[Fault]:
     """Find an operator address that is the peer address too."""
     address = fields.get("operator_address")
@@ -87,6 +105,7 @@
 def build_settings(document: SettingsDocument) -> Settings:
     """Return the typed form of settings without faults."""
     values = asdict(document)
+    values["seeds"] = tuple(document.seeds)
     values["log"] = LogSettings(**asdict(document.log))
     values["timing"] = Timing(**asdict(document.timing))
     return Settings(**values)
--- a/libs/model/src/lagoontally_model/_settings.py
+++ b/libs/model/src/lagoontally_model/_settings.py
@@ -67,6 +67,7 @@
         operator_address: ``IP:port`` that answers operators' queries.
         platform_url: Base URL of the platform.
         statsd_address: ``IP:port`` of statsd, or None for no metrics.
+        seeds: Peer addresses to greet when the platform's list can't be read.
         log: How it logs.
         timing: Its intervals and timeouts.
     """
@@ -80,5 +81,6 @@
     operator_address: str
     platform_url: str
     statsd_address: str | None = None
+    seeds: tuple[str, ...] = ()
     log: LogSettings = LogSettings()
     timing: Timing = Timing()
