Make deployments from the examples

The stand-ins built their template in code, beside the example that operators read; the two had come apart (entry ports 5711, 5712 against 5703, 5704). The fleet's plan, the template and the balancers' settings now come from examples/, with a deployment's own addresses put in. 'up' takes the block of addresses that the examples and docs/ name, where it is free, so that their commands can be typed as they stand.

--- a/libs/standins/src/lagoontally_standins/__main__.py
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -9,6 +9,7 @@
 import click
 
 from ._deployment import Deployment
+from ._examples import EXAMPLE_BLOCK
 from ._fabric import Fabric, load_fabric_settings, serve_fabric_control
 from ._platform import Platform, serve_platform
 from ._starts import Options
@@ -28,7 +29,7 @@
 
 
 @main.command()
-@click.option("--address", default="127.9.0.2:8500", show_default=True)
+@click.option("--address", default="127.20.0.2:8500", show_default=True)
 def platform(address):
     """Serve the platform until ended."""
     ended = EndSignal()
@@ -62,13 +63,17 @@
 @click.option("--work-ms", default=20.0, show_default=True)
 @click.option("--notify-ms", default=1000.0, show_default=True)
 def up(seed, no_balancers, work_ms, notify_ms):
-    """Keep a whole deployment up until interrupted."""
+    """Keep a whole deployment up until interrupted.
+
+    It has the addresses of the examples and of docs/, unless another one does.
+    """
     ended = EndSignal()
     options = Options(
         seed=seed,
         balancers=not no_balancers,
         work_ms=work_ms,
         notify_ms=notify_ms,
+        block=EXAMPLE_BLOCK,
     )
     with Deployment(options) as deployment:
         click.echo(json.dumps(deployment.report()))
--- a/libs/standins/src/lagoontally_standins/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/_deployment.py
@@ -60,7 +60,7 @@
 
     def __init__(self, options: Options = Options()):  # noqa: B008
         self.options = options
-        self.addresses, self.claim = claim_addresses(Random(os.getpid()))
+        self.addresses, self.claim = claim_addresses(Random(os.getpid()), options.block)
         self.directory = options.directory or new_directory()
         self.ledgers = ledger_dir(self.directory)
         self.upstreams = plan_upstreams(self.addresses, options.tenants)
@@ -326,11 +326,14 @@
     return Path(tempfile.mkdtemp(prefix="deployment-", dir=OUTPUT_DIR))
 
 
-def claim_addresses(random: Random) -> tuple[Addresses, socket.socket]:
+def claim_addresses(
+    random: Random, preferred: int | None = None
+) -> tuple[Addresses, socket.socket]:
     """Choose a block of loopback addresses that no other deployment uses.
 
     Args:
         random: Source of the choice.
+        preferred: The block to choose if it is free, None for any.
 
     Returns:
         The addresses, and the socket that keeps them claimed until it is closed.
@@ -338,8 +341,9 @@
     Raises:
         NotReadyError: Every block that was tried is in use.
     """
-    for _ in range(BLOCK_TRIES):
-        addresses = Addresses(random.randint(FIRST_BLOCK, LAST_BLOCK))
+    tries = [random.randint(FIRST_BLOCK, LAST_BLOCK) for _ in range(BLOCK_TRIES)]
+    for block in tries if preferred is None else [preferred, *tries]:
+        addresses = Addresses(block)
         claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             claim.bind((f"127.{addresses.block}.0.1", CLAIM_PORT))
--- a/libs/standins/src/lagoontally_standins/_fleet.py
+++ b/libs/standins/src/lagoontally_standins/_fleet.py
@@ -1,15 +1,20 @@
-"""Sizes of the two tenants' fleets, their addresses and their template."""
+"""Sizes of the two tenants' fleets, their addresses and their template.
+
+Targets, ports and sizes come from the example template.
+"""
 
 from datetime import UTC, datetime
 from typing import NamedTuple
 
+from ._examples import example_template
+
 PLATFORM_PORT = 8500
 FABRIC_CONTROL_PORT = 8501
 UPSTREAM_PORT = 7001
 UPSTREAM_CONTROL_PORT = 7101
 PEER_PORT = 7946
 OPERATOR_PORT = 7947
-QUARANTINE_S = 600
+FIRST_VERSION = 1
 BALANCERS_A_DATA_CENTRE = 3
 # Third octets of the addresses: balancers and upstreams of each data centre.
 BALANCER_OCTET = 10
@@ -42,7 +47,6 @@
         workspace: Name of its workspace.
         data_centres: Data centres of its upstreams.
         balancer_data_centres: Data centres of its balancers.
-        imbalance_weight: How much imbalance counts against broken flows.
         services: Services of the workspace.
     """
 
@@ -50,7 +54,6 @@
     workspace: str
     data_centres: tuple[str, ...]
     balancer_data_centres: tuple[str, ...]
-    imbalance_weight: float
     services: tuple[ServicePlan, ...]
 
 
@@ -77,27 +80,54 @@
     address: str
 
 
-IRRIGATION = TenantPlan(
-    name="irrigation",
-    workspace="pivot-command-relay",
-    data_centres=("tifton", "moultrie", "camilla"),
-    balancer_data_centres=("tifton", "moultrie"),
-    imbalance_weight=0.3,
-    services=(
-        ServicePlan("pivot-link", 5701, "flow", 7, 4300),
-        ServicePlan("usage-ledger", 5702, "flow", 3, 4300),
-    ),
+def tenant_plan(
+    document: dict, workspace: str, *, balancer_data_centres: tuple[str, ...]
+) -> TenantPlan:
+    """Return the plan of a tenant's fleet.
+
+    Args:
+        document: The template document that names its targets.
+        workspace: Name of its workspace.
+        balancer_data_centres: Data centres that its balancers run in.
+    """
+    fields = document["workspaces"][workspace]
+    services = fields["services"]
+    places = (
+        target["data_centre"]
+        for service in services.values()
+        for target in service["targets"]
+    )
+    return TenantPlan(
+        name=fields["tenant"],
+        workspace=workspace,
+        data_centres=tuple(dict.fromkeys(places)),
+        balancer_data_centres=balancer_data_centres,
+        services=tuple(_service_plan(*item) for item in services.items()),
+    )
+
+
+def _service_plan(name, fields):
+    targets = fields["targets"]
+    return ServicePlan(
+        name=name,
+        entry_port=fields["entry_port"],
+        placement=fields["placement"],
+        targets=len(targets),
+        connections=targets[0]["connections"],
+    )
+
+
+def time_text() -> str:
+    """Return the present time in ISO 8601, in UTC."""
+    return datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+_EXAMPLE = example_template(version=FIRST_VERSION, published_at=time_text())
+IRRIGATION = tenant_plan(
+    _EXAMPLE, "pivot-command-relay", balancer_data_centres=("tifton", "moultrie")
 )
-FRANCHISE = TenantPlan(
-    name="franchise",
-    workspace="dossier-hub-balancing",
-    data_centres=("kgn-a", "kgn-b", "kgn-c", "kgn-d"),
-    balancer_data_centres=("kgn-a", "kgn-b"),
-    imbalance_weight=0.7,
-    services=(
-        ServicePlan("dossier-desk", 5711, "request", 7, 4000),
-        ServicePlan("pack-vault", 5712, "request", 4, 4000),
-    ),
+FRANCHISE = tenant_plan(
+    _EXAMPLE, "dossier-hub-balancing", balancer_data_centres=("kgn-a", "kgn-b")
 )
 TENANTS = (IRRIGATION, FRANCHISE)
 DATA_CENTRES = IRRIGATION.data_centres + FRANCHISE.data_centres
@@ -175,22 +205,23 @@
 def template_document(
     upstreams: list[UpstreamPlan], tenants: tuple[TenantPlan, ...] = TENANTS
 ) -> dict:
-    """Return the first version of the template document for upstreams."""
-    return {
-        "format": 1,
-        "version": 1,
-        "published_at": time_text(),
-        "quarantine_s": QUARANTINE_S,
-        "workspaces": {
-            tenant.workspace: _workspace(tenant, upstreams) for tenant in tenants
-        },
-        "retired": [],
-    }
+    """Return the example template with a deployment's own targets and addresses.
 
+    Args:
+        upstreams: The upstreams that the deployment has.
+        tenants: Its tenants; workspaces and services of others are left out.
 
-def time_text() -> str:
-    """Return the present time in ISO 8601, in UTC."""
-    return datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+    Returns:
+        The first version of the document.
+    """
+    document = example_template(version=FIRST_VERSION, published_at=time_text())
+    addresses = {(plan.service, plan.name): plan.address for plan in upstreams}
+    examples = document["workspaces"]
+    document["workspaces"] = {
+        tenant.workspace: _workspace(examples[tenant.workspace], tenant, addresses)
+        for tenant in tenants
+    }
+    return document
 
 
 def _upstream(addresses, tenant, service, index, number):
@@ -208,27 +239,18 @@
     )
 
 
-def _workspace(tenant, upstreams):
+def _workspace(example, tenant, addresses):
     services = {
-        service.name: {
-            "entry_port": service.entry_port,
-            "placement": service.placement,
-            "imbalance_weight": tenant.imbalance_weight,
-            "targets": [
-                _target(plan) for plan in upstreams if plan.service == service.name
-            ],
-        }
-        for service in tenant.services
+        plan.name: _service(plan.name, example["services"][plan.name], addresses)
+        for plan in tenant.services
     }
-    return {"tenant": tenant.name, "services": services}
+    return example | {"services": services}
 
 
-def _target(plan):
-    return {
-        "name": plan.name,
-        "address": plan.address,
-        "data_centre": plan.data_centre,
-        "state": "active",
-        "slots": 2,
-        "connections": plan.connections,
-    }
+def _service(name, example, addresses):
+    targets = [
+        target | {"address": addresses[name, target["name"]]}
+        for target in example["targets"]
+        if (name, target["name"]) in addresses
+    ]
+    return example | {"targets": targets}
--- a/libs/standins/src/lagoontally_standins/_starts.py
+++ b/libs/standins/src/lagoontally_standins/_starts.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ._children import ProcessRecord
+from ._examples import example_settings
 from ._fleet import (
     OPERATOR_PORT,
     PEER_PORT,
@@ -31,6 +32,7 @@
         cold_start_ms: How long after its start an upstream is slow.
         list_lag_s: Age of the platform's instance lists.
         tenants: The tenants and their fleets.
+        block: Second octet of its addresses if it is free, None for any.
     """
 
     seed: int = 1
@@ -41,6 +43,7 @@
     cold_start_ms: float = 0.0
     list_lag_s: float = 2.0
     tenants: tuple[TenantPlan, ...] = TENANTS
+    block: int | None = None
 
 
 class Start(NamedTuple):
@@ -108,8 +111,8 @@
 
 
 def balancer_start(plan: BalancerPlan, platform_url: str, directory: Path) -> Start:
-    """Return how to start a balancer."""
-    settings = {
+    """Return how to start a balancer, with its tenant's example settings."""
+    settings = example_settings(plan.tenant) | {
         "instance": plan.name,
         "tenant": plan.tenant,
         "workspace": plan.workspace,
@@ -118,8 +121,6 @@
         "peer_address": f"{plan.address}:{PEER_PORT}",
         "operator_address": f"{plan.address}:{OPERATOR_PORT}",
         "platform_url": platform_url,
-        "statsd_address": None,
-        "log": {"level": "INFO", "format": "text"},
     }
     file = write_settings(directory, plan.name, settings)
     place = (plan.data_centre, plan.tenant)
