--- a/libs/cli/src/lagoontally/_check.py
+++ b/libs/cli/src/lagoontally/_check.py
@@ -44,7 +44,7 @@
     cls=Command,
     examples=(
         "lagoontally check filled.json",
-        "lagoontally check filled.json --against http://127.9.0.2:8500",
+        "lagoontally check filled.json --against http://127.20.0.2:8500",
         "lagoontally check filled.json --against in-force.json --json",
         "lagoontally check --settings tifton-1.settings.json",
     ),
--- a/libs/cli/src/lagoontally/_main.py
+++ b/libs/cli/src/lagoontally/_main.py
@@ -5,8 +5,11 @@
 
 from ._check import check
 from ._command import Command, Group
-from ._query_commands import drain, explain, status
+from ._drain import drain
+from ._explain import explain
 from ._render import render
+from ._run import run
+from ._status import status
 
 PROGRAM = "lagoontally"
 COMPLETION_VARIABLE = "_LAGOONTALLY_COMPLETE"
@@ -17,12 +20,12 @@
     cls=Group,
     context_settings={"help_option_names": ["-h", "--help"]},
     examples=(
-        "lagoontally check filled.json --against http://127.9.0.2:8500",
-        "lagoontally status 127.10.1.1:7947 --watch 2",
+        "lagoontally check filled.json --against http://127.20.0.2:8500",
+        "lagoontally status 127.20.10.1:7947 --watch 2",
     ),
 )
 def main():
-    """Check and render templates, and ask balancers what they do.
+    """Run a balancer, check and render templates, and ask balancers what they do.
 
     The exit status is 0 when all is fine, 1 with findings or where the balancer
     can't meet the request, 2 on wrong usage, and 3 where the balancer or the
@@ -41,5 +44,5 @@
     click.echo(kind(main, {}, PROGRAM, COMPLETION_VARIABLE).source())
 
 
-for command in (check, render, status, explain, drain):
+for command in (run, check, render, status, explain, drain):
     main.add_command(command)
--- a/libs/cli/src/lagoontally/_render.py
+++ b/libs/cli/src/lagoontally/_render.py
@@ -2,10 +2,11 @@
 
 import json
 from pathlib import Path
+from typing import Any
 
 import click
 
-from lagoontally_model import Findings, parse_template, render_template
+from lagoontally_model import Finding, Findings, parse_template, render_template
 
 from ._command import Command
 from ._exit import ExitStatus
@@ -30,6 +31,7 @@
     examples=(
         "lagoontally render SOURCE --set version=2 --set slots=4",
         "lagoontally render SOURCE --set version=2 --output filled.json",
+        "lagoontally render SOURCE --set version=3 --leaving pivot-link-7",
     ),
 )
 @click.argument("source", type=click.File("rb"))
@@ -41,6 +43,12 @@
     metavar="NAME=VALUE",
     help="Value of a parameter; may be given many times.",
 )
+@click.option(
+    "--leaving",
+    multiple=True,
+    metavar="TARGET",
+    help="Mark this target as leaving; may be given many times.",
+)
 @click.option(
     "--output",
     type=click.Path(dir_okay=False, writable=True, path_type=Path),
@@ -48,12 +56,14 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="Print findings as JSON.")
 @click.pass_context
-def render(ctx, source, values, output, as_json):
+def render(ctx, source, values, leaving, output, as_json):
     """Fill in the parameters of a workspace template and check the result.
 
     Nothing is written where there are findings; the exit status is 1 then.
     """
     rendered = render_template(source.read(), values)
+    if isinstance(rendered, bytes):
+        rendered = mark_leaving(rendered, leaving)
     result = rendered
     if isinstance(rendered, bytes):
         result = parse_template(rendered)
@@ -63,6 +73,41 @@
     write(rendered, output)
 
 
+def mark_leaving(document: bytes, names: tuple[str, ...]) -> bytes | Findings:
+    """Mark targets of a filled-in document as leaving.
+
+    Args:
+        document: The document.
+        names: Names of the targets, unique in the document.
+
+    Returns:
+        The changed document, or a finding for each name that isn't there once.
+    """
+    content = json.loads(document)
+    findings = []
+    for name in names:
+        targets = targets_named(content, name)
+        if len(targets) != 1:
+            found = "no target" if not targets else f"{len(targets)} targets"
+            findings.append(Finding(f"leaving.{name}", f"names {found}"))
+            continue
+        targets[0]["state"] = "leaving"
+    if findings:
+        return Findings("source", tuple(findings))
+    return json.dumps(content, indent=2).encode() + b"\n"
+
+
+def targets_named(content: Any, name: str) -> list[dict[str, Any]]:
+    """Return the targets of a name, passing over what isn't well formed."""
+    if isinstance(content, dict):
+        named = "address" in content and content.get("name") == name
+        found = [content] if named else []
+        return found + targets_named(list(content.values()), name)
+    if isinstance(content, list):
+        return [target for item in content for target in targets_named(item, name)]
+    return []
+
+
 def show_findings(found: Findings, *, as_json: bool) -> None:
     """Print findings: JSON to standard output, text to standard error."""
     if as_json:
--- a/libs/cli/src/lagoontally/_status_text.py
+++ b/libs/cli/src/lagoontally/_status_text.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from ._text import describe, pairs, section, table
+from ._text import describe, is_plain, pairs, section, table
 
 HEADLINES = (
     "instance",
@@ -12,8 +12,10 @@
     "state",
     "template_version",
     "lines",
+    "in_flight",
     "remembered",
 )
+MEASUREMENTS = ("latency_ms", "counters", "histograms")
 MEMBER_COLUMNS = ("name", "data_centre", "status", "template_version")
 TARGET_COLUMNS = ("service", "name", "address", "state", "in_flight", "lines")
 LATENCY_COLUMNS = ("service/kind", "count", "p50", "p99")
@@ -32,19 +34,34 @@
     headlines = {name: rest.pop(name) for name in HEADLINES if name in rest}
     members = objects(rest.pop("members", []))
     targets = target_rows(rest.pop("services", {}))
-    latencies = latency_rows(rest.pop("latency_ms", {}))
-    counters = fields(rest.pop("counters", {}))
-    lines = pairs(headlines)
-    lines += section("members", table(MEMBER_COLUMNS, members))
-    lines += section("targets", table(TARGET_COLUMNS, targets))
-    lines += section("latency in ms", table(LATENCY_COLUMNS, latencies))
-    lines += section("counters", pairs(dict(sorted(counters.items()))))
+    measurements = {name: rest.pop(name, None) for name in MEASUREMENTS}
     # A newer balancer may say more than this command knows.
+    plain = {name: value for name, value in rest.items() if is_plain(value)}
+    lines = pairs(headlines | plain)
+    lines += section("members", table(MEMBER_COLUMNS, members))
+    lines += targets_text(targets)
+    lines += measurements_text(measurements)
     for name, value in rest.items():
-        lines += section(name, describe(value))
+        if name not in plain:
+            lines += section(name, describe(value))
     return lines
 
 
+def targets_text(rows: list[dict[str, Any]]) -> list[str]:
+    """Return targets as lines, with a column for each plain field."""
+    extra = (name for row in rows for name, item in row.items() if is_plain(item))
+    columns = dict.fromkeys((*TARGET_COLUMNS, *extra))
+    return section("targets", table(columns, rows))
+
+
+def measurements_text(measurements: dict[str, Any]) -> list[str]:
+    """Return latencies and counters as lines."""
+    latencies = latency_rows(measurements.get("latency_ms"))
+    counters = fields(measurements.get("counters"))
+    lines = section("latency in ms", table(LATENCY_COLUMNS, latencies))
+    return lines + section("counters", pairs(dict(sorted(counters.items()))))
+
+
 def fields(value: Any) -> dict[str, Any]:
     """Return an object as it is, and anything else as an empty one."""
     return value if isinstance(value, dict) else {}
