--- a/libs/standins/src/lagoontally_standins/__main__.py
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -7,8 +7,9 @@
 from pathlib import Path
 
 import click
+import requests
 
-from ._deployment import Deployment
+from ._deployment import HTTP_WAIT_S, Deployment, link_latest
 from ._examples import EXAMPLE_BLOCK
 from ._fabric import Fabric, load_fabric_settings, serve_fabric_control
 from ._platform import Platform, serve_platform
@@ -76,10 +77,24 @@
         block=EXAMPLE_BLOCK,
     )
     with Deployment(options) as deployment:
+        link_latest(deployment.directory)
         click.echo(json.dumps(deployment.report()))
         ended.wait()
 
 
+@main.command()
+@click.argument("url")
+@click.argument("file", type=click.File("rb"))
+def put(url, file):
+    """Send FILE to the publishing path or the control of a stand-in at URL.
+
+    FILE may be - for standard input.
+    """
+    answer = requests.put(url, data=file.read(), timeout=HTTP_WAIT_S)
+    if not answer.ok:
+        raise click.ClickException(f"{url} answered {answer.status_code}")
+
+
 @main.command()
 @click.option("--seed", default=1, show_default=True, help="Seed of all choices.")
 def run(seed):
