--- a/libs/cli/features/environment.py
+++ b/libs/cli/features/environment.py
@@ -4,6 +4,27 @@
 from contextlib import ExitStack
 from pathlib import Path
 
+from behave import fixture, use_fixture
+
+from lagoontally_standins import IRRIGATION, Deployment, Options
+
+DEPLOYMENT_TAG = "deployment"
+
+
+@fixture
+def irrigation_deployment(context):
+    """Run the irrigation association's fleet for all scenarios of a feature."""
+    with tempfile.TemporaryDirectory() as scratch:
+        options = Options(directory=Path(scratch), tenants=(IRRIGATION,))
+        with Deployment(options) as context.deployment:
+            yield
+
+
+def before_feature(context, feature):
+    """Start the deployment that a feature asks for by its tag."""
+    if DEPLOYMENT_TAG in feature.tags:
+        use_fixture(irrigation_deployment, context)
+
 
 def before_scenario(context, scenario):
     """Make the scenario's folder."""
--- a/libs/model/features/settings.feature
+++ b/libs/model/features/settings.feature
@@ -12,7 +12,8 @@
       | platform_url         | "http://platform:8500" |
       | statsd_address       | "127.10.1.1"     |
       | log.level            | "LOUD"           |
-      | timing.echo_life_ms  | 420000           |
+      | timing.echo_life_ms  | 360000           |
+      | timing.ping_timeout_ms | 1000           |
       | timing.drain         | 5                |
       | seeds                | ["127.10.1.2", "127.10.1.2:1", "127.10.1.2:1", 7, "127.20.10.1:7946"] |
     When the settings are parsed
@@ -24,7 +25,8 @@
       | platform_url        | IPv4 number as its host               |
       | statsd_address      | not IP:port                           |
       | log.level           | "WARNING"                             |
-      | timing.echo_life_ms | must be less than remember_ms         |
+      | timing.echo_life_ms | and 60000 more must be less than remember_ms |
+      | timing.ping_timeout_ms | must be less than ping_interval_ms |
       | timing.drain        | did you mean 'drain_ms'?              |
       | seeds[0]            | not IP:port                           |
       | seeds[2]            | given twice                           |
--- a/libs/model/src/lagoontally_model/_parse_settings.py
+++ b/libs/model/src/lagoontally_model/_parse_settings.py
@@ -7,16 +7,16 @@
 from ._addresses import is_address, is_number, is_url
 from ._documents import SettingsDocument
 from ._findings import Findings
-from ._settings import LogSettings, Settings, Timing
+from ._settings import REMEMBER_MARGIN_MS, LogSettings, Settings, Timing
 from ._structure import Fault, convert, findings_in_order, load_json, shown
 
 SETTINGS = "settings"
-# Each first interval must be shorter than the second.
+# Each first interval and the margin must be shorter than the second.
 SHORTER_THAN = (
     # A request forgotten while its Echo is accepted could run twice.
-    ("echo_life_ms", "remember_ms"),
-    ("line_refresh_ms", "line_lease_ms"),
-    ("ping_timeout_ms", "ping_interval_ms"),
+    ("echo_life_ms", REMEMBER_MARGIN_MS, "remember_ms"),
+    ("line_refresh_ms", 0, "line_lease_ms"),
+    ("ping_timeout_ms", 0, "ping_interval_ms"),
 )
 
 
@@ -92,12 +92,13 @@
     given = timing if isinstance(timing, dict) else {}
     values = Timing()._asdict() | given
     faults = []
-    for shorter, longer in SHORTER_THAN:
+    for shorter, margin, longer in SHORTER_THAN:
         first, second = values[shorter], values[longer]
         readable = isinstance(first, int) and isinstance(second, int)
-        if readable and first >= second:
+        if readable and first + margin >= second:
             name = shorter if shorter in given else longer
-            reason = f"{shorter} ({first}) must be less than {longer} ({second})"
+            added = f" and {margin} more" if margin else ""
+            reason = f"{shorter} ({first}){added} must be less than {longer} ({second})"
             faults.append(Fault(("timing", name), reason))
     return faults
 
--- a/libs/model/src/lagoontally_model/_settings.py
+++ b/libs/model/src/lagoontally_model/_settings.py
@@ -12,6 +12,8 @@
 SUSPICION_MS = 4_000
 HANDOVER_TIMEOUT_MS = 5_000
 DRAIN_MS = 8_000
+# A home answers "unknown" under an Echo that is nearly as old as its memory.
+REMEMBER_MARGIN_MS = 60_000
 
 
 class LogSettings(NamedTuple):
@@ -30,15 +32,20 @@
     """Intervals and timeouts of a balancer.
 
     Attributes:
-        echo_life_ms: How long an Echo is accepted after its issue.
-        remember_ms: How long a request that ran at most once is remembered.
-        request_timeout_ms: Deadline of a request that names none.
-        line_lease_ms: How long a line lives without renewal by its caller.
-        line_refresh_ms: Interval at which a silent line is checked upstream.
-        ping_interval_ms: Interval between two pings of peers.
-        ping_timeout_ms: How long a ping waits for its acknowledgement.
+        echo_life_ms: How long after its issue an Echo may start something new.
+        remember_ms: How long a request that runs at most once is remembered.
+        request_timeout_ms: The longest deadline of a request, also of one that
+            names none.
+        line_lease_ms: How long a line lives without a renewal, or an
+            acknowledgement of a notification, by its caller.
+        line_refresh_ms: How long a target may be silent on a line before the
+            line is registered there again.
+        ping_interval_ms: Interval between two probes, and the time after which
+            an unanswered one makes its member suspect.
+        ping_timeout_ms: How long a probe waits before others are asked to probe.
         suspicion_ms: How long a member is suspected before it counts as dead.
-        handover_timeout_ms: How long a leaving balancer waits for an heir.
+        handover_timeout_ms: How long the heirs may take to acknowledge one
+            attempt of a handover.
         drain_ms: How long a leaving balancer lets requests finish.
     """
 
