--- a/libs/cli/features/check.feature
+++ b/libs/cli/features/check.feature
@@ -3,6 +3,7 @@
   Background:
     Given the example rendered with version 1 as "filled.json" and with 2 as "next.json"
     And "bad.json", which is "filled.json" with five faults
+    And "unbound.json", settings whose address isn't this machine's
     And a platform that publishes "filled.json"
 
   Scenario Outline: Five faults of a template are all named
@@ -38,6 +39,10 @@
       | render SOURCE --set version=1 --set version=2        | 2      | given twice              |
       | render SOURCE --set version=x                        | 1      | parameters.published_at  |
       | render SOURCE --set version=0 --set published_at=now | 1      | version: 0 is not        |
+      | render SOURCE --set version=1 --set published_at=now --leaving x | 1  | leaving.x: names no target |
+      | run filled.json                                      | 1      | platform_url: missing    |
+      | run unbound.json                                     | 1      | can't be listened at     |
+      | status CLOSED --until-version 1 --within 0.1 --timeout 0.2 | 3 | not so everywhere       |
       | status CLOSED --timeout 0.2                          | 3      | no answer from 127.0.0.1 |
       | status localhost:1                                   | 2      | not IP:port              |
       | status CLOSED --count 2                              | 2      | needs --watch            |
--- a/libs/cli/features/queries.feature
+++ b/libs/cli/features/queries.feature
@@ -39,3 +39,17 @@
       | explain BALANCER pivot-link-3 --json              | 1     | explain | pivot-link-3    |
       | drain BALANCER                                    | 1     | drain   |                 |
       | status BALANCER --json --watch 0.01 --count 3     | 3     | status  |                 |
+
+  Scenario Outline: Balancers are asked together, or until a condition holds
+    Given a balancer that answers with a whole status
+    When "<command>" is run
+    Then it ends with <status> and says "<text>"
+
+    Examples:
+      | command                                          | status | text                          |
+      | status BALANCER CLOSED --json --timeout 0.3      | 3      | "error": "no answer from      |
+      | status BALANCER CLOSED --timeout 0.3             | 3      | unreachable                   |
+      | status BALANCER --fleet --timeout 0.3            | 0      | address of tifton-2 isn't known |
+      | status BALANCER --until-state serving            | 0      | tifton-1                      |
+      | status BALANCER --until-version 2 --within 0.1   | 1      | not so everywhere after 0.1 s |
+      | drain BALANCER --wait 0.1                        | 1      | left                          |
--- a/libs/cli/features/steps/command_steps.py
+++ b/libs/cli/features/steps/command_steps.py
@@ -87,6 +87,16 @@
     file.write_text(json.dumps(document))
 
 
+@given("\"{name}\", settings whose address isn't this machine's")
+def step_unbound(context, name):
+    """The address is kept for documentation (RFC 5737), so no machine has it."""
+    settings = json.loads((EXAMPLES / "tifton-1.settings.json").read_text())
+    settings["address"] = "192.0.2.1"
+    settings["peer_address"] = "192.0.2.1:7946"
+    settings["operator_address"] = "192.0.2.1:7947"
+    (context.folder / name).write_text(json.dumps(settings))
+
+
 @given('"{bad}", which is "{good}" with five faults')
 def step_five_faults(context, bad, good):
     """Faults of structure and of meaning, in three services."""
--- a/libs/model/src/lagoontally_model/_parse_template.py
+++ b/libs/model/src/lagoontally_model/_parse_template.py
@@ -4,13 +4,8 @@
 alike whichever versions it has missed.
 """
 
-from collections.abc import Iterator
-from datetime import datetime
-from typing import Any, NamedTuple
-
 from msgspec.structs import astuple
 
-from ._addresses import is_address, parse_time
 from ._documents import (
     ServiceDocument,
     TargetDocument,
@@ -18,17 +13,8 @@
     WorkspaceDocument,
 )
 from ._findings import Findings
-from ._quarantine import remaining_s
-from ._structure import (
-    Fault,
-    convert,
-    findings_in_order,
-    load_json,
-    place,
-    shown,
-)
+from ._structure import convert, findings_in_order, load_json
 from ._template import (
-    DEFAULT_QUARANTINE_S,
     Placement,
     RetiredAddress,
     Service,
@@ -36,26 +22,11 @@
     Template,
     Workspace,
 )
+from ._template_faults import semantic_faults
 
 TEMPLATE = "template"
 
 
-class PlacedService(NamedTuple):
-    """A service of a document that may have structural faults."""
-
-    path: tuple[str | int, ...]
-    workspace: str
-    fields: dict[str, Any]
-
-
-class PlacedTarget(NamedTuple):
-    """A target of a document that may have structural faults."""
-
-    path: tuple[str | int, ...]
-    workspace: str
-    fields: dict[str, Any]
-
-
 def parse_template(document: bytes) -> Template | Findings:
     """Validate a template document and return its typed form.
 
@@ -76,192 +47,6 @@
     return build_template(converted)
 
 
-def semantic_faults(value: Any) -> list[Fault]:
-    """Find the faults that structure alone doesn't show.
-
-    What a structural fault has made unreadable is skipped, so that one pass
-    reports both kinds.
-    """
-    document = as_object(value)
-    services = list(placed_services(document))
-    targets = [target for item in services for target in placed_targets(item)]
-    faults = [*time_faults(document), *retired_faults(document)]
-    faults += entry_port_faults(services)
-    faults += target_name_faults(services)
-    faults += active_target_faults(services)
-    faults += address_faults(targets)
-    faults += shared_address_faults(targets)
-    faults += quarantine_faults(document, targets)
-    return faults
-
-
-def as_object(value: Any) -> dict[str, Any]:
-    """Return an object as it is, and anything else as an empty one."""
-    return value if isinstance(value, dict) else {}
-
-
-def as_list(value: Any) -> list[Any]:
-    """Return a list as it is, and anything else as an empty one."""
-    return value if isinstance(value, list) else []
-
-
-def placed_services(document: dict[str, Any]) -> Iterator[PlacedService]:
-    """Yield each readable service with its path."""
-    for workspace, fields in as_object(document.get("workspaces")).items():
-        for name, service in as_object(as_object(fields).get("services")).items():
-            path = ("workspaces", workspace, "services", name)
-            yield PlacedService(path, workspace, as_object(service))
-
-
-def placed_targets(service: PlacedService) -> Iterator[PlacedTarget]:
-    """Yield each readable target of a service with its path."""
-    for index, target in enumerate(as_list(service.fields.get("targets"))):
-        path = (*service.path, "targets", index)
-        yield PlacedTarget(path, service.workspace, as_object(target))
-
-
-def placed_retired(document: dict[str, Any]) -> Iterator[PlacedTarget]:
-    """Yield each readable retired address with its path."""
-    for index, entry in enumerate(as_list(document.get("retired"))):
-        fields = as_object(entry)
-        workspace = fields.get("workspace")
-        yield PlacedTarget(("retired", index), str(workspace), fields)
-
-
-def time_faults(document: dict[str, Any]) -> list[Fault]:
-    """Find a time of publication that isn't ISO 8601 with a zone."""
-    return time_fault(("published_at",), document.get("published_at"))
-
-
-def time_fault(path: tuple[str | int, ...], text: Any) -> list[Fault]:
-    """Find a time that isn't ISO 8601 with a zone."""
-    if not isinstance(text, str) or parse_time(text) is not None:
-        return []
-    return [Fault(path, f"{shown(text)} is not an ISO 8601 time with a time zone")]
-
-
-def address_fault(path: tuple[str | int, ...], text: Any) -> list[Fault]:
-    """Find an address that isn't ``IP:port`` in numbers."""
-    if not isinstance(text, str) or is_address(text):
-        return []
-    return [Fault(path, f"{shown(text)} is not IP:port in numbers")]
-
-
-def retired_faults(document: dict[str, Any]) -> list[Fault]:
-    """Find retired addresses and times that are malformed."""
-    faults = []
-    for entry in placed_retired(document):
-        address, time = entry.fields.get("address"), entry.fields.get("retired_at")
-        faults += address_fault((*entry.path, "address"), address)
-        faults += time_fault((*entry.path, "retired_at"), time)
-    return faults
-
-
-def entry_port_faults(services: list[PlacedService]) -> list[Fault]:
-    """Find entry ports that two services of the document share."""
-    return repeats([(item.path, item.fields) for item in services], "entry_port", int)
-
-
-def target_name_faults(services: list[PlacedService]) -> list[Fault]:
-    """Find names that two targets of a service share."""
-    faults = []
-    for service in services:
-        targets = [(item.path, item.fields) for item in placed_targets(service)]
-        faults += repeats(targets, "name", str)
-    return faults
-
-
-def shared_address_faults(targets: list[PlacedTarget]) -> list[Fault]:
-    """Find addresses that two targets of the document share."""
-    return repeats([(item.path, item.fields) for item in targets], "address", str)
-
-
-def repeats(items: list[tuple[tuple, dict]], name: str, kind: Any) -> list[Fault]:
-    """Find values of a field that stand in more than one object.
-
-    Args:
-        items: Path and fields of each object.
-        name: The field that must be unique.
-        kind: Type of its values; others are a structural fault.
-
-    Returns:
-        A fault at each repetition, which names the first place.
-    """
-    first: dict[Any, tuple] = {}
-    faults = []
-    for path, fields in items:
-        value = fields.get(name)
-        if not isinstance(value, kind):
-            continue
-        if value in first:
-            reason = f"{shown(value)} is already used at {place(first[value])}"
-            faults.append(Fault((*path, name), reason))
-        first.setdefault(value, path)
-    return faults
-
-
-def active_target_faults(services: list[PlacedService]) -> list[Fault]:
-    """Find services without an active target."""
-    faults = []
-    for service in services:
-        targets = service.fields.get("targets")
-        if not isinstance(targets, list):
-            continue
-        states = [as_object(item).get("state", "active") for item in targets]
-        if "active" not in states:
-            reason = "at least one target must be active"
-            faults.append(Fault((*service.path, "targets"), reason))
-    return faults
-
-
-def address_faults(targets: list[PlacedTarget]) -> list[Fault]:
-    """Find targets whose address isn't ``IP:port`` in numbers."""
-    faults = []
-    for target in targets:
-        address = target.fields.get("address")
-        faults += address_fault((*target.path, "address"), address)
-    return faults
-
-
-def quarantine_faults(
-    document: dict[str, Any], targets: list[PlacedTarget]
-) -> list[Fault]:
-    """Find targets whose address another workspace gave up too recently."""
-    held = held_addresses(document)
-    faults = []
-    for target in targets:
-        address = target.fields.get("address")
-        if not isinstance(address, str):
-            continue
-        for workspace in held.get(address, ()):
-            if workspace != target.workspace:
-                reason = f"{address} is in quarantine after it left {workspace}"
-                faults.append(Fault((*target.path, "address"), reason))
-    return faults
-
-
-def held_addresses(document: dict[str, Any]) -> dict[str, list[str]]:
-    """Return the workspaces that each address in quarantine is held for."""
-    published = readable_time(document.get("published_at"))
-    seconds = document.get("quarantine_s", DEFAULT_QUARANTINE_S)
-    held: dict[str, list[str]] = {}
-    if published is None or not isinstance(seconds, int):
-        return held
-    for entry in placed_retired(document):
-        address = entry.fields.get("address")
-        retired = readable_time(entry.fields.get("retired_at"))
-        if retired is None or not isinstance(address, str):
-            continue
-        if remaining_s(published, retired, seconds) > 0:
-            held.setdefault(address, []).append(entry.workspace)
-    return held
-
-
-def readable_time(text: Any) -> datetime | None:
-    """Return a time, or None where it can't be read."""
-    return parse_time(text) if isinstance(text, str) else None
-
-
 def build_template(document: TemplateDocument) -> Template:
     """Return the typed form of a document without faults."""
     workspaces = document.workspaces.items()
