--- a/libs/standins/src/lagoontally_standins/__main__.py
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -9,7 +9,7 @@
 import click
 import requests
 
-from ._deployment import HTTP_WAIT_S, Deployment, link_latest
+from ._deployment import HTTP_WAIT_S, OUTPUT_DIR, Deployment
 from ._examples import EXAMPLE_BLOCK
 from ._fabric import Fabric, load_fabric_settings, serve_fabric_control
 from ._platform import Platform, serve_platform
@@ -105,6 +105,13 @@
     sys.exit(run_load(seed))
 
 
+def link_latest(directory: Path) -> None:
+    """Let ``.out/latest`` name a deployment's folder."""
+    link = OUTPUT_DIR / "latest"
+    link.unlink(missing_ok=True)
+    link.symlink_to(directory.resolve())
+
+
 def run_loop(loop, control, ended):
     """Run a loop in a thread until the process is told to end."""
     thread = threading.Thread(target=loop.run)
--- a/libs/standins/src/lagoontally_standins/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/_deployment.py
@@ -326,13 +326,6 @@
     return Path(tempfile.mkdtemp(prefix="deployment-", dir=OUTPUT_DIR))
 
 
-def link_latest(directory: Path) -> None:
-    """Let ``.out/latest`` name a deployment's folder."""
-    link = OUTPUT_DIR / "latest"
-    link.unlink(missing_ok=True)
-    link.symlink_to(directory.resolve())
-
-
 def claim_addresses(
     random: Random, preferred: int | None = None
 ) -> tuple[Addresses, socket.socket]:
--- a/libs/standins/src/lagoontally_standins/_starts.py
+++ b/libs/standins/src/lagoontally_standins/_starts.py
@@ -27,23 +27,23 @@
         seed: Seed of the fabric's choices.
         balancers: Whether balancers are started.
         directory: Folder for settings, logs and ledgers, chosen when None.
+        block: Second octet of its addresses if it is free, None for any.
         work_ms: Time that an upstream takes for a request.
         notify_ms: Interval between a line's notifications.
         cold_start_ms: How long after its start an upstream is slow.
         list_lag_s: Age of the platform's instance lists.
         tenants: The tenants and their fleets.
-        block: Second octet of its addresses if it is free, None for any.
     """
 
     seed: int = 1
     balancers: bool = True
     directory: Path | None = None
+    block: int | None = None
     work_ms: float = 20.0
     notify_ms: float = 1000.0
     cold_start_ms: float = 0.0
     list_lag_s: float = 2.0
     tenants: tuple[TenantPlan, ...] = TENANTS
-    block: int | None = None
 
 
 class Start(NamedTuple):
