--- a/libs/standins/src/lagoontally_standins/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/_deployment.py
@@ -61,7 +61,7 @@
 
     def __init__(self, options: Options = Options()):  # noqa: B008
         self.options = options
-        self.addresses, self.claim = claim_addresses(Random(os.getpid()))
+        self.addresses, self.claim = claim_addresses(Random(os.getpid()), options.block)
         self.directory = options.directory or new_directory()
         self.ledgers = ledger_dir(self.directory)
         self.upstreams = plan_upstreams(self.addresses, options.tenants)
--- a/libs/standins/src/lagoontally_standins/_starts.py
+++ b/libs/standins/src/lagoontally_standins/_starts.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ._children import ProcessRecord
+from ._examples import example_settings
 from ._fleet import (
     OPERATOR_PORT,
     PEER_PORT,
@@ -26,6 +27,7 @@
         seed: Seed of the fabric's choices.
         balancers: Whether balancers are started.
         directory: Folder for settings, logs and ledgers, chosen when None.
+        block: Second octet of its addresses if it is free, None for any.
         work_ms: Time that an upstream takes for a request.
         notify_ms: Interval between a line's notifications.
         cold_start_ms: How long after its start an upstream is slow.
@@ -39,6 +41,7 @@
     seed: int = 1
     balancers: bool = True
     directory: Path | None = None
+    block: int | None = None
     work_ms: float = 20.0
     notify_ms: float = 1000.0
     cold_start_ms: float = 0.0
@@ -114,8 +117,8 @@
 
 
 def balancer_start(plan: BalancerPlan, platform_url: str, directory: Path) -> Start:
-    """Return how to start a balancer."""
-    settings = {
+    """Return how to start a balancer, with its tenant's example settings."""
+    settings = example_settings(plan.tenant) | {
         "instance": plan.name,
         "tenant": plan.tenant,
         "workspace": plan.workspace,
@@ -124,8 +127,6 @@
         "peer_address": f"{plan.address}:{PEER_PORT}",
         "operator_address": f"{plan.address}:{OPERATOR_PORT}",
         "platform_url": platform_url,
-        "statsd_address": None,
-        "log": {"level": "INFO", "format": "text"},
     }
     file = write_settings(directory, plan.name, settings)
     place = (plan.data_centre, plan.tenant)
