Name what is random in the kept sessions by its order

Tokens and sessions were shown as drawn, and the draws of the start reached the record, so that watching targets' health changed every line of every session without a change of what happens. They are numbered in order of appearance now, and the sources of random numbers begin anew with the record.

--- a/libs/bench/src/lagoontally_bench/_describe.py
+++ b/libs/bench/src/lagoontally_bench/_describe.py
@@ -26,17 +26,38 @@
 HOME_START = 1
 HOME_END = 9
 SESSION_END = 14
-SHOWN_HEX = 4
 SHOWN_PAYLOAD = 40
 GOSSIP = (Join, Ping, PingAck, PingRequest, Welcome)
 
 
+class Names(dict):
+    """Names of balancers by incarnation, and of what is random otherwise.
+
+    Attributes:
+        numbers: Number of each token and session, in order of appearance, so
+            that the text doesn't change with each draw of a random number.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.numbers = {}
+
+    def number(self, letter, value):
+        """Return a short name for a random value."""
+        known = self.numbers.setdefault(letter, {})
+        return f"{letter}{known.setdefault(value, len(known) + 1)}"
+
+    def token(self, token):
+        """Return a token's name."""
+        return self.number("t", token) if token else "-"
+
+
 def describe_datagram(data, names):
     """Return a CoAP datagram's text.
 
     Args:
         data: The datagram.
-        names: Names of balancers by incarnation.
+        names: The ``Names`` of the session.
     """
     message = Message.decode(data)
     words = [message.mtype.name, message.code.dotted]
@@ -44,17 +65,13 @@
         return f"{words[0]} {message.mid:04x}"
     if message.mtype == CON and not message.code.is_request():
         words.append(f"id {message.mid:04x}")
-    words.append(f"token {_short(message.token)}")
+    words.append(f"token {names.token(message.token)}")
     words += _options(message.opt, names)
     if message.payload:
         words.append(_payload(message.payload))
     return " ".join(words)
 
 
-def _short(data):
-    return data.hex()[:SHOWN_HEX] or "-"
-
-
 def _options(options, names):
     words = []
     if options.uri_path:
@@ -74,7 +91,7 @@
 def describe_echo(echo, names):
     """Return the home and the session that an Echo names."""
     home = int.from_bytes(echo[HOME_START:HOME_END], "big")
-    session = echo[HOME_END:SESSION_END].hex()[:SHOWN_HEX]
+    session = names.number("s", echo[HOME_END:SESSION_END])
     return f"{names.get(home, 'stranger')}/{session}"
 
 
@@ -94,13 +111,13 @@
 @describe_peer.register
 def _(message: Relay, names):
     echo = describe_echo(message.request.echo, names)
-    token = _short(message.request.token)
+    token = names.token(message.request.token)
     return f"Relay to wake {message.wake} token {token} echo {echo}"
 
 
 @describe_peer.register
 def _(message: RelayFresh, names):
-    return f"RelayFresh token {_short(message.request.token)}"
+    return f"RelayFresh token {names.token(message.request.token)}"
 
 
 @describe_peer.register
--- a/libs/bench/src/lagoontally_bench/_golden.py
+++ b/libs/bench/src/lagoontally_bench/_golden.py
@@ -60,7 +60,15 @@
                 )
         self.publish()
         self.world.run_until(SERVED_MS)
+        self._begin()
+
+    def _begin(self):
+        """Begin the record: nothing in it depends on how the start was drawn."""
         self.recorder.lines.clear()
+        self.world.random.seed(SEED)
+        self.world.links.random.seed(SEED)
+        for node in self.world.balancers.values():
+            node.random.seed(f"{SEED} {node.name}")
 
     def add_balancer(self, name, centre):
         """Start a balancer."""
--- a/libs/bench/src/lagoontally_bench/_recorder.py
+++ b/libs/bench/src/lagoontally_bench/_recorder.py
@@ -1,6 +1,6 @@
 """Records what arrives where in a world, one line a message."""
 
-from ._describe import GOSSIP, describe_datagram, describe_peer
+from ._describe import GOSSIP, Names, describe_datagram, describe_peer
 
 LEFT_OUT = GOSSIP
 
@@ -11,14 +11,14 @@
     Attributes:
         world: The world.
         lines: One line for each message that has arrived.
-        names: Names of the balancers by incarnation.
+        names: The ``Names`` that the lines use.
         templates: True when messages about templates are kept.
     """
 
     def __init__(self, world, *, templates=False):
         self.world = world
         self.lines = []
-        self.names = {}
+        self.names = Names()
         self.templates = templates
         self.aliases = {}
         world.listeners.append(self._on_moment)
