Add an experiment tool for target choice

A queueing model of one service (slots, queue, shed, load reports, cold start, half speed, silence) on a virtual clock, seeded JSON experiments, results as JSON and plots.

--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the commands of the bench."""
+
+from ._commands import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_experiment.py
@@ -0,0 +1,95 @@
+"""Experiments: what is run, as read from a JSON file."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+
+class Fleet(NamedTuple):
+    """One service and the balancers before it.
+
+    Attributes:
+        name: Name of the service.
+        targets: Number of its targets.
+        slots: Requests that a target runs at the same time.
+        balancers: Number of balancers.
+        centres: Number of data centres that both are spread over.
+        hop_ms: One-way delay between two data centres.
+    """
+
+    name: str
+    targets: int
+    slots: int = 2
+    balancers: int = 14
+    centres: int = 1
+    hop_ms: float = 1.0
+
+
+class Condition(NamedTuple):
+    """What goes wrong during a run.
+
+    Attributes:
+        name: Its name in the results.
+        report_age_ms: Age of a load report when it arrives.
+        liars: Targets that always report that they are idle.
+        half_speed: Targets that take twice as long.
+        cold: Targets that restart a third into the run.
+        cold_ms: How long a restarted target is slow.
+        cold_factor: How much longer it takes meanwhile.
+        silent: Targets that answer nothing in the middle third of the run.
+        dispatcher_dies: True when the dispatcher dies a third into the run.
+    """
+
+    name: str
+    report_age_ms: float = 0.0
+    liars: int = 0
+    half_speed: int = 0
+    cold: int = 0
+    cold_ms: float = 10_000.0
+    cold_factor: float = 5.0
+    silent: int = 0
+    dispatcher_dies: bool = False
+
+
+class Experiment(NamedTuple):
+    """A set of runs that are compared side by side.
+
+    Attributes:
+        name: Names the results and plots.
+        seed: Seed of every random choice.
+        requests: Requests of each run.
+        fleets: The services.
+        loads: Offered loads, as shares of all slots.
+        work: Distributions of the service time, ``exponential`` or ``heavy``.
+        mean_work_ms: Mean service time.
+        conditions: What goes wrong.
+        policies: Names of the policies compared.
+        report_every_ms: Interval at which each balancer reads each load report.
+        queue: Requests that wait at a target before it sheds.
+    """
+
+    name: str
+    seed: int
+    requests: int
+    fleets: list[Fleet]
+    loads: list[float]
+    work: list[str]
+    policies: list[str]
+    conditions: list[Condition]
+    mean_work_ms: float = 100.0
+    report_every_ms: float = 1_000.0
+    queue: int = 16
+
+
+def read_experiment(path):
+    """Return the ``Experiment`` in a JSON file.
+
+    Raises:
+        TypeError: A field is missing or unknown.
+    """
+    document = msgspec.json.decode(Path(path).read_bytes())
+    document["fleets"] = [Fleet(**item) for item in document["fleets"]]
+    conditions = document.get("conditions", [{"name": "honest"}])
+    document["conditions"] = [Condition(**item) for item in conditions]
+    return Experiment(**document)
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -0,0 +1,220 @@
+"""Policies of target choice for the queueing model."""
+
+from lagoontally_core import rendezvous_pick
+
+REPORT_HALF_LIFE_MS = 1_000.0
+DISPATCHER_SILENCE_MS = 200.0
+
+
+class Policy:
+    """A choice that a balancer makes by itself."""
+
+    def start(self, model):
+        """Prepare for a run."""
+
+    def place(self, job, model):
+        """Choose a target and send the request there."""
+        balancer = job.balancer
+        usable = model.usable(balancer, job.tries)
+        model.send(job, balancer, self.choose(balancer, usable, job, model))
+
+    def choose(self, balancer, usable, job, model):
+        """Return the target to use."""
+        raise NotImplementedError
+
+    def released(self, job, model):
+        """Note that a target has answered, shed or missed a request."""
+
+
+class RandomChoice(Policy):
+    """Any target."""
+
+    def choose(self, balancer, usable, job, model):
+        """Return any target."""
+        return model.random.choice(usable)
+
+
+class RoundRobin(Policy):
+    """One target after the other, at each balancer."""
+
+    def choose(self, balancer, usable, job, model):
+        """Return the next target."""
+        balancer.turn += 1
+        return usable[balancer.turn % len(usable)]
+
+
+class LeastOwn(Policy):
+    """The target with the fewest of the balancer's own requests."""
+
+    def choose(self, balancer, usable, job, model):
+        """Return the target with the fewest own requests."""
+        return min(usable, key=lambda t: (own_load(balancer, t), model.random.random()))
+
+
+class TwoOwn(Policy):
+    """The better of two random targets, by the balancer's own requests."""
+
+    def choose(self, balancer, usable, job, model):
+        """Return the better of two random targets."""
+        return better_of_two(usable, lambda t: own_load(balancer, t), model)
+
+
+class Rendezvous(Policy):
+    """The target with the highest weight for the flow."""
+
+    def choose(self, balancer, usable, job, model):
+        """Return the flow's target."""
+        names = [target.number.to_bytes(2, "big") for target in usable]
+        picked = rendezvous_pick(job.flow.to_bytes(4, "big"), names)
+        return model.targets[int.from_bytes(picked, "big")]
+
+
+class LeastReported(Policy):
+    """The target with the least reported load."""
+
+    def choose(self, balancer, usable, job, model):
+        """Return the target with the least reported load."""
+        return min(
+            usable,
+            key=lambda t: (balancer.reported[t.number], model.random.random()),
+        )
+
+
+class TwoDiscounted(Policy):
+    """The better of two, by own requests and the reported load, less by its age."""
+
+    def choose(self, balancer, usable, job, model):
+        """Return the better of two random targets."""
+        return better_of_two(
+            usable, lambda t: discounted_load(balancer, t, model), model
+        )
+
+
+class LeastDiscounted(Policy):
+    """The best of all, by own requests and the reported load, less by its age."""
+
+    def choose(self, balancer, usable, job, model):
+        """Return the best target."""
+        return min(
+            usable,
+            key=lambda t: (
+                discounted_load(balancer, t, model),
+                model.random.random(),
+            ),
+        )
+
+
+class Dispatcher(Policy):
+    """Balancers that choose for all others, and see all that they placed.
+
+    Attributes:
+        scope: ``all`` for one dispatcher; ``centre`` for one in each data
+            centre that uses every target; ``near`` for one in each data centre
+            that uses the targets there.
+    """
+
+    def __init__(self, scope):
+        self.scope = scope
+
+    def start(self, model):
+        """Name the dispatchers."""
+        self.dead = set()
+        self.missed_ms = {}
+        for balancer in model.balancers:
+            balancer.known = [0] * len(model.targets)
+        if model.condition.dispatcher_dies:
+            first = self._dispatcher_of(model.balancers[0], model)
+            model.after(model.end_ms / 3, self._die, first, model)
+
+    def _die(self, balancer, model):
+        self.dead.add(balancer.number)
+        model.balancers.remove(balancer)
+
+    def _dispatcher_of(self, balancer, model):
+        if self.scope == "all":
+            return min(model.balancers, key=lambda item: item.number)
+        near = [item for item in model.balancers if item.centre == balancer.centre]
+        return min(near, key=lambda item: item.number)
+
+    def place(self, job, model):
+        """Ask the dispatcher, and send where it says."""
+        dispatcher = self._dispatcher_of(job.balancer, model)
+        ask_ms = reply_ms = 0.0
+        if dispatcher is not job.balancer:
+            ask_ms = model.hop_ms(job.balancer, dispatcher)
+            reply_ms = model.hop_ms(job.balancer, dispatcher)
+        model.after(ask_ms, self._decide, job, dispatcher, reply_ms, model)
+
+    def _decide(self, job, dispatcher, reply_ms, model):
+        usable = model.usable(job.balancer, job.tries)
+        if self.scope == "near":
+            near = [item for item in usable if item.centre == dispatcher.centre]
+            usable = near or usable
+        target = min(
+            usable,
+            key=lambda t: (dispatcher.known[t.number] / t.slots, model.random.random()),
+        )
+        dispatcher.known[target.number] += 1
+        model.after(reply_ms, self._send, job, dispatcher, target, model)
+
+    def _send(self, job, dispatcher, target, model):
+        model.send(job, job.balancer, target)
+        # Where it is released: the dispatcher may have changed meanwhile.
+        job.flow = dispatcher
+
+    def released(self, job, model):
+        """Tell the dispatcher."""
+        if isinstance(job.flow, int):
+            return
+        delay_ms = model.hop_ms(job.holder, job.flow)
+        model.after(delay_ms, self._forget, job.flow, job.target.number)
+
+    def _forget(self, dispatcher, number):
+        dispatcher.known[number] -= 1
+
+
+def own_load(balancer, target):
+    """Return a balancer's own requests at a target, for each slot."""
+    return balancer.in_flight[target.number] / target.slots
+
+
+def discounted_load(balancer, target, model):
+    """Return own requests and the others' reported ones, less by their age."""
+    number = target.number
+    age_ms = model.now_ms - balancer.reported_ms[number]
+    weight = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+    own = balancer.in_flight[number]
+    others = max(0, balancer.reported[number] - own)
+    return (own + weight * others) / target.slots
+
+
+def better_of_two(usable, load, model):
+    """Return the less loaded of two random targets."""
+    if len(usable) == 1:
+        return usable[0]
+    first, second = model.random.sample(usable, 2)
+    return first if load(first) <= load(second) else second
+
+
+def make_policy(name):
+    """Return a new policy by its name.
+
+    Raises:
+        KeyError: There is no such policy.
+    """
+    return POLICIES[name]()
+
+
+POLICIES = {
+    "random": RandomChoice,
+    "round-robin": RoundRobin,
+    "least-own": LeastOwn,
+    "two-own": TwoOwn,
+    "rendezvous": Rendezvous,
+    "least-reported": LeastReported,
+    "two-discounted": TwoDiscounted,
+    "least-discounted": LeastDiscounted,
+    "dispatcher": lambda: Dispatcher("all"),
+    "dispatcher-centre": lambda: Dispatcher("centre"),
+    "dispatcher-near": lambda: Dispatcher("near"),
+}
--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_runs.py
@@ -0,0 +1,155 @@
+"""Runs of an experiment and their measures."""
+
+from concurrent.futures import ProcessPoolExecutor
+from itertools import product
+from typing import NamedTuple
+
+from ._experiment import Condition, Experiment, Fleet
+from ._policies import make_policy
+from ._queueing import Model
+
+WORKERS = 2
+PERCENTILES = (50.0, 99.0, 99.9)
+CURVE_POINTS = 60
+
+
+class RunPlan(NamedTuple):
+    """One run of an experiment."""
+
+    experiment: Experiment
+    fleet: Fleet
+    load: float
+    work: str
+    condition: Condition
+    policy: str
+
+
+class Point(NamedTuple):
+    """Measures of one interval of a run."""
+
+    at_s: float
+    p99_ms: float
+    imbalance: float
+
+
+class RunResult(NamedTuple):
+    """Measures of one run.
+
+    Attributes:
+        service: Name of the service.
+        load: Offered load.
+        work: Distribution of the service time.
+        condition: What went wrong.
+        policy: Name of the policy.
+        p50_ms: Median latency.
+        p99_ms: 99th percentile.
+        p999_ms: 99.9th percentile.
+        jobs_imbalance: Mean of max over mean of the jobs at the targets.
+        busy_imbalance: Mean of max over mean of the busy slots.
+        shed: Requests shed by a target, each try counted.
+        refused: Requests that their caller was refused.
+        timed_out: Requests given up without an answer.
+        amplification: Sends to targets for each request.
+        curve: Measures over time.
+    """
+
+    service: str
+    load: float
+    work: str
+    condition: str
+    policy: str
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    jobs_imbalance: float
+    busy_imbalance: float
+    shed: int
+    refused: int
+    timed_out: int
+    amplification: float
+    curve: list[Point]
+
+
+def plan_runs(experiment):
+    """Return every run of an experiment."""
+    return [
+        RunPlan(experiment, *choice)
+        for choice in product(
+            experiment.fleets,
+            experiment.loads,
+            experiment.work,
+            experiment.conditions,
+            experiment.policies,
+        )
+    ]
+
+
+def run_one(plan):
+    """Run one plan; every policy sees the same seed."""
+    model = Model(
+        plan.experiment,
+        plan.fleet,
+        load=plan.load,
+        work=plan.work,
+        condition=plan.condition,
+        policy=make_policy(plan.policy),
+        seed=plan.experiment.seed,
+    ).run()
+    ordered = sorted(latency for _, latency in model.latencies)
+    p50, p99, p999 = (_percentile(ordered, share) for share in PERCENTILES)
+    return RunResult(
+        service=plan.fleet.name,
+        load=plan.load,
+        work=plan.work,
+        condition=plan.condition.name,
+        policy=plan.policy,
+        p50_ms=p50,
+        p99_ms=p99,
+        p999_ms=p999,
+        jobs_imbalance=_mean(model.jobs_imbalance),
+        busy_imbalance=_mean(model.busy_imbalance),
+        shed=model.counts["shed"],
+        refused=model.counts["refused"],
+        timed_out=model.counts["timed_out"],
+        amplification=round(model.sends / plan.experiment.requests, 4),
+        curve=_curve(model),
+    )
+
+
+def run_experiment(experiment):
+    """Run an experiment; return its results in the order of the plan."""
+    with ProcessPoolExecutor(WORKERS) as executor:
+        return list(executor.map(run_one, plan_runs(experiment)))
+
+
+def _percentile(ordered, share):
+    if not ordered:
+        return 0.0
+    position = min(len(ordered) - 1, int(len(ordered) * share / 100))
+    return round(ordered[position], 1)
+
+
+def _mean(samples):
+    values = [value for _, value in samples]
+    return round(sum(values) / len(values), 3) if values else 0.0
+
+
+def _curve(model):
+    width_ms = model.end_ms / CURVE_POINTS
+    return [
+        Point(
+            round(number * width_ms / 1000, 1),
+            _percentile(sorted(_within(model.latencies, number, width_ms)), 99.0),
+            _plain_mean(_within(model.jobs_imbalance, number, width_ms)),
+        )
+        for number in range(CURVE_POINTS)
+    ]
+
+
+def _within(samples, number, width_ms):
+    start_ms = number * width_ms
+    return [value for at, value in samples if start_ms <= at < start_ms + width_ms]
+
+
+def _plain_mean(values):
+    return round(sum(values) / len(values), 3) if values else 0.0
--- a/libs/core/src/lagoontally_core/__init__.py
+++ b/libs/core/src/lagoontally_core/__init__.py
@@ -66,6 +66,7 @@
     TemplateWant,
     Welcome,
 )
+from ._rendezvous import rendezvous_order, rendezvous_pick
 from ._state import Phase, SelfInfo, State
 from ._step import JOIN_WAIT_MS, PAUSE_MS, TICK_MS, step
 
@@ -136,5 +137,7 @@
     "Unknown",
     "UpstreamReply",
     "Welcome",
+    "rendezvous_order",
+    "rendezvous_pick",
     "step",
 ]
