--- a/libs/bench/src/lagoontally_bench/_commands.py
+++ b/libs/bench/src/lagoontally_bench/_commands.py
@@ -3,6 +3,7 @@
 import click
 
 from ._bench_command import bench
+from ._capacity_command import capacity
 
 
 @click.group()
@@ -11,3 +12,4 @@
 
 
 main.add_command(bench)
+main.add_command(capacity)
