Let a dispatcher choose targets for the balancers of a service

Cause: 14 balancers share 7 targets of 2 slots, so what one sees of its own requests says little. Closing after failures now leaves at least half of the targets open.

--- a/libs/bench/src/lagoontally_bench/_bench_command.py
+++ b/libs/bench/src/lagoontally_bench/_bench_command.py
@@ -9,7 +9,10 @@
 from ._plots import plot_loads, plot_time
 from ._runs import run_experiment
 
-COLUMNS = "{:<12} {:>4} {:<11} {:<12} {:<18} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6} {:>6}"
+COLUMNS = (
+    "{:<12} {:>4} {:<11} {:<12} {:<18} {:>7} {:>7} {:>7} "
+    "{:>6} {:>6} {:>6} {:>6} {:>6} {:>6}"
+)
 HEADINGS = (
     "service",
     "load",
@@ -22,6 +25,8 @@
     "jobs",
     "busy",
     "shed",
+    "refus",
+    "lost",
     "ampl",
 )
 
@@ -58,6 +63,8 @@
                 item.jobs_imbalance,
                 item.busy_imbalance,
                 item.shed,
+                item.refused,
+                item.timed_out,
                 round(item.amplification, 2),
             )
         )
--- a/libs/bench/src/lagoontally_bench/_capacity.py
+++ b/libs/bench/src/lagoontally_bench/_capacity.py
@@ -67,7 +67,8 @@
         read_us: An idempotent request, with the target's answer.
         notify_us: A notification of a line, without the encoding.
         tick_us: A tick while the lines are notified and nothing is due.
-        upkeep_us: Processor time a second of upkeep while targets are silent.
+        upkeep_us: Processor time a second for the timers of notified lines.
+        refresh_us: The same when no line is notified, so that each is refreshed.
         line_bytes: Memory of a line.
         remembered_bytes: Memory of a remembered request.
     """
@@ -80,6 +81,7 @@
     notify_us: float
     tick_us: float
     upkeep_us: float
+    refresh_us: float
     line_bytes: float
     remembered_bytes: float
 
@@ -182,7 +184,8 @@
     filler.read(BATCH, read)
     notify_us = filler.notify(BATCH)
     tick_us = filler.quiet_tick()
-    upkeep_us = filler.upkeep()
+    upkeep_us = filler.upkeep(notified=True)
+    refresh_us = filler.upkeep(notified=False)
     gc.collect()
     before = resident_bytes()
     filler.run_commands(flows // 4, Clock())
@@ -198,6 +201,7 @@
         notify_us=notify_us,
         tick_us=tick_us,
         upkeep_us=upkeep_us,
+        refresh_us=refresh_us,
         line_bytes=round(line_bytes),
         remembered_bytes=round(remembered_bytes),
     )
@@ -236,7 +240,7 @@
         opened = opened or Clock()
         for position in range(count):
             if position % each == 0:
-                self.driver.pass_time(FILL_STEP_MS)
+                self.pass_time(FILL_STEP_MS, Clock())
             datagram = self.begin(aiocoap.GET, observe=0, clock=echo)
             with opened:
                 actions = self.driver.take(self.caller(), datagram)
@@ -292,16 +296,28 @@
             times.append(clock.us(1))
         return min(times)
 
-    def upkeep(self):
+    def pass_time(self, duration_ms, clock):
+        """Let time pass; the targets answer the registrations that are due."""
+        with clock:
+            actions = self.driver.pass_time(duration_ms)
+            self.driver.encode(actions)
+        for sent in actions:
+            if not isinstance(sent, SendUpstream):
+                continue
+            datagram = reply_datagram(sent.token, 1, observe=1)
+            with clock:
+                self.driver.reply(sent.target, datagram)
+
+    def upkeep(self, *, notified):
         """Return the processor time a second of the lines' timers."""
         clock = Clock()
-        for line in self.driver.state.lines.values():
-            # Notified just now, so that the timers find them alive.
-            line.heard_ms = self.driver.now_ms + FILL_SPREAD_MS
-            line.lease_until_ms = self.driver.now_ms + 10 * FILL_SPREAD_MS
-        with clock:
-            for _ in range(FILL_SPREAD_MS // TICK_MS):
-                self.driver.pass_time(TICK_MS)
+        driver = self.driver
+        for line in driver.state.lines.values():
+            line.lease_until_ms = driver.now_ms + 10 * FILL_SPREAD_MS
+            heard_ms = FILL_SPREAD_MS if notified else -FILL_SPREAD_MS
+            line.heard_ms = driver.now_ms + heard_ms
+        for _ in range(FILL_SPREAD_MS // TICK_MS):
+            self.pass_time(TICK_MS, clock)
         return clock.us(FILL_SPREAD_MS // 1_000)
 
 
--- a/libs/bench/src/lagoontally_bench/_capacity_command.py
+++ b/libs/bench/src/lagoontally_bench/_capacity_command.py
@@ -15,6 +15,7 @@
     ("flows", "flows", "notify_us"),
     ("flows", "flows", "tick_us"),
     ("flows", "flows", "upkeep_us"),
+    ("flows", "flows", "refresh_us"),
     ("members", "members", "second_us"),
     ("members", "members", "quiet_bytes"),
     ("members", "members", "welcome_bytes"),
--- a/libs/bench/src/lagoontally_bench/_policies.py
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -3,7 +3,6 @@
 from lagoontally_core import rendezvous_pick
 
 REPORT_HALF_LIFE_MS = 1_000.0
-DISPATCHER_SILENCE_MS = 200.0
 
 
 class Policy:
@@ -22,7 +21,7 @@
         """Return the target to use."""
         raise NotImplementedError
 
-    def released(self, job, model):
+    def released(self, job, model, *, answered):
         """Note that a target has answered, shed or missed a request."""
 
 
@@ -111,10 +110,12 @@
         scope: ``all`` for one dispatcher; ``centre`` for one in each data
             centre that uses every target; ``near`` for one in each data centre
             that uses the targets there.
+        hold_ms: How long a request that was shed or missed still counts.
     """
 
-    def __init__(self, scope):
+    def __init__(self, scope, hold_ms=0.0):
         self.scope = scope
+        self.hold_ms = hold_ms
 
     def start(self, model):
         """Name the dispatchers."""
@@ -162,11 +163,12 @@
         # Where it is released: the dispatcher may have changed meanwhile.
         job.flow = dispatcher
 
-    def released(self, job, model):
+    def released(self, job, model, *, answered):
         """Tell the dispatcher."""
         if isinstance(job.flow, int):
             return
         delay_ms = model.hop_ms(job.holder, job.flow)
+        delay_ms += 0.0 if answered else self.hold_ms
         model.after(delay_ms, self._forget, job.flow, job.target.number)
 
     def _forget(self, dispatcher, number):
@@ -215,6 +217,9 @@
     "two-discounted": TwoDiscounted,
     "least-discounted": LeastDiscounted,
     "dispatcher": lambda: Dispatcher("all"),
+    "dispatcher-hold-500": lambda: Dispatcher("all", 500.0),
+    "dispatcher-hold-1000": lambda: Dispatcher("all", 1_000.0),
+    "dispatcher-hold-3000": lambda: Dispatcher("all", 3_000.0),
     "dispatcher-centre": lambda: Dispatcher("centre"),
     "dispatcher-near": lambda: Dispatcher("near"),
 }
--- a/libs/bench/src/lagoontally_bench/_queueing.py
+++ b/libs/bench/src/lagoontally_bench/_queueing.py
@@ -273,16 +273,16 @@
         self._fill(target)
         self.after(NETWORK_MS, self._answer, job, target)
 
-    def _release(self, job):
+    def _release(self, job, *, answered):
         number = job.target.number
         job.holder.in_flight[number] -= 1
-        self.policy.released(job, self)
+        self.policy.released(job, self, answered=answered)
 
     def _answer(self, job, target):
         if job.done or target is not job.target:
             return
         job.done = True
-        self._release(job)
+        self._release(job, answered=True)
         job.holder.failures[target.number] = 0
         job.holder.closed_until_ms[target.number] = 0.0
         self.latencies.append((self.now_ms, self.now_ms - job.arrived_ms))
@@ -291,7 +291,7 @@
         if job.done:
             return
         self.counts["shed"] += 1
-        self._release(job)
+        self._release(job, answered=False)
         if not self._retry(job):
             job.done = True
             self.counts["refused"] += 1
@@ -305,7 +305,7 @@
             # A slow answer is waited for, as for a command.
             self.after(TIMEOUT_MS - waited_ms, self._time_out, job, tries)
             return
-        self._release(job)
+        self._release(job, answered=False)
         holder, number = job.holder, job.target.number
         holder.failures[number] += 1
         if holder.failures[number] >= 3:
--- /dev/null
+++ b/libs/core/features/steps/dispatch_steps.py
@@ -0,0 +1,297 @@
+"""Steps for the dispatcher: several cores that pass messages at once."""
+
+import json
+from collections import Counter
+from random import Random
+
+from behave import given, then, when
+
+from lagoontally_core import (
+    AnswerCaller,
+    AskIdentity,
+    CallerRequest,
+    Flow,
+    IdentityReply,
+    MemberRecord,
+    PeerMessage,
+    Placed,
+    Refused,
+    ReplyStatus,
+    Request,
+    RequestKind,
+    SelfInfo,
+    SendPeer,
+    SendUpstream,
+    State,
+    TemplateRead,
+    Tick,
+    UpstreamReply,
+    Welcome,
+    step,
+)
+from lagoontally_core._choice import candidates, note_failure
+from lagoontally_core._dispatch import dispatcher_of
+from lagoontally_core._state import Phase
+from lagoontally_core._turn import Turn
+from lagoontally_model import Timing, parse_template
+
+TARGETS = [f"127.20.1.{number}:7001" for number in (1, 2, 3)]
+
+
+def document(version, placement, leaving=()):
+    """Return a template of one service."""
+    targets = [
+        {
+            "name": f"desk-{number}",
+            "address": address,
+            "data_centre": "kgn-a",
+            "state": "leaving" if address in leaving else "active",
+        }
+        for number, address in enumerate(TARGETS)
+    ]
+    service = {
+        "entry_port": 5711,
+        "placement": placement,
+        "imbalance_weight": 0.7,
+        "targets": targets,
+    }
+    workspace = {"tenant": "franchise", "services": {"desk": service}}
+    return json.dumps(
+        {
+            "format": 1,
+            "version": version,
+            "published_at": "2026-12-03T21:00:00Z",
+            "quarantine_s": 600,
+            "workspaces": {"hub": workspace},
+            "retired": [],
+        }
+    ).encode()
+
+
+class Cores:
+    """Cores whose peer messages arrive at once, in order."""
+
+    def __init__(self, count):
+        self.random = Random(1)
+        self.now_ms = 1_000
+        self.numbers = 0
+        self.silent = set()
+        self.sent = []
+        self.answers = []
+        self.states = {}
+        for number in range(1, count + 1):
+            info = SelfInfo(
+                number, f"b{number}", "hub", "kgn-a", f"b{number}:1", b"k" * 32, 0
+            )
+            self.states[number] = State(info, Timing())
+        records = [
+            MemberRecord(number, f"b{number}", "kgn-a", f"b{number}:1", 0, 0, 0, 1)
+            for number in self.states
+        ]
+        for number, state in self.states.items():
+            others = [item for item in records if item.incarnation != number]
+            self.tell(
+                number, PeerMessage(others[0].incarnation, Welcome(*welcome(others)))
+            )
+            state.phase = Phase.SERVING
+        self.publish(1, "request", self.states)
+
+    def publish(self, version, placement, numbers, leaving=()):
+        """Put a template in force."""
+        data = document(version, placement, leaving)
+        for number in numbers:
+            self.tell(number, TemplateRead(parse_template(data), data))
+
+    def tell(self, number, event):
+        """Let a core handle an event, and what follows from it."""
+        for action in step(self.states[number], event, self.now_ms, self.random):
+            self.perform(number, action)
+
+    def perform(self, number, action):
+        """Perform an action."""
+        if isinstance(action, SendPeer):
+            peer = int(action.peer_address[1])
+            if peer not in self.silent:
+                self.tell(peer, PeerMessage(number, action.message))
+        elif isinstance(action, AskIdentity):
+            self.tell(number, IdentityReply(action.target, "hub", "desk"))
+        elif isinstance(action, SendUpstream):
+            self.sent.append((number, action))
+        elif isinstance(action, AnswerCaller):
+            self.answers.append(action.answer)
+
+    def request(self, number, count):
+        """Let a balancer get requests that may be repeated."""
+        for _ in range(count):
+            self.numbers += 1
+            token = self.numbers.to_bytes(4, "big")
+            request = Request(
+                RequestKind.IDEMPOTENT, token, self.numbers, True, b"", 9_000, b"get"
+            )
+            caller = f"10.0.0.{self.numbers}:5"
+            self.tell(number, CallerRequest(Flow("desk", caller), request))
+
+    def reply(self, number, sent, status):
+        """Let a target reply."""
+        reply = UpstreamReply(sent.target, 0, sent.token, status, False, 1, b"")
+        self.tell(number, reply)
+
+    def pass_time(self, duration_ms):
+        """Let time pass by ticks."""
+        for _ in range(duration_ms // 100):
+            self.now_ms += 100
+            for number in self.states:
+                if number not in self.silent:
+                    self.tell(number, Tick())
+
+    def turn(self, number):
+        """Return a turn of a core, to look into its choices."""
+        return Turn(self.states[number], self.now_ms, self.random, [])
+
+    def load(self):
+        """Return the requests sent to each target."""
+        return Counter(sent.target for _, sent in self.sent)
+
+
+def welcome(records):
+    """Return the fields of a welcome."""
+    return records[0], records, []
+
+
+@given("3 balancers that know each other and a service of 3 targets")
+def step_cores(context):
+    """The balancers serve and agree on the dispatcher."""
+    context.cores = Cores(3)
+    context.dispatcher = dispatcher_of(context.cores.turn(1), "desk")
+    context.other = next(n for n in (1, 2, 3) if n != context.dispatcher)
+
+
+@given("the dispatcher is silent")
+def step_silent(context):
+    """It takes and sends nothing, and the others don't know yet."""
+    context.cores.silent.add(context.dispatcher)
+
+
+@given("the other balancers hold all but the last target as leaving")
+def step_leaving(context):
+    """The dispatcher's template is older than theirs."""
+    others = [number for number in (1, 2, 3) if number != context.dispatcher]
+    context.cores.silent.add(context.dispatcher)
+    context.cores.publish(2, "request", others, TARGETS[:-1])
+    context.cores.silent.clear()
+
+
+@given("the service keeps flows on their targets")
+def step_flow(context):
+    """The template places flows."""
+    context.cores.publish(2, "flow", (1, 2, 3))
+
+
+@when("each balancer gets {count:d} requests")
+def step_each(context, count):
+    """Requests arrive everywhere."""
+    for number in (1, 2, 3):
+        context.cores.request(number, count)
+
+
+@when("another balancer gets {count:d} requests")
+def step_other(context, count):
+    """Requests arrive at a balancer that has to ask."""
+    context.cores.request(context.other, count)
+
+
+@when("the dispatcher gets {count:d} requests")
+def step_own(context, count):
+    """Requests arrive at the dispatcher itself."""
+    context.before = context.cores.load()
+    context.cores.request(context.dispatcher, count)
+
+
+@when("{duration:d} ms pass")
+def step_pass(context, duration):
+    """Time passes by ticks."""
+    context.cores.pass_time(duration)
+
+
+@when("it is paused for {duration:d} ms")
+def step_pause(context, duration):
+    """The clock jumps between two steps."""
+    context.cores.now_ms += duration
+
+
+@when("the dispatcher's choice arrives")
+def step_choice(context):
+    """The late answer to the question."""
+    cores = context.cores
+    (token,) = cores.states[context.other].exchanges
+    message = PeerMessage(context.dispatcher, Placed(token, TARGETS[0]))
+    cores.tell(context.other, message)
+
+
+@when("the first target sheds and the others answer")
+def step_shed(context):
+    """One target refuses what it got."""
+    cores = context.cores
+    first = cores.sent[0][1].target
+    context.first = first
+    for number, sent in list(cores.sent):
+        shed = sent.target == first
+        status = ReplyStatus.SHED if shed else ReplyStatus.ANSWERED
+        cores.reply(number, sent, status)
+
+
+@when("every target but one is silent again and again")
+def step_failures(context):
+    """Two of three targets would be closed."""
+    turn = context.cores.turn(context.other)
+    for address in TARGETS[1:]:
+        for _ in range(5):
+            note_failure(turn.state.targets[address], turn)
+
+
+@then("{count:d} targets may be chosen")
+def step_open(context, count):
+    """At most half are left out."""
+    turn = context.cores.turn(context.other)
+    usable = candidates(turn.state, "desk", turn.now_ms)
+    assert len(usable) == count, usable
+    assert usable[0].address == TARGETS[0]
+
+
+@then("each target has {count:d} requests")
+def step_even(context, count):
+    """No target has more than another."""
+    assert context.cores.load() == dict.fromkeys(TARGETS, count)
+
+
+@then("{count:d} requests have been sent")
+def step_sent(context, count):
+    """So many datagrams have left for targets."""
+    assert len(context.cores.sent) == count, context.cores.sent
+
+
+@then("only the last target has requests")
+def step_last(context):
+    """The own template decides which targets may get work."""
+    assert set(context.cores.load()) == {TARGETS[-1]}
+
+
+@then("the caller hears that nothing was run")
+def step_refused(context):
+    """A refusal, since no datagram has left."""
+    assert isinstance(context.cores.answers[-1], Refused)
+
+
+@then("the first target has gained {what}")
+def step_gain(context, what):
+    """Compare with the load before the latest requests."""
+    load = context.cores.load()
+    gained = load[context.first] - context.before[context.first]
+    assert (gained > 0) == (what == "something"), gained
+
+
+@then("the dispatcher counts {count:d} requests")
+def step_book(context, count):
+    """Leases run out without a word."""
+    book = context.cores.states[context.dispatcher].dispatch
+    assert sum(book.placed.values()) == len(book.leases) == count
--- a/libs/core/src/lagoontally_core/_choice.py
+++ b/libs/core/src/lagoontally_core/_choice.py
@@ -15,7 +15,8 @@
 def candidates(state, service, now_ms, tried=()):
     """Return the targets of a service that may get new work.
 
-    Targets closed after failures are left out unless no other remains.
+    Targets closed after failures are left out, but never more than half: the
+    others would be overloaded, and a closed one may well be back.
     """
     usable = [
         target
@@ -25,7 +26,14 @@
         and target.address not in tried
     ]
     open_ones = [target for target in usable if target.closed_until_ms <= now_ms]
-    return open_ones or usable
+    if not open_ones:
+        return usable
+    missing = -(-len(usable) // 2) - len(open_ones)
+    if missing <= 0:
+        return open_ones
+    closed = [target for target in usable if target.closed_until_ms > now_ms]
+    closed.sort(key=lambda target: target.closed_until_ms)
+    return open_ones + closed[:missing]
 
 
 def choose_target(turn, flow, *, hint=0, tried=()):
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_dispatch.py
@@ -0,0 +1,152 @@
+"""Dispatchers: balancers that choose targets for the others.
+
+A service whose requests each choose a target has few slots and many balancers,
+so that what one balancer sees of its own says little. One balancer, named by
+rendezvous over those alive, is asked for each choice and hears of its end. What
+it holds may be lost or wrong: then balance suffers, never correctness. A
+balancer that hears nothing from it chooses by itself.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from lagoontally_model import Placement
+
+from ._actions import SendPeer
+from ._choice import candidates, note_answer, note_failure
+from ._peer_messages import PlaceAsk, Placed, PlaceDone
+from ._rendezvous import incarnation_name, rendezvous_pick
+from ._state import Phase
+
+ASK_WAIT_MS = 50
+SILENT_MS = 1_000
+NAMED_MS = 500
+HOLD_MS = 1_000
+TARGETS_PER_DISPATCHER = 64
+
+
+class Outcome(IntEnum):
+    """How a placed request ended."""
+
+    ANSWERED = 0
+    SHED = 1
+    SILENT = 2
+    UNUSED = 3
+
+
+class LeaseTimer(NamedTuple):
+    """Timer: a placed request has ended, whether that was heard or not."""
+
+    token: bytes
+
+
+def dispatcher_of(turn, service):
+    """Return the incarnation of the balancer that chooses for a service.
+
+    Returns:
+        An incarnation, this balancer's own included; None when this balancer
+        chooses by what it sees itself.
+    """
+    state = turn.state
+    workspace = state.template.workspaces[state.info.workspace]
+    if workspace.services[service].placement is not Placement.REQUEST:
+        return None
+    book = state.dispatch
+    named, kept_until_ms = book.named.get(service, (None, 0))
+    if kept_until_ms <= turn.now_ms:
+        named = _pick(turn, service)
+        book.named[service] = (named, turn.now_ms + NAMED_MS)
+    if book.silent_until_ms.get(named, 0) > turn.now_ms:
+        return None
+    return named
+
+
+def _pick(turn, service):
+    state = turn.state
+    targets = len(state.service_targets[service])
+    dispatchers = -(-targets // TARGETS_PER_DISPATCHER)
+    own = state.info.incarnation
+    names = [
+        incarnation_name(record.incarnation)
+        for record in state.membership.alive()
+        if dispatchers == 1 or record.data_centre == state.info.data_centre
+    ]
+    if state.phase is Phase.SERVING:
+        names.append(incarnation_name(own))
+    key = f"{service}|{own % max(1, dispatchers)}".encode()
+    picked = rendezvous_pick(key, names)
+    return None if picked is None else int.from_bytes(picked, "big")
+
+
+def place_here(turn, token, service, tried, remaining_ms):
+    """Choose a target as the dispatcher; return its address or None."""
+    usable = candidates(turn.state, service, turn.now_ms, tried)
+    if not usable:
+        return None
+    book = turn.state.dispatch
+    target = min(
+        usable,
+        key=lambda item: (
+            book.placed.get(item.address, 0) / item.slots,
+            turn.random.random(),
+        ),
+    )
+    book.add(token, target.address)
+    turn.state.timers.add(turn.now_ms + remaining_ms + HOLD_MS, LeaseTimer(token))
+    return target.address
+
+
+def ask_dispatcher(turn, incarnation, ask):
+    """Ask another balancer for a choice; return its address."""
+    address = turn.state.membership.records[incarnation].peer_address
+    turn.act(SendPeer(address, ask))
+    return address
+
+
+def note_silent(turn, service):
+    """Choose without a dispatcher that didn't answer, for a while."""
+    book = turn.state.dispatch
+    named, _ = book.named.get(service, (None, 0))
+    if named is not None:
+        book.silent_until_ms[named] = turn.now_ms + SILENT_MS
+    turn.count("dispatch.silent")
+
+
+def on_place_ask(ask: PlaceAsk, sender, turn):
+    """Choose a target for another balancer."""
+    state = turn.state
+    record = state.membership.records.get(sender)
+    if record is None or ask.service not in state.service_targets:
+        return
+    target = place_here(turn, ask.token, ask.service, ask.tried, ask.remaining_ms)
+    turn.act(SendPeer(record.peer_address, Placed(ask.token, target or "")))
+
+
+def on_place_done(done: PlaceDone, _sender, turn):
+    """Hear how a request ended that was placed for another balancer."""
+    address = end_place(turn, done.token, done.outcome)
+    target = turn.state.targets.get(address)
+    if target is None:
+        return
+    if done.outcome == Outcome.ANSWERED:
+        note_answer(target)
+    elif done.outcome == Outcome.SILENT:
+        note_failure(target, turn)
+
+
+def end_place(turn, token, outcome):
+    """Count a placed request no longer, after a while if it wasn't run.
+
+    A target that sheds or stays silent would look idle otherwise and draw
+    every request.
+    """
+    book = turn.state.dispatch
+    if outcome in (Outcome.SHED, Outcome.SILENT):
+        turn.state.timers.add(turn.now_ms + HOLD_MS, LeaseTimer(token))
+        return book.leases.get(token)
+    return book.release(token)
+
+
+def on_lease_timer(timer: LeaseTimer, turn):
+    """Count a placed request no longer."""
+    turn.state.dispatch.release(timer.token)
--- a/libs/core/src/lagoontally_core/_exchanges.py
+++ b/libs/core/src/lagoontally_core/_exchanges.py
@@ -2,10 +2,28 @@
 
 from typing import NamedTuple
 
-from ._actions import Forwarded, RecordLatency, Refused, SendKind, SendUpstream, Unknown
-from ._choice import choose_target, note_answer, note_failure
+from ._actions import (
+    Forwarded,
+    RecordLatency,
+    Refused,
+    SendKind,
+    SendPeer,
+    SendUpstream,
+    Unknown,
+)
+from ._choice import candidates, choose_target, note_answer, note_failure
+from ._dispatch import (
+    ASK_WAIT_MS,
+    Outcome,
+    ask_dispatcher,
+    dispatcher_of,
+    end_place,
+    note_silent,
+    place_here,
+)
 from ._echo import target_hint
 from ._events import ReplyStatus, RequestKind
+from ._peer_messages import PlaceAsk, Placed, PlaceDone
 from ._state import FIRST_PATH, Exchange
 from ._turn import flow_subjects
 
@@ -22,6 +40,12 @@
     token: bytes
 
 
+class AskTimer(NamedTuple):
+    """Timer: the dispatcher should have chosen a target by now."""
+
+    token: bytes
+
+
 def host_name(state, service):
     """Return the name by which targets know a service."""
     return f"{service}.{state.info.workspace}"
@@ -45,8 +69,7 @@
     limit_ms = min(request.remaining_ms, state.timing.request_timeout_ms)
     if limit_ms < MIN_REMAINING_MS:
         return Refused(0, "the deadline has passed")
-    target = choose_target(turn, reply_to.flow, hint=hint)
-    if target is None:
+    if not candidates(state, reply_to.flow.service, turn.now_ms):
         return Refused(NO_TARGET_RETRY_S, "no target takes new work")
     _earn_retry(state)
     exchange = Exchange(
@@ -59,10 +82,115 @@
         started_ms=turn.now_ms,
         deadline_ms=turn.now_ms + limit_ms,
     )
-    _send(exchange, target, turn)
+    _place(exchange, turn, hint=hint)
     return exchange
 
 
+def _place(exchange, turn, *, hint=0):
+    """Send an exchange to a target, or ask the dispatcher for one."""
+    state = turn.state
+    service = exchange.reply_to.flow.service
+    named = dispatcher_of(turn, service)
+    remaining_ms = exchange.deadline_ms - turn.now_ms
+    exchange.dispatcher = ""
+    if named is None:
+        _place_by_own_view(exchange, turn, hint=hint)
+    elif named == state.info.incarnation:
+        address = place_here(
+            turn, exchange.token, service, exchange.tried, remaining_ms
+        )
+        exchange.dispatcher = state.info.peer_address
+        _send(exchange, state.targets[address], turn)
+    else:
+        tried = list(exchange.tried)
+        ask = PlaceAsk(exchange.token, service, tried, remaining_ms)
+        exchange.target = ""
+        exchange.dispatcher = ask_dispatcher(turn, named, ask)
+        state.exchanges[exchange.token] = exchange
+        state.timers.add(turn.now_ms + ASK_WAIT_MS, AskTimer(exchange.token))
+        turn.count("dispatch.asked")
+
+
+def _place_by_own_view(exchange, turn, *, hint=0):
+    flow = exchange.reply_to.flow
+    target = choose_target(turn, flow, hint=hint, tried=exchange.tried)
+    if target is None:
+        _give_up_unsent(exchange, "no target takes new work", turn)
+        return
+    _send(exchange, target, turn)
+
+
+def on_placed(placed: Placed, sender, turn):
+    """Send an exchange where the dispatcher says."""
+    state = turn.state
+    exchange = state.exchanges.get(placed.token)
+    if exchange is None or exchange.target:
+        _tell_unused(placed.token, sender, turn)
+        return
+    flow = exchange.reply_to.flow
+    usable = candidates(state, flow.service, turn.now_ms, exchange.tried)
+    chosen = [item for item in usable if item.address == placed.target]
+    if not chosen:
+        _tell_unused(placed.token, sender, turn)
+        exchange.dispatcher = ""
+    if not _may_still_be_sent(exchange, turn):
+        return
+    if chosen:
+        _send(exchange, chosen[0], turn)
+        return
+    _place_by_own_view(exchange, turn)
+
+
+def on_ask_timer(timer: AskTimer, turn):
+    """Choose by this balancer's own view when the dispatcher is silent."""
+    exchange = turn.state.exchanges.get(timer.token)
+    if exchange is None or exchange.target:
+        return
+    note_silent(turn, exchange.reply_to.flow.service)
+    exchange.dispatcher = ""
+    if _may_still_be_sent(exchange, turn):
+        _place_by_own_view(exchange, turn)
+
+
+def _tell_unused(token, sender, turn):
+    record = turn.state.membership.records.get(sender)
+    if record is not None:
+        done = PlaceDone(token, Outcome.UNUSED)
+        turn.act(SendPeer(record.peer_address, done))
+
+
+def _may_still_be_sent(exchange, turn):
+    """Give up an exchange that has waited too long, or through a pause."""
+    if exchange.deadline_ms - turn.now_ms < MIN_REMAINING_MS:
+        _give_up_unsent(exchange, "the deadline has passed", turn)
+        return False
+    if exchange.started_ms < turn.state.resumed_ms:
+        _give_up_unsent(exchange, "the balancer was paused", turn)
+        return False
+    return True
+
+
+def _give_up_unsent(exchange, reason, turn):
+    """Answer an exchange of which no try is under way."""
+    turn.state.exchanges.pop(exchange.token, None)
+    _end_at_dispatcher(exchange, Outcome.UNUSED, turn)
+    if exchange.tried and exchange.kind is RequestKind.IDEMPOTENT:
+        finish(exchange, Unknown(reason), turn)
+        return
+    finish(exchange, Refused(NO_TARGET_RETRY_S, reason), turn)
+
+
+def _end_at_dispatcher(exchange, outcome, turn):
+    """Tell the dispatcher that chose the target how the exchange ended."""
+    if not exchange.dispatcher:
+        return
+    if exchange.dispatcher == turn.state.info.peer_address:
+        end_place(turn, exchange.token, outcome)
+        return
+    done = PlaceDone(exchange.token, outcome)
+    turn.act(SendPeer(exchange.dispatcher, done))
+
+
 def _send(exchange, target, turn):
     state = turn.state
     exchange.target = target.address
@@ -102,17 +230,20 @@
     if reply.target != exchange.target:
         turn.count("upstream.wrong_source")
         return
-    target = _release(exchange, turn)
+    shed = reply.status is ReplyStatus.SHED
+    outcome = Outcome.SHED if shed else Outcome.ANSWERED
+    target = _release(exchange, outcome, turn)
     if target is not None:
         note_answer(target)
-    if reply.status is ReplyStatus.SHED:
+    if shed:
         _after_shed(exchange, reply.retry_after_s, turn)
         return
     hint = target_hint(exchange.target)
     finish(exchange, Forwarded(reply.body), turn, hint=hint)
 
 
-def _release(exchange, turn):
+def _release(exchange, outcome, turn):
+    _end_at_dispatcher(exchange, outcome, turn)
     turn.state.exchanges.pop(exchange.token, None)
     target = turn.state.targets.get(exchange.target)
     if target is not None:
@@ -132,7 +263,7 @@
     exchange = turn.state.exchanges.get(timer.token)
     if exchange is None:
         return
-    target = _release(exchange, turn)
+    target = _release(exchange, Outcome.SILENT, turn)
     if target is not None:
         note_failure(target, turn)
     turn.count("upstream.timeout")
@@ -148,13 +279,14 @@
     exchange.tried = (*exchange.tried, exchange.target)
     if exchange.deadline_ms - turn.now_ms < MIN_REMAINING_MS:
         return False
-    target = choose_target(turn, exchange.reply_to.flow, tried=exchange.tried)
-    if target is None or not _spend_retry(state):
+    service = exchange.reply_to.flow.service
+    usable = candidates(state, service, turn.now_ms, exchange.tried)
+    if not usable or not _spend_retry(state):
         return False
     turn.count("upstream.retry")
     # A new token keeps a late answer to the earlier try apart.
     exchange.token = turn.new_token()
-    _send(exchange, target, turn)
+    _place(exchange, turn)
     subjects = flow_subjects(exchange.reply_to.flow, exchange.reply_to.token)
     turn.note(subjects, "retried", reason)
     return True
--- a/libs/core/src/lagoontally_core/_peer_messages.py
+++ b/libs/core/src/lagoontally_core/_peer_messages.py
@@ -263,3 +263,38 @@
     digest: bytes
     order: list[str]
     sections: dict[str, bytes]
+
+
+class PlaceAsk(NamedTuple):
+    """Asks the dispatcher of a service for a target.
+
+    Attributes:
+        token: Names the request; that of its exchange.
+        service: Name of the service.
+        tried: ``IP:port`` of targets that must not be chosen.
+        remaining_ms: Time left to the request's deadline.
+    """
+
+    token: bytes
+    service: str
+    tried: list[str]
+    remaining_ms: int
+
+
+class Placed(NamedTuple):
+    """The dispatcher's choice; ``target`` is empty when it has none."""
+
+    token: bytes
+    target: str
+
+
+class PlaceDone(NamedTuple):
+    """Tells the dispatcher that a placed request has ended.
+
+    Attributes:
+        token: Names the request.
+        outcome: A value of ``Outcome``.
+    """
+
+    token: bytes
+    outcome: int
--- a/libs/core/src/lagoontally_core/_state.py
+++ b/libs/core/src/lagoontally_core/_state.py
@@ -5,6 +5,7 @@
 
 from lagoontally_model import Template, Timing
 
+from ._dispatch_book import DispatchBook
 from ._journal import Journal
 from ._members import Membership
 from ._timers import Timers
@@ -107,7 +108,8 @@
         session: The session that it came in; 0 for an idempotent one.
         key: Key of the remembered request, None for an idempotent one.
         body: The caller's datagram.
-        target: ``IP:port`` that it was sent to.
+        target: ``IP:port`` that it was sent to; empty before that.
+        dispatcher: Where the end of it is told; empty when nowhere.
         tried: Targets that shed it or didn't answer it.
         started_ms: When the request arrived.
         deadline_ms: When it is given up.
@@ -116,6 +118,7 @@
     __slots__ = (
         "body",
         "deadline_ms",
+        "dispatcher",
         "key",
         "kind",
         "reply_to",
@@ -138,6 +141,7 @@
         self.started_ms = started_ms
         self.deadline_ms = deadline_ms
         self.target = ""
+        self.dispatcher = ""
         self.tried = ()
 
 
@@ -280,6 +284,7 @@
         departure: The progress of its own leave, or None.
         staged: Handovers received and not yet announced.
         timers: What is due at a later time.
+        dispatch: What it placed as a dispatcher, and which ones it asks.
         journal: The latest decisions.
         retry_tokens: Retries that may be made now.
         newest_path: Number of the local socket opened last.
@@ -315,6 +320,7 @@
         self.departure = None
         self.staged = {}
         self.timers = Timers()
+        self.dispatch = DispatchBook()
         self.journal = Journal()
         self.retry_tokens = 0.0
         self.newest_path = FIRST_PATH
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -5,6 +5,7 @@
 
 from . import _peer_messages as peer
 from ._actions import AnswerOperator, ReadInstances, ReadTemplate
+from ._dispatch import LeaseTimer, on_lease_timer, on_place_ask, on_place_done
 from ._events import (
     CallerAck,
     CallerRequest,
@@ -21,7 +22,14 @@
     Tick,
     UpstreamReply,
 )
-from ._exchanges import ExchangeTimer, on_exchange_reply, on_exchange_timer
+from ._exchanges import (
+    AskTimer,
+    ExchangeTimer,
+    on_ask_timer,
+    on_exchange_reply,
+    on_exchange_timer,
+    on_placed,
+)
 from ._home import ForgetRequest, forget_request
 from ._ingress import (
     on_caller_ack,
@@ -246,6 +254,9 @@
 receive.register(peer.Relay, on_relay)
 receive.register(peer.RelayAck, on_relay_ack)
 receive.register(peer.RelayFresh, on_relay_fresh)
+receive.register(peer.PlaceAsk, on_place_ask)
+receive.register(peer.Placed, on_placed)
+receive.register(peer.PlaceDone, on_place_done)
 receive.register(peer.HandoverPart, on_handover_part)
 receive.register(peer.HandoverAck, on_handover_ack)
 receive.register(peer.SuccessionAck, on_succession_ack)
@@ -271,6 +282,8 @@
 
 
 fire.register(ExchangeTimer, on_exchange_timer)
+fire.register(AskTimer, on_ask_timer)
+fire.register(LeaseTimer, on_lease_timer)
 fire.register(ForgetRequest, forget_request)
 fire.register(LineTimer, check_line)
 fire.register(RegisterTimer, check_registration)
