--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_core_model.py
@@ -0,0 +1,222 @@
+"""The queueing model with real cores in place of modelled balancers."""
+
+import json
+from random import Random
+
+from lagoontally_core import (
+    AnswerCaller,
+    AskIdentity,
+    CallerRequest,
+    Flow,
+    Forwarded,
+    IdentityReply,
+    Instance,
+    InstancesRead,
+    PeerMessage,
+    Received,
+    ReplyStatus,
+    Request,
+    RequestKind,
+    SelfInfo,
+    SendPeer,
+    SendUpstream,
+    State,
+    TemplateRead,
+    Tick,
+    UpstreamReply,
+    step,
+)
+from lagoontally_model import Timing, parse_template
+
+from ._queueing import NETWORK_MS, RELAY_MS, Job, Model
+
+WORKSPACE = "dossier-hub-balancing"
+TICK_MS = 100.0
+JOIN_MS = 10_000.0
+REMAINING_MS = 9_000
+MID_MASK = 0xFFFF
+
+
+class CoreModel(Model):
+    """A run in which real cores decide.
+
+    Attributes:
+        states: The cores' states, by the balancer's number.
+        jobs: The requests under way, by the caller's token.
+        dead: Numbers of the balancers that have died.
+    """
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.dead = set()
+        self.jobs = {}
+        self.numbers = 0
+        self.randoms = {}
+        self.states = {}
+        for balancer in self.balancers:
+            number = balancer.number
+            self.randoms[number] = Random(self.random.random())
+            self.states[number] = State(self._info(balancer), Timing())
+
+    def _info(self, balancer):
+        return SelfInfo(
+            incarnation=self.random.getrandbits(64),
+            name=f"b{balancer.number}",
+            workspace=WORKSPACE,
+            data_centre=f"dc{balancer.centre}",
+            peer_address=f"b{balancer.number}:7946",
+            echo_key=b"k" * 32,
+            wall_offset_ms=0,
+        )
+
+    def run(self):
+        """Let the cores join, then run as the model does."""
+        document = self._document()
+        template = parse_template(document)
+        listed = tuple(
+            Instance(f"b{number}", "dc0", f"b{number}:7946", False)
+            for number in self.states
+        )
+        for number in self.states:
+            self.tell(number, TemplateRead(template, document))
+            self.tell(number, InstancesRead(listed))
+            self.after(self.random.random() * TICK_MS, self._tick, number)
+        self.after(JOIN_MS, self._start)
+        while self.queue:
+            self.now_ms, _, action, arguments = self.pop()
+            action(*arguments)
+        return self
+
+    def _start(self):
+        self.end_ms += self.now_ms
+        self._plan()
+        if self.condition.dispatcher_dies:
+            self.after(self.experiment.requests * self.gap_ms / 3, self._kill)
+        self._arrive()
+        self._sample()
+
+    def _kill(self):
+        """End the balancer that chooses for the first one."""
+        named, _ = self.states[0].dispatch.named[self.fleet.name]
+        for number, state in self.states.items():
+            if state.info.incarnation == named:
+                self.dead.add(number)
+                self.balancers = [b for b in self.balancers if b.number != number]
+
+    def _document(self):
+        targets = [
+            {
+                "name": f"target-{target.number}",
+                "address": self._address(target),
+                "data_centre": f"dc{target.centre}",
+                "slots": target.slots,
+            }
+            for target in self.targets
+        ]
+        service = {
+            "entry_port": 5711,
+            "placement": "request",
+            "imbalance_weight": 0.7,
+            "targets": targets,
+        }
+        workspace = {"tenant": "franchise", "services": {self.fleet.name: service}}
+        document = {
+            "format": 1,
+            "version": 1,
+            "published_at": "2026-12-03T21:00:00Z",
+            "quarantine_s": 600,
+            "workspaces": {WORKSPACE: workspace},
+            "retired": [],
+        }
+        return json.dumps(document).encode()
+
+    def _address(self, target):
+        return f"127.20.1.{target.number + 1}:7001"
+
+    def _tick(self, number):
+        if number in self.dead:
+            return
+        self.tell(number, Tick())
+        if self.left > 0 or self.jobs:
+            self.after(TICK_MS, self._tick, number)
+
+    def tell(self, number, event):
+        """Let a core handle an event, and perform what follows."""
+        if number in self.dead:
+            return
+        now_ms = int(self.now_ms)
+        event = Received(now_ms, event)
+        random = self.randoms[number]
+        for action in step(self.states[number], event, now_ms, random):
+            self._perform(number, action)
+
+    def _perform(self, number, action):
+        if isinstance(action, SendPeer):
+            self._send_peer(number, action)
+        elif isinstance(action, SendUpstream):
+            self._send_upstream(number, action)
+        elif isinstance(action, AnswerCaller):
+            self._answer_caller(action)
+        elif isinstance(action, AskIdentity):
+            reply = IdentityReply(action.target, WORKSPACE, self.fleet.name)
+            self.after(2 * NETWORK_MS, self.tell, number, reply)
+
+    def _send_peer(self, number, action):
+        peer = int(action.peer_address.split(":")[0][1:])
+        delay_ms = self.random.uniform(*RELAY_MS)
+        if peer % self.fleet.centres != number % self.fleet.centres:
+            delay_ms += self.fleet.hop_ms
+        sender = self.states[number].info.incarnation
+        self.after(delay_ms, self.tell, peer, PeerMessage(sender, action.message))
+
+    def _send_upstream(self, number, action):
+        job = self.jobs[action.body]
+        target = self.targets[int(action.target.split(":")[0].split(".")[-1]) - 1]
+        self.sends += 1
+        far = number % self.fleet.centres != target.centre
+        delay_ms = NETWORK_MS + (self.fleet.hop_ms if far else 0.0)
+        attempt = Job(job.flow, job.arrived_ms, number, job.work_ms)
+        attempt.flow = action
+        self.after(delay_ms, self._reach, attempt, target)
+
+    def _answer_caller(self, action):
+        job = self.jobs.pop(action.reply_to.token, None)
+        if job is None:
+            return
+        if isinstance(action.answer, Forwarded):
+            self.latencies.append((self.now_ms, self.now_ms - job.arrived_ms))
+        else:
+            kind = type(action.answer).__name__
+            self.counts["refused" if kind == "Refused" else "timed_out"] += 1
+
+    def _arrive(self):
+        self.left -= 1
+        if self.left > 0:
+            self.after(self.random.expovariate(1 / self.gap_ms), self._arrive)
+        balancer = self.random.choice(self.balancers)
+        self.numbers += 1
+        token = self.numbers.to_bytes(4, "big")
+        self.jobs[token] = Job(self.numbers, self.now_ms, balancer, self._work_ms())
+        request = Request(
+            RequestKind.IDEMPOTENT,
+            token,
+            self.numbers & MID_MASK,
+            True,
+            b"",
+            REMAINING_MS,
+            token,
+        )
+        flow = Flow(self.fleet.name, f"10.0.{self.numbers % 200}.1:5")
+        self.tell(balancer.number, CallerRequest(flow, request))
+
+    def _shed(self, job):
+        self.counts["shed"] += 1
+        self._reply(job, ReplyStatus.SHED)
+
+    def _answer(self, job, _target):
+        self._reply(job, ReplyStatus.ANSWERED)
+
+    def _reply(self, job, status):
+        action = job.flow
+        reply = UpstreamReply(action.target, 0, action.token, status, False, 1, b"")
+        self.tell(job.balancer, reply)
--- a/libs/bench/src/lagoontally_bench/_queueing.py
+++ b/libs/bench/src/lagoontally_bench/_queueing.py
@@ -175,6 +175,10 @@
         entry = (self.now_ms + delay_ms, next(self.order), action, arguments)
         heapq.heappush(self.queue, entry)
 
+    def pop(self):
+        """Remove and return what is due next."""
+        return heapq.heappop(self.queue)
+
     def run(self):
         """Run until every request has ended; return the model."""
         self._plan()
@@ -184,7 +188,7 @@
         for balancer in self.balancers:
             self.after(self.random.random() * 1_000, self._read_reports, balancer)
         while self.queue:
-            self.now_ms, _, action, arguments = heapq.heappop(self.queue)
+            self.now_ms, _, action, arguments = self.pop()
             action(*arguments)
         return self
 
--- a/libs/bench/src/lagoontally_bench/_runs.py
+++ b/libs/bench/src/lagoontally_bench/_runs.py
@@ -4,11 +4,13 @@
 from itertools import product
 from typing import NamedTuple
 
+from ._core_model import CoreModel
 from ._experiment import Condition, Experiment, Fleet
 from ._policies import make_policy
 from ._queueing import Model
 
 WORKERS = 2
+CORE = "core"
 PERCENTILES = (50.0, 99.0, 99.9)
 CURVE_POINTS = 60
 
@@ -86,13 +88,14 @@
 
 def run_one(plan):
     """Run one plan; every policy sees the same seed."""
-    model = Model(
+    kind = CoreModel if plan.policy == CORE else Model
+    model = kind(
         plan.experiment,
         plan.fleet,
         load=plan.load,
         work=plan.work,
         condition=plan.condition,
-        policy=make_policy(plan.policy),
+        policy=None if plan.policy == CORE else make_policy(plan.policy),
         seed=plan.experiment.seed,
     ).run()
     ordered = sorted(latency for _, latency in model.latencies)
