Admit requests at the dispatcher by class and by caller's share

Cause: without limits a storm of one caller's reads fills the targets' queues. A request that was shed after a try without an answer is now unknown, not refused: that try may have run it.

--- a/libs/bench/src/lagoontally_bench/_bench_command.py
+++ b/libs/bench/src/lagoontally_bench/_bench_command.py
@@ -11,7 +11,7 @@
 
 COLUMNS = (
     "{:<12} {:>4} {:<11} {:<12} {:<18} {:>7} {:>7} {:>7} "
-    "{:>6} {:>6} {:>6} {:>6} {:>6} {:>6}"
+    "{:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>6}"
 )
 HEADINGS = (
     "service",
@@ -28,6 +28,9 @@
     "refus",
     "lost",
     "ampl",
+    "recov",
+    "cmd p99",
+    "cmd -",
 )
 
 
@@ -66,6 +69,9 @@
                 item.refused,
                 item.timed_out,
                 round(item.amplification, 2),
+                item.recovery_s,
+                item.command_p99_ms,
+                item.commands_failed,
             )
         )
 
--- a/libs/bench/src/lagoontally_bench/_core_model.py
+++ b/libs/bench/src/lagoontally_bench/_core_model.py
@@ -2,6 +2,7 @@
 
 import json
 from random import Random
+from typing import NamedTuple
 
 from lagoontally_core import (
     AnswerCaller,
@@ -12,8 +13,11 @@
     IdentityReply,
     Instance,
     InstancesRead,
+    Limits,
+    NeedEcho,
     PeerMessage,
     Received,
+    Refused,
     ReplyStatus,
     Request,
     RequestKind,
@@ -35,6 +39,24 @@
 JOIN_MS = 10_000.0
 REMAINING_MS = 9_000
 MID_MASK = 0xFFFF
+TOKEN_BYTES = 4
+STORM = "10.9.9.9:5"
+OPEN = Limits(1_000, 1_000, by_caller=False)
+LIMITS = {
+    "core": Limits(),
+    "core-classes": Limits(by_caller=False),
+    "core-open": OPEN,
+}
+
+
+class CallerJob(NamedTuple):
+    """A caller's request."""
+
+    arrived_ms: float
+    balancer: object
+    work_ms: float
+    caller: str
+    kind: RequestKind
 
 
 class CoreModel(Model):
@@ -48,6 +70,7 @@
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
+        self.counts |= {"commands_failed": 0, "storm_answered": 0}
         self.dead = set()
         self.jobs = {}
         self.numbers = 0
@@ -56,7 +79,9 @@
         for balancer in self.balancers:
             number = balancer.number
             self.randoms[number] = Random(self.random.random())
-            self.states[number] = State(self._info(balancer), Timing())
+            state = State(self._info(balancer), Timing())
+            state.dispatch.limits = LIMITS[self.policy]
+            self.states[number] = state
 
     def _info(self, balancer):
         return SelfInfo(
@@ -92,6 +117,9 @@
         self._plan()
         if self.condition.dispatcher_dies:
             self.after(self.experiment.requests * self.gap_ms / 3, self._kill)
+        third_ms = (self.end_ms - self.now_ms) / 3
+        if self.condition.storm:
+            self.after(third_ms, self._storm, self.now_ms + 2 * third_ms)
         self._arrive()
         self._sample()
 
@@ -170,44 +198,75 @@
         self.after(delay_ms, self.tell, peer, PeerMessage(sender, action.message))
 
     def _send_upstream(self, number, action):
-        job = self.jobs[action.body]
+        job = self.jobs[action.body[:TOKEN_BYTES]]
         target = self.targets[int(action.target.split(":")[0].split(".")[-1]) - 1]
         self.sends += 1
         far = number % self.fleet.centres != target.centre
         delay_ms = NETWORK_MS + (self.fleet.hop_ms if far else 0.0)
-        attempt = Job(job.flow, job.arrived_ms, number, job.work_ms)
-        attempt.flow = action
+        attempt = Job(action, job.arrived_ms, number, job.work_ms)
         self.after(delay_ms, self._reach, attempt, target)
 
     def _answer_caller(self, action):
-        job = self.jobs.pop(action.reply_to.token, None)
+        token = action.reply_to.token
+        job = self.jobs.get(token)
         if job is None:
             return
+        if isinstance(action.answer, NeedEcho):
+            self._request(job, token, action.echo)
+            return
+        del self.jobs[token]
+        latency_ms = self.now_ms - job.arrived_ms
+        if job.caller == STORM:
+            self.counts["storm_answered"] += isinstance(action.answer, Forwarded)
+            return
         if isinstance(action.answer, Forwarded):
-            self.latencies.append((self.now_ms, self.now_ms - job.arrived_ms))
-        else:
-            kind = type(action.answer).__name__
-            self.counts["refused" if kind == "Refused" else "timed_out"] += 1
+            self.note_latency(latency_ms)
+            if job.kind is RequestKind.COMMAND:
+                self.command_latencies.append(latency_ms)
+            return
+        self.troubles.append(self.now_ms)
+        refused = isinstance(action.answer, Refused)
+        self.counts["refused" if refused else "timed_out"] += 1
+        if job.kind is RequestKind.COMMAND:
+            self.counts["commands_failed"] += 1
 
     def _arrive(self):
         self.left -= 1
         if self.left > 0:
             self.after(self.random.expovariate(1 / self.gap_ms), self._arrive)
-        balancer = self.random.choice(self.balancers)
+        command = self.random.random() < self.condition.commands
+        kind = RequestKind.COMMAND if command else RequestKind.IDEMPOTENT
         self.numbers += 1
+        self._begin(f"10.0.{self.numbers % 200}.1:5", kind)
+
+    def _storm(self, until_ms):
+        if self.now_ms >= until_ms:
+            return
+        gap_ms = self.gap_ms / self.condition.storm
+        self.after(self.random.expovariate(1 / gap_ms), self._storm, until_ms)
+        self.numbers += 1
+        self._begin(STORM, RequestKind.IDEMPOTENT)
+
+    def _begin(self, caller, kind):
+        """Let a caller send a request to any balancer."""
+        balancer = self.random.choice(self.balancers)
         token = self.numbers.to_bytes(4, "big")
-        self.jobs[token] = Job(self.numbers, self.now_ms, balancer, self._work_ms())
+        job = CallerJob(self.now_ms, balancer, self._work_ms(), caller, kind)
+        self.jobs[token] = job
+        self._request(job, token, b"")
+
+    def _request(self, job, token, echo):
         request = Request(
-            RequestKind.IDEMPOTENT,
+            job.kind,
             token,
-            self.numbers & MID_MASK,
+            int.from_bytes(token, "big") & MID_MASK,
             True,
-            b"",
+            echo,
             REMAINING_MS,
-            token,
+            token + echo,
         )
-        flow = Flow(self.fleet.name, f"10.0.{self.numbers % 200}.1:5")
-        self.tell(balancer.number, CallerRequest(flow, request))
+        flow = Flow(self.fleet.name, job.caller)
+        self.tell(job.balancer.number, CallerRequest(flow, request))
 
     def _shed(self, job):
         self.counts["shed"] += 1
--- a/libs/bench/src/lagoontally_bench/_experiment.py
+++ b/libs/bench/src/lagoontally_bench/_experiment.py
@@ -38,6 +38,11 @@
         cold_ms: How long a restarted target is slow.
         cold_factor: How much longer it takes meanwhile.
         silent: Targets that answer nothing in the middle third of the run.
+        shedding: Targets that shed everything in the middle third of the run.
+        outage_ms: How long no target answers, a third into the run.
+        storm: Rate of one caller's reads in the middle third, as a multiple of
+            all other requests; real cores only.
+        commands: Share of the requests that are commands; real cores only.
         dispatcher_dies: True when the dispatcher dies a third into the run.
     """
 
@@ -49,6 +54,10 @@
     cold_ms: float = 10_000.0
     cold_factor: float = 5.0
     silent: int = 0
+    shedding: int = 0
+    outage_ms: float = 0.0
+    storm: float = 0.0
+    commands: float = 0.0
     dispatcher_dies: bool = False
 
 
--- a/libs/bench/src/lagoontally_bench/_queueing.py
+++ b/libs/bench/src/lagoontally_bench/_queueing.py
@@ -19,6 +19,8 @@
 HEAVY_SHAPE = 1.5
 HEAVY_CAP = 200.0
 SLOW_FACTOR = 2.0
+LATE_MS = 1_000.0
+CALM_MS = 5_000.0
 
 
 class Target:
@@ -34,6 +36,7 @@
         lies: True when it always reports that it is idle.
         factor: How much longer than usual it takes.
         silent: True while it takes requests and answers none.
+        sheds: True while it sheds every request.
         started: Requests that it has started.
     """
 
@@ -47,6 +50,7 @@
         self.lies = False
         self.factor = 1.0
         self.silent = False
+        self.sheds = False
         self.started = 0
 
     @property
@@ -135,10 +139,13 @@
 
     Attributes:
         now_ms: The virtual time.
+        command_latencies: Latency of each answered command, where known.
         latencies: Latency of each answered request, with its end.
         jobs_imbalance: Samples of max over mean of the jobs at the targets.
         busy_imbalance: Samples of max over mean of the busy slots.
         sends: Requests sent to targets.
+        troubles: When requests were refused, given up or answered late.
+        healed_ms: When an outage has ended.
         counts: Requests shed, refused and given up.
     """
 
@@ -165,9 +172,12 @@
         self.end_ms = experiment.requests * self.gap_ms
         self.left = experiment.requests
         self.latencies = []
+        self.command_latencies = []
         self.jobs_imbalance = []
         self.busy_imbalance = []
         self.sends = 0
+        self.troubles = []
+        self.healed_ms = 0.0
         self.counts = {"shed": 0, "refused": 0, "timed_out": 0, "retried": 0}
 
     def after(self, delay_ms, action, *arguments):
@@ -194,7 +204,7 @@
 
     def _plan(self):
         condition = self.condition
-        third_ms = self.end_ms / 3
+        third_ms = (self.end_ms - self.now_ms) / 3
         for target in self.targets[: condition.liars]:
             target.lies = True
         for target in self.targets[: condition.half_speed]:
@@ -202,9 +212,19 @@
         for target in self.targets[: condition.cold]:
             self.after(third_ms, setattr, target, "factor", condition.cold_factor)
             self.after(third_ms + condition.cold_ms, setattr, target, "factor", 1.0)
+        for target in self.targets[: condition.shedding]:
+            self.after(third_ms, setattr, target, "sheds", True)
+            self.after(2 * third_ms, setattr, target, "sheds", False)
         for target in self.targets[: condition.silent]:
-            self.after(third_ms, setattr, target, "silent", True)
-            self.after(2 * third_ms, self._heal, target)
+            self._plan_silence(target, third_ms, third_ms)
+        if condition.outage_ms:
+            self.healed_ms = self.now_ms + third_ms + condition.outage_ms
+            for target in self.targets:
+                self._plan_silence(target, third_ms, condition.outage_ms)
+
+    def _plan_silence(self, target, start_ms, duration_ms):
+        self.after(start_ms, setattr, target, "silent", True)
+        self.after(start_ms + duration_ms, self._heal, target)
 
     def _heal(self, target):
         target.silent = False
@@ -256,7 +276,7 @@
         self.after(TRY_MS, self._time_out, job, len(job.tries))
 
     def _reach(self, job, target):
-        if target.jobs >= target.slots + self.experiment.queue:
+        if target.sheds or target.jobs >= target.slots + self.experiment.queue:
             self.after(NETWORK_MS, self._shed, job)
             return
         target.waiting.append(job)
@@ -289,7 +309,24 @@
         self._release(job, answered=True)
         job.holder.failures[target.number] = 0
         job.holder.closed_until_ms[target.number] = 0.0
-        self.latencies.append((self.now_ms, self.now_ms - job.arrived_ms))
+        self.note_latency(self.now_ms - job.arrived_ms)
+
+    def note_latency(self, latency_ms):
+        """Note an answered request."""
+        self.latencies.append((self.now_ms, latency_ms))
+        if latency_ms > LATE_MS:
+            self.troubles.append(self.now_ms)
+
+    def recovery_s(self):
+        """Return how long after an outage the last trouble of its wake was seen."""
+        last_ms = self.healed_ms
+        for at_ms in self.troubles:
+            if at_ms < self.healed_ms:
+                continue
+            if at_ms - last_ms > CALM_MS:
+                break
+            last_ms = at_ms
+        return round((last_ms - self.healed_ms) / 1000, 2)
 
     def _shed(self, job):
         if job.done:
@@ -299,6 +336,7 @@
         if not self._retry(job):
             job.done = True
             self.counts["refused"] += 1
+            self.troubles.append(self.now_ms)
 
     def _time_out(self, job, tries):
         if job.done or len(job.tries) != tries:
@@ -317,6 +355,7 @@
         if waited_ms >= TIMEOUT_MS or not self._retry(job):
             job.done = True
             self.counts["timed_out"] += 1
+            self.troubles.append(self.now_ms)
             self.latencies.append((self.now_ms, TIMEOUT_MS))
 
     def _retry(self, job):
--- a/libs/bench/src/lagoontally_bench/_runs.py
+++ b/libs/bench/src/lagoontally_bench/_runs.py
@@ -4,13 +4,12 @@
 from itertools import product
 from typing import NamedTuple
 
-from ._core_model import CoreModel
+from ._core_model import LIMITS, CoreModel
 from ._experiment import Condition, Experiment, Fleet
 from ._policies import make_policy
 from ._queueing import Model
 
 WORKERS = 2
-CORE = "core"
 PERCENTILES = (50.0, 99.0, 99.9)
 CURVE_POINTS = 60
 
@@ -52,6 +51,9 @@
         refused: Requests that their caller was refused.
         timed_out: Requests given up without an answer.
         amplification: Sends to targets for each request.
+        recovery_s: Time from the end of an outage to the last late answer.
+        command_p99_ms: 99th percentile of commands; real cores only.
+        commands_failed: Commands refused or given up; real cores only.
         curve: Measures over time.
     """
 
@@ -69,6 +71,9 @@
     refused: int
     timed_out: int
     amplification: float
+    recovery_s: float
+    command_p99_ms: float
+    commands_failed: int
     curve: list[Point]
 
 
@@ -88,14 +93,15 @@
 
 def run_one(plan):
     """Run one plan; every policy sees the same seed."""
-    kind = CoreModel if plan.policy == CORE else Model
+    real = plan.policy in LIMITS
+    kind = CoreModel if real else Model
     model = kind(
         plan.experiment,
         plan.fleet,
         load=plan.load,
         work=plan.work,
         condition=plan.condition,
-        policy=None if plan.policy == CORE else make_policy(plan.policy),
+        policy=plan.policy if real else make_policy(plan.policy),
         seed=plan.experiment.seed,
     ).run()
     ordered = sorted(latency for _, latency in model.latencies)
@@ -115,6 +121,9 @@
         refused=model.counts["refused"],
         timed_out=model.counts["timed_out"],
         amplification=round(model.sends / plan.experiment.requests, 4),
+        recovery_s=model.recovery_s(),
+        command_p99_ms=_percentile(sorted(model.command_latencies), 99.0),
+        commands_failed=model.counts.get("commands_failed", 0),
         curve=_curve(model),
     )
 
--- a/libs/core/features/dispatch.feature
+++ b/libs/core/features/dispatch.feature
@@ -43,10 +43,16 @@
     And 12000 ms pass
     Then the dispatcher counts 0 requests
 
-  Scenario: A service that keeps flows on their targets has no dispatcher
+  Scenario: A service that keeps flows on their targets is only admitted
     Given the service keeps flows on their targets
-    When another balancer gets 1 requests
-    Then 1 requests have been sent
+    When one caller sends 6 requests at once
+    Then 6 requests have been sent
+    And all requests went to one target
+
+  Scenario: One caller's storm leaves room for the others
+    When one caller sends 60 requests at once
+    Then 51 of them hear at once when to come back, at different times
+    And the requests of 6 other callers are all sent
 
   Scenario: No more than half of the targets are closed
     When every target but one is silent again and again
--- a/libs/core/features/steps/dispatch_steps.py
+++ b/libs/core/features/steps/dispatch_steps.py
@@ -120,7 +120,7 @@
         elif isinstance(action, AnswerCaller):
             self.answers.append(action.answer)
 
-    def request(self, number, count):
+    def request(self, number, count, caller=None):
         """Let a balancer get requests that may be repeated."""
         for _ in range(count):
             self.numbers += 1
@@ -128,8 +128,8 @@
             request = Request(
                 RequestKind.IDEMPOTENT, token, self.numbers, True, b"", 9_000, b"get"
             )
-            caller = f"10.0.0.{self.numbers}:5"
-            self.tell(number, CallerRequest(Flow("desk", caller), request))
+            flow = Flow("desk", caller or f"10.0.0.{self.numbers}:5")
+            self.tell(number, CallerRequest(flow, request))
 
     def reply(self, number, sent, status):
         """Let a target reply."""
@@ -207,6 +207,36 @@
     context.cores.request(context.dispatcher, count)
 
 
+@when("one caller sends {count:d} requests at once")
+def step_storm(context, count):
+    """A storm, sprayed over the balancers."""
+    for number in range(count):
+        context.cores.request(1 + number % 3, 1, caller="10.9.9.9:5")
+
+
+@then("the requests of {count:d} other callers are all sent")
+def step_others(context, count):
+    """What others ask for is admitted after the storm."""
+    before = len(context.cores.sent)
+    for number in range(count):
+        context.cores.request(1 + number % 3, 1)
+    assert len(context.cores.sent) - before == count
+
+
+@then("{count:d} of them hear at once when to come back, at different times")
+def step_spread(context, count):
+    """Refusals carry spread times."""
+    refused = [item for item in context.cores.answers if isinstance(item, Refused)]
+    assert len(refused) == count, len(refused)
+    assert len({item.retry_after_s for item in refused}) > 2
+
+
+@then("all requests went to one target")
+def step_one_target(context):
+    """The flow is kept on its target."""
+    assert len(context.cores.load()) == 1
+
+
 @when("{duration:d} ms pass")
 def step_pass(context, duration):
     """Time passes by ticks."""
@@ -224,7 +254,7 @@
     """The late answer to the question."""
     cores = context.cores
     (token,) = cores.states[context.other].exchanges
-    message = PeerMessage(context.dispatcher, Placed(token, TARGETS[0]))
+    message = PeerMessage(context.dispatcher, Placed(token, TARGETS[0], ""))
     cores.tell(context.other, message)
 
 
--- a/libs/core/src/lagoontally_core/__init__.py
+++ b/libs/core/src/lagoontally_core/__init__.py
@@ -24,6 +24,7 @@
     Stop,
     Unknown,
 )
+from ._admission import Limits
 from ._events import (
     CallerAck,
     CallerRequest,
@@ -93,6 +94,7 @@
     "JOIN_WAIT_MS",
     "Join",
     "LeaveRequested",
+    "Limits",
     "LineRecord",
     "LoadReply",
     "LogChange",
--- a/libs/core/src/lagoontally_core/_choice.py
+++ b/libs/core/src/lagoontally_core/_choice.py
@@ -53,6 +53,14 @@
     return _kept_target(usable, flow, hint)
 
 
+def kept_address(turn, flow, *, hint=0, tried=()):
+    """Return the address of the target that a flow is kept on, or empty."""
+    if _placement(turn.state, flow.service) is Placement.REQUEST:
+        return ""
+    usable = candidates(turn.state, flow.service, turn.now_ms, tried)
+    return _kept_target(usable, flow, hint).address if usable else ""
+
+
 def choose_line_target(turn, flow, *, tried=()):
     """Return the target for a line, by lines held, or None."""
     usable = candidates(turn.state, flow.service, turn.now_ms, tried)
--- a/libs/core/src/lagoontally_core/_dispatch.py
+++ b/libs/core/src/lagoontally_core/_dispatch.py
@@ -1,19 +1,20 @@
 """Dispatchers: balancers that choose targets for the others.
 
-A service whose requests each choose a target has few slots and many balancers,
-so that what one balancer sees of its own says little. One balancer, named by
-rendezvous over those alive, is asked for each choice and hears of its end. What
-it holds may be lost or wrong: then balance suffers, never correctness. A
-balancer that hears nothing from it chooses by itself.
+A service has few slots and many balancers, so that what one balancer sees of its
+own says little. One balancer, named by rendezvous over those alive, is asked for
+each choice and hears of its end; where a flow keeps its target, it only decides
+whether the request is admitted now. What it holds may be lost or wrong: then
+balance suffers, never correctness. A balancer that hears nothing from it chooses
+by itself.
 """
 
 from enum import IntEnum
 from typing import NamedTuple
 
-from lagoontally_model import Placement
-
 from ._actions import SendPeer
+from ._admission import why_refused
 from ._choice import candidates, note_answer, note_failure
+from ._dispatch_book import Lease
 from ._peer_messages import PlaceAsk, Placed, PlaceDone
 from ._rendezvous import incarnation_name, rendezvous_pick
 from ._state import Phase
@@ -48,9 +49,6 @@
         chooses by what it sees itself.
     """
     state = turn.state
-    workspace = state.template.workspaces[state.info.workspace]
-    if workspace.services[service].placement is not Placement.REQUEST:
-        return None
     book = state.dispatch
     named, kept_until_ms = book.named.get(service, (None, 0))
     if kept_until_ms <= turn.now_ms:
@@ -78,21 +76,37 @@
     return None if picked is None else int.from_bytes(picked, "big")
 
 
-def place_here(turn, token, service, tried, remaining_ms):
-    """Choose a target as the dispatcher; return its address or None."""
-    usable = candidates(turn.state, service, turn.now_ms, tried)
+def place_here(turn, ask):
+    """Choose a target as the dispatcher; return a ``Placed``."""
+    usable = candidates(turn.state, ask.service, turn.now_ms, ask.tried)
     if not usable:
-        return None
+        return Placed(ask.token, "", "")
     book = turn.state.dispatch
+    refusal = why_refused(book, usable, ask)
+    if refusal:
+        turn.count("dispatch.refused")
+        return Placed(ask.token, "", refusal)
+    address = _preferred(usable, ask) or _least_loaded(usable, turn)
+    book.add(ask.token, Lease(address, ask.service, ask.caller))
+    until_ms = turn.now_ms + ask.remaining_ms + HOLD_MS
+    turn.state.timers.add(until_ms, LeaseTimer(ask.token))
+    return Placed(ask.token, address, "")
+
+
+def _preferred(usable, ask):
+    known = ask.preferred in (target.address for target in usable)
+    return ask.preferred if known else ""
+
+
+def _least_loaded(usable, turn):
+    placed = turn.state.dispatch.placed
     target = min(
         usable,
         key=lambda item: (
-            book.placed.get(item.address, 0) / item.slots,
+            placed.get(item.address, 0) / item.slots,
             turn.random.random(),
         ),
     )
-    book.add(token, target.address)
-    turn.state.timers.add(turn.now_ms + remaining_ms + HOLD_MS, LeaseTimer(token))
     return target.address
 
 
@@ -118,8 +132,7 @@
     record = state.membership.records.get(sender)
     if record is None or ask.service not in state.service_targets:
         return
-    target = place_here(turn, ask.token, ask.service, ask.tried, ask.remaining_ms)
-    turn.act(SendPeer(record.peer_address, Placed(ask.token, target or "")))
+    turn.act(SendPeer(record.peer_address, place_here(turn, ask)))
 
 
 def on_place_done(done: PlaceDone, _sender, turn):
@@ -143,7 +156,7 @@
     book = turn.state.dispatch
     if outcome in (Outcome.SHED, Outcome.SILENT):
         turn.state.timers.add(turn.now_ms + HOLD_MS, LeaseTimer(token))
-        return book.leases.get(token)
+        return book.target_of(token)
     return book.release(token)
 
 
--- a/libs/core/src/lagoontally_core/_dispatch_book.py
+++ b/libs/core/src/lagoontally_core/_dispatch_book.py
@@ -1,33 +1,72 @@
 """What a dispatcher remembers of the requests that it has placed."""
 
+from typing import NamedTuple
+
+from ._admission import Limits
+
+
+class Lease(NamedTuple):
+    """A placed request.
+
+    Attributes:
+        target: ``IP:port`` of its target.
+        service: Name of the service.
+        caller: ``IP:port`` of its caller.
+    """
+
+    target: str
+    service: str
+    caller: str
+
 
 class DispatchBook:
     """Soft state of a dispatcher, and of those who ask one.
 
     Attributes:
-        leases: Target of each placed request, by the request's token.
+        leases: The ``Lease`` of each placed request, by the request's token.
         placed: Number of placed requests, by target.
+        totals: Number of placed requests, by service.
+        callers: Number of placed requests of each caller, by service.
+        limits: The ``Limits`` of admission.
         silent_until_ms: Dispatchers that didn't answer, by incarnation.
         named: The dispatcher of each service and until when that is kept.
     """
 
     def __init__(self):
-        self.leases: dict[bytes, str] = {}
+        self.leases: dict[bytes, Lease] = {}
         self.placed: dict[str, int] = {}
+        self.totals: dict[str, int] = {}
+        self.callers: dict[str, dict[str, int]] = {}
+        self.limits = Limits()
         self.silent_until_ms: dict[int, int] = {}
         self.named: dict[str, tuple] = {}
 
-    def add(self, token, target):
+    def add(self, token, lease):
         """Count a request at a target."""
-        self.leases[token] = target
-        self.placed[target] = self.placed.get(target, 0) + 1
+        self.leases[token] = lease
+        _add(self.placed, lease.target, 1)
+        _add(self.totals, lease.service, 1)
+        _add(self.callers.setdefault(lease.service, {}), lease.caller, 1)
 
     def release(self, token):
         """Count a request no longer; return its target, None if unknown."""
-        target = self.leases.pop(token, None)
-        if target is None:
+        lease = self.leases.pop(token, None)
+        if lease is None:
             return None
-        self.placed[target] -= 1
-        if not self.placed[target]:
-            del self.placed[target]
-        return target
+        _add(self.placed, lease.target, -1)
+        _add(self.totals, lease.service, -1)
+        _add(self.callers[lease.service], lease.caller, -1)
+        return lease.target
+
+    def target_of(self, token):
+        """Return the target of a placed request, None if unknown."""
+        lease = self.leases.get(token)
+        return lease.target if lease else None
+
+
+def _add(counts, name, change):
+    value = counts.get(name, 0) + change
+    if value:
+        counts[name] = value
+    else:
+        counts.pop(name, None)
--- a/libs/core/src/lagoontally_core/_exchanges.py
+++ b/libs/core/src/lagoontally_core/_exchanges.py
@@ -11,7 +11,14 @@
     SendUpstream,
     Unknown,
 )
-from ._choice import candidates, choose_target, note_answer, note_failure
+from ._admission import spread_retry_s
+from ._choice import (
+    candidates,
+    choose_target,
+    kept_address,
+    note_answer,
+    note_failure,
+)
 from ._dispatch import (
     ASK_WAIT_MS,
     Outcome,
@@ -70,7 +77,8 @@
     if limit_ms < MIN_REMAINING_MS:
         return Refused(0, "the deadline has passed")
     if not candidates(state, reply_to.flow.service, turn.now_ms):
-        return Refused(NO_TARGET_RETRY_S, "no target takes new work")
+        retry_s = spread_retry_s(turn.random)
+        return Refused(retry_s, "no target takes new work")
     _earn_retry(state)
     exchange = Exchange(
         token=turn.new_token(),
@@ -87,28 +95,37 @@
 
 
 def _place(exchange, turn, *, hint=0):
-    """Send an exchange to a target, or ask the dispatcher for one."""
+    """Send an exchange to a target, or ask the dispatcher first."""
     state = turn.state
-    service = exchange.reply_to.flow.service
-    named = dispatcher_of(turn, service)
-    remaining_ms = exchange.deadline_ms - turn.now_ms
+    flow = exchange.reply_to.flow
+    named = dispatcher_of(turn, flow.service)
     exchange.dispatcher = ""
     if named is None:
         _place_by_own_view(exchange, turn, hint=hint)
-    elif named == state.info.incarnation:
-        address = place_here(
-            turn, exchange.token, service, exchange.tried, remaining_ms
-        )
+        return
+    ask = _make_ask(exchange, turn, hint)
+    exchange.target = ""
+    state.exchanges[exchange.token] = exchange
+    if named == state.info.incarnation:
         exchange.dispatcher = state.info.peer_address
-        _send(exchange, state.targets[address], turn)
-    else:
-        tried = list(exchange.tried)
-        ask = PlaceAsk(exchange.token, service, tried, remaining_ms)
-        exchange.target = ""
-        exchange.dispatcher = ask_dispatcher(turn, named, ask)
-        state.exchanges[exchange.token] = exchange
-        state.timers.add(turn.now_ms + ASK_WAIT_MS, AskTimer(exchange.token))
-        turn.count("dispatch.asked")
+        _follow(exchange, place_here(turn, ask), turn)
+        return
+    exchange.dispatcher = ask_dispatcher(turn, named, ask)
+    state.timers.add(turn.now_ms + ASK_WAIT_MS, AskTimer(exchange.token))
+    turn.count("dispatch.asked")
+
+
+def _make_ask(exchange, turn, hint):
+    flow = exchange.reply_to.flow
+    return PlaceAsk(
+        exchange.token,
+        flow.service,
+        int(exchange.kind),
+        flow.caller,
+        kept_address(turn, flow, hint=hint, tried=exchange.tried),
+        list(exchange.tried),
+        exchange.deadline_ms - turn.now_ms,
+    )
 
 
 def _place_by_own_view(exchange, turn, *, hint=0):
@@ -127,17 +144,25 @@
     if exchange is None or exchange.target:
         _tell_unused(placed.token, sender, turn)
         return
-    flow = exchange.reply_to.flow
-    usable = candidates(state, flow.service, turn.now_ms, exchange.tried)
-    chosen = [item for item in usable if item.address == placed.target]
-    if not chosen:
-        _tell_unused(placed.token, sender, turn)
+    if _may_still_be_sent(exchange, turn):
+        _follow(exchange, placed, turn)
+
+
+def _follow(exchange, placed, turn):
+    """Do as the dispatcher says, if this balancer's template allows it."""
+    if placed.refusal:
+        turn.count("request.not_admitted")
         exchange.dispatcher = ""
-    if not _may_still_be_sent(exchange, turn):
-        return
-    if chosen:
-        _send(exchange, chosen[0], turn)
+        _give_up_unsent(exchange, placed.refusal, turn)
         return
+    flow = exchange.reply_to.flow
+    usable = candidates(turn.state, flow.service, turn.now_ms, exchange.tried)
+    for target in usable:
+        if target.address == placed.target:
+            _send(exchange, target, turn)
+            return
+    _end_at_dispatcher(exchange, Outcome.UNUSED, turn)
+    exchange.dispatcher = ""
     _place_by_own_view(exchange, turn)
 
 
@@ -174,10 +199,15 @@
     """Answer an exchange of which no try is under way."""
     turn.state.exchanges.pop(exchange.token, None)
     _end_at_dispatcher(exchange, Outcome.UNUSED, turn)
-    if exchange.tried and exchange.kind is RequestKind.IDEMPOTENT:
+    _refuse(exchange, spread_retry_s(turn.random), reason, turn)
+
+
+def _refuse(exchange, retry_after_s, reason, turn):
+    """Refuse an exchange, unless an earlier try may have run it."""
+    if exchange.uncertain:
         finish(exchange, Unknown(reason), turn)
         return
-    finish(exchange, Refused(NO_TARGET_RETRY_S, reason), turn)
+    finish(exchange, Refused(retry_after_s, reason), turn)
 
 
 def _end_at_dispatcher(exchange, outcome, turn):
@@ -255,7 +285,7 @@
     turn.count("upstream.shed")
     if _try_elsewhere(exchange, "the target shed it", turn):
         return
-    finish(exchange, Refused(max(1, retry_after_s), "shed by the target"), turn)
+    _refuse(exchange, max(1, retry_after_s), "shed by the target", turn)
 
 
 def on_exchange_timer(timer: ExchangeTimer, turn):
@@ -267,6 +297,7 @@
     if target is not None:
         note_failure(target, turn)
     turn.count("upstream.timeout")
+    exchange.uncertain = True
     idempotent = exchange.kind is RequestKind.IDEMPOTENT
     if idempotent and _try_elsewhere(exchange, "the target didn't answer", turn):
         return
--- a/libs/core/src/lagoontally_core/_peer_messages.py
+++ b/libs/core/src/lagoontally_core/_peer_messages.py
@@ -271,21 +271,34 @@
     Attributes:
         token: Names the request; that of its exchange.
         service: Name of the service.
+        kind: A value of ``RequestKind``.
+        caller: ``IP:port`` of the caller.
+        preferred: ``IP:port`` of the target that the flow is kept on, or empty.
         tried: ``IP:port`` of targets that must not be chosen.
         remaining_ms: Time left to the request's deadline.
     """
 
     token: bytes
     service: str
+    kind: int
+    caller: str
+    preferred: str
     tried: list[str]
     remaining_ms: int
 
 
 class Placed(NamedTuple):
-    """The dispatcher's choice; ``target`` is empty when it has none."""
+    """The dispatcher's choice.
+
+    Attributes:
+        token: Names the request.
+        target: ``IP:port`` of the target; empty when there is none.
+        refusal: Why the request isn't to be sent now, or empty.
+    """
 
     token: bytes
     target: str
+    refusal: str
 
 
 class PlaceDone(NamedTuple):
--- a/libs/core/src/lagoontally_core/_state.py
+++ b/libs/core/src/lagoontally_core/_state.py
@@ -111,6 +111,7 @@
         target: ``IP:port`` that it was sent to; empty before that.
         dispatcher: Where the end of it is told; empty when nowhere.
         tried: Targets that shed it or didn't answer it.
+        uncertain: True once one of them may have run it.
         started_ms: When the request arrived.
         deadline_ms: When it is given up.
     """
@@ -127,6 +128,7 @@
         "target",
         "token",
         "tried",
+        "uncertain",
     )
 
     def __init__(
@@ -143,6 +145,7 @@
         self.target = ""
         self.dispatcher = ""
         self.tried = ()
+        self.uncertain = False
 
 
 class Remembered:
