Don't take an answered refresh of a line for a silent path

Cause: the timer of a registration compared the time since the line was last heard with the time to try, so an answer within the first milliseconds already counted as none. A line that its target doesn't notify within a second of its refresh was registered anew from another socket, at another target, and the failure counted against a target that had answered. Change: the timer names when the registration was sent, and any word since then counts. Ruled out: a longer time to try, which only moves the fault.

--- a/libs/bench/src/lagoontally_bench/_capacity.py
+++ b/libs/bench/src/lagoontally_bench/_capacity.py
@@ -237,6 +237,8 @@
     def open_lines(self, count, *, echo=None, opened=None):
         """Open lines, spread over a refresh interval."""
         each = max(1, count * FILL_STEP_MS // FILL_SPREAD_MS)
+        if opened is not None:
+            each = count
         opened = opened or Clock()
         for position in range(count):
             if position % each == 0:
--- /dev/null
+++ b/libs/core/features/line_refresh.feature
@@ -0,0 +1,8 @@
+Feature: A refresh that was answered leaves its line alone
+
+  Scenario: The answer comes at once and nothing is heard for a while
+    Given 3 balancers that know each other and a service of 3 targets
+    And an open line that its target never notifies
+    When 20000 ms pass and each registration is answered
+    Then the line was refreshed once at its own target
+    And no target counts a failure
--- a/libs/core/features/steps/dispatch_steps.py
+++ b/libs/core/features/steps/dispatch_steps.py
@@ -325,3 +325,51 @@
     """Leases run out without a word."""
     book = context.cores.states[context.dispatcher].dispatch
     assert sum(book.placed.values()) == len(book.leases) == count
+
+
+@given("an open line that its target never notifies")
+def step_line(context):
+    """The line is opened with its Echo and answered."""
+    cores = context.cores
+    flow = Flow("desk", "10.0.0.1:5")
+    open_line = Request(RequestKind.LINE_OPEN, b"line", 1, True, b"", 9_000, b"get")
+    actions = step(
+        cores.states[1], CallerRequest(flow, open_line), cores.now_ms, cores.random
+    )
+    echo = next(item.echo for item in actions if isinstance(item, AnswerCaller))
+    cores.tell(1, CallerRequest(flow, open_line._replace(echo=echo)))
+    answer_registrations(cores)
+
+
+def answer_registrations(cores):
+    """Let the targets answer every registration sent since the last time."""
+    pending, cores.sent = cores.sent, []
+    for number, sent in pending:
+        reply = UpstreamReply(
+            sent.target, 0, sent.token, ReplyStatus.ANSWERED, True, 0, b""
+        )
+        cores.tell(number, reply)
+    cores.answered = [*getattr(cores, "answered", []), *pending]
+
+
+@when("{duration:d} ms pass and each registration is answered")
+def step_refresh(context, duration):
+    """Time passes by ticks, with prompt answers."""
+    for _ in range(duration // 100):
+        context.cores.pass_time(100)
+        answer_registrations(context.cores)
+
+
+@then("the line was refreshed once at its own target")
+def step_refreshed(context):
+    """Two registrations, the first one included, at one target."""
+    targets = [sent.target for _, sent in context.cores.answered]
+    assert len(targets) == 2, targets
+    assert len(set(targets)) == 1, targets
+
+
+@then("no target counts a failure")
+def step_no_failure(context):
+    """Nothing was held against any target."""
+    targets = context.cores.states[1].targets.values()
+    assert all(target.failures == 0 for target in targets)
--- a/libs/core/src/lagoontally_core/_lines.py
+++ b/libs/core/src/lagoontally_core/_lines.py
@@ -30,9 +30,15 @@
 
 
 class RegisterTimer(NamedTuple):
-    """Timer: a registration should have been answered by now."""
+    """Timer: a registration should have been answered by now.
+
+    Attributes:
+        line_token: Token of the registration.
+        sent_ms: When it was sent.
+    """
 
     line_token: bytes
+    sent_ms: int
 
 
 class MoveTimer(NamedTuple):
@@ -132,7 +138,8 @@
     """Send a line's registration, anew or to refresh it."""
     state = turn.state
     state.line_tokens[token] = line
-    state.timers.add(turn.now_ms + REGISTER_TRY_MS, RegisterTimer(token))
+    timer = RegisterTimer(token, turn.now_ms)
+    state.timers.add(turn.now_ms + REGISTER_TRY_MS, timer)
     host = host_name(state, line.flow.service)
     turn.act(
         SendUpstream(
@@ -395,7 +402,7 @@
     if following is not None and timer.line_token == following.token:
         silent = following.target
         _drop_successor(line, turn)
-    elif following is not None or turn.now_ms - line.heard_ms < REGISTER_TRY_MS:
+    elif following is not None or line.heard_ms >= timer.sent_ms:
         return
     else:
         silent = line.target
