--- a/libs/core/src/lagoontally_core/__init__.py
+++ b/libs/core/src/lagoontally_core/__init__.py
@@ -24,6 +24,7 @@
     Stop,
     Unknown,
 )
+from ._admission import Limits
 from ._events import (
     CallerAck,
     CallerRequest,
@@ -55,6 +56,9 @@
     Ping,
     PingAck,
     PingRequest,
+    PlaceAsk,
+    Placed,
+    PlaceDone,
     Relay,
     RelayAck,
     RelayFresh,
@@ -66,6 +70,7 @@
     TemplateWant,
     Welcome,
 )
+from ._rendezvous import rendezvous_order, rendezvous_pick
 from ._state import Phase, SelfInfo, State
 from ._step import JOIN_WAIT_MS, PAUSE_MS, TICK_MS, step
 
@@ -89,6 +94,7 @@
     "JOIN_WAIT_MS",
     "Join",
     "LeaveRequested",
+    "Limits",
     "LineRecord",
     "LoadReply",
     "LogChange",
@@ -103,6 +109,9 @@
     "Ping",
     "PingAck",
     "PingRequest",
+    "PlaceAsk",
+    "PlaceDone",
+    "Placed",
     "ReadInstances",
     "ReadTemplate",
     "Received",
@@ -136,5 +145,7 @@
     "Unknown",
     "UpstreamReply",
     "Welcome",
+    "rendezvous_order",
+    "rendezvous_pick",
     "step",
 ]
