--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,15 @@
 golden: $(VENV)/.installed
 	$(BIN)/python -m lagoontally_bench golden
 
+bench: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench bench libs/bench/experiments/*.json --plots docs/plots
+
+bench-quick: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench bench libs/bench/experiments/quick.json
+
+capacity: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench capacity
+
 test: $(VENV)/.installed
 	$(BIN)/python tests/run_features.py
 
--- a/libs/bench/src/lagoontally_bench/_mutations.py
+++ b/libs/bench/src/lagoontally_bench/_mutations.py
@@ -85,13 +85,14 @@
 
 def leaving_target_chosen():
     """A leaving target gets new work as before."""
-    from lagoontally_core import _choice
+    from lagoontally_core import _templates
+
+    original = _templates._take_target
 
-    def candidates(state, service, now_ms, tried=()):
-        usable = map(state.targets.get, state.service_targets.get(service, ()))
-        return [target for target in usable if target.address not in tried]
+    def take_target(published, *arguments):
+        original(published._replace(leaving=False), *arguments)
 
-    return patch.object(_choice, "candidates", candidates)
+    return patch.object(_templates, "_take_target", take_target)
 
 
 def older_template_adopted():
