--- /dev/null
+++ b/libs/bench/src/lagoontally_bench/_commands.py
@@ -0,0 +1,22 @@
+"""The commands of ``python -m lagoontally_bench``."""
+
+import click
+
+from ._bench_command import bench
+from ._capacity_command import capacity
+from ._commands_explore import explore_command
+from ._commands_golden import golden_command
+from ._commands_matrix import matrix, mutations
+
+
+@click.group()
+def main():
+    """Prove and measure the balancer on a virtual clock."""
+
+
+main.add_command(bench)
+main.add_command(capacity)
+main.add_command(explore_command)
+main.add_command(golden_command)
+main.add_command(matrix)
+main.add_command(mutations)
--- a/libs/core/src/lagoontally_core/_choice.py
+++ b/libs/core/src/lagoontally_core/_choice.py
@@ -15,7 +15,8 @@
 def candidates(state, service, now_ms, tried=()):
     """Return the targets of a service that may get new work.
 
-    Targets closed after failures are left out unless no other remains.
+    Targets closed after failures are left out, but never more than half: the
+    others would be overloaded, and a closed one may well be back.
     """
     usable = [
         target
@@ -24,12 +25,21 @@
         and not target.leaving
         and target.address not in tried
     ]
-    open_ones = [
-        target
-        for target in usable
-        if target.closed_until_ms <= now_ms and not target.unreachable
-    ]
-    return open_ones or usable
+    reachable = [target for target in usable if not target.unreachable]
+    return _without_closed(reachable or usable, now_ms)
+
+
+def _without_closed(usable, now_ms):
+    """Leave out targets closed after failures, but never more than half."""
+    open_ones = [target for target in usable if target.closed_until_ms <= now_ms]
+    if not open_ones:
+        return usable
+    missing = -(-len(usable) // 2) - len(open_ones)
+    if missing <= 0:
+        return open_ones
+    closed = [target for target in usable if target.closed_until_ms > now_ms]
+    closed.sort(key=lambda target: target.closed_until_ms)
+    return open_ones + closed[:missing]
 
 
 def choose_target(turn, flow, *, hint=0, tried=()):
@@ -49,6 +59,14 @@
     return _kept_target(usable, flow, hint)
 
 
+def kept_address(turn, flow, *, hint=0, tried=()):
+    """Return the address of the target that a flow is kept on, or empty."""
+    if _placement(turn.state, flow.service) is Placement.REQUEST:
+        return ""
+    usable = candidates(turn.state, flow.service, turn.now_ms, tried)
+    return _kept_target(usable, flow, hint).address if usable else ""
+
+
 def choose_line_target(turn, flow, *, tried=()):
     """Return the target for a line, by lines held, or None."""
     usable = candidates(turn.state, flow.service, turn.now_ms, tried)
