--- a/libs/standins/src/lagoontally_standins/_direct_load.py
+++ b/libs/standins/src/lagoontally_standins/_direct_load.py
@@ -19,6 +19,7 @@
 TOKEN_BYTES = 8
 TOKEN_LENGTH_BITS = 0x0F
 OBSERVE_LINE = "line"
+SUCCESSES = ("request 2.", "command 2.")
 HANDSHAKE_S = 5.0
 LAST_ANSWERS_S = 2.0
 DATAGRAM_BYTES = 65535
@@ -222,7 +223,7 @@
     def report(self, took_s, notified, before, after) -> dict:
         """Return what was measured."""
         answered = sum(
-            len(self.latencies_ms.get(k, ())) for k in ("request", "command")
+            number for name, number in self.counts.items() if name.startswith(SUCCESSES)
         )
         result = {
             "offered": self.offer._asdict(),
