--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 PYTHON ?= python3
 SEED ?= 1
 SECONDS ?= 280
+WORKERS ?= 4
 BIN := $(VENV)/bin
 LIBS := $(wildcard libs/*)
 empty :=
@@ -10,7 +11,8 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/$(lib)/src))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: run up chaos test lint format clean
+.PHONY: run up chaos matrix mutations explore golden bench bench-quick capacity \
+	test lint format clean
 
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -27,6 +29,18 @@
 chaos: $(VENV)/.installed
 	$(BIN)/python -m lagoontally_standins chaos --seed $(SEED) --seconds $(SECONDS)
 
+matrix: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench matrix --seed $(SEED) --workers $(WORKERS)
+
+mutations: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench mutations --seed $(SEED) --workers $(WORKERS)
+
+explore: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench explore
+
+golden: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench golden
+
 test: $(VENV)/.installed
 	$(BIN)/python tests/run_features.py
 
--- a/libs/standins/src/lagoontally_standins/_addresses.py
+++ b/libs/standins/src/lagoontally_standins/_addresses.py
@@ -12,11 +12,14 @@
 BLOCK_TRIES = 50
 
 
-def claim_addresses(random: Random) -> tuple[Addresses, socket.socket]:
+def claim_addresses(
+    random: Random, preferred: int | None = None
+) -> tuple[Addresses, socket.socket]:
     """Choose a block of loopback addresses that no other deployment uses.
 
     Args:
         random: Source of the choice.
+        preferred: The block to choose if it is free, None for any.
 
     Returns:
         The addresses, and the socket that keeps them claimed until it is closed.
@@ -24,8 +27,9 @@
     Raises:
         NotReadyError: Every block that was tried is in use.
     """
-    for _ in range(BLOCK_TRIES):
-        addresses = Addresses(random.randint(FIRST_BLOCK, LAST_BLOCK))
+    tries = [random.randint(FIRST_BLOCK, LAST_BLOCK) for _ in range(BLOCK_TRIES)]
+    for block in tries if preferred is None else [preferred, *tries]:
+        addresses = Addresses(block)
         claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             claim.bind((f"127.{addresses.block}.0.1", CLAIM_PORT))
