--- /dev/null
+++ b/libs/bench/features/steps/experiments_steps.py
@@ -0,0 +1,117 @@
+"""Steps for the experiments."""
+
+from behave import given, then, when
+
+from lagoontally_bench._experiment import Condition, Experiment, Fleet
+from lagoontally_bench._runs import plan_runs, run_one
+
+REQUESTS = 4_000
+REQUESTS_IN_STORM = 12_000
+
+
+def run_all(context, seed, condition=None):
+    """Run every policy once; return the results by policy."""
+    condition = condition or context.condition
+    experiment = Experiment(
+        name="test",
+        seed=seed,
+        requests=REQUESTS_IN_STORM if condition.commands else REQUESTS,
+        fleets=[Fleet("dossier-desk", 7)],
+        loads=[context.load],
+        work=["exponential"],
+        policies=context.policies,
+        conditions=[condition],
+    )
+    return {plan.policy: run_one(plan) for plan in plan_runs(experiment)}
+
+
+@given("7 targets of 2 slots, 14 balancers and load {load:g}")
+def step_fleet(context, load):
+    """The sizes of the franchise office."""
+    context.load = load
+    context.condition = Condition("honest")
+
+
+@given("a caller that sends {times:d} times all other load for a while")
+def step_storm(context, times):
+    """A storm of reads; a fifth of the others' requests are commands."""
+    context.condition = Condition("storm", storm=times, commands=0.2)
+
+
+@given("{count:d} targets that shed everything for a while")
+def step_shedding(context, count):
+    """About a third of them."""
+    context.condition = Condition("shedding", shedding=count)
+
+
+@given("an outage of {seconds:d} s")
+def step_outage(context, seconds):
+    """No target answers."""
+    context.condition = Condition("outage", outage_ms=seconds * 1_000)
+
+
+@when('"{policies}" and "{last}" run with seed {seed:d}')
+def step_run(context, policies, last, seed):
+    """All see the same seed."""
+    context.policies = [*policies.split(", "), last]
+    context.seed = seed
+    context.results = run_all(context, seed)
+
+
+@then('"{policy}" has the least imbalance and the least p99 of those by own view')
+def step_least(context, policy):
+    """Against the plain baselines of the same run."""
+    own = context.results[policy]
+    for name in ("random", "round-robin", "least-own", "two-own"):
+        other = context.results[name]
+        assert own.jobs_imbalance < other.jobs_imbalance, (own, other)
+        assert own.p99_ms < other.p99_ms, (own, other)
+
+
+@then('"{policy}" is within a tenth of "{model}"')
+def step_near(context, policy, model):
+    """What was built does what the model promised."""
+    own, other = context.results[policy], context.results[model]
+    assert own.p99_ms <= 1.1 * other.p99_ms, (own.p99_ms, other.p99_ms)
+    assert own.jobs_imbalance <= 1.1 * other.jobs_imbalance
+
+
+@then('no command fails with "{policy}" and some fail with "{baseline}"')
+def step_commands(context, policy, baseline):
+    """The storm's own requests don't count."""
+    assert context.results[policy].commands_failed == 0
+    assert context.results[baseline].commands_failed > 0
+
+
+@then(
+    'p99 of commands with "{policy}" is at most {ratio:g} times that without the storm'
+)
+def step_command_p99(context, policy, ratio):
+    """Others' commands hardly notice the storm."""
+    calm = run_all(context, context.seed, Condition("calm", commands=0.2))[policy]
+    limit_ms = ratio * calm.command_p99_ms
+    assert context.results[policy].command_p99_ms <= limit_ms, limit_ms
+
+
+@then('"{policy}" sends at most {limit:g} times as much as it gets')
+def step_amplification(context, policy, limit):
+    """Retries are within their budget."""
+    assert context.results[policy].amplification <= limit
+
+
+@then('"{policy}" refuses less than "{baseline}"')
+def step_refuses(context, policy, baseline):
+    """Fewer callers are sent away."""
+    assert context.results[policy].refused < context.results[baseline].refused
+
+
+@then('"{policy}" has recovered within {seconds:d} s')
+def step_recovered(context, policy, seconds):
+    """The last late answer or refusal of the outage's wake."""
+    assert context.results[policy].recovery_s <= seconds
+
+
+@then("another run with seed {seed:d} gives the same")
+def step_same(context, seed):
+    """Everything follows from the seed."""
+    assert run_all(context, seed) == context.results
--- a/libs/bench/src/lagoontally_bench/_bench_command.py
+++ b/libs/bench/src/lagoontally_bench/_bench_command.py
@@ -38,11 +38,12 @@
 @click.argument("experiments", nargs=-1, required=True, type=click.Path(exists=True))
 @click.option("--out", default=".out/bench", help="Folder of the JSON results.")
 @click.option("--plots", default=None, help="Folder of the plots; none without it.")
-def bench(experiments, out, plots):
+@click.option("--workers", default=2, help="Runs at the same time.")
+def bench(experiments, out, plots, workers):
     """Run EXPERIMENTS, each a JSON file, and compare their policies."""
     for path in experiments:
         experiment = read_experiment(path)
-        results = run_experiment(experiment)
+        results = run_experiment(experiment, workers=workers)
         _print(experiment, results)
         _write(experiment, results, Path(out))
         if plots:
