--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PYTHON ?= python3
 SEED ?= 1
 BENCH := libs/bench/experiments
+SECONDS ?= 280
+WORKERS ?= 4
 BIN := $(VENV)/bin
 LIBS := $(wildcard libs/*)
 empty :=
@@ -10,7 +12,8 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/$(lib)/src))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: bench bench-quick capacity run up test lint format clean
+.PHONY: run up chaos matrix mutations explore golden bench bench-quick capacity \
+	test lint format clean
 
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +27,21 @@
 up: $(VENV)/.installed
 	$(BIN)/python -m lagoontally_standins up --seed $(SEED)
 
+chaos: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_standins chaos --seed $(SEED) --seconds $(SECONDS)
+
+matrix: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench matrix --seed $(SEED) --workers $(WORKERS)
+
+mutations: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench mutations --seed $(SEED) --workers $(WORKERS)
+
+explore: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench explore
+
+golden: $(VENV)/.installed
+	$(BIN)/python -m lagoontally_bench golden
+
 bench: $(VENV)/.installed
 	$(BIN)/python -m lagoontally_bench bench --plots docs/plots $(BENCH)/choice.json $(BENCH)/conditions.json $(BENCH)/scope.json $(BENCH)/shed.json $(BENCH)/built.json $(BENCH)/storm.json $(BENCH)/outage.json
 
--- a/libs/caller/src/lagoontally_caller/protocol.py
+++ b/libs/caller/src/lagoontally_caller/protocol.py
@@ -7,22 +7,33 @@
     POST,
     PUT,
     RST,
+    Block,
     Malformed,
     Request,
     decode_reply,
     encode_empty,
+    encode_request,
 )
 from ._exchange import Exchange
 from ._identifiers import EchoStore, Identifiers
-from ._line import ChangeSocket, Deliver, LineState, LineStatus, SendDatagram
+from ._line import (
+    ANSWER_WAIT_S,
+    ChangeSocket,
+    Deliver,
+    LineState,
+    LineStatus,
+    SendDatagram,
+)
 
 __all__ = [
     "ACK",
+    "ANSWER_WAIT_S",
     "CON",
     "GET",
     "POST",
     "PUT",
     "RST",
+    "Block",
     "ChangeSocket",
     "Deliver",
     "EchoStore",
@@ -35,4 +46,5 @@
     "SendDatagram",
     "decode_reply",
     "encode_empty",
+    "encode_request",
 ]
--- a/libs/core/src/lagoontally_core/_choice.py
+++ b/libs/core/src/lagoontally_core/_choice.py
@@ -25,13 +25,14 @@
         and not target.leaving
         and target.address not in tried
     ]
-    open_ones = [target for target in usable if target.closed_until_ms <= now_ms]
+    reachable = [target for target in usable if not target.unreachable]
+    open_ones = [item for item in reachable if item.closed_until_ms <= now_ms]
     if not open_ones:
         return usable
-    missing = -(-len(usable) // 2) - len(open_ones)
+    missing = -(-len(reachable) // 2) - len(open_ones)
     if missing <= 0:
         return open_ones
-    closed = [target for target in usable if target.closed_until_ms > now_ms]
+    closed = [item for item in reachable if item.closed_until_ms > now_ms]
     closed.sort(key=lambda target: target.closed_until_ms)
     return open_ones + closed[:missing]
 
--- a/libs/core/src/lagoontally_core/_dispatch.py
+++ b/libs/core/src/lagoontally_core/_dispatch.py
@@ -11,9 +11,10 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from . import _choice
 from ._actions import SendPeer
 from ._admission import why_refused
-from ._choice import candidates, note_answer, note_failure
+from ._choice import note_answer, note_failure
 from ._dispatch_book import Lease
 from ._peer_messages import PlaceAsk, Placed, PlaceDone
 from ._rendezvous import incarnation_name, rendezvous_pick
@@ -78,7 +79,7 @@
 
 def place_here(turn, ask):
     """Choose a target as the dispatcher; return a ``Placed``."""
-    usable = candidates(turn.state, ask.service, turn.now_ms, ask.tried)
+    usable = _choice.candidates(turn.state, ask.service, turn.now_ms, ask.tried)
     if not usable:
         return Placed(ask.token, "", "")
     book = turn.state.dispatch
--- a/libs/core/src/lagoontally_core/_state.py
+++ b/libs/core/src/lagoontally_core/_state.py
@@ -42,6 +42,7 @@
         peer_address: ``IP:port`` that takes peer messages.
         echo_key: Random key of this incarnation's Echoes.
         wall_offset_ms: Wall clock minus monotonic clock at the start.
+        seeds: Peer addresses to greet whatever the platform lists.
     """
 
     incarnation: int
@@ -51,6 +52,7 @@
     peer_address: str
     echo_key: bytes
     wall_offset_ms: int
+    seeds: tuple[str, ...] = ()
 
 
 class TargetState:
@@ -68,6 +70,9 @@
         lines: Lines of this balancer that it serves.
         failures: Exchanges without an answer since the last answer.
         closed_until_ms: It gets no new work before this time.
+        heard_ms: When it was last heard.
+        misses: Questions in a row that it hasn't answered.
+        unreachable: True while it answers nothing.
     """
 
     __slots__ = (
@@ -75,13 +80,16 @@
         "closed_until_ms",
         "data_centre",
         "failures",
+        "heard_ms",
         "identity",
         "in_flight",
         "leaving",
         "lines",
+        "misses",
         "name",
         "service",
         "slots",
+        "unreachable",
     )
 
     def __init__(self, *, address, name, service, data_centre, slots, leaving):
@@ -96,6 +104,9 @@
         self.lines = 0
         self.failures = 0
         self.closed_until_ms = 0
+        self.heard_ms = 0
+        self.misses = 0
+        self.unreachable = False
 
 
 class Exchange:
--- a/libs/model/src/lagoontally_model/_parse_settings.py
+++ b/libs/model/src/lagoontally_model/_parse_settings.py
@@ -7,16 +7,16 @@
 from ._addresses import is_address, is_number, is_url
 from ._documents import SettingsDocument
 from ._findings import Findings
-from ._settings import LogSettings, Settings, Timing
+from ._settings import REMEMBER_MARGIN_MS, LogSettings, Settings, Timing
 from ._structure import Fault, convert, findings_in_order, load_json, shown
 
 SETTINGS = "settings"
-# Each first interval must be shorter than the second.
+# Each first interval and the margin must be shorter than the second.
 SHORTER_THAN = (
     # A request forgotten while its Echo is accepted could run twice.
-    ("echo_life_ms", "remember_ms"),
-    ("line_refresh_ms", "line_lease_ms"),
-    ("ping_timeout_ms", "ping_interval_ms"),
+    ("echo_life_ms", REMEMBER_MARGIN_MS, "remember_ms"),
+    ("line_refresh_ms", 0, "line_lease_ms"),
+    ("ping_timeout_ms", 0, "ping_interval_ms"),
 )
 
 
@@ -36,6 +36,7 @@
     faults = converted if isinstance(converted, list) else []
     fields = value if isinstance(value, dict) else {}
     faults += text_faults(fields)
+    faults += seed_faults(fields)
     faults += same_address_faults(fields)
     faults += timing_faults(fields)
     if faults:
@@ -60,6 +61,23 @@
     return faults
 
 
+def seed_faults(fields: dict[str, Any]) -> list[Fault]:
+    """Find seeds that are malformed, given twice or the balancer itself."""
+    seeds = fields.get("seeds")
+    faults = []
+    for index, text in enumerate(seeds if isinstance(seeds, list) else []):
+        if not isinstance(text, str):
+            continue
+        path = ("seeds", index)
+        if not is_address(text):
+            faults.append(Fault(path, f"{shown(text)} is not IP:port in numbers"))
+        elif text == fields.get("peer_address"):
+            faults.append(Fault(path, f"{shown(text)} is the balancer's own address"))
+        elif text in seeds[:index]:
+            faults.append(Fault(path, f"{shown(text)} is given twice"))
+    return faults
+
+
 def same_address_faults(fields: dict[str, Any]) -> list[Fault]:
     """Find an operator address that is the peer address too."""
     address = fields.get("operator_address")
@@ -74,12 +92,13 @@
     given = timing if isinstance(timing, dict) else {}
     values = Timing()._asdict() | given
     faults = []
-    for shorter, longer in SHORTER_THAN:
+    for shorter, margin, longer in SHORTER_THAN:
         first, second = values[shorter], values[longer]
         readable = isinstance(first, int) and isinstance(second, int)
-        if readable and first >= second:
+        if readable and first + margin >= second:
             name = shorter if shorter in given else longer
-            reason = f"{shorter} ({first}) must be less than {longer} ({second})"
+            added = f" and {margin} more" if margin else ""
+            reason = f"{shorter} ({first}){added} must be less than {longer} ({second})"
             faults.append(Fault(("timing", name), reason))
     return faults
 
@@ -87,6 +106,7 @@
 def build_settings(document: SettingsDocument) -> Settings:
     """Return the typed form of settings without faults."""
     values = asdict(document)
+    values["seeds"] = tuple(document.seeds)
     values["log"] = LogSettings(**asdict(document.log))
     values["timing"] = Timing(**asdict(document.timing))
     return Settings(**values)
