--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 SEED ?= 1
+BENCH := libs/bench/experiments
 SECONDS ?= 280
 WORKERS ?= 4
 BIN := $(VENV)/bin
@@ -42,10 +43,10 @@
 	$(BIN)/python -m lagoontally_bench golden
 
 bench: $(VENV)/.installed
-	$(BIN)/python -m lagoontally_bench bench libs/bench/experiments/*.json --plots docs/plots
+	$(BIN)/python -m lagoontally_bench bench --plots docs/plots $(BENCH)/choice.json $(BENCH)/conditions.json $(BENCH)/scope.json $(BENCH)/shed.json $(BENCH)/built.json $(BENCH)/storm.json $(BENCH)/outage.json
 
 bench-quick: $(VENV)/.installed
-	$(BIN)/python -m lagoontally_bench bench libs/bench/experiments/quick.json
+	$(BIN)/python -m lagoontally_bench bench $(BENCH)/quick.json
 
 capacity: $(VENV)/.installed
 	$(BIN)/python -m lagoontally_bench capacity
