--- a/libs/core/src/lagoontally_core/_choice.py
+++ b/libs/core/src/lagoontally_core/_choice.py
@@ -26,13 +26,18 @@
         and target.address not in tried
     ]
     reachable = [target for target in usable if not target.unreachable]
-    open_ones = [item for item in reachable if item.closed_until_ms <= now_ms]
+    return _without_closed(reachable or usable, now_ms)
+
+
+def _without_closed(usable, now_ms):
+    """Leave out targets closed after failures, but never more than half."""
+    open_ones = [target for target in usable if target.closed_until_ms <= now_ms]
     if not open_ones:
         return usable
-    missing = -(-len(reachable) // 2) - len(open_ones)
+    missing = -(-len(usable) // 2) - len(open_ones)
     if missing <= 0:
         return open_ones
-    closed = [item for item in reachable if item.closed_until_ms > now_ms]
+    closed = [target for target in usable if target.closed_until_ms > now_ms]
     closed.sort(key=lambda target: target.closed_until_ms)
     return open_ones + closed[:missing]
 
--- a/libs/core/src/lagoontally_core/_exchanges.py
+++ b/libs/core/src/lagoontally_core/_exchanges.py
@@ -2,7 +2,6 @@
 
 from typing import NamedTuple
 
-from . import _choice
 from ._actions import (
     Forwarded,
     RecordLatency,
@@ -13,7 +12,13 @@
     Unknown,
 )
 from ._admission import spread_retry_s
-from ._choice import choose_target, kept_address, note_answer, note_failure
+from ._choice import (
+    candidates,
+    choose_target,
+    kept_address,
+    note_answer,
+    note_failure,
+)
 from ._dispatch import (
     ASK_WAIT_MS,
     Outcome,
@@ -71,7 +76,7 @@
     limit_ms = min(request.remaining_ms, state.timing.request_timeout_ms)
     if limit_ms < MIN_REMAINING_MS:
         return Refused(0, "the deadline has passed")
-    if not _choice.candidates(state, reply_to.flow.service, turn.now_ms):
+    if not candidates(state, reply_to.flow.service, turn.now_ms):
         retry_s = spread_retry_s(turn.random)
         return Refused(retry_s, "no target takes new work")
     _earn_retry(state)
@@ -151,7 +156,7 @@
         _give_up_unsent(exchange, placed.refusal, turn)
         return
     flow = exchange.reply_to.flow
-    usable = _choice.candidates(turn.state, flow.service, turn.now_ms, exchange.tried)
+    usable = candidates(turn.state, flow.service, turn.now_ms, exchange.tried)
     for target in usable:
         if target.address == placed.target:
             _send(exchange, target, turn)
@@ -306,7 +311,7 @@
     if exchange.deadline_ms - turn.now_ms < MIN_REMAINING_MS:
         return False
     service = exchange.reply_to.flow.service
-    usable = _choice.candidates(state, service, turn.now_ms, exchange.tried)
+    usable = candidates(state, service, turn.now_ms, exchange.tried)
     if not usable or not _spend_retry(state):
         return False
     turn.count("upstream.retry")
--- a/libs/core/src/lagoontally_core/_lines.py
+++ b/libs/core/src/lagoontally_core/_lines.py
@@ -33,7 +33,7 @@
     """Timer: a registration should have been answered by now.
 
     Attributes:
-        line_token: Its token.
+        line_token: Token of the registration.
         sent_ms: When it was sent.
     """
 
@@ -138,7 +138,8 @@
     """Send a line's registration, anew or to refresh it."""
     state = turn.state
     state.line_tokens[token] = line
-    state.timers.add(turn.now_ms + REGISTER_TRY_MS, RegisterTimer(token, turn.now_ms))
+    timer = RegisterTimer(token, turn.now_ms)
+    state.timers.add(turn.now_ms + REGISTER_TRY_MS, timer)
     host = host_name(state, line.flow.service)
     turn.act(
         SendUpstream(
