--- a/libs/bench/src/lagoontally_bench/__main__.py
+++ b/libs/bench/src/lagoontally_bench/__main__.py
@@ -1,17 +1,6 @@
-"""The command line of the proofs: ``python -m lagoontally_bench``."""
+"""Runs the commands of the bench."""
 
-import click
-
-from ._commands_matrix import matrix, mutations
-
-
-@click.group()
-def main():
-    """Prove and measure the balancer on a virtual clock."""
-
-
-main.add_command(matrix)
-main.add_command(mutations)
+from ._commands import main
 
 if __name__ == "__main__":
     main()
