Let a leaving heir take up first what it acknowledged; split the lines module

The scenario failed first: the heir handed over within 100 ms. Now it waits for the announcement, 5 s at most. Also: the daemon hands the settings' seeds on; status tells unreachable targets; a fresh balancer may retry twice before it has earned retries (a shed command was refused with other targets free); refused idempotent requests and lines are noted for explain. The scenario of a target that sheds now lets the retry be answered, which there was none of before; what it asserts is unchanged.

--- a/libs/core/features/fleet.feature
+++ b/libs/core/features/fleet.feature
@@ -71,3 +71,10 @@
     And another peer
     When it hands over and the first peer says that it leaves
     Then only the other peer gets the next attempt
+
+  Scenario: An heir that is asked to leave first takes up what it acknowledged
+    Given a balancer that serves
+    And a peer that doesn't answer probes
+    And another peer
+    When the peer hands over to it, and it is asked to leave
+    Then it hands over to the other peer only once the peer has announced it
--- a/libs/core/features/steps/dispatch_steps.py
+++ b/libs/core/features/steps/dispatch_steps.py
@@ -260,11 +260,12 @@
 
 @when("the first target sheds and the others answer")
 def step_shed(context):
-    """One target refuses what it got."""
+    """One target refuses what it got; another answers its retry too."""
     cores = context.cores
     first = cores.sent[0][1].target
     context.first = first
-    for number, sent in list(cores.sent):
+    # The list grows by the retries while it is read.
+    for number, sent in cores.sent:
         shed = sent.target == first
         status = ReplyStatus.SHED if shed else ReplyStatus.ANSWERED
         cores.reply(number, sent, status)
--- a/libs/core/features/steps/fleet_steps.py
+++ b/libs/core/features/steps/fleet_steps.py
@@ -9,6 +9,7 @@
     Phase,
     Ping,
     ServeEntries,
+    Succession,
     TemplateSections,
     Welcome,
 )
@@ -233,3 +234,30 @@
         for part in ("odd", ":2")
     }
     assert found == {"odd": [2, 4], ":2": [3]}, found
+
+
+@when("the peer hands over to it, and it is asked to leave")
+def step_leave_between(context):
+    """The leave comes between the acknowledgement and the announcement."""
+    address = context.peer.peer_address
+    part = HandoverPart(PEER, address, 1, 0, 1, b"k" * 32, 0, [], [], [])
+    context.core.tell(context.peer, part)
+    context.core.take(LeaveRequested())
+    context.core.wait(500)
+
+
+@then("it hands over to the other peer only once the peer has announced it")
+def step_takes_up_first(context):
+    """What was inherited is part of what is handed over."""
+    other = record(OTHER_PEER)
+    assert not handover_parts(context.core, other)
+    own = context.core.state.info.incarnation
+    context.core.tell(context.peer, Succession(PEER, [own], 0))
+    context.core.wait(200)
+    parts = handover_parts(context.core, other)
+    assert [origin.incarnation for origin in parts[0].origins] == [PEER], parts
+
+
+def handover_parts(core, peer):
+    """Return the handover's parts sent to a peer among the latest actions."""
+    return [item for item in core.sent_to(peer) if isinstance(item, HandoverPart)]
--- a/libs/core/src/lagoontally_core/_ingress.py
+++ b/libs/core/src/lagoontally_core/_ingress.py
@@ -12,8 +12,13 @@
     pass_on,
     serve_at_home,
 )
-from ._lines import COUNTER_BITS, message_slot, on_line_ack, on_line_reset
 from ._members import MemberStatus
+from ._notifications import (
+    COUNTER_BITS,
+    message_slot,
+    on_line_ack,
+    on_line_reset,
+)
 from ._peer_messages import Ping, Relay, RelayAck, RelayFresh
 from ._probing import NO_PROBE, own_record
 from ._state import Phase
@@ -25,7 +30,7 @@
 )
 from ._succession import is_heir_of_chain, resolve_home
 from ._templates import notice_echo_version
-from ._turn import reply_to_request
+from ._turn import flow_subjects, reply_to_request
 
 
 def takes_requests(turn):
@@ -64,6 +69,7 @@
     started = start_exchange(turn, reply_to, request, hint=hint)
     if isinstance(started, Refused):
         turn.count("request.idempotent.refused")
+        turn.note(flow_subjects(flow, request.token), "refused", started.reason)
         turn.answer(reply_to, started)
 
 
--- a/libs/core/src/lagoontally_core/_inherit.py
+++ b/libs/core/src/lagoontally_core/_inherit.py
@@ -22,6 +22,7 @@
 )
 
 STAGED_LIFE_MS = 60_000
+ANNOUNCED_WITHIN_MS = 5_000
 NO_PROBE = 0
 
 
@@ -75,6 +76,17 @@
     turn.act(SendPeer(part.leaver_address, ack))
 
 
+def awaits_succession(turn):
+    """Tell whether a leaver counts on this balancer and is about to say so.
+
+    What was acknowledged has to be taken up before it can be handed on.
+    """
+    return any(
+        staged.complete() and turn.now_ms - staged.received_ms < ANNOUNCED_WITHIN_MS
+        for staged in turn.state.staged.values()
+    )
+
+
 def _decline(part, turn):
     """Tell a leaver that this balancer leaves too and can't be its heir."""
     state = turn.state
--- a/libs/core/src/lagoontally_core/_leave.py
+++ b/libs/core/src/lagoontally_core/_leave.py
@@ -5,7 +5,7 @@
 from ._actions import Forwarded, Refused, SendPeer, Stop, Unknown
 from ._events import LeaveRequested
 from ._exchanges import finish
-from ._lines import drop_line
+from ._inherit import awaits_succession
 from ._members import MemberStatus
 from ._peer_messages import (
     HandoverAck,
@@ -16,6 +16,7 @@
     Succession,
     SuccessionAck,
 )
+from ._registrations import drop_line
 from ._rendezvous import pick_heir
 from ._state import Phase
 from ._succession import KnownSuccession
@@ -91,7 +92,8 @@
 
 def _drain(departure, turn):
     state = turn.state
-    if state.exchanges and turn.now_ms < departure.until_ms:
+    unfinished = state.exchanges or awaits_succession(turn)
+    if unfinished and turn.now_ms < departure.until_ms:
         return
     for exchange in list(state.exchanges.values()):
         del state.exchanges[exchange.token]
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_notifications.py
@@ -0,0 +1,82 @@
+"""Notifications of lines: their order, their message ids, what callers reply."""
+
+from ._actions import NotifyCaller
+from ._echo import target_hint
+from ._events import Flow
+from ._registrations import drop_line
+
+CONFIRM_MS = 20_000
+SEQUENCE_UNIT_MS = 16
+SEQUENCE_BITS = 24
+SLOT_BITS = 6
+COUNTER_BITS = 10
+COUNTER_MASK = (1 << COUNTER_BITS) - 1
+
+
+def message_slot(incarnation):
+    """Return the number by which message ids name the home of a line."""
+    return incarnation & ((1 << SLOT_BITS) - 1)
+
+
+def notify(line, body, turn):
+    """Send a notification to a line's caller, confirmable now and then."""
+    confirmable = turn.now_ms - line.confirmed_ms >= CONFIRM_MS
+    line.message_id = _next_message_id(line, turn)
+    echo = b""
+    if confirmable:
+        line.confirmed_ms = turn.now_ms
+        line.confirm_id = line.message_id
+        hint = target_hint(line.target)
+        echo = turn.fresh_echo(line.flow.service, line.session, hint)
+    turn.act(
+        NotifyCaller(
+            line.flow,
+            line.token,
+            line.message_id,
+            confirmable,
+            line.sequence % (1 << SEQUENCE_BITS),
+            echo,
+            body,
+        )
+    )
+
+
+def _next_message_id(line, turn):
+    entry = turn.state.flow_lines[line.flow]
+    entry.counter = (entry.counter + 1) & COUNTER_MASK
+    slot = message_slot(turn.state.info.incarnation)
+    return slot << COUNTER_BITS | entry.counter
+
+
+def next_sequence(line, turn):
+    """Return a sequence number above every one that any home has used.
+
+    It follows the wall clock, so that a line goes on in order at another home
+    without any word from the first.
+    """
+    wall_ms = turn.now_ms + turn.state.info.wall_offset_ms
+    return max(line.sequence + 1, wall_ms // SEQUENCE_UNIT_MS)
+
+
+def on_line_ack(flow: Flow, message_id, turn):
+    """Extend the lease of a line whose notification was acknowledged."""
+    line = _line_of(flow, message_id, turn.state)
+    if line is not None:
+        line.lease_until_ms = turn.now_ms + turn.state.timing.line_lease_ms
+
+
+def on_line_reset(flow: Flow, message_id, turn):
+    """Close a line that its caller no longer wants."""
+    line = _line_of(flow, message_id, turn.state)
+    if line is not None:
+        drop_line(line, "reset by the caller", turn)
+
+
+def _line_of(flow, message_id, state):
+    entry = state.flow_lines.get(flow)
+    if entry is None:
+        return None
+    for line in entry.lines:
+        if message_id in (line.message_id, line.confirm_id):
+            return line
+    return None
--- a/libs/core/src/lagoontally_core/_operator.py
+++ b/libs/core/src/lagoontally_core/_operator.py
@@ -73,6 +73,8 @@
         return "foreign"
     if target.identity is Identity.ASKED:
         return "unconfirmed"
+    if target.unreachable:
+        return "unreachable"
     if target.closed_until_ms > now_ms:
         return "closed"
     return "active"
--- /dev/null
+++ b/libs/core/src/lagoontally_core/_registrations.py
@@ -0,0 +1,205 @@
+"""Registrations of lines at targets: first, second, refreshed and cancelled."""
+
+from typing import NamedTuple
+
+from ._actions import Refused, SendKind, SendUpstream, Unknown
+from ._choice import choose_line_target, note_failure
+from ._echo import target_hint
+from ._exchanges import NO_TARGET_RETRY_S, host_name
+from ._state import FlowLines, Registration
+from ._turn import flow_subjects
+
+REGISTER_TRY_MS = 2_000
+REGISTER_BUDGET_MS = 10_000
+PATH_SHARED_MS = 5_000
+FIRST_COUNT_BITS = 10
+
+
+class RegisterTimer(NamedTuple):
+    """Timer: a registration should have been answered by now.
+
+    Attributes:
+        line_token: Token of the registration.
+        sent_ms: When it was sent.
+    """
+
+    line_token: bytes
+    sent_ms: int
+
+
+def index_flow(line, turn):
+    """List a line among those of its flow."""
+    flow_lines = turn.state.flow_lines
+    entry = flow_lines.get(line.flow)
+    if entry is None:
+        entry = flow_lines[line.flow] = FlowLines(
+            turn.random.getrandbits(FIRST_COUNT_BITS)
+        )
+    entry.lines.append(line)
+
+
+def unindex_flow(line, state):
+    """Take a line from the list of its flow."""
+    entry = state.flow_lines[line.flow]
+    entry.lines.remove(line)
+    if not entry.lines:
+        del state.flow_lines[line.flow]
+
+
+def is_leaving(line, state):
+    """Tell whether a line's target is leaving or gone."""
+    target = state.targets.get(line.target)
+    return target is None or target.leaving
+
+
+def register(line, target, path, token, turn):
+    """Send a line's registration, anew or to refresh it."""
+    state = turn.state
+    state.line_tokens[token] = line
+    timer = RegisterTimer(token, turn.now_ms)
+    state.timers.add(turn.now_ms + REGISTER_TRY_MS, timer)
+    host = host_name(state, line.flow.service)
+    turn.act(
+        SendUpstream(
+            target, path, token, SendKind.LINE_OPEN, host, REGISTER_BUDGET_MS, line.body
+        )
+    )
+
+
+def register_as_successor(line, target, turn, *, path=None):
+    """Register a line a second time; the first stays until this is answered."""
+    path = line.path if path is None else path
+    token = turn.new_token()
+    line.successor = Registration(target.address, path, token, turn.now_ms)
+    register(line, target.address, path, token, turn)
+
+
+def register_elsewhere(line, tried, turn, *, path=None):
+    """Register a line at another target; refuse a caller who waits if none is."""
+    target = choose_line_target(turn, line.flow, tried=tried)
+    if target is not None:
+        register_as_successor(line, target, turn, path=path)
+        return
+    if line.pending_reply is None:
+        return
+    answer = Refused(NO_TARGET_RETRY_S, "no target takes new lines")
+    turn.note(flow_subjects(line.flow, line.token), "refused", answer.reason)
+    answer_registration(line, answer, turn)
+    if not line.upstream_token:
+        drop_line(line, "no target takes new lines", turn)
+
+
+def answer_registration(line, answer, turn):
+    """Answer a caller who waits for its registration."""
+    hint = target_hint(line.target) if line.target else 0
+    echo = turn.fresh_echo(line.flow.service, line.session, hint)
+    turn.answer(line.pending_reply, answer, echo)
+    line.pending_reply = None
+
+
+def promote(line, turn):
+    """Let the second registration take the first one's place."""
+    state = turn.state
+    following = line.successor
+    line.successor = None
+    if line.upstream_token:
+        _cancel(line, line.target, line.path, line.upstream_token, turn)
+        _count_lines(state, line.target, -1)
+        turn.count("line.moved")
+        turn.note(
+            (*flow_subjects(line.flow, line.token), line.target, following.target),
+            f"line moved from {line.target} to {following.target}",
+            "the former target is leaving, silent or inherited",
+        )
+    line.target = following.target
+    line.path = following.path
+    line.upstream_token = following.token
+    _count_lines(state, line.target, 1)
+
+
+def _count_lines(state, address, change):
+    target = state.targets.get(address)
+    if target is not None:
+        target.lines += change
+
+
+def _cancel(line, target, path, token, turn):
+    turn.state.line_tokens.pop(token, None)
+    host = host_name(turn.state, line.flow.service)
+    turn.act(
+        SendUpstream(
+            target,
+            path,
+            token,
+            SendKind.LINE_CLOSE,
+            host,
+            REGISTER_BUDGET_MS,
+            line.body,
+        )
+    )
+
+
+def drop_successor(line, turn):
+    following = line.successor
+    line.successor = None
+    _cancel(line, following.target, following.path, following.token, turn)
+
+
+def drop_line(line, reason, turn):
+    """Forget a line and cancel it at its target."""
+    state = turn.state
+    del state.lines[(line.session, line.token)]
+    unindex_flow(line, state)
+    if line.successor is not None:
+        drop_successor(line, turn)
+    if line.upstream_token:
+        _cancel(line, line.target, line.path, line.upstream_token, turn)
+        _count_lines(state, line.target, -1)
+    turn.count("line.closed")
+    turn.note(flow_subjects(line.flow, line.token), "line closed", reason)
+
+
+def check_registration(timer: RegisterTimer, turn):
+    """Replace a registration that wasn't answered, from a new socket."""
+    state = turn.state
+    line = state.line_tokens.get(timer.line_token)
+    if line is None:
+        return
+    following = line.successor
+    if following is not None and timer.line_token == following.token:
+        silent = following.target
+        drop_successor(line, turn)
+    elif following is not None or line.heard_ms >= timer.sent_ms:
+        return
+    else:
+        silent = line.target
+    target = state.targets.get(silent)
+    if target is not None:
+        note_failure(target, turn)
+    turn.count("line.silent_path")
+    _replace_path(line, silent, turn)
+
+
+def _replace_path(line, silent, turn):
+    """Register a line from a new socket, elsewhere if another target is there."""
+    line.missed += 1
+    if line.pending_reply is not None and line.missed > 1:
+        answer = Unknown("no target answered the registration")
+        answer_registration(line, answer, turn)
+    tried = (silent,)
+    if choose_line_target(turn, line.flow, tried=tried) is None:
+        tried = ()
+    register_elsewhere(line, tried, turn, path=_fresh_path(line, turn))
+
+
+def _fresh_path(line, turn):
+    """Return a socket opened lately and not the line's own.
+
+    Many lines go silent together, so they share a new socket for a while.
+    """
+    state = turn.state
+    old = turn.now_ms - state.path_opened_ms >= PATH_SHARED_MS
+    if old or state.newest_path == line.path:
+        state.newest_path += 1
+        state.path_opened_ms = turn.now_ms
+    return state.newest_path
--- a/libs/core/src/lagoontally_core/_state.py
+++ b/libs/core/src/lagoontally_core/_state.py
@@ -11,6 +11,7 @@
 from ._timers import Timers
 
 FIRST_PATH = 0
+FIRST_RETRY_TOKENS = 2.0
 NO_MESSAGE_ID = -1
 
 
@@ -336,7 +337,7 @@
         self.timers = Timers()
         self.dispatch = DispatchBook()
         self.journal = Journal()
-        self.retry_tokens = 0.0
+        self.retry_tokens = FIRST_RETRY_TOKENS
         self.newest_path = FIRST_PATH
         self.path_opened_ms = 0
 
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -52,9 +52,7 @@
 from ._lines import (
     LineTimer,
     MoveTimer,
-    RegisterTimer,
     check_line,
-    check_registration,
     move_line,
     on_line_reply,
 )
@@ -70,6 +68,7 @@
     on_welcome,
     probe_members,
 )
+from ._registrations import RegisterTimer, check_registration
 from ._state import Phase, State
 from ._strangers import (
     StrangerForgotten,
--- a/libs/daemon/src/lagoontally_daemon/_composition.py
+++ b/libs/daemon/src/lagoontally_daemon/_composition.py
@@ -119,6 +119,7 @@
         peer_address=settings.peer_address,
         echo_key=secrets.token_bytes(ECHO_KEY_BYTES),
         wall_offset_ms=wall_offset_ms(),
+        seeds=settings.seeds,
     )
 
 
