--- a/libs/edges/src/lagoontally_edges/_platform_edge.py
+++ b/libs/edges/src/lagoontally_edges/_platform_edge.py
@@ -25,6 +25,7 @@
 BACKOFF_MAX_S = 8.0
 BACKOFF_MAX_DOUBLINGS = 4
 REREAD_MAX_S = 2.0
+PERIOD_PER_ENTRY_S = 0.13
 INSTANCES_PERIOD_S = 5.0
 INSTANCES_JITTER_S = 1.0
 MIN_READ_GAP_S = 0.5
@@ -98,6 +99,7 @@
         self.failures = 0
         self.read_wanted = Event()
         self.list_wanted = Event()
+        self.listed = 0
 
     def read_now(self):
         """Have the template read soon, apart from the watch."""
@@ -218,6 +220,7 @@
         if isinstance(outcome, Document):
             decoded = decode_instances(outcome.body)
         if isinstance(decoded, InstancesRead):
+            self.listed = len(decoded.instances)
             self.post(decoded)
         else:
             self.add("failures")
@@ -225,7 +228,7 @@
     def serve_reads(self, session, stop):
         """Make the reads that are asked for until the next poll is due."""
         jitter_s = self.random.uniform(-INSTANCES_JITTER_S, INSTANCES_JITTER_S)
-        slices = int((INSTANCES_PERIOD_S + jitter_s) / WAKE_S)
+        slices = int((self.list_period_s() + jitter_s) / WAKE_S)
         for _ in range(slices):
             if stop.is_set() or self.list_wanted.is_set():
                 self.list_wanted.clear()
@@ -235,6 +238,14 @@
                 call_until_stop(partial(self.read_template, session), stop)
                 stop.wait(MIN_READ_GAP_S)
 
+    def list_period_s(self):
+        """Return the seconds between two reads of the list.
+
+        It grows with the list, which bounds the bytes a second; members tell
+        each other of changes much sooner.
+        """
+        return max(INSTANCES_PERIOD_S, self.listed * PERIOD_PER_ENTRY_S)
+
     def read_template(self, session):
         """Read the template once without waiting and post it."""
         self.add("reads")
--- a/libs/standins/src/lagoontally_standins/__main__.py
+++ b/libs/standins/src/lagoontally_standins/__main__.py
@@ -20,6 +20,8 @@
     serve_upstream_control,
 )
 
+# What a shell reports of a process that SIGTERM has ended.
+EXIT_ENDED = 143
 SIGNAL_POLL_S = 0.5
 SETTINGS_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
@@ -102,6 +104,7 @@
     # Imported here because the other commands need no callers.
     from ._run import run as run_load
 
+    end_by_exception()
     sys.exit(run_load(seed))
 
 
@@ -121,6 +124,7 @@
     from ._chaos import chaos as run_chaos
     from ._faults import FAULT_KINDS
 
+    end_by_exception()
     unknown = sorted(set(kinds) - set(FAULT_KINDS))
     if unknown:
         raise click.BadParameter(f"{unknown} not in {FAULT_KINDS}")
@@ -144,6 +148,11 @@
     click.echo(json.dumps(DirectLoad(Offer(**offer)).run()))
 
 
+def end_by_exception():
+    """Let SIGTERM raise, so that a deployment ends its processes first."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_ENDED))
+
+
 def link_latest(directory: Path) -> None:
     """Let ``.out/latest`` name a deployment's folder."""
     link = OUTPUT_DIR / "latest"
