Keep the lost share explored with an heir that doesn't wait; add the one that does

The scenario 'What fell to an heir that left at the same time' went red when leaving heirs began to wait for what they acknowledged: its moves B -> C are no longer offered, and a copy of the command was relayed to B instead of being answered Unknown. That is the better outcome, so it has a scenario of its own (answered: Forwarded); the old one keeps its moves and its expectation with the waiting switched off, as when the announcement comes too late.

--- a/libs/bench/features/explore.feature
+++ b/libs/bench/features/explore.feature
@@ -40,6 +40,7 @@
 
   Scenario: What fell to an heir that left at the same time isn't said to be not run
     Given three balancers, and a command that A ran, to fall to B and from B to C
+    And a leaving heir that no longer waits for an announcement
     When these moves are made, where they can be
       """
       A is asked to leave
@@ -65,6 +66,26 @@
     Then no promise is broken on the way
     And a copy of the command is answered: Unknown
 
+  Scenario: A leaving heir waits for what it acknowledged, and answers for it
+    Given three balancers, and a command that A ran, to fall to B and from B to C
+    When these moves are made, where they can be
+      """
+      A is asked to leave
+      100 ms pass
+      HandoverPart of A -> B
+      HandoverPart of A -> C
+      HandoverAck of B -> A
+      B is asked to leave
+      100 ms pass
+      HandoverAck of C -> A
+      Succession of A -> B
+      Succession of A -> C
+      datagram 0.1 -> C
+      Relay of C -> B
+      """
+    Then no promise is broken on the way
+    And a copy of the command is answered: Forwarded
+
   Scenario: An heir takes up its own share after it has heard of the leaver from another
     Given three balancers, and a command that A ran, to fall to C
     When these moves are made, where they can be
--- a/libs/bench/features/steps/explore_steps.py
+++ b/libs/bench/features/steps/explore_steps.py
@@ -104,6 +104,14 @@
     _begin(context, STRAIGHT)
 
 
+@given("a leaving heir that no longer waits for an announcement")
+def step_impatient(context):
+    """The announcement comes later than a leaving heir waits for it."""
+    patched = patch("lagoontally_core._leave.awaits_succession", lambda turn: False)
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
 def _begin(context, falls):
     budget = Budget(copies=2, leaves=2, ticks=4)
     scope = Scope(3, 1, budget, True, falls, TWO_LEAVE[:4])
