--- a/libs/bench/src/lagoontally_bench/_faults.py
+++ b/libs/bench/src/lagoontally_bench/_faults.py
@@ -13,6 +13,9 @@
 LATE_WATCH_MS = 15_000
 SLOW_WORK_MS = 1_500
 NORMAL_WORK_MS = 20
+# A crash leaves a line silent until its caller's next renewal is answered.
+CRASH_GAP_MS = 15_000
+PLANNED_GAP_MS = 5_000
 
 
 class Fault(NamedTuple):
@@ -23,12 +26,14 @@
         strike: Called with the scenario and the moment that it strikes at.
         planned: True for a change that operators make; it must break no line.
         unreachable: True when balancers may be out of reach of a new template.
+        gap_ms: The longest silence that it may cause on a line, None for any.
     """
 
     name: str
     strike: object
     planned: bool = False
     unreachable: bool = False
+    gap_ms: int | None = None
 
 
 def _balancer_at(scenario, moment):
@@ -244,19 +249,21 @@
 
 
 FAULTS = (
-    Fault("balancer killed", kill_balancer),
-    Fault("balancer joins", join_balancer, planned=True),
-    Fault("balancer leaves", leave_balancer, planned=True),
+    Fault("balancer killed", kill_balancer, gap_ms=CRASH_GAP_MS),
+    Fault("balancer joins", join_balancer, planned=True, gap_ms=PLANNED_GAP_MS),
+    Fault("balancer leaves", leave_balancer, planned=True, gap_ms=PLANNED_GAP_MS),
     Fault("balancer frozen 10 s", freeze_balancer),
     Fault("balancer frozen 2.5 s", freeze_shortly),
-    Fault("upstream drained", drain_upstream, planned=True),
-    Fault("several upstreams drained", drain_several, planned=True),
+    Fault("upstream drained", drain_upstream, planned=True, gap_ms=PLANNED_GAP_MS),
+    Fault(
+        "several upstreams drained", drain_several, planned=True, gap_ms=PLANNED_GAP_MS
+    ),
     Fault("upstream killed", kill_upstream),
     Fault("upstream sheds", shed_upstream),
     Fault("upstream silent", silence_upstream),
     Fault("upstream cold", cold_start_upstream),
     Fault("upstream health lies", lie_about_health),
-    Fault("template uneven", uneven_template, planned=True),
+    Fault("template uneven", uneven_template, planned=True, gap_ms=PLANNED_GAP_MS),
     Fault("template stale", stale_template, unreachable=True),
     Fault("platform down", platform_down, unreachable=True),
     Fault("list lies", lying_list),
--- a/libs/bench/src/lagoontally_bench/_matrix.py
+++ b/libs/bench/src/lagoontally_bench/_matrix.py
@@ -21,7 +21,6 @@
 SETTLED_MS = START_LOAD_MS + 2_000
 TWICE_AFTER_MS = 3_000
 LASTING_FAULT_BREAKS = 2
-PLANNED_GAP_MS = 5_000
 
 
 class Step(NamedTuple):
@@ -168,7 +167,7 @@
         scenario.callers,
         end_ms=world.now_ms,
         allowed_breaks=0 if planned else LASTING_FAULT_BREAKS,
-        gap_ms=PLANNED_GAP_MS if planned else None,
+        gap_ms=_longest_gap(faults),
     )
     unreachable = any(fault.unreachable for fault in faults)
     published = _reached(scenario, scenario.published, unreachable)
@@ -180,6 +179,12 @@
     return breaches
 
 
+def _longest_gap(faults):
+    """Return the longest silence that the faults may cause, None for any."""
+    gaps = [fault.gap_ms for fault in faults]
+    return None if None in gaps else max(gaps)
+
+
 def _reached(scenario, published, unreachable):
     """Return when each version could be known in each workspace.
 
--- a/libs/core/src/lagoontally_core/_operator.py
+++ b/libs/core/src/lagoontally_core/_operator.py
@@ -39,6 +39,7 @@
             name: {"targets": [_target(state.targets[item], turn) for item in items]}
             for name, items in state.service_targets.items()
         },
+        "limits": _limits(state.dispatch),
         "lines": len(state.lines),
         "remembered": len(state.remembered),
         "in_flight": len(state.exchanges),
@@ -47,6 +48,15 @@
     }
 
 
+def _limits(book):
+    """Return the limits of admission and what this balancer has placed."""
+    return {
+        "reads_per_slot": book.limits.read_depth,
+        "commands_per_slot": book.limits.command_depth,
+        "placed": dict(book.totals),
+    }
+
+
 def _member(record):
     return {
         "name": record.name,
