Answer before taking on more: targets' replies first, requests that waited 0.4 s refused

Change: the core's task takes callers' requests last; one that has waited 400 ms is refused with 5.03 and a spread Max-Age, or dropped when it is a command with an Echo, which only its home may refuse.

--- a/libs/core/features/home.feature
+++ b/libs/core/features/home.feature
@@ -51,3 +51,15 @@
     When a command comes with a fresh Echo
     Then no target gets it
     And its caller is told Refused
+
+  Scenario Outline: A request that waited too long here is not worked on
+    Given a balancer that serves
+    When <request> is taken up 500 ms after it arrived
+    Then no target gets it
+    And its caller is told <told>
+
+    Examples:
+      | request                 | told    |
+      | a read                  | Refused |
+      | a command without Echo  | Refused |
+      | a command with its Echo | nothing |
--- a/libs/core/features/steps/home_steps.py
+++ b/libs/core/features/steps/home_steps.py
@@ -22,6 +22,7 @@
     Received,
     Relay,
     ReplyStatus,
+    RequestKind,
     UpstreamReply,
 )
 
@@ -201,3 +202,27 @@
         item for item in context.core.sent_to(context.peer) if isinstance(item, Ping)
     ]
     assert [item.sender.wake for item in pings] == [1], pings
+
+
+@when("a read is taken up {late_ms:d} ms after it arrived")
+def step_late_read(context, late_ms):
+    """A read may be refused by any balancer."""
+    take_late(context.core, command(b"")._replace(kind=RequestKind.IDEMPOTENT), late_ms)
+
+
+@when("a command without Echo is taken up {late_ms:d} ms after it arrived")
+def step_late_first(context, late_ms):
+    """A command without an Echo never runs."""
+    take_late(context.core, command(b""), late_ms)
+
+
+@when("a command with its Echo is taken up {late_ms:d} ms after it arrived")
+def step_late_command(context, late_ms):
+    """Only the home that remembers a command may say that it wasn't run."""
+    take_late(context.core, command(context.core.echo()), late_ms)
+
+
+def take_late(core, request, late_ms):
+    """Take a request that has waited in the queue."""
+    event = CallerRequest(Flow(SERVICE, CALLER), request)
+    core.take(Received(core.now_ms - late_ms, event))
--- a/libs/core/src/lagoontally_core/_ingress.py
+++ b/libs/core/src/lagoontally_core/_ingress.py
@@ -1,6 +1,7 @@
 """Ingress: what any balancer does with a packet that it happens to get."""
 
 from ._actions import Refused, SendPeer
+from ._admission import spread_retry_s
 from ._echo import decode_echo
 from ._events import CallerAck, CallerRequest, CallerReset, Flow, RequestKind
 from ._exchanges import start_exchange
@@ -59,6 +60,22 @@
     _route_to_home(flow, request, turn)
 
 
+def refuse_late(event: CallerRequest, turn):
+    """Refuse a request that waited here for too long; more wait behind it.
+
+    Working on it would make the others late too, until none is answered in
+    time. A command with an Echo is dropped as if it had been lost: only its home
+    may refuse it, and its caller repeats it.
+    """
+    flow, request = event
+    turn.count("request.late")
+    if request.kind is RequestKind.COMMAND and request.echo:
+        return
+    if takes_requests(turn):
+        answer = Refused(spread_retry_s(turn.random), "the balancer is overloaded")
+        turn.answer(reply_to_request(flow, request), answer)
+
+
 def _serve_idempotent(flow, request, turn):
     if turn.state.phase is not Phase.SERVING:
         pass_on(flow, request, turn)
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -41,6 +41,7 @@
     on_relay_fresh,
     on_stranger_known,
     on_stranger_timer,
+    refuse_late,
 )
 from ._inherit import DropStaged, drop_staged, learn_succession, on_handover_part
 from ._leave import (
@@ -92,6 +93,7 @@
 
 TICK_MS = 100
 PAUSE_MS = 1_000
+LATE_MS = 400
 JOIN_WAIT_MS = 5_000
 LIST_READ_MS = 500
 
@@ -114,7 +116,11 @@
         if event.received_ms < state.resumed_ms:
             turn.count("event.discarded_after_pause")
             return turn.actions
+        late = now_ms - event.received_ms >= LATE_MS
         event = event.event
+        if late and isinstance(event, CallerRequest):
+            refuse_late(event, turn)
+            return turn.actions
     handle(event, turn)
     return turn.actions
 
--- a/libs/daemon/src/lagoontally_daemon/_core_task.py
+++ b/libs/daemon/src/lagoontally_daemon/_core_task.py
@@ -2,8 +2,16 @@
 
 import time
 from queue import Empty, SimpleQueue
-
-from lagoontally_core import TICK_MS, LeaveRequested, Received, Tick, step
+from threading import Event
+
+from lagoontally_core import (
+    TICK_MS,
+    CallerRequest,
+    LeaveRequested,
+    Received,
+    Tick,
+    step,
+)
 from lagoontally_edges import monotonic_ms
 
 MS_PER_S = 1_000
@@ -18,7 +26,9 @@
         perform: Called with each action and the time of its step.
 
     Attributes:
-        inbox: Events of the edges, in order of arrival.
+        inbox: Events of the edges but requests, in order of arrival.
+        requests: Callers' requests, in order of arrival.
+        arrived: Set when something was queued.
         ticked_ms: When the core was last told the time.
     """
 
@@ -27,15 +37,21 @@
         self.random = random
         self.perform = perform
         self.inbox = SimpleQueue()
+        self.requests = SimpleQueue()
+        self.arrived = Event()
         self.ticked_ms = 0
 
     def post(self, event):
         """Queue an event; it is void if the process pauses before its turn."""
-        self.inbox.put(Received(monotonic_ms(), event))
+        received = Received(monotonic_ms(), event)
+        queue = self.requests if isinstance(event, CallerRequest) else self.inbox
+        queue.put(received)
+        self.arrived.set()
 
     def request_leave(self):
         """Ask the balancer to leave; a pause doesn't void this."""
         self.inbox.put(LeaveRequested())
+        self.arrived.set()
 
     def run(self, stop):
         """Take decisions until ``stop`` is set."""
@@ -48,13 +64,26 @@
                 self._take(Tick())
 
     def _next_event(self):
+        event = self._waiting()
         wait_ms = self.ticked_ms + self._tick_after_ms() - monotonic_ms()
-        try:
-            if wait_ms <= 0:
-                return self.inbox.get_nowait()
-            return self.inbox.get(timeout=wait_ms / MS_PER_S)
-        except Empty:
-            return None
+        if event is not None or wait_ms <= 0:
+            return event
+        self.arrived.wait(wait_ms / MS_PER_S)
+        self.arrived.clear()
+        return self._waiting()
+
+    def _waiting(self):
+        """Return what waits, callers' requests last.
+
+        Targets' answers end work under way. Behind a flood of requests they
+        would hold slots, and operators would get no answer.
+        """
+        for queue in (self.inbox, self.requests):
+            try:
+                return queue.get_nowait()
+            except Empty:
+                continue
+        return None
 
     def _tick_after_ms(self):
         due_ms = self.state.timers.next_due_ms()
