Name the peers' messages, the margin of memory and the signals once

The codec listed the messages that the core defines, and once missed one; the core's own list serves both now. The margin of 60 s stood in the model and the core, the handling of signals in the daemon and the command.

--- a/libs/cli/src/lagoontally/_run.py
+++ b/libs/cli/src/lagoontally/_run.py
@@ -1,7 +1,5 @@
 """The command that runs a balancer."""
 
-import signal
-
 import click
 import pynng
 
@@ -37,6 +35,5 @@
     except (OSError, pynng.NNGException) as error:
         click.echo(f"Error: an address can't be listened at: {error}", err=True)
         ctx.exit(ExitStatus.FINDINGS)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: balancer.request_leave())
+    balancer.leave_on_signals()
     balancer.run()
--- a/libs/core/src/lagoontally_core/__init__.py
+++ b/libs/core/src/lagoontally_core/__init__.py
@@ -47,6 +47,7 @@
     UpstreamReply,
 )
 from ._peer_messages import (
+    PEER_MESSAGES,
     HandoverAck,
     HandoverPart,
     Join,
@@ -75,6 +76,7 @@
 from ._step import JOIN_WAIT_MS, PAUSE_MS, TICK_MS, step
 
 __all__ = [
+    "PEER_MESSAGES",
     "Answer",
     "AnswerCaller",
     "AnswerOperator",
--- a/libs/core/src/lagoontally_core/_home.py
+++ b/libs/core/src/lagoontally_core/_home.py
@@ -3,6 +3,8 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+from lagoontally_model import REMEMBER_MARGIN_MS
+
 from ._actions import NeedEcho, Refused, SendPeer, Unknown
 from ._echo import echo_is_genuine
 from ._events import RequestKind
@@ -14,7 +16,6 @@
 
 KEY_BYTES = 16
 REMEMBERED_LIMIT = 200_000
-FORGET_MARGIN_MS = 60_000
 LEAVING_RETRY_S = 1
 
 
@@ -114,7 +115,7 @@
         _answer_again(entry, flow, request, turn)
         return
     timing = turn.state.timing
-    if standing.age_ms > timing.remember_ms - FORGET_MARGIN_MS:
+    if standing.age_ms > timing.remember_ms - REMEMBER_MARGIN_MS:
         reason = "the Echo is older than what is remembered"
         _answer_unknown(flow, request, reason, turn, session=standing.session)
         return
--- a/libs/core/src/lagoontally_core/_peer_messages.py
+++ b/libs/core/src/lagoontally_core/_peer_messages.py
@@ -314,3 +314,26 @@
 
     token: bytes
     outcome: int
+
+
+# Every type that travels by itself; the others are parts of these.
+PEER_MESSAGES = (
+    HandoverAck,
+    HandoverPart,
+    Join,
+    Ping,
+    PingAck,
+    PingRequest,
+    PlaceAsk,
+    Placed,
+    PlaceDone,
+    Relay,
+    RelayAck,
+    RelayFresh,
+    Succession,
+    SuccessionAck,
+    TemplateDigest,
+    TemplateSections,
+    TemplateWant,
+    Welcome,
+)
--- a/libs/daemon/src/lagoontally_daemon/__main__.py
+++ b/libs/daemon/src/lagoontally_daemon/__main__.py
@@ -1,6 +1,5 @@
 """The balancer process: ``python -m lagoontally_daemon SETTINGS``."""
 
-import signal
 import sys
 from pathlib import Path
 
@@ -27,8 +26,7 @@
             click.echo(f"{finding.place}: {finding.reason}", err=True)
         sys.exit(EXIT_FINDINGS)
     balancer = compose(settings)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: balancer.request_leave())
+    balancer.leave_on_signals()
     balancer.run()
 
 
--- a/libs/daemon/src/lagoontally_daemon/_composition.py
+++ b/libs/daemon/src/lagoontally_daemon/_composition.py
@@ -1,6 +1,7 @@
 """The composition root: makes every part of a balancer and wires them."""
 
 import secrets
+import signal
 from concurrent.futures import FIRST_EXCEPTION, ThreadPoolExecutor, wait
 from random import Random
 from threading import Event
@@ -65,6 +66,11 @@
         """Ask the balancer to leave; ``run`` returns once it has."""
         self.core.request_leave()
 
+    def leave_on_signals(self):
+        """Let SIGTERM and SIGINT ask it to leave; call it in the main thread."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.request_leave())
+
     def run(self):
         """Run every task until the balancer has left.
 
--- a/libs/edges/src/lagoontally_edges/_peer_codec.py
+++ b/libs/edges/src/lagoontally_edges/_peer_codec.py
@@ -4,51 +4,9 @@
 
 import msgspec
 
-from lagoontally_core import (
-    HandoverAck,
-    HandoverPart,
-    Join,
-    PeerMessage,
-    Ping,
-    PingAck,
-    PingRequest,
-    PlaceAsk,
-    Placed,
-    PlaceDone,
-    Relay,
-    RelayAck,
-    RelayFresh,
-    Succession,
-    SuccessionAck,
-    TemplateDigest,
-    TemplateSections,
-    TemplateWant,
-    Welcome,
-)
-
-MESSAGE_TYPES = {
-    message_type.__name__: message_type
-    for message_type in (
-        HandoverAck,
-        HandoverPart,
-        Join,
-        Ping,
-        PingAck,
-        PingRequest,
-        PlaceAsk,
-        Placed,
-        PlaceDone,
-        Relay,
-        RelayAck,
-        RelayFresh,
-        Succession,
-        SuccessionAck,
-        TemplateDigest,
-        TemplateSections,
-        TemplateWant,
-        Welcome,
-    )
-}
+from lagoontally_core import PEER_MESSAGES, PeerMessage
+
+MESSAGE_TYPES = {message_type.__name__: message_type for message_type in PEER_MESSAGES}
 
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(tuple[int, str, msgspec.Raw])
--- a/libs/model/src/lagoontally_model/__init__.py
+++ b/libs/model/src/lagoontally_model/__init__.py
@@ -15,7 +15,7 @@
 from ._parse_template import parse_template
 from ._render import render_template
 from ._sections import digest, document_digest, join_sections, split_sections
-from ._settings import LogSettings, Settings, Timing
+from ._settings import REMEMBER_MARGIN_MS, LogSettings, Settings, Timing
 from ._template import (
     DEFAULT_QUARANTINE_S,
     Placement,
@@ -27,6 +27,7 @@
 )
 
 __all__ = [
+    "REMEMBER_MARGIN_MS",
     "Changes",
     "DEFAULT_QUARANTINE_S",
     "Finding",
