Send a line's datagrams to targets in one place

Registering and cancelling a line built the same action twice; a constant had stayed in the module of exchanges that only registrations use, another was used nowhere. Behaviour is unchanged.

--- a/libs/core/src/lagoontally_core/_registrations.py
+++ b/libs/core/src/lagoontally_core/_registrations.py
@@ -5,7 +5,7 @@
 from ._actions import Refused, SendKind, SendUpstream, Unknown
 from ._choice import choose_line_target, note_failure
 from ._echo import target_hint
-from ._exchanges import NO_TARGET_RETRY_S, host_name
+from ._exchanges import host_name
 from ._state import FlowLines, Registration
 from ._turn import flow_subjects
 
@@ -13,6 +13,7 @@
 REGISTER_BUDGET_MS = 10_000
 PATH_SHARED_MS = 5_000
 FIRST_COUNT_BITS = 10
+NO_TARGET_RETRY_S = 1
 
 
 class RegisterTimer(NamedTuple):
@@ -58,11 +59,13 @@
     state.line_tokens[token] = line
     timer = RegisterTimer(token, turn.now_ms)
     state.timers.add(turn.now_ms + REGISTER_TRY_MS, timer)
-    host = host_name(state, line.flow.service)
+    _send(line, target, path, token, SendKind.LINE_OPEN, turn)
+
+
+def _send(line, target, path, token, kind, turn):
+    host = host_name(turn.state, line.flow.service)
     turn.act(
-        SendUpstream(
-            target, path, token, SendKind.LINE_OPEN, host, REGISTER_BUDGET_MS, line.body
-        )
+        SendUpstream(target, path, token, kind, host, REGISTER_BUDGET_MS, line.body)
     )
 
 
@@ -125,21 +128,11 @@
 
 def _cancel(line, target, path, token, turn):
     turn.state.line_tokens.pop(token, None)
-    host = host_name(turn.state, line.flow.service)
-    turn.act(
-        SendUpstream(
-            target,
-            path,
-            token,
-            SendKind.LINE_CLOSE,
-            host,
-            REGISTER_BUDGET_MS,
-            line.body,
-        )
-    )
+    _send(line, target, path, token, SendKind.LINE_CLOSE, turn)
 
 
 def drop_successor(line, turn):
+    """Cancel the registration that was to replace a line's own."""
     following = line.successor
     line.successor = None
     _cancel(line, following.target, following.path, following.token, turn)
--- a/libs/standins/src/lagoontally_standins/_direct_load.py
+++ b/libs/standins/src/lagoontally_standins/_direct_load.py
@@ -17,7 +17,6 @@
 
 TYPE_SHIFT, CODE_AT, TOKEN_AT = 4, 1, 4
 TOKEN_BYTES = 8
-TOKEN_LENGTH_BITS = 0x0F
 OBSERVE_LINE = "line"
 SUCCESSES = ("request 2.", "command 2.")
 HANDSHAKE_S = 5.0
