--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -0,0 +1,268 @@
+"""Decides for each packet of a caller where it goes.
+
+A SYN gets a target by load; every later packet goes to the target that its
+cookie names, whichever balancer it reaches. What a balancer remembers of flows
+only improves choices: it can be lost at any time.
+"""
+
+from ._effects import FlowReset, Note
+from ._flow_table import FlowTable
+from ._health import Health
+from ._placement import choose_service, choose_target
+from ._records import ACK, FIN, RST, SYN, Drop, Forward, Reset
+from ._view import View
+
+STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
+UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
+DUPLICATE_SYN_MS = 150  # a real second SYN of a flow comes after 200 ms
+UNKNOWN_COOKIES_KEPT = 1_024
+TIE_SPREAD = 2_654_435_761  # Knuth's multiplicative hash
+
+
+class Balancer:
+    """The decisions of one balancer.
+
+    Args:
+        data_centre: Where it runs.
+        random: Source of random numbers, as of ``random.Random``.
+
+    Attributes:
+        view: The targets.
+        configuration: The ``Configuration`` in force, None before the first.
+        flows: The flows seen lately.
+        health: Which targets answer.
+        effects: What steps asked for and the caller of the step has to do.
+        view_confirmed_ms: When the view was last known to be current.
+    """
+
+    def __init__(self, *, data_centre, random):
+        self.data_centre = data_centre
+        self.random = random
+        self.view = View()
+        self.configuration = None
+        self.flows = FlowTable()
+        self.health = Health()
+        self.effects = []
+        self.view_confirmed_ms = None
+        self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
+        self._unknown_since_ms = {}
+
+    def configure(self, configuration):
+        """Put a configuration in force unless a newer one is.
+
+        Returns:
+            True when it is in force now and wasn't before.
+        """
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return False
+        self.configuration = configuration
+        return True
+
+    def on_packet(self, packet, now_ms):
+        """Decide what happens to a packet.
+
+        Args:
+            packet: The ``Packet``.
+            now_ms: Time of the step.
+
+        Returns:
+            A ``Forward``, ``Reset`` or ``Drop``.
+        """
+        if packet.flags & SYN:
+            if packet.flags & ~SYN:
+                return Drop("forged_handshake")
+            return self._on_syn(packet, now_ms)
+        flow = self.flows.flows.get(packet.flow)
+        cookie = packet.cookie or (flow.cookie if flow else 0)
+        if not cookie:
+            return Drop("no_cookie")
+        target = self.view.by_cookie.get(cookie)
+        if packet.flags & RST:
+            self.flows.remove(packet.flow)
+            return Forward(target, "open_flow") if target else Drop("unknown_cookie")
+        if self._route(packet) is None:
+            self.flows.remove(packet.flow)
+            return Reset("route_removed", packet.acknowledgement)
+        if target is None:
+            return self._on_unknown_cookie(packet, cookie, now_ms)
+        if self.health.is_dead(cookie):
+            self.flows.remove(packet.flow)
+            return Reset("target_dead", packet.acknowledgement)
+        self._note_packet(packet, flow, cookie, now_ms)
+        return Forward(target, "open_flow")
+
+    def on_entries(self, changes, now_ms):
+        """Take in changed entries: pairs of a key and a ``Target`` or None."""
+        for key, target in changes:
+            self._on_entry(key, target, now_ms)
+
+    def on_listing(self, entries, now_ms):
+        """Take in the whole list of entries: ``Target`` by key."""
+        missing = [key for key in self.view.targets if key not in entries]
+        self.on_entries([(key, None) for key in missing], now_ms)
+        self.on_entries(entries.items(), now_ms)
+
+    def on_trial(self, cookie, evidence, now_ms):
+        """Take in how the trial of a target ended; see ``Health.on_trial``."""
+        verdicts = self.health.on_trial(cookie, evidence, now_ms)
+        self.effects.extend(verdicts)
+        if any(verdict.dead for verdict in verdicts):
+            self._reset_flows(cookie, evidence)
+
+    def on_verdict(self, verdict, now_ms):
+        """Take in what a peer found out of a target."""
+        if self.health.on_verdict(verdict, now_ms):
+            self._reset_flows(verdict.cookie, "peer_" + verdict.evidence)
+
+    def on_tick(self, now_ms):
+        """Let time pass: trials, memory that runs out."""
+        if self.configuration is not None:
+            self.flows.sweep(now_ms, self.configuration.idle_timeout_ms)
+        self.view.forget_lapsed(now_ms)
+        self.effects.extend(self.health.due(now_ms))
+
+    def belief(self, now_ms):
+        """Return what decisions rest on, and its age, for logs and metrics."""
+        confirmed_ms = self.view_confirmed_ms
+        return {
+            "version": self.configuration.version if self.configuration else None,
+            "view_age_ms": None if confirmed_ms is None else now_ms - confirmed_ms,
+            "targets": len(self.view.targets),
+            "dead": len(self.health.marks),
+        }
+
+    def take_effects(self):
+        """Return what steps asked for since the last call."""
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _route(self, packet):
+        _, _, address, port = packet.flow
+        return self.configuration.routes.get((address, port))
+
+    def _on_syn(self, packet, now_ms):
+        route = self._route(packet)
+        if route is None:
+            return Reset("no_route", packet.acknowledgement)
+        flow = self.flows.flows.get(packet.flow)
+        if flow is None:
+            return self._place(packet, route, now_ms)
+        if flow.opened or not packet.acknowledgement:
+            return self._on_repeated_syn(packet, flow, route, now_ms)
+        flow.seen_ms = now_ms
+        silent = flow.cookie
+        self.effects.extend(self.health.on_stall(silent, now_ms))
+        target = self._choose(route, now_ms, avoid=flow.tried)
+        if target is None:
+            target = self.view.by_cookie.get(silent)
+        else:
+            self.flows.move(flow, target.cookie)
+        if target is None:
+            self.flows.remove(packet.flow)
+            return Reset("no_target", packet.acknowledgement)
+        return Forward(target, "silent_target")
+
+    def _on_repeated_syn(self, packet, flow, route, now_ms):
+        if now_ms - flow.seen_ms < DUPLICATE_SYN_MS or packet.acknowledgement:
+            target = self.view.by_cookie.get(flow.cookie)
+            if target is not None:
+                return Forward(target, "repeated_syn")
+        return self._place(packet, route, now_ms)
+
+    def _place(self, packet, route, now_ms):
+        target = self._choose(route, now_ms)
+        if target is None:
+            return Reset("no_target", packet.acknowledgement)
+        self.flows.add(packet.flow, target.cookie, now_ms)
+        return Forward(target, "placed")
+
+    def _choose(self, route, now_ms, avoid=()):
+        choices = {
+            service: self._healthy(service, now_ms, avoid)
+            for service, _ in route.shares
+        }
+        draw = self.random.random()
+        service = choose_service(route.shares, choices.get, draw)
+        if service is None:
+            return None
+        return choose_target(
+            choices[service],
+            load=lambda target: self.flows.open_flows.get(target.cookie, 0),
+            data_centre=self.data_centre,
+            tie=self._tie,
+        )
+
+    def _healthy(self, service, now_ms, avoid):
+        return [
+            target
+            for target in self.view.candidates(service, now_ms)
+            if target.cookie not in avoid and not self.health.is_dead(target.cookie)
+        ]
+
+    def _tie(self, target):
+        return (target.cookie ^ self._tie_salt) * TIE_SPREAD & 0xFFFFFFFF
+
+    def _note_packet(self, packet, flow, cookie, now_ms):
+        if flow is None or flow.cookie != cookie:
+            flow = self.flows.add(packet.flow, cookie, now_ms)
+        stalled = (
+            packet.length
+            and not flow.is_new_data(packet)
+            and now_ms - flow.progress_ms >= STALL_AFTER_MS
+            and packet.acknowledgement == flow.acknowledged
+        )
+        if stalled:
+            flow.seen_ms = now_ms
+            trials = self.health.on_stall(cookie, now_ms)
+            self.effects.extend(trials)
+        elif flow.note(packet, now_ms):
+            self.health.on_life(cookie, now_ms)
+        if packet.flags & FIN:
+            self.flows.close(flow)
+
+    def _on_unknown_cookie(self, packet, cookie, now_ms):
+        since_ms = self._unknown_since_ms.setdefault(cookie, now_ms)
+        if len(self._unknown_since_ms) > UNKNOWN_COOKIES_KEPT:
+            self._unknown_since_ms.clear()
+        confirmed_ms = self.view_confirmed_ms
+        if confirmed_ms is None or confirmed_ms - since_ms < UNKNOWN_COOKIE_MS:
+            return Drop("unknown_cookie")
+        self.flows.remove(packet.flow)
+        return Reset("target_gone", packet.acknowledgement)
+
+    def _on_entry(self, key, target, now_ms):
+        before = self.view.put(key, target, now_ms)
+        if target is not None:
+            self._unknown_since_ms.pop(target.cookie, None)
+        if before == target:
+            return
+        shown = target or before
+        event = "target_listed" if target is not None else "target_lapsed"
+        self.effects.append(
+            Note(
+                event,
+                (
+                    ("target", shown.name.hex()),
+                    ("service", shown.service),
+                    ("address", "%s:%d" % shown.address),
+                    ("leaving", shown.leaving),
+                    ("data_centre", shown.data_centre),
+                ),
+            )
+        )
+        replaced = before is not None and before.cookie != shown.cookie
+        if target is None or replaced:
+            self._try_lapsed(before, now_ms)
+
+    def _try_lapsed(self, target, now_ms):
+        """Find out whether a target that is no longer listed still runs."""
+        if self.flows.open_flows.get(target.cookie):
+            self.health.alive_ms.pop(target.cookie, None)
+            self.effects.extend(self.health.on_stall(target.cookie, now_ms))
+
+    def _reset_flows(self, cookie, evidence):
+        for key, flow in self.flows.of_target(cookie):
+            self.flows.remove(key)
+            reset = FlowReset(key, flow.acknowledged, cookie, "target_" + evidence)
+            self.effects.append(reset)
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -0,0 +1,247 @@
+"""Who reads the platform's store, and when.
+
+Each call to the store is paid for, and its rate is shared by all balancers. So
+one balancer of a data centre watches the store and tells the others in beacons;
+each of them reads for itself as soon as the beacons stop or show that the
+reader has lost the store. At the start each reads once, to serve at once.
+"""
+
+from collections import namedtuple
+
+WATCH_WAIT_MS = 800  # answers show that the store is reached; see FRESH_MS
+WATCH_PAUSE_MS = 150  # collects changes that come together into one call
+FRESH_MS = 1_400  # a watch and an answer of a slow store (250 ms), and some slack
+TAKE_OVER_SPREAD_MS = 250  # so that few balancers take over at once
+TAKE_OVER_SPREAD_MEMBER_MS = 8  # and few of many
+TAKE_OVER_SHARE_MS = 120  # spread for each member while a reader tries in vain
+RETRY_FIRST_MS = 150
+RETRY_MOST_MS = 1_200  # a reader without the store asks about once a second
+CONFIGURATION_SPREAD_MS = 250  # followers' calls for a new configuration
+VIEW_RETRY_MS = 400
+BEACON_INTERVAL_MS = 300
+
+
+class List(namedtuple("List", "")):
+    """Read everything from the store."""
+
+    __slots__ = ()
+
+
+class Watch(namedtuple("Watch", "revision wait_ms")):
+    """Wait for changes in the store after a revision."""
+
+    __slots__ = ()
+
+
+class ReadConfiguration(namedtuple("ReadConfiguration", "")):
+    """Read the configuration from the store."""
+
+    __slots__ = ()
+
+
+class FetchView(namedtuple("FetchView", "host")):
+    """Take over the whole view of a peer."""
+
+    __slots__ = ()
+
+
+class Beacon(
+    namedtuple(
+        "Beacon", "priority revision configuration_version contact_age_ms reachable"
+    )
+):
+    """What a reader tells the other balancers of its data centre.
+
+    Attributes:
+        priority: Orders readers; the lowest goes on where there are several.
+        revision: Revision of the store at which its view last changed.
+        configuration_version: Version of the newest configuration it knows.
+        contact_age_ms: How long ago the store last answered it.
+        reachable: Whether its last call was answered.
+    """
+
+    __slots__ = ()
+
+
+class Reading:
+    """Decides the next call to the store or to a peer.
+
+    Args:
+        priority: This balancer's order among readers.
+        random: Source of random numbers.
+
+    Attributes:
+        reader: Whether this balancer reads for its data centre.
+        revision: The store's revision to ask on from, None before the first.
+        view_revision: Revision at which the targets last changed, as far as known.
+        configuration_version: Version in force here; 0 before the first.
+        announced_version: Newest version that a beacon named.
+        contact_ms: When the store last answered this balancer.
+        confirmed_ms: When the view was last known to be current.
+        failures: Calls to the store in a row without a usable answer.
+        members: Balancers of this data centre, this one included.
+    """
+
+    def __init__(self, *, priority, random):
+        self.priority = priority
+        self.random = random
+        self.reader = False
+        self.revision = None
+        self.view_revision = 0
+        self.configuration_version = 0
+        self.announced_version = 0
+        self.contact_ms = None
+        self.confirmed_ms = None
+        self.failures = 0
+        self.members = 1
+        self._listed = False
+        self._next_call_ms = 0
+        self._take_over_ms = 0
+        self._fetch_from = None
+        self._next_beacon_ms = 0
+
+    def next_call(self, now_ms):
+        """Return the call to make now, None where none is due.
+
+        To be asked only while no call is running.
+        """
+        if now_ms < self._next_call_ms:
+            return None
+        if not self._listed:
+            return self._first_call(now_ms)
+        if not self.reader and now_ms >= self._take_over_ms:
+            self.reader = True
+        if self.reader:
+            return Watch(self.revision, WATCH_WAIT_MS if self._in_contact(now_ms) else 1)
+        if self.announced_version > self.configuration_version:
+            return ReadConfiguration()
+        if self._fetch_from is not None:
+            host, self._fetch_from = self._fetch_from, None
+            self._next_call_ms = now_ms + VIEW_RETRY_MS
+            return FetchView(host)
+        return None
+
+    def on_listed(self, revision, now_ms):
+        """Note that everything was read from the store."""
+        self._listed = True
+        self.revision = self.view_revision = revision
+        self._on_answer(now_ms)
+
+    def on_changes(self, revision, now_ms, *, targets_changed):
+        """Note that a watch was answered."""
+        self.revision = max(self.revision, revision)
+        if targets_changed:
+            self.view_revision = self.revision
+        self._on_answer(now_ms)
+        self._next_call_ms = now_ms + WATCH_PAUSE_MS
+
+    def on_configuration(self, version, now_ms):
+        """Note that a configuration of some version is in force."""
+        self.configuration_version = max(self.configuration_version, version)
+
+    def on_configuration_read(self, now_ms):
+        """Note that the store answered a call for the configuration."""
+        self.announced_version = self.configuration_version
+        self._on_answer(now_ms)
+
+    def on_history_gone(self, now_ms):
+        """Note that the store no longer has the changes that were asked for."""
+        self._listed = False
+        self._on_answer(now_ms)
+
+    def on_failure(self, now_ms):
+        """Note that a call to the store failed."""
+        self.failures += 1
+        pause_ms = min(RETRY_FIRST_MS << min(self.failures - 1, 5), RETRY_MOST_MS)
+        self._next_call_ms = now_ms + pause_ms * (0.75 + self.random.random() / 2)
+
+    def on_view(self, revision, now_ms):
+        """Note that a peer's whole view was taken over."""
+        self._listed = True
+        self.view_revision = max(self.view_revision, revision)
+        self.revision = max(self.revision or 0, revision)
+
+    def on_delta(self, previous, revision):
+        """Tell whether a peer's changes continue this view, and note them if so."""
+        if self.revision is None or not previous <= self.view_revision < revision:
+            return False
+        self.view_revision = revision
+        self.revision = max(self.revision, revision)
+        return True
+
+    def on_beacon(self, beacon, host, now_ms):
+        """Take in the word of a reader of the own data centre."""
+        fresh = beacon.reachable and beacon.contact_age_ms <= FRESH_MS
+        if not fresh:
+            self._on_vain_reader(beacon, now_ms)
+            return
+        if beacon.configuration_version > self.announced_version:
+            self.announced_version = beacon.configuration_version
+            if not self.reader and self.announced_version > self.configuration_version:
+                spread_ms = CONFIGURATION_SPREAD_MS * self.random.random()
+                self._next_call_ms = max(self._next_call_ms, now_ms + spread_ms)
+        behind = self.revision is None or beacon.revision > self.view_revision
+        if behind:
+            self._fetch_from = host
+        else:
+            confirmed_ms = now_ms - beacon.contact_age_ms
+            self.confirmed_ms = max(self.confirmed_ms or 0, confirmed_ms)
+        self._take_over_ms = now_ms + FRESH_MS - beacon.contact_age_ms + self._spread()
+        if self.reader and (
+            beacon.priority < self.priority or not self._in_contact(now_ms)
+        ):
+            self.reader = False
+
+    def beacon(self, now_ms):
+        """Return the ``Beacon`` to send now, None where none is due."""
+        if not self.reader or now_ms < self._next_beacon_ms:
+            return None
+        self._next_beacon_ms = now_ms + BEACON_INTERVAL_MS
+        age_ms = now_ms - (self.contact_ms or 0)
+        return Beacon(
+            self.priority,
+            self.view_revision,
+            self.configuration_version,
+            round(age_ms),
+            self.failures == 0,
+        )
+
+    def _first_call(self, now_ms):
+        if self.failures % 2 and self._fetch_from is not None:
+            self._next_call_ms = now_ms + VIEW_RETRY_MS
+            return FetchView(self._fetch_from)
+        return List()
+
+    def offer_peer(self, host):
+        """Name a peer whose view may be taken over while the store is away."""
+        if not self._listed:
+            self._fetch_from = host
+
+    def _on_answer(self, now_ms):
+        self.failures = 0
+        self.contact_ms = now_ms
+        self.confirmed_ms = now_ms
+        if not self.reader:
+            self._take_over_ms = max(self._take_over_ms, now_ms + self._spread())
+
+    def _on_vain_reader(self, beacon, now_ms):
+        """Let few balancers try while the store answers none that is heard of."""
+        if self.reader:
+            if not self.failures or beacon.priority >= self.priority:
+                return
+            self.reader = False
+        elif now_ms < self._take_over_ms:
+            return
+        spread_ms = TAKE_OVER_SHARE_MS * self.members * self.random.random()
+        self._take_over_ms = now_ms + spread_ms
+
+    def _in_contact(self, now_ms):
+        return (
+            self.failures == 0
+            and self.contact_ms is not None
+            and now_ms - self.contact_ms <= FRESH_MS
+        )
+
+    def _spread(self):
+        spread_ms = TAKE_OVER_SPREAD_MS + TAKE_OVER_SPREAD_MEMBER_MS * self.members
+        return spread_ms * self.random.random()
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_view.py
@@ -0,0 +1,118 @@
+"""The targets that the platform lists, and those that it has just dropped."""
+
+from collections import namedtuple
+
+LAPSED_KEPT_MS = 60_000  # longest life of a flow that the platform promises
+MASS_LAPSE_WINDOW_MS = 12_000  # a store that forgets leases does so for seconds
+
+
+class Lapse(namedtuple("Lapse", "target at_ms")):
+    """A target whose entry disappeared.
+
+    Attributes:
+        target: The target as it was last listed.
+        at_ms: When its entry was found to be missing.
+    """
+
+    __slots__ = ()
+
+
+class View:
+    """Targets by entry, by cookie and by service.
+
+    A target whose entry disappeared is still found by its cookie for
+    ``LAPSED_KEPT_MS``: its open flows may be alive. It gets new flows only while
+    most of its service disappeared with it, since a store that loses leases
+    drops many entries of live targets at once.
+
+    Attributes:
+        targets: Listed targets by the key of their entry.
+        by_cookie: Every target whose flows can be served, by cookie.
+        lapses: Targets that are no longer listed, by cookie.
+        changes: Rises whenever a target comes, goes or changes.
+    """
+
+    def __init__(self):
+        self.targets = {}
+        self.by_cookie = {}
+        self.lapses = {}
+        self.changes = 0
+        self._services = {}
+        self._services_of = -1
+
+    def put(self, key, target, now_ms):
+        """Take in one entry.
+
+        Args:
+            key: Key of the entry.
+            target: The ``Target`` that it names, None where it names none.
+            now_ms: Time of the step.
+
+        Returns:
+            The target listed before under the key, or None.
+        """
+        before = self.targets.get(key)
+        if before == target:
+            return before
+        if target is None:
+            del self.targets[key]
+        else:
+            self.targets[key] = target
+            self.by_cookie[target.cookie] = target
+            self.lapses.pop(target.cookie, None)
+        if before is not None and (target is None or before.cookie != target.cookie):
+            self.lapses[before.cookie] = Lapse(before, now_ms)
+        self.changes += 1
+        return before
+
+    def replace(self, entries, now_ms):
+        """Take in a whole listing.
+
+        Args:
+            entries: ``Target`` by key.
+            now_ms: Time of the step.
+        """
+        for key in [key for key in self.targets if key not in entries]:
+            self.put(key, None, now_ms)
+        for key, target in entries.items():
+            self.put(key, target, now_ms)
+
+    def forget_lapsed(self, now_ms):
+        """Drop the targets that lapsed so long ago that no flow of theirs lives."""
+        for cookie, lapse in list(self.lapses.items()):
+            if now_ms - lapse.at_ms > LAPSED_KEPT_MS:
+                del self.lapses[cookie]
+                del self.by_cookie[cookie]
+                self.changes += 1
+
+    def candidates(self, service, now_ms):
+        """Return the targets of a service that may get new flows.
+
+        Args:
+            service: Name of the service.
+            now_ms: Time of the step.
+
+        Returns:
+            A list of ``Target``: the listed ones that aren't leaving, and those
+            that lapsed lately where they are at least as many.
+        """
+        ready = self._ready_by_service().get(service, [])
+        if not self.lapses:
+            return ready
+        lapsed = [
+            lapse.target
+            for lapse in self.lapses.values()
+            if lapse.target.service == service
+            and not lapse.target.leaving
+            and now_ms - lapse.at_ms <= MASS_LAPSE_WINDOW_MS
+        ]
+        return ready + lapsed if len(lapsed) >= max(len(ready), 2) else ready
+
+    def _ready_by_service(self):
+        if self._services_of != self.changes:
+            self._services = {}
+            for target in self.targets.values():
+                if not target.leaving:
+                    self._services.setdefault(target.service, []).append(target)
+            self._services_of = self.changes
+        return self._services
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/__init__.py
@@ -0,0 +1,5 @@
+"""The lean process that forwards callers' packets on the users' platform."""
+
+from ._process import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_counters.py
@@ -0,0 +1,83 @@
+"""Counters and histograms in the text format of Prometheus.
+
+``prometheus_client`` takes 75 ms of processor time at the start and 14 MB
+(docs/PLATFORM.md), more than all else in this process together.
+"""
+
+LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+_PREFIX = "lagoontally_"
+
+
+class Histogram:
+    """Counts of values up to each bound, in milliseconds."""
+
+    __slots__ = ("counts", "total", "count")
+
+    def __init__(self):
+        self.counts = [0] * len(LATENCY_BOUNDS_MS)
+        self.total = 0
+        self.count = 0
+
+    def add(self, value):
+        """Count a value."""
+        self.count += 1
+        self.total += value
+        for index, bound in enumerate(LATENCY_BOUNDS_MS):
+            if value <= bound:
+                self.counts[index] += 1
+                return
+
+
+class Counters:
+    """Counters by name and label, and histograms by name.
+
+    Attributes:
+        counts: Number by pairs of a name and a label's value.
+        histograms: ``Histogram`` by name.
+    """
+
+    def __init__(self):
+        self.counts = {}
+        self.histograms = {}
+
+    def add(self, name, kind, amount=1):
+        """Count an event of some kind."""
+        key = (name, kind)
+        self.counts[key] = self.counts.get(key, 0) + amount
+
+    def time(self, name, value_ms):
+        """Count a duration."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = Histogram()
+        histogram.add(value_ms)
+
+    def text(self, gauges):
+        """Return everything in the text format.
+
+        Args:
+            gauges: Values of the moment, by name.
+        """
+        lines = [
+            '%s%s{kind="%s"} %d' % (_PREFIX, name, kind, count)
+            for (name, kind), count in sorted(self.counts.items())
+        ]
+        lines += [
+            "%s%s %g" % (_PREFIX, name, value)
+            for name, value in sorted(gauges.items())
+            if value is not None
+        ]
+        for name, histogram in sorted(self.histograms.items()):
+            lines += _histogram_lines(_PREFIX + name + "_ms", histogram)
+        return "\n".join(lines) + "\n"
+
+
+def _histogram_lines(name, histogram):
+    lines, below = [], 0
+    for bound, count in zip(LATENCY_BOUNDS_MS, histogram.counts, strict=True):
+        below += count
+        lines.append('%s_bucket{le="%d"} %d' % (name, bound, below))
+    lines.append('%s_bucket{le="+Inf"} %d' % (name, histogram.count))
+    lines.append("%s_sum %g" % (name, histogram.total))
+    lines.append("%s_count %d" % (name, histogram.count))
+    return lines
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -0,0 +1,177 @@
+"""HTTP/1.1 GET calls on one connection that is kept open.
+
+``http.client`` takes 35 ms of processor time at the start and 8 MB
+(docs/PLATFORM.md); calls here need a status and a body of a known length.
+"""
+
+from collections import namedtuple
+from select import EPOLLIN, EPOLLOUT
+
+from ._sockets import connect, connect_error
+
+RECEIVE_BYTES = 65_536
+MAX_BODY_BYTES = 8 << 20  # a page holds at most 1 MB, encoded; views are smaller
+
+
+class Answer(namedtuple("Answer", "status body")):
+    """An answer to a call."""
+
+    __slots__ = ()
+
+
+class CallFailure(namedtuple("CallFailure", "reason")):
+    """A call that wasn't answered."""
+
+    __slots__ = ()
+
+
+class HttpClient:
+    """Makes one call at a time.
+
+    Args:
+        loop: The ``Loop`` that serves the connection.
+        address: Host and port.
+    """
+
+    def __init__(self, loop, address):
+        self.loop = loop
+        self.address = address
+        self._sock = None
+        self._call = b""
+        self._unsent = b""
+        self._received = bytearray()
+        self._deadline_ms = None
+        self._done = None
+        self._reused = False
+
+    @property
+    def busy(self):
+        """Whether a call is running."""
+        return self._done is not None
+
+    def get(self, path, timeout_ms, done):
+        """Start a call.
+
+        Args:
+            path: Path and query.
+            timeout_ms: When to give up.
+            done: Called with the ``Answer`` or ``CallFailure``.
+        """
+        host = "%s:%d" % self.address
+        self._call = ("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, host)).encode()
+        self._deadline_ms = self.loop.clock() + timeout_ms
+        self._done = done
+        self._reused = self._sock is not None
+        self._begin()
+
+    def on_tick(self, now_ms):
+        """Give up a call whose time has run out."""
+        if self.busy and now_ms >= self._deadline_ms:
+            self._fail("timeout")
+
+    def close(self):
+        """Close the connection."""
+        if self._sock is not None:
+            self.loop.unwatch(self._sock)
+            self._sock.close()
+            self._sock = None
+
+    def _begin(self):
+        self._received.clear()
+        self._unsent = self._call
+        if self._sock is None:
+            try:
+                self._sock = connect(self.address)
+            except OSError as error:
+                self._fail("connect: %s" % error)
+                return
+        self.loop.watch(self._sock, self._on_writable, EPOLLOUT)
+
+    def _on_writable(self, _events):
+        error = connect_error(self._sock)
+        if error:
+            self._lose("connection error %d" % error)
+            return
+        try:
+            sent = self._sock.send(self._unsent)
+        except BlockingIOError:
+            return
+        except OSError as failure:
+            self._lose("send: %s" % failure)
+            return
+        self._unsent = self._unsent[sent:]
+        if not self._unsent:
+            self.loop.watch(self._sock, self._on_readable, EPOLLIN)
+
+    def _on_readable(self, _events):
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as failure:
+            self._lose("receive: %s" % failure)
+            return
+        if not data:
+            self._lose("closed by the peer")
+            return
+        self._received += data
+        if not self.busy:
+            self.close()  # bytes that no call asked for
+            return
+        answer = parse_answer(self._received)
+        if isinstance(answer, CallFailure):
+            self._fail(answer.reason)
+        elif answer is not None:
+            self._finish(answer)
+
+    def _lose(self, reason):
+        """The connection broke; one that had been idle gets one fresh try."""
+        if self.busy and self._reused and not self._received:
+            self._reused = False
+            self.close()
+            self._begin()
+            return
+        self._fail(reason)
+
+    def _fail(self, reason):
+        self.close()
+        if self.busy:
+            self._finish(CallFailure(reason))
+
+    def _finish(self, result):
+        done, self._done = self._done, None
+        done(result)
+
+
+def parse_answer(received):
+    """Return the ``Answer`` in received bytes, None while it is incomplete.
+
+    Args:
+        received: Bytes since the call was sent.
+
+    Returns:
+        An ``Answer``, None, or a ``CallFailure`` where the bytes are no answer.
+    """
+    end = received.find(b"\r\n\r\n")
+    if end < 0:
+        too_long = len(received) > RECEIVE_BYTES
+        return CallFailure("the answer's head is too long") if too_long else None
+    lines = bytes(received[:end]).split(b"\r\n")
+    words = lines[0].split(b" ")
+    if len(words) < 2 or not words[0].startswith(b"HTTP/1.") or not words[1].isdigit():
+        return CallFailure("the answer has no status line")
+    length = _content_length(lines[1:])
+    if length is None or length > MAX_BODY_BYTES:
+        return CallFailure("the answer has no usable length")
+    start = end + 4
+    if len(received) < start + length:
+        return None
+    return Answer(int(words[1]), bytes(received[start : start + length]))
+
+
+def _content_length(lines):
+    for line in lines:
+        name, _, value = line.partition(b":")
+        if name.strip().lower() == b"content-length" and value.strip().isdigit():
+            return int(value)
+    return None
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_server.py
@@ -0,0 +1,101 @@
+"""HTTP/1.1 answers to short GET requests: readiness, metrics and the view."""
+
+from select import EPOLLIN, EPOLLOUT
+
+from ._sockets import accept, listening_socket
+
+MAX_REQUEST_BYTES = 4_096
+MAX_CONNECTIONS = 64
+RECEIVE_BYTES = 4_096
+_REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 503: "Unavailable"}
+
+
+class HttpServer:
+    """Serves requests on one address.
+
+    Args:
+        loop: The ``Loop`` that serves the connections.
+        address: Host and port to listen at.
+        handler: Function of a path that returns a status and a body.
+    """
+
+    def __init__(self, loop, address, handler):
+        self.loop = loop
+        self.handler = handler
+        self.connections = {}
+        self.listener = listening_socket(address)
+        loop.watch(self.listener, self._on_connection)
+
+    def close(self):
+        """Close the listener and every connection."""
+        self.loop.unwatch(self.listener)
+        self.listener.close()
+        for connection in list(self.connections.values()):
+            connection.close()
+
+    def _on_connection(self, _events):
+        sock = accept(self.listener)
+        if sock is None:
+            return
+        if len(self.connections) >= MAX_CONNECTIONS:
+            next(iter(self.connections.values())).close()
+        self.connections[sock.fileno()] = _Connection(self, sock)
+
+
+class _Connection:
+    """A connection of a client."""
+
+    __slots__ = ("server", "sock", "received", "unsent")
+
+    def __init__(self, server, sock):
+        self.server = server
+        self.sock = sock
+        self.received = b""
+        self.unsent = b""
+        server.loop.watch(sock, self.on_event, EPOLLIN)
+
+    def on_event(self, events):
+        """Read requests or go on writing an answer."""
+        try:
+            if events & EPOLLOUT:
+                self._write()
+                return
+            data = self.sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""  # the client reset the connection: as good as closed
+        self.received += data
+        if not data or len(self.received) > MAX_REQUEST_BYTES:
+            self.close()
+        elif b"\r\n\r\n" in self.received:
+            self._answer()
+
+    def close(self):
+        """Close the connection."""
+        self.server.connections.pop(self.sock.fileno(), None)
+        self.server.loop.unwatch(self.sock)
+        self.sock.close()
+
+    def _answer(self):
+        head, _, self.received = self.received.partition(b"\r\n\r\n")
+        words = head.split(b"\r\n", 1)[0].split(b" ")
+        if len(words) == 3 and words[0] == b"GET":
+            status, body = self.server.handler(words[1])
+        else:
+            status, body = 400, b""
+        text = "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n"
+        self.unsent = (text % (status, _REASONS[status], len(body))).encode() + body
+        self._write()
+
+    def _write(self):
+        try:
+            sent = self.sock.send(self.unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close()  # the client has gone
+            return
+        self.unsent = self.unsent[sent:]
+        events = EPOLLOUT if self.unsent else EPOLLIN
+        self.server.loop.watch(self.sock, self.on_event, events)
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_loop.py
@@ -0,0 +1,56 @@
+"""The event loop of the process.
+
+One thread serves every socket: threads, ``selectors`` and ``socket`` would cost
+start-up time and memory (docs/PLATFORM.md).
+"""
+
+from select import EPOLLIN, epoll
+
+TICK_MS = 100
+BUSY_TICK_MS = 20  # while trials of targets run
+MS_PER_S = 1_000
+
+
+class Loop:
+    """Calls back when sockets are ready.
+
+    Args:
+        clock: Function that returns milliseconds.
+
+    Attributes:
+        lag_ms: Longest time that one round of callbacks took since it was read.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.lag_ms = 0
+        self._epoll = epoll()
+        self._callbacks = {}
+
+    def watch(self, sock, callback, events=EPOLLIN):
+        """Call ``callback`` with the events when a socket has one of ``events``."""
+        descriptor = sock.fileno()
+        if descriptor in self._callbacks:
+            self._epoll.modify(descriptor, events)
+        else:
+            self._epoll.register(descriptor, events)
+        self._callbacks[descriptor] = callback
+
+    def unwatch(self, sock):
+        """Stop watching a socket; to be called before it is closed."""
+        if self._callbacks.pop(sock.fileno(), None) is not None:
+            self._epoll.unregister(sock.fileno())
+
+    def turn(self, timeout_ms):
+        """Wait for events and serve them.
+
+        Args:
+            timeout_ms: Longest wait.
+        """
+        events = self._epoll.poll(timeout_ms / MS_PER_S)
+        started_ms = self.clock()
+        for descriptor, event in events:
+            callback = self._callbacks.get(descriptor)
+            if callback is not None:
+                callback(event)
+        self.lag_ms = max(self.lag_ms, self.clock() - started_ms)
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -0,0 +1,124 @@
+"""Messages between balancers, JSON arrays in datagrams.
+
+A message that can't be read is None: a datagram may be anyone's.
+"""
+
+from collections import namedtuple
+
+from lagoontally_flows import Beacon, Target, Verdict
+from ujson import dumps, loads
+
+MAX_BYTES = 1_200  # stays below a link's usual packet size
+
+
+class Hello(namedtuple("Hello", "data_centre")):
+    """Asks a seed for the balancers of a data centre, and says where one is."""
+
+    __slots__ = ()
+
+
+class Members(namedtuple("Members", "hosts")):
+    """Hosts of the balancers of the asker's data centre."""
+
+    __slots__ = ()
+
+
+class Delta(namedtuple("Delta", "previous revision entries")):
+    """Entries that changed between two revisions of the store.
+
+    Attributes:
+        previous: Revision that the sender's view showed before.
+        revision: Revision that it shows now.
+        entries: Pairs of a key and a ``Target`` or None.
+    """
+
+    __slots__ = ()
+
+
+def encode_target(target):
+    """Return a target as JSON holds it; None stays None."""
+    return target and [target.name.hex(), *target[1:]]
+
+
+def decode_target(document):
+    """Return the target in a document of ``encode_target``.
+
+    Raises:
+        ValueError, TypeError, IndexError: It holds no target.
+    """
+    if document is None:
+        return None
+    name, born, cookie, address, data_centre, service, slots, leaving, warm = document
+    host, port = address
+    texts = (host, data_centre, service)
+    numbers = (born, cookie, port, slots, warm)
+    if not all(isinstance(text, str) for text in texts):
+        raise ValueError("a target's host, data centre or service is no text")
+    if not all(isinstance(number, int) for number in numbers) or slots < 1:
+        raise ValueError("a target's number is none")
+    return Target(
+        bytes.fromhex(name),
+        born,
+        cookie,
+        (host, port),
+        data_centre,
+        service,
+        slots,
+        bool(leaving),
+        warm,
+    )
+
+
+def encode_message(message):
+    """Return the datagram of a message, None where it is too long for one."""
+    name = type(message).__name__
+    if isinstance(message, Delta):
+        entries = [[key, encode_target(target)] for key, target in message.entries]
+        message = message._replace(entries=entries)
+    data = dumps([name, *message], escape_forward_slashes=False).encode()
+    return data if len(data) <= MAX_BYTES else None
+
+
+def decode_message(data):
+    """Return the message in a datagram, None where it holds none."""
+    try:
+        name, *fields = loads(data)
+        return _DECODERS[name](fields)
+    except (ValueError, TypeError, KeyError, IndexError, AttributeError):
+        return None  # counted by its caller
+
+
+def _decode_hello(fields):
+    (data_centre,) = fields
+    return Hello(data_centre) if isinstance(data_centre, str) else None
+
+
+def _decode_members(fields):
+    (hosts,) = fields
+    return Members([host for host in hosts if isinstance(host, str)])
+
+
+def _decode_beacon(fields):
+    beacon = Beacon(*fields)
+    whole = all(isinstance(value, int) for value in beacon)
+    return beacon if whole else None
+
+
+def _decode_delta(fields):
+    previous, revision, entries = fields
+    decoded = [(str(key), decode_target(target)) for key, target in entries]
+    return Delta(int(previous), int(revision), decoded)
+
+
+def _decode_verdict(fields):
+    cookie, dead, evidence = fields
+    return Verdict(int(cookie), bool(dead), str(evidence))
+
+
+_DECODERS = {
+    "Hello": _decode_hello,
+    "Members": _decode_members,
+    "Beacon": _decode_beacon,
+    "Delta": _decode_delta,
+    "Verdict": _decode_verdict,
+}
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
@@ -0,0 +1,140 @@
+"""Takes callers' packets and sends them where the balancer decides."""
+
+from lagoontally_flows import Drop, Forward
+from lagoontally_platform import (
+    MAX_DATAGRAM_BYTES,
+    NAME_BYTES,
+    REQUEST_ID_HEADER,
+    BadPacket,
+    address_packet,
+    decode_packet,
+    encode_reset,
+    format_flow,
+    format_host,
+)
+
+from ._sockets import datagram_socket
+
+PACKETS_A_TURN = 128  # then other sockets have their turn
+USUAL = ("open_flow", "placed")
+REQUEST_ID_BYTES = 64
+
+
+class PacketPort:
+    """The socket of callers' packets.
+
+    It is bound at once, so that packets wait in it until the balancer can
+    serve them, and read from ``open`` on.
+
+    Args:
+        loop: The ``Loop`` that serves the socket.
+        address: Where routers send packets; resets go to the same port.
+        balancer: The ``Balancer`` that decides.
+        log: The ``Log``.
+        counters: The ``Counters``.
+    """
+
+    def __init__(self, loop, address, *, balancer, log, counters):
+        self.loop = loop
+        self.balancer = balancer
+        self.log = log
+        self.counters = counters
+        self.packet_ms = 0
+        self.is_open = False
+        self._reset_port = address[1]
+        self._sock = datagram_socket(address)
+        # One byte more than a packet shows datagrams that are too long.
+        self._buffer = bytearray(NAME_BYTES + MAX_DATAGRAM_BYTES + 1)
+        self._space = memoryview(self._buffer)[NAME_BYTES:]
+
+    def open(self):
+        """Start to read packets."""
+        if not self.is_open:
+            self.is_open = True
+            self.loop.watch(self._sock, self._on_readable)
+
+    def reset(self, flow, sequence, reason, **inputs):
+        """Reset a flow."""
+        host = format_host(flow[0])
+        sent = self._send(encode_reset(flow, sequence), (host, self._reset_port))
+        self.counters.add("resets", reason)
+        self.log.line(
+            "reset", flow=format_flow(flow), reason=reason, sent=sent, **inputs
+        )
+
+    def _on_readable(self, _events):
+        now_ms = self.loop.clock()
+        self.packet_ms = now_ms
+        for _ in range(PACKETS_A_TURN):
+            try:
+                size = self._sock.recv_into(self._space)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.log.line("packets_unreadable", error=str(error))
+                return
+            self._on_packet(size, now_ms)
+
+    def _on_packet(self, size, now_ms):
+        packet = decode_packet(self._buffer, size)
+        if isinstance(packet, BadPacket):
+            self.counters.add("dropped", packet.reason)
+            return
+        action = self.balancer.on_packet(packet, now_ms)
+        if isinstance(action, Forward):
+            self._forward(packet, action, size)
+        elif isinstance(action, Drop):
+            self.counters.add("dropped", action.reason)
+            self.log.line(
+                "drop", **self._identify(packet, size), reason=action.reason
+            )
+        else:
+            self.reset(
+                packet.flow,
+                action.sequence,
+                action.reason,
+                cookie=packet.cookie,
+                request=self._request_id(size),
+                **self.balancer.belief(now_ms),
+            )
+
+    def _forward(self, packet, action, size):
+        target = action.target
+        address_packet(self._buffer, target)
+        sent = self._send(memoryview(self._buffer)[: NAME_BYTES + size], target.address)
+        self.counters.add("forwarded", action.reason)
+        if action.reason != "open_flow":
+            self.log.line(
+                action.reason,
+                **self._identify(packet, size),
+                target=target.name.hex(),
+                service=target.service,
+                to="%s:%d" % target.address,
+                sent=sent,
+                **self.balancer.belief(self.packet_ms),
+            )
+
+    def _send(self, data, address):
+        """Send a datagram and tell whether the system took it."""
+        try:
+            self._sock.sendto(data, address)
+        except OSError as error:
+            self.counters.add("unsent", type(error).__name__)
+            return False
+        return True
+
+    def _identify(self, packet, size):
+        fields = {"flow": format_flow(packet.flow), "cookie": packet.cookie}
+        request = self._request_id(size)
+        if request:
+            fields["request"] = request
+        return fields
+
+    def _request_id(self, size):
+        """Return the id of the request that starts in the packet, "" without one."""
+        found = self._buffer.find(REQUEST_ID_HEADER, 0, NAME_BYTES + size)
+        if found < 0:
+            return ""
+        start = found + len(REQUEST_ID_HEADER)
+        text = bytes(self._buffer[start : start + REQUEST_ID_BYTES])
+        return text.partition(b"\r\n")[0].decode("ascii", "replace")
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -0,0 +1,117 @@
+"""Datagrams between the balancers of a data centre, and who they are."""
+
+from lagoontally_flows import Beacon, Verdict
+
+from ._messages import Delta, Hello, Members, decode_message, encode_message
+from ._sockets import datagram_socket
+
+HELLO_INTERVAL_MS = 2_000
+MEMBER_KEPT_MS = 12_000  # a seed that misses some greetings still knows them
+MOST_MEMBERS = 70  # hosts that fit into one datagram
+MESSAGES_A_TURN = 64
+RECEIVE_BYTES = 2_048
+
+
+class Peers:
+    """The other balancers.
+
+    Each balancer greets the seeds, which answer with the balancers of its data
+    centre that greeted them lately.
+
+    Args:
+        loop: The ``Loop`` that serves the socket.
+        settings: The ``Settings``.
+        counters: The ``Counters``.
+        on_message: Called with a ``Beacon``, ``Delta`` or ``Verdict`` and the
+            sender's host.
+
+    Attributes:
+        members: When each other balancer of the data centre was last heard of,
+            by host.
+        greeters: Data centre and time of the last greeting, by host.
+    """
+
+    def __init__(self, loop, settings, *, counters, on_message):
+        self.loop = loop
+        self.settings = settings
+        self.counters = counters
+        self.on_message = on_message
+        self.members = {}
+        self.greeters = {}
+        self._port = settings.peer_address[1]
+        self._next_hello_ms = 0
+        self._sock = datagram_socket(settings.peer_address)
+        loop.watch(self._sock, self._on_readable)
+
+    def on_tick(self, now_ms):
+        """Greet the seeds when it is time, and forget silent members."""
+        if now_ms < self._next_hello_ms:
+            return
+        self._next_hello_ms = now_ms + HELLO_INTERVAL_MS
+        hello = encode_message(Hello(self.settings.data_centre))
+        for seed in self.settings.seeds:
+            if seed[0] != self.settings.host:
+                self._send(hello, seed)
+        for table in (self.members, self.greeters):
+            for host, heard in list(table.items()):
+                heard_ms = heard[1] if table is self.greeters else heard
+                if now_ms - heard_ms > MEMBER_KEPT_MS:
+                    del table[host]
+
+    def broadcast(self, message):
+        """Send a message to every member.
+
+        Returns:
+            False where it is too long for a datagram.
+        """
+        data = encode_message(message)
+        if data is None:
+            return False
+        for host in self.members:
+            self._send(data, (host, self._port))
+        self.counters.add("peer_messages_sent", type(message).__name__)
+        return True
+
+    def _send(self, data, address):
+        try:
+            self._sock.sendto(data, address)
+        except OSError as error:
+            self.counters.add("peer_unsent", type(error).__name__)
+
+    def _on_readable(self, _events):
+        for _ in range(MESSAGES_A_TURN):
+            try:
+                data, address = self._sock.recvfrom(RECEIVE_BYTES)
+            except OSError:
+                return  # nothing left to read
+            message = decode_message(data)
+            if message is None:
+                self.counters.add("peer_messages_bad", "unreadable")
+                continue
+            self._on_message(message, address[0])
+
+    def _on_message(self, message, host):
+        now_ms = self.loop.clock()
+        if isinstance(message, Hello):
+            self._on_hello(message, host, now_ms)
+        elif isinstance(message, Members):
+            for member in message.hosts:
+                if member != self.settings.host:
+                    self.members[member] = now_ms
+        elif isinstance(message, Beacon | Delta | Verdict):
+            self.members[host] = now_ms
+            self.on_message(message, host)
+
+    def _on_hello(self, hello, host, now_ms):
+        self.greeters[host] = (hello.data_centre, now_ms)
+        if hello.data_centre == self.settings.data_centre:
+            self.members[host] = now_ms
+        hosts = [
+            greeter
+            for greeter, (data_centre, _) in self.greeters.items()
+            if data_centre == hello.data_centre and greeter != host
+        ]
+        if hello.data_centre == self.settings.data_centre:
+            hosts.append(self.settings.host)
+        data = encode_message(Members(hosts[-MOST_MEMBERS:]))
+        self._send(data, (host, self._port))
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -0,0 +1,270 @@
+"""A balancer as a process: its parts, wired, and its loop."""
+
+from _signal import SIGHUP, SIGTERM, set_wakeup_fd, signal
+from _socket import socketpair
+from os import environ, stat
+from random import Random
+from zlib import crc32
+
+from lagoontally_flows import (
+    Balancer,
+    Beacon,
+    FlowReset,
+    Lifecycle,
+    Note,
+    Reading,
+    Trial,
+    Verdict,
+)
+from lagoontally_platform import READINESS_PATH, SETTINGS_VARIABLE
+
+from ._clock import now_ms
+from ._counters import Counters
+from ._http_server import HttpServer
+from ._log import Log
+from ._loop import BUSY_TICK_MS, TICK_MS, Loop
+from ._messages import Delta
+from ._packet_port import PacketPort
+from ._peers import Peers
+from ._settings import SettingsFaults, parse_settings
+from ._store_reader import VIEW_PATH, StoreReader
+from ._trials import Trials
+from ._view_document import encode_view
+
+SETTINGS_CHECK_MS = 2_000  # the file may change without a signal
+SUSPENDED_MS = 1_000  # a tick that late means that the machine stood still
+METRICS_PATH = b"/metrics"
+EXIT_SETTINGS = 2
+
+
+class Process:
+    """Everything that one balancer runs.
+
+    Args:
+        settings: The ``Settings``.
+        path: Path of their file, which is looked at again.
+    """
+
+    def __init__(self, settings, path):
+        self.settings = settings
+        self.path = path
+        self.started_ms = now_ms()
+        self.loop = Loop(now_ms)
+        self.log = Log(settings.instance, now_ms)
+        self.counters = Counters()
+        random = Random()
+        self.balancer = Balancer(data_centre=settings.data_centre, random=random)
+        self.lifecycle = Lifecycle(grace_ms=settings.grace_s * 1_000)
+        self.port = PacketPort(
+            self.loop,
+            settings.packet_address,
+            balancer=self.balancer,
+            log=self.log,
+            counters=self.counters,
+        )
+        priority = crc32(settings.host.encode())
+        self.reading = Reading(priority=priority, random=random)
+        self.peers = Peers(
+            self.loop, settings, counters=self.counters, on_message=self._on_message
+        )
+        self.reader = StoreReader(
+            self.loop,
+            settings,
+            reading=self.reading,
+            balancer=self.balancer,
+            peers=self.peers,
+            log=self.log,
+            counters=self.counters,
+        )
+        self.trials = Trials(self.loop, self._on_trial)
+        self.servers = [
+            HttpServer(self.loop, settings.ready_address, self._serve_readiness),
+            HttpServer(self.loop, settings.peer_address, self._serve_view),
+        ]
+        if settings.metrics_address is not None:
+            server = HttpServer(self.loop, settings.metrics_address, self._serve_view)
+            self.servers.append(server)
+        self._settings_mtime = stat(path).st_mtime_ns
+        self._settings_check_ms = self.started_ms + SETTINGS_CHECK_MS
+        self._turned_ms = self.started_ms
+        self._was_ready = False
+        self._catch_signals()
+
+    def run(self):
+        """Serve until told to stop; returns the exit status."""
+        self.log.line("start", data_centre=self.settings.data_centre)
+        while True:
+            self._tick(now_ms())
+            if self.lifecycle.may_end(now_ms()):
+                self.log.line("stop", **self.balancer.belief(now_ms()))
+                return 0
+            self.loop.turn(BUSY_TICK_MS if self.trials.running else TICK_MS)
+            self._perform()
+
+    def _tick(self, time_ms):
+        if time_ms - self._turned_ms > SUSPENDED_MS:
+            self.log.line("resumed", stood_still_ms=time_ms - self._turned_ms)
+            self.counters.add("resumed", "late_tick")
+        self._turned_ms = time_ms
+        self.reading.members = len(self.peers.members) + 1
+        self.reader.on_tick(time_ms)
+        self.peers.on_tick(time_ms)
+        self.trials.on_tick(time_ms)
+        self.balancer.on_tick(time_ms)
+        self.balancer.view_confirmed_ms = self.reading.confirmed_ms
+        beacon = self.reading.beacon(time_ms)
+        if beacon is not None:
+            self.peers.broadcast(beacon)
+        if time_ms >= self._settings_check_ms:
+            self._check_settings(time_ms)
+        self._perform()
+        self._note_readiness(time_ms)
+
+    def _perform(self):
+        """Do what the balancer's decisions asked for beside packets."""
+        for effect in self.balancer.take_effects():
+            if isinstance(effect, FlowReset):
+                self.port.reset(
+                    effect.flow, effect.sequence, effect.reason, cookie=effect.cookie
+                )
+            elif isinstance(effect, Trial):
+                self._start_trial(effect.cookie)
+            elif isinstance(effect, Verdict):
+                self._note_verdict(effect, "self")
+                self.peers.broadcast(effect)
+            elif isinstance(effect, Note):
+                self.log.line(effect.event, **dict(effect.fields))
+
+    def _start_trial(self, cookie):
+        target = self.balancer.view.by_cookie.get(cookie)
+        if target is None:
+            self.balancer.health.forget(cookie)
+        else:
+            self.trials.start(target)
+
+    def _on_trial(self, cookie, evidence):
+        self.counters.add("trials", evidence)
+        self.log.line("trial", cookie=cookie, outcome=evidence)
+        self.balancer.on_trial(cookie, evidence, now_ms())
+
+    def _on_message(self, message, host):
+        time_ms = now_ms()
+        if isinstance(message, Beacon):
+            self.reading.on_beacon(message, host, time_ms)
+            self.reading.offer_peer(host)
+        elif isinstance(message, Delta):
+            self.reader.on_delta(message, time_ms)
+        elif isinstance(message, Verdict):
+            self._note_verdict(message, host)
+            self.balancer.on_verdict(message, time_ms)
+
+    def _note_verdict(self, verdict, source):
+        if self.balancer.health.is_dead(verdict.cookie) == verdict.dead and (
+            source != "self"
+        ):
+            return
+        self.log.line(
+            "target_dead" if verdict.dead else "target_alive",
+            cookie=verdict.cookie,
+            evidence=verdict.evidence,
+            source=source,
+        )
+
+    def _note_readiness(self, time_ms):
+        has_view = self.reading.revision is not None and (
+            self.balancer.configuration is not None
+        )
+        if has_view and not self.port.is_open:
+            self.port.open()
+            self.counters.time("start", time_ms - self.started_ms)
+            self.log.line("serving", after_ms=time_ms - self.started_ms)
+        self.lifecycle.packet_ms = self.port.packet_ms
+        isolated = self.balancer.health.isolated(time_ms)
+        ready = self.lifecycle.ready(has_view=has_view, isolated=isolated)
+        if ready != self._was_ready:
+            self._was_ready = ready
+            self.log.line("ready" if ready else "unready", isolated=isolated)
+
+    def _serve_readiness(self, path):
+        if path != READINESS_PATH:
+            return 404, b""
+        return (200 if self._was_ready else 503), b""
+
+    def _serve_view(self, path):
+        if path == METRICS_PATH:
+            return 200, self.counters.text(self._gauges()).encode()
+        configuration = self.balancer.configuration
+        if path != VIEW_PATH.encode() or configuration is None:
+            return 404, b""
+        targets = self.balancer.view.targets
+        return 200, encode_view(self.reading.view_revision, configuration, targets)
+
+    def _gauges(self):
+        belief = self.balancer.belief(now_ms())
+        return belief | {
+            "flows": len(self.balancer.flows.flows),
+            "members": self.reading.members,
+            "reader": self.reading.reader,
+            "revision": self.reading.revision,
+            "loop_lag_most_ms": self.loop.lag_ms,
+        }
+
+    def _catch_signals(self):
+        signal(SIGTERM, self._on_sigterm)
+        signal(SIGHUP, self._on_sighup)
+        self._wake_reader, self._wake_writer = socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        set_wakeup_fd(self._wake_writer.fileno())
+        self.loop.watch(self._wake_reader, lambda _events: self._wake_reader.recv(64))
+
+    def _on_sigterm(self, _number, _frame):
+        self.lifecycle.stop(now_ms())
+        self.log.line("stopping", grace_s=self.settings.grace_s)
+
+    def _on_sighup(self, _number, _frame):
+        self._settings_mtime = None
+        self._settings_check_ms = 0
+
+    def _check_settings(self, time_ms):
+        self._settings_check_ms = time_ms + SETTINGS_CHECK_MS
+        try:
+            mtime = stat(self.path).st_mtime_ns
+            if mtime == self._settings_mtime:
+                return
+            with open(self.path) as file:
+                settings = parse_settings(file.read())
+        except OSError as error:
+            self.log.line("reload", outcome="unreadable", error=str(error))
+            return
+        self._settings_mtime = mtime
+        if isinstance(settings, SettingsFaults):
+            self.log.line("reload", outcome="refused", findings=settings.findings)
+            return
+        changed = [
+            name
+            for name in settings._fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        # Addresses of sockets stay: the platform changes them only at a start.
+        self.settings = settings
+        self.peers.settings = settings
+        self.lifecycle.grace_ms = settings.grace_s * 1_000
+        self.log.line("reload", outcome="taken", changed=changed)
+
+
+def main():
+    """Run a balancer with the settings that the platform names."""
+    path = environ.get(SETTINGS_VARIABLE)
+    if not path:
+        print("%s names no settings file" % SETTINGS_VARIABLE, flush=True)
+        return EXIT_SETTINGS
+    try:
+        with open(path) as file:
+            settings = parse_settings(file.read())
+    except OSError as error:
+        settings = SettingsFaults([str(error)])
+    if isinstance(settings, SettingsFaults):
+        print("%s: %s" % (path, "; ".join(settings.findings)), flush=True)
+        return EXIT_SETTINGS
+    return Process(settings, path).run()
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_settings.py
@@ -0,0 +1,111 @@
+"""Settings of a balancer on the platform, checked as a whole."""
+
+from collections import namedtuple
+
+from lagoontally_platform import parse_address
+from ujson import loads
+
+
+class Settings(
+    namedtuple(
+        "Settings",
+        "instance data_centre host packet_address ready_address peer_address "
+        "metrics_address seeds store_address grace_s",
+    )
+):
+    """What one balancer is told.
+
+    Attributes:
+        instance: Name of the machine.
+        data_centre: Where it runs.
+        host: Its address.
+        packet_address: Where routers send callers' packets.
+        ready_address: Where routers ask whether it takes packets.
+        peer_address: Where other balancers reach it.
+        metrics_address: Where its counters are served, None for nowhere.
+        seeds: Peer addresses of some balancers, which may be stale.
+        store_address: Where the platform's store is.
+        grace_s: Seconds from SIGTERM to SIGKILL.
+    """
+
+    __slots__ = ()
+
+
+class SettingsFaults(namedtuple("SettingsFaults", "findings")):
+    """Everything that is wrong with settings: a list of texts."""
+
+    __slots__ = ()
+
+
+_ADDRESSES = ("packet_address", "ready_address", "peer_address", "store_address")
+_TEXTS = ("instance", "data_centre", "host")
+
+
+def parse_settings(text):
+    """Return the settings in a JSON text.
+
+    Fields that aren't known are ignored.
+
+    Args:
+        text: The file's content.
+
+    Returns:
+        A ``Settings``, or a ``SettingsFaults`` with every finding.
+    """
+    try:
+        document = loads(text)
+    except ValueError as error:
+        return SettingsFaults(["the settings are no JSON: %s" % error])
+    if not isinstance(document, dict):
+        return SettingsFaults(["the settings are no object"])
+    findings = []
+    values = {name: _text(document, name, findings) for name in _TEXTS}
+    for name in _ADDRESSES:
+        values[name] = _address(document, name, findings)
+    values["metrics_address"] = _metrics_address(document, findings)
+    values["seeds"] = _seeds(document, findings)
+    values["grace_s"] = _seconds(document, "grace_s", findings)
+    return SettingsFaults(findings) if findings else Settings(**values)
+
+
+def _text(document, name, findings):
+    value = document.get(name)
+    if isinstance(value, str) and value:
+        return value
+    findings.append("%s: a text is missing" % name)
+    return None
+
+
+def _address(document, name, findings):
+    address = parse_address(document.get(name))
+    if address is None:
+        findings.append("%s: %r is no host:port" % (name, document.get(name)))
+    return address
+
+
+def _metrics_address(document, findings):
+    if document.get("metrics_address") is None:
+        return None
+    return _address(document, "metrics_address", findings)
+
+
+def _seeds(document, findings):
+    listed = document.get("seeds")
+    if not isinstance(listed, list):
+        findings.append("seeds: a list of host:port is missing")
+        return ()
+    seeds = []
+    for index, text in enumerate(listed):
+        address = parse_address(text)
+        if address is None:
+            findings.append("seeds[%d]: %r is no host:port" % (index, text))
+        seeds.append(address)
+    return tuple(seeds)
+
+
+def _seconds(document, name, findings):
+    value = document.get(name)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        findings.append("%s: a number of seconds above 0 is missing" % name)
+        return None
+    return value
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -0,0 +1,191 @@
+"""Makes the calls that ``Reading`` decides on and takes in their answers."""
+
+from lagoontally_flows import FetchView, List, ReadConfiguration, Watch
+from lagoontally_platform import (
+    CONFIGURATION_KEY,
+    EVERYTHING,
+    HISTORY_GONE,
+    OK,
+    BadAnswer,
+    changes_path,
+    decode_changes,
+    decode_page,
+    page_path,
+)
+
+from ._http_client import CallFailure, HttpClient
+from ._messages import Delta
+from ._view_document import decode_view
+
+CALL_TIMEOUT_MS = 1_200  # a slow store takes a quarter of a second
+WATCH_SLACK_MS = 1_000
+VIEW_PATH = "/view"
+
+
+class StoreReader:
+    """Keeps the view of a balancer current.
+
+    Args:
+        loop: The ``Loop``.
+        settings: The ``Settings``.
+        reading: The ``Reading`` that decides on calls.
+        balancer: The ``Balancer`` that takes in what was read.
+        peers: The ``Peers`` that changes are told to.
+        log: The ``Log``.
+        counters: The ``Counters``.
+    """
+
+    def __init__(self, loop, settings, *, reading, balancer, peers, log, counters):
+        self.loop = loop
+        self.reading = reading
+        self.balancer = balancer
+        self.peers = peers
+        self.log = log
+        self.counters = counters
+        self.store = HttpClient(loop, settings.store_address)
+        self._peer_port = settings.peer_address[1]
+        self._peer = None
+        self._pages = {}
+        self._page_revision = None
+        self._page_configuration = None
+        self._called_ms = 0
+        self._reached = True
+
+    def on_tick(self, now_ms):
+        """Make the call that is due, and give up those that take too long."""
+        self.store.on_tick(now_ms)
+        if self._peer is not None:
+            self._peer.on_tick(now_ms)
+        if self.store.busy or (self._peer is not None and self._peer.busy):
+            return
+        call = self.reading.next_call(now_ms)
+        if isinstance(call, List):
+            self._pages.clear()
+            self._page_revision = self._page_configuration = None
+            self._get(page_path(EVERYTHING), CALL_TIMEOUT_MS, self._on_page)
+        elif isinstance(call, Watch):
+            path = changes_path(EVERYTHING, call.revision, call.wait_ms)
+            self._get(path, call.wait_ms + WATCH_SLACK_MS, self._on_changes)
+        elif isinstance(call, ReadConfiguration):
+            path = page_path(CONFIGURATION_KEY)
+            self._get(path, CALL_TIMEOUT_MS, self._on_configuration)
+        elif isinstance(call, FetchView):
+            self._fetch_view(call.host)
+
+    def close(self):
+        """Close the connections."""
+        self.store.close()
+
+    def on_delta(self, delta, now_ms):
+        """Take in changes that a reader tells."""
+        if self.reading.on_delta(delta.previous, delta.revision):
+            self.balancer.on_entries(delta.entries, now_ms)
+
+    def _get(self, path, timeout_ms, done):
+        self._called_ms = self.loop.clock()
+        self.store.get(path, timeout_ms, done)
+
+    def _decoded(self, result, decode):
+        """Return the listing of an answer, or None after noting the failure."""
+        now_ms = self.loop.clock()
+        if not isinstance(result, CallFailure) and result.status == OK:
+            listing = decode(result.body)
+            if not isinstance(listing, BadAnswer):
+                self._note_answer(listing, now_ms)
+                return listing
+            reason = listing.reason
+        elif isinstance(result, CallFailure):
+            reason = result.reason
+        else:
+            reason = "status %d" % result.status
+        self.counters.add("store_calls", reason)
+        self.reading.on_failure(now_ms)
+        if self._reached:
+            self._reached = False
+            self.log.line(
+                "store_lost", reason=reason, **self.balancer.belief(now_ms)
+            )
+        return None
+
+    def _note_answer(self, listing, now_ms):
+        self.counters.add("store_calls", "answered")
+        self.counters.time("store_call", now_ms - self._called_ms)
+        if not self._reached:
+            self._reached = True
+            self.log.line("store_regained", revision=listing.revision)
+        for key, reason in listing.faults:
+            self.counters.add("documents_refused", reason.partition(" ")[0])
+            self.log.line("document_refused", key=key, reason=reason)
+
+    def _on_page(self, result):
+        listing = self._decoded(result, decode_page)
+        if listing is None:
+            return
+        self._pages.update(listing.entries)
+        if self._page_revision is None:
+            self._page_revision = listing.revision
+        self._page_configuration = listing.configuration or self._page_configuration
+        if listing.next_key is not None:
+            path = page_path(EVERYTHING, listing.next_key)
+            self._get(path, CALL_TIMEOUT_MS, self._on_page)
+            return
+        now_ms = self.loop.clock()
+        self._configure(self._page_configuration, "store", now_ms)
+        entries = {key: target for key, target in self._pages.items() if target}
+        self.balancer.on_listing(entries, now_ms)
+        self.reading.on_listed(self._page_revision, now_ms)
+
+    def _on_changes(self, result):
+        now_ms = self.loop.clock()
+        if not isinstance(result, CallFailure) and result.status == HISTORY_GONE:
+            self.counters.add("store_calls", "history_gone")
+            self.log.line("store_history_gone", revision=self.reading.revision)
+            self.reading.on_history_gone(now_ms)
+            return
+        listing = self._decoded(result, decode_changes)
+        if listing is None:
+            return
+        previous = self.reading.view_revision
+        self._configure(listing.configuration, "store", now_ms)
+        self.balancer.on_entries(listing.entries, now_ms)
+        changed = bool(listing.entries)
+        self.reading.on_changes(listing.revision, now_ms, targets_changed=changed)
+        if changed:
+            self.peers.broadcast(Delta(previous, listing.revision, listing.entries))
+
+    def _on_configuration(self, result):
+        listing = self._decoded(result, decode_page)
+        if listing is not None:
+            now_ms = self.loop.clock()
+            self._configure(listing.configuration, "store", now_ms)
+            self.reading.on_configuration_read(now_ms)
+
+    def _fetch_view(self, host):
+        self._peer = HttpClient(self.loop, (host, self._peer_port))
+        self._peer.get(VIEW_PATH, CALL_TIMEOUT_MS, self._on_view)
+
+    def _on_view(self, result):
+        self._peer.close()
+        answered = not isinstance(result, CallFailure) and result.status == OK
+        copy = decode_view(result.body) if answered else None
+        outcome = "taken" if copy else "failed"
+        self.counters.add("views_fetched", outcome)
+        self.log.line("view_fetched", peer=self._peer.address[0], outcome=outcome)
+        if copy is None:
+            return
+        now_ms = self.loop.clock()
+        self._configure(copy.configuration, "peer", now_ms)
+        self.balancer.on_listing(copy.entries, now_ms)
+        self.reading.on_view(copy.revision, now_ms)
+
+    def _configure(self, configuration, source, now_ms):
+        if configuration is None:
+            return
+        if self.balancer.configure(configuration):
+            self.log.line(
+                "configuration_in_force",
+                version=configuration.version,
+                routes=len(configuration.routes),
+                source=source,
+            )
+        self.reading.on_configuration(configuration.version, now_ms)
