Take a new configuration from the reader when the store refuses

Followers that the store turned away knew of the new version from beacons but could only ask the store; and a balancer that took over as reader watched from the revision of a delta, behind a configuration that it had not read. Ruled out: beacons lost; logs show the announced version on each. Change: a follower asks the reader and the store by turns, small configurations from the reader first; a delta moves the watch only where its configuration is in force.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 LIBS := $(wildcard libs/*)
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/$(lib)/src))
+export PYTHONPATH := $(subst $(space),:,$(foreach lib,$(LIBS),$(CURDIR)/$(lib)/src)):$(CURDIR)/platform
 export PYTHONDONTWRITEBYTECODE := 1
 
 .PHONY: run up chaos matrix mutations explore golden bench bench-quick capacity \
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -9,7 +9,7 @@
 from ._flow_table import FlowTable
 from ._health import Health
 from ._placement import choose_service, choose_target
-from ._records import ACK, FIN, RST, SYN, Drop, Forward, Reset
+from ._records import FIN, RST, SYN, Drop, Forward, Reset
 from ._view import View
 
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
@@ -245,7 +245,7 @@
                 (
                     ("target", shown.name.hex()),
                     ("service", shown.service),
-                    ("address", "%s:%d" % shown.address),
+                    ("address", f"{shown.address[0]}:{shown.address[1]}"),
                     ("leaving", shown.leaving),
                     ("data_centre", shown.data_centre),
                 ),
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -17,6 +17,7 @@
 RETRY_FIRST_MS = 150
 RETRY_MOST_MS = 1_200  # a reader without the store asks about once a second
 CONFIGURATION_SPREAD_MS = 250  # followers' calls for a new configuration
+MOST_ROUTES_FROM_READER = 150  # some 20 KB; a small instance has 5 Mbit/s for all
 VIEW_RETRY_MS = 400
 BEACON_INTERVAL_MS = 300
 
@@ -47,7 +48,8 @@
 
 class Beacon(
     namedtuple(
-        "Beacon", "priority revision configuration_version contact_age_ms reachable"
+        "Beacon",
+        "priority revision configuration_version routes contact_age_ms reachable",
     )
 ):
     """What a reader tells the other balancers of its data centre.
@@ -56,6 +58,7 @@
         priority: Orders readers; the lowest goes on where there are several.
         revision: Revision of the store at which its view last changed.
         configuration_version: Version of the newest configuration it knows.
+        routes: Number of routes in that configuration.
         contact_age_ms: How long ago the store last answered it.
         reachable: Whether its last call was answered.
     """
@@ -80,6 +83,7 @@
         confirmed_ms: When the view was last known to be current.
         failures: Calls to the store in a row without a usable answer.
         members: Balancers of this data centre, this one included.
+        routes: Routes of the configuration in force here.
     """
 
     def __init__(self, *, priority, random):
@@ -94,6 +98,9 @@
         self.confirmed_ms = None
         self.failures = 0
         self.members = 1
+        self.routes = 0
+        self._ask_reader = True
+        self._reader_host = None
         self._listed = False
         self._next_call_ms = 0
         self._take_over_ms = 0
@@ -112,9 +119,11 @@
         if not self.reader and now_ms >= self._take_over_ms:
             self.reader = True
         if self.reader:
-            return Watch(self.revision, WATCH_WAIT_MS if self._in_contact(now_ms) else 1)
+            return Watch(
+                self.revision, WATCH_WAIT_MS if self._in_contact(now_ms) else 1
+            )
         if self.announced_version > self.configuration_version:
-            return ReadConfiguration()
+            return self._configuration_call(now_ms)
         if self._fetch_from is not None:
             host, self._fetch_from = self._fetch_from, None
             self._next_call_ms = now_ms + VIEW_RETRY_MS
@@ -135,13 +144,13 @@
         self._on_answer(now_ms)
         self._next_call_ms = now_ms + WATCH_PAUSE_MS
 
-    def on_configuration(self, version, now_ms):
+    def on_configuration(self, version, routes):
         """Note that a configuration of some version is in force."""
-        self.configuration_version = max(self.configuration_version, version)
+        self.configuration_version = version
+        self.routes = routes
 
     def on_configuration_read(self, now_ms):
         """Note that the store answered a call for the configuration."""
-        self.announced_version = self.configuration_version
         self._on_answer(now_ms)
 
     def on_history_gone(self, now_ms):
@@ -156,17 +165,35 @@
         self._next_call_ms = now_ms + pause_ms * (0.75 + self.random.random() / 2)
 
     def on_view(self, revision, now_ms):
-        """Note that a peer's whole view was taken over."""
+        """Note that a peer's whole view was fetched.
+
+        Returns:
+            True when its targets are at least as new as those known here.
+        """
         self._listed = True
-        self.view_revision = max(self.view_revision, revision)
+        if revision < self.view_revision:
+            return False
+        self.view_revision = revision
         self.revision = max(self.revision or 0, revision)
+        return True
+
+    def on_delta(self, previous, revision, configuration_version):
+        """Note a peer's changes of targets if they continue this view.
 
-    def on_delta(self, previous, revision):
-        """Tell whether a peer's changes continue this view, and note them if so."""
+        Args:
+            previous: Revision at which the peer's targets changed before.
+            revision: Revision that they show now.
+            configuration_version: Configuration that the peer knows there. While
+                it isn't in force here, a watch must not begin behind it.
+
+        Returns:
+            True when the changes continue this view.
+        """
         if self.revision is None or not previous <= self.view_revision < revision:
             return False
         self.view_revision = revision
-        self.revision = max(self.revision, revision)
+        if configuration_version <= self.configuration_version:
+            self.revision = max(self.revision, revision)
         return True
 
     def on_beacon(self, beacon, host, now_ms):
@@ -175,11 +202,9 @@
         if not fresh:
             self._on_vain_reader(beacon, now_ms)
             return
+        self._reader_host = host
         if beacon.configuration_version > self.announced_version:
-            self.announced_version = beacon.configuration_version
-            if not self.reader and self.announced_version > self.configuration_version:
-                spread_ms = CONFIGURATION_SPREAD_MS * self.random.random()
-                self._next_call_ms = max(self._next_call_ms, now_ms + spread_ms)
+            self._on_new_configuration(beacon, now_ms)
         behind = self.revision is None or beacon.revision > self.view_revision
         if behind:
             self._fetch_from = host
@@ -202,10 +227,27 @@
             self.priority,
             self.view_revision,
             self.configuration_version,
+            self.routes,
             round(age_ms),
             self.failures == 0,
         )
 
+    def _on_new_configuration(self, beacon, now_ms):
+        self.announced_version = beacon.configuration_version
+        if self.reader or self.announced_version <= self.configuration_version:
+            return
+        self._ask_reader = beacon.routes <= MOST_ROUTES_FROM_READER
+        spread_ms = CONFIGURATION_SPREAD_MS * self.random.random()
+        self._next_call_ms = max(self._next_call_ms, now_ms + spread_ms)
+
+    def _configuration_call(self, now_ms):
+        """Ask the reader and the store by turns until one has it."""
+        ask_reader, self._ask_reader = self._ask_reader, not self._ask_reader
+        if ask_reader and self._reader_host is not None:
+            self._next_call_ms = now_ms + RETRY_FIRST_MS
+            return FetchView(self._reader_host)
+        return ReadConfiguration()
+
     def _first_call(self, now_ms):
         if self.failures % 2 and self._fetch_from is not None:
             self._next_call_ms = now_ms + VIEW_RETRY_MS
--- a/libs/forwarder/src/lagoontally_forwarder/_counters.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_counters.py
@@ -59,11 +59,11 @@
             gauges: Values of the moment, by name.
         """
         lines = [
-            '%s%s{kind="%s"} %d' % (_PREFIX, name, kind, count)
+            f'{_PREFIX}{name}{{kind="{kind}"}} {count}'
             for (name, kind), count in sorted(self.counts.items())
         ]
         lines += [
-            "%s%s %g" % (_PREFIX, name, value)
+            f"{_PREFIX}{name} {value:g}"
             for name, value in sorted(gauges.items())
             if value is not None
         ]
@@ -76,8 +76,8 @@
     lines, below = [], 0
     for bound, count in zip(LATENCY_BOUNDS_MS, histogram.counts, strict=True):
         below += count
-        lines.append('%s_bucket{le="%d"} %d' % (name, bound, below))
-    lines.append('%s_bucket{le="+Inf"} %d' % (name, histogram.count))
-    lines.append("%s_sum %g" % (name, histogram.total))
-    lines.append("%s_count %d" % (name, histogram.count))
+        lines.append(f'{name}_bucket{{le="{bound}"}} {below}')
+    lines.append(f'{name}_bucket{{le="+Inf"}} {histogram.count}')
+    lines.append(f"{name}_sum {histogram.total:g}")
+    lines.append(f"{name}_count {histogram.count}")
     return lines
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -57,8 +57,9 @@
             timeout_ms: When to give up.
             done: Called with the ``Answer`` or ``CallFailure``.
         """
-        host = "%s:%d" % self.address
-        self._call = ("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, host)).encode()
+        host, port = self.address
+        head = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        self._call = head.encode()
         self._deadline_ms = self.loop.clock() + timeout_ms
         self._done = done
         self._reused = self._sock is not None
@@ -83,21 +84,21 @@
             try:
                 self._sock = connect(self.address)
             except OSError as error:
-                self._fail("connect: %s" % error)
+                self._fail(f"connect: {error}")
                 return
         self.loop.watch(self._sock, self._on_writable, EPOLLOUT)
 
     def _on_writable(self, _events):
         error = connect_error(self._sock)
         if error:
-            self._lose("connection error %d" % error)
+            self._lose(f"connection error {error}")
             return
         try:
             sent = self._sock.send(self._unsent)
         except BlockingIOError:
             return
         except OSError as failure:
-            self._lose("send: %s" % failure)
+            self._lose(f"send: {failure}")
             return
         self._unsent = self._unsent[sent:]
         if not self._unsent:
@@ -109,7 +110,7 @@
         except BlockingIOError:
             return
         except OSError as failure:
-            self._lose("receive: %s" % failure)
+            self._lose(f"receive: {failure}")
             return
         if not data:
             self._lose("closed by the peer")
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -5,9 +5,10 @@
 
 from collections import namedtuple
 
-from lagoontally_flows import Beacon, Target, Verdict
 from ujson import dumps, loads
 
+from lagoontally_flows import Beacon, Target, Verdict
+
 MAX_BYTES = 1_200  # stays below a link's usual packet size
 
 
@@ -23,12 +24,13 @@
     __slots__ = ()
 
 
-class Delta(namedtuple("Delta", "previous revision entries")):
+class Delta(namedtuple("Delta", "previous revision configuration_version entries")):
     """Entries that changed between two revisions of the store.
 
     Attributes:
         previous: Revision that the sender's view showed before.
         revision: Revision that it shows now.
+        configuration_version: Configuration that the sender knows by then.
         entries: Pairs of a key and a ``Target`` or None.
     """
 
@@ -105,9 +107,9 @@
 
 
 def _decode_delta(fields):
-    previous, revision, entries = fields
+    previous, revision, version, entries = fields
     decoded = [(str(key), decode_target(target)) for key, target in entries]
-    return Delta(int(previous), int(revision), decoded)
+    return Delta(int(previous), int(revision), int(version), decoded)
 
 
 def _decode_verdict(fields):
--- a/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
@@ -9,6 +9,7 @@
     address_packet,
     decode_packet,
     encode_reset,
+    format_address,
     format_flow,
     format_host,
 )
@@ -85,9 +86,7 @@
             self._forward(packet, action, size)
         elif isinstance(action, Drop):
             self.counters.add("dropped", action.reason)
-            self.log.line(
-                "drop", **self._identify(packet, size), reason=action.reason
-            )
+            self.log.line("drop", **self._identify(packet, size), reason=action.reason)
         else:
             self.reset(
                 packet.flow,
@@ -109,7 +108,7 @@
                 **self._identify(packet, size),
                 target=target.name.hex(),
                 service=target.service,
-                to="%s:%d" % target.address,
+                to=format_address(target.address),
                 sent=sent,
                 **self.balancer.belief(self.packet_ms),
             )
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -257,7 +257,7 @@
     """Run a balancer with the settings that the platform names."""
     path = environ.get(SETTINGS_VARIABLE)
     if not path:
-        print("%s names no settings file" % SETTINGS_VARIABLE, flush=True)
+        print(f"{SETTINGS_VARIABLE} names no settings file", flush=True)
         return EXIT_SETTINGS
     try:
         with open(path) as file:
@@ -265,6 +265,6 @@
     except OSError as error:
         settings = SettingsFaults([str(error)])
     if isinstance(settings, SettingsFaults):
-        print("%s: %s" % (path, "; ".join(settings.findings)), flush=True)
+        print("{}: {}".format(path, "; ".join(settings.findings)), flush=True)
         return EXIT_SETTINGS
     return Process(settings, path).run()
--- a/libs/forwarder/src/lagoontally_forwarder/_settings.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_settings.py
@@ -2,9 +2,10 @@
 
 from collections import namedtuple
 
-from lagoontally_platform import parse_address
 from ujson import loads
 
+from lagoontally_platform import parse_address
+
 
 class Settings(
     namedtuple(
@@ -55,7 +56,7 @@
     try:
         document = loads(text)
     except ValueError as error:
-        return SettingsFaults(["the settings are no JSON: %s" % error])
+        return SettingsFaults([f"the settings are no JSON: {error}"])
     if not isinstance(document, dict):
         return SettingsFaults(["the settings are no object"])
     findings = []
@@ -72,14 +73,14 @@
     value = document.get(name)
     if isinstance(value, str) and value:
         return value
-    findings.append("%s: a text is missing" % name)
+    findings.append(f"{name}: a text is missing")
     return None
 
 
 def _address(document, name, findings):
     address = parse_address(document.get(name))
     if address is None:
-        findings.append("%s: %r is no host:port" % (name, document.get(name)))
+        findings.append(f"{name}: {document.get(name)!r} is no host:port")
     return address
 
 
@@ -98,7 +99,7 @@
     for index, text in enumerate(listed):
         address = parse_address(text)
         if address is None:
-            findings.append("seeds[%d]: %r is no host:port" % (index, text))
+            findings.append(f"seeds[{index}]: {text!r} is no host:port")
         seeds.append(address)
     return tuple(seeds)
 
@@ -106,6 +107,6 @@
 def _seconds(document, name, findings):
     value = document.get(name)
     if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
-        findings.append("%s: a number of seconds above 0 is missing" % name)
+        findings.append(f"{name}: a number of seconds above 0 is missing")
         return None
     return value
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -78,7 +78,9 @@
 
     def on_delta(self, delta, now_ms):
         """Take in changes that a reader tells."""
-        if self.reading.on_delta(delta.previous, delta.revision):
+        if self.reading.on_delta(
+            delta.previous, delta.revision, delta.configuration_version
+        ):
             self.balancer.on_entries(delta.entries, now_ms)
 
     def _get(self, path, timeout_ms, done):
@@ -97,14 +99,12 @@
         elif isinstance(result, CallFailure):
             reason = result.reason
         else:
-            reason = "status %d" % result.status
+            reason = f"status {result.status}"
         self.counters.add("store_calls", reason)
         self.reading.on_failure(now_ms)
         if self._reached:
             self._reached = False
-            self.log.line(
-                "store_lost", reason=reason, **self.balancer.belief(now_ms)
-            )
+            self.log.line("store_lost", reason=reason, **self.balancer.belief(now_ms))
         return None
 
     def _note_answer(self, listing, now_ms):
@@ -130,7 +130,7 @@
             self._get(path, CALL_TIMEOUT_MS, self._on_page)
             return
         now_ms = self.loop.clock()
-        self._configure(self._page_configuration, "store", now_ms)
+        self._configure(self._page_configuration, "store")
         entries = {key: target for key, target in self._pages.items() if target}
         self.balancer.on_listing(entries, now_ms)
         self.reading.on_listed(self._page_revision, now_ms)
@@ -146,18 +146,20 @@
         if listing is None:
             return
         previous = self.reading.view_revision
-        self._configure(listing.configuration, "store", now_ms)
+        self._configure(listing.configuration, "store")
         self.balancer.on_entries(listing.entries, now_ms)
         changed = bool(listing.entries)
         self.reading.on_changes(listing.revision, now_ms, targets_changed=changed)
         if changed:
-            self.peers.broadcast(Delta(previous, listing.revision, listing.entries))
+            version = self.reading.configuration_version
+            delta = Delta(previous, listing.revision, version, listing.entries)
+            self.peers.broadcast(delta)
 
     def _on_configuration(self, result):
         listing = self._decoded(result, decode_page)
         if listing is not None:
             now_ms = self.loop.clock()
-            self._configure(listing.configuration, "store", now_ms)
+            self._configure(listing.configuration, "store")
             self.reading.on_configuration_read(now_ms)
 
     def _fetch_view(self, host):
@@ -174,11 +176,11 @@
         if copy is None:
             return
         now_ms = self.loop.clock()
-        self._configure(copy.configuration, "peer", now_ms)
-        self.balancer.on_listing(copy.entries, now_ms)
-        self.reading.on_view(copy.revision, now_ms)
+        self._configure(copy.configuration, "peer")
+        if self.reading.on_view(copy.revision, now_ms):
+            self.balancer.on_listing(copy.entries, now_ms)
 
-    def _configure(self, configuration, source, now_ms):
+    def _configure(self, configuration, source):
         if configuration is None:
             return
         if self.balancer.configure(configuration):
@@ -188,4 +190,5 @@
                 routes=len(configuration.routes),
                 source=source,
             )
-        self.reading.on_configuration(configuration.version, now_ms)
+            routes = len(configuration.routes)
+            self.reading.on_configuration(configuration.version, routes)
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -2,9 +2,10 @@
 
 from collections import namedtuple
 
-from lagoontally_flows import Configuration, Route
 from ujson import dumps, loads
 
+from lagoontally_flows import Configuration, Route
+
 from ._messages import decode_target, encode_target
 
 
