Condemn a target only beside one that answers; spread what followers fetch

Readers on links of 10 Mbit/s sent whole views to 42 followers at once; their own packets queued behind, connections to live targets seemed silent, and peers reset flows on that word. A process that stood still took its own delay for a target's silence. Followers that missed a delta got no view from the busy reader. Change: a trial also tries a target that should answer and counts only time in which this process ran; peers' words keep new flows away but resets need a trial of one's own; deltas come in parts, targets and configurations are fetched apart, spread by their size, from reader and store by turns; instances with fast links read first.

--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -3,9 +3,19 @@
 from ._balancer import Balancer
 from ._cookie import NO_COOKIE, target_cookie
 from ._effects import FlowReset, Note
-from ._health import Trial, Verdict
+from ._health import ACCEPTED, REFUSED, SILENT, UNCLEAR, Trial, Verdict
 from ._lifecycle import Lifecycle
-from ._reading import Beacon, FetchView, List, ReadConfiguration, Reading, Watch
+from ._reading import (
+    WEAK_LINK_MBPS,
+    Beacon,
+    Delta,
+    FetchConfiguration,
+    FetchTargets,
+    List,
+    ReadConfiguration,
+    Reading,
+    Watch,
+)
 from ._records import (
     ACK,
     FIN,
@@ -21,16 +31,23 @@
 )
 
 __all__ = [
+    "ACCEPTED",
     "ACK",
     "FIN",
     "NO_COOKIE",
+    "REFUSED",
     "RST",
+    "SILENT",
     "SYN",
+    "UNCLEAR",
+    "WEAK_LINK_MBPS",
     "Balancer",
     "Beacon",
     "Configuration",
+    "Delta",
     "Drop",
-    "FetchView",
+    "FetchConfiguration",
+    "FetchTargets",
     "FlowReset",
     "Forward",
     "Lifecycle",
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -14,7 +14,6 @@
 
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
-DUPLICATE_SYN_MS = 150  # a real second SYN of a flow comes after 200 ms
 UNKNOWN_COOKIES_KEPT = 1_024
 TIE_SPREAD = 2_654_435_761  # Knuth's multiplicative hash
 
@@ -86,10 +85,12 @@
             return Reset("route_removed", packet.acknowledgement)
         if target is None:
             return self._on_unknown_cookie(packet, cookie, now_ms)
-        if self.health.is_dead(cookie):
+        if self.health.is_confirmed(cookie):
             self.flows.remove(packet.flow)
             return Reset("target_dead", packet.acknowledgement)
         self._note_packet(packet, flow, cookie, now_ms)
+        if self.health.is_dead(cookie):
+            self.effects.extend(self.health.doubt(cookie, now_ms))
         return Forward(target, "open_flow")
 
     def on_entries(self, changes, now_ms):
@@ -112,8 +113,29 @@
 
     def on_verdict(self, verdict, now_ms):
         """Take in what a peer found out of a target."""
-        if self.health.on_verdict(verdict, now_ms):
-            self._reset_flows(verdict.cookie, "peer_" + verdict.evidence)
+        is_new = self.health.on_verdict(verdict, now_ms)
+        if is_new and self.flows.open_flows.get(verdict.cookie):
+            self.effects.extend(self.health.doubt(verdict.cookie, now_ms))
+
+    def control_of(self, cookie):
+        """Return the target to try beside a doubtful one, None where there is none.
+
+        A target of the own data centre that answered lately is best: where it
+        doesn't answer either, this balancer's own network is at fault.
+        """
+        others = [
+            target
+            for target in self.view.targets.values()
+            if target.cookie != cookie and not self.health.is_dead(target.cookie)
+        ]
+        return max(
+            others,
+            key=lambda target: (
+                target.data_centre == self.data_centre,
+                self.health.alive_ms.get(target.cookie, 0),
+            ),
+            default=None,
+        )
 
     def on_tick(self, now_ms):
         """Let time pass: trials, memory that runs out."""
@@ -148,7 +170,9 @@
         flow = self.flows.flows.get(packet.flow)
         if flow is None:
             return self._place(packet, route, now_ms)
-        if flow.opened or not packet.acknowledgement:
+        # Copies that waited here together say nothing about the target.
+        waited_here = now_ms - flow.seen_ms < STALL_AFTER_MS
+        if flow.opened or waited_here or not packet.acknowledgement:
             return self._on_repeated_syn(packet, flow, route, now_ms)
         flow.seen_ms = now_ms
         silent = flow.cookie
@@ -164,7 +188,7 @@
         return Forward(target, "silent_target")
 
     def _on_repeated_syn(self, packet, flow, route, now_ms):
-        if now_ms - flow.seen_ms < DUPLICATE_SYN_MS or packet.acknowledgement:
+        if now_ms - flow.seen_ms < STALL_AFTER_MS or packet.acknowledgement:
             target = self.view.by_cookie.get(flow.cookie)
             if target is not None:
                 return Forward(target, "repeated_syn")
@@ -258,8 +282,7 @@
     def _try_lapsed(self, target, now_ms):
         """Find out whether a target that is no longer listed still runs."""
         if self.flows.open_flows.get(target.cookie):
-            self.health.alive_ms.pop(target.cookie, None)
-            self.effects.extend(self.health.on_stall(target.cookie, now_ms))
+            self.effects.extend(self.health.doubt(target.cookie, now_ms))
 
     def _reset_flows(self, cookie, evidence):
         for key, flow in self.flows.of_target(cookie):
--- a/libs/flows/src/lagoontally_flows/_health.py
+++ b/libs/flows/src/lagoontally_flows/_health.py
@@ -1,10 +1,13 @@
 """Which targets answer, judged by what callers' packets show.
 
-A caller that repeats a packet is a reason to try a connection to the target;
-only a target that fails the trial too is held for dead. Its flows are reset, so
-that their callers can go elsewhere, and it gets no new ones until a trial
-succeeds. A balancer to which no target seems to answer blames its own network
-and condemns none.
+A caller that repeats a packet is a reason to try a connection to the target,
+and beside it one to another target that should answer. Only where the first
+fails and the second doesn't is the target held for dead. Then it gets no new
+flows until a trial succeeds, and its open flows are reset, so that their callers
+can go elsewhere.
+
+A peer's word keeps new flows away from a target too, but nobody resets a flow
+without a trial of its own: the peer may be the one that is cut off.
 """
 
 from collections import namedtuple
@@ -15,6 +18,12 @@
 PEER_MARK_MS = 2_500  # a peer's word lapses after it missed two trials
 ISOLATED_AFTER_MS = 1_000  # callers' requests come many times a second
 STALL_MEMORY_MS = 2_000
+LONG_AGO_MS = -1 << 40
+
+ACCEPTED = "accepted"
+REFUSED = "refused"
+SILENT = "silent"
+UNCLEAR = "unclear"
 
 
 class Trial(namedtuple("Trial", "cookie")):
@@ -29,7 +38,7 @@
     Attributes:
         cookie: Names the target.
         dead: False when it answers again.
-        evidence: What showed it: ``refused``, ``silent`` or ``accepted``.
+        evidence: What showed it: ``REFUSED``, ``SILENT`` or ``ACCEPTED``.
     """
 
     __slots__ = ()
@@ -39,20 +48,17 @@
     """Belief that a target is dead.
 
     Attributes:
-        since_ms: When it was first held for dead.
-        evidence: What showed it.
-        until_ms: When the belief lapses unless renewed; None where this
-            balancer tries the target itself.
-        trial_ms: When the next trial is due.
+        confirmed: Whether a trial of this balancer has shown it.
+        until_ms: When a peer's word lapses unless renewed.
+        trial_ms: When this balancer tries the target next.
     """
 
-    __slots__ = ("since_ms", "evidence", "until_ms", "trial_ms")
+    __slots__ = ("confirmed", "until_ms", "trial_ms")
 
-    def __init__(self, now_ms, evidence, until_ms):
-        self.since_ms = now_ms
-        self.evidence = evidence
-        self.until_ms = until_ms
-        self.trial_ms = now_ms + DEAD_TRIAL_INTERVAL_MS
+    def __init__(self):
+        self.confirmed = False
+        self.until_ms = 0
+        self.trial_ms = 0
 
 
 class Health:
@@ -62,21 +68,27 @@
         alive_ms: When each target last showed life, by cookie.
         stalled_ms: When a caller of each target last repeated itself.
         marks: ``Mark`` of each target held for dead.
-        trials: When the latest trial of each target began; None once it ended.
+        running: Cookies of the targets that are being tried.
+        any_alive_ms: When any target last showed life.
     """
 
     def __init__(self):
         self.alive_ms = {}
         self.stalled_ms = {}
         self.marks = {}
-        self.trials = {}
+        self.running = set()
+        self.any_alive_ms = LONG_AGO_MS
         self._accepted_ms = {}
-        self.any_alive_ms = 0
 
     def is_dead(self, cookie):
-        """Tell whether a target is held for dead."""
+        """Tell whether a target gets no new flows."""
         return cookie in self.marks
 
+    def is_confirmed(self, cookie):
+        """Tell whether a target is dead by a trial of this balancer."""
+        mark = self.marks.get(cookie)
+        return mark is not None and mark.confirmed
+
     def on_life(self, cookie, now_ms):
         """Note that a target answered a caller."""
         self.alive_ms[cookie] = now_ms
@@ -93,14 +105,21 @@
         Returns:
             A list with the ``Trial`` to make, if one is due.
         """
-        if now_ms - self.alive_ms.get(cookie, -RECENT_LIFE_MS) < RECENT_LIFE_MS:
+        if now_ms - self.alive_ms.get(cookie, LONG_AGO_MS) < RECENT_LIFE_MS:
             return []
         self.stalled_ms[cookie] = now_ms
-        accepted_ms = self._accepted_ms.get(cookie, -TRIAL_PAUSE_MS)
-        running = self.trials.get(cookie) is not None
-        if running or cookie in self.marks or now_ms - accepted_ms < TRIAL_PAUSE_MS:
+        return self.doubt(cookie, now_ms)
+
+    def doubt(self, cookie, now_ms):
+        """Return a list with the ``Trial`` of a target that may be dead.
+
+        It is empty where the answer is known or awaited.
+        """
+        accepted_ms = self._accepted_ms.get(cookie, LONG_AGO_MS)
+        known = self.is_confirmed(cookie) or now_ms - accepted_ms < TRIAL_PAUSE_MS
+        if known or cookie in self.running:
             return []
-        self.trials[cookie] = now_ms
+        self.running.add(cookie)
         return [Trial(cookie)]
 
     def on_trial(self, cookie, evidence, now_ms):
@@ -108,27 +127,25 @@
 
         Args:
             cookie: The target tried.
-            evidence: ``accepted``, ``refused`` or ``silent``.
+            evidence: ``ACCEPTED``, ``REFUSED``, ``SILENT``, or ``UNCLEAR`` where
+                the other target didn't answer either.
             now_ms: Time of the step.
 
         Returns:
             A list with the ``Verdict`` to tell peers, empty if nothing is news.
         """
-        self.trials[cookie] = None
-        if evidence == "accepted":
+        self.running.discard(cookie)
+        if evidence == ACCEPTED:
             self._accepted_ms[cookie] = now_ms
             self.any_alive_ms = now_ms
             if self.marks.pop(cookie, None) is None:
                 return []
             return [Verdict(cookie, False, evidence)]
-        if evidence == "silent" and self.isolated(now_ms):
+        if evidence == UNCLEAR:
             return []
-        mark = self.marks.get(cookie)
-        if mark is None:
-            self.marks[cookie] = Mark(now_ms, evidence, None)
-        else:
-            mark.until_ms = None
-            mark.trial_ms = now_ms + DEAD_TRIAL_INTERVAL_MS
+        mark = self.marks.setdefault(cookie, Mark())
+        mark.confirmed = True
+        mark.trial_ms = now_ms + DEAD_TRIAL_INTERVAL_MS
         return [Verdict(cookie, True, evidence)]
 
     def on_verdict(self, verdict, now_ms):
@@ -137,29 +154,28 @@
         Returns:
             True when the target is newly held for dead.
         """
+        mark = self.marks.get(verdict.cookie)
         if not verdict.dead:
-            self.marks.pop(verdict.cookie, None)
+            if mark is not None and not mark.confirmed:
+                del self.marks[verdict.cookie]
             return False
-        mark = self.marks.get(verdict.cookie)
-        if mark is None:
-            until_ms = now_ms + PEER_MARK_MS
-            self.marks[verdict.cookie] = Mark(now_ms, verdict.evidence, until_ms)
-            return True
-        if mark.until_ms is not None:
-            mark.until_ms = now_ms + PEER_MARK_MS
-        return False
+        is_new = mark is None
+        if is_new:
+            mark = self.marks[verdict.cookie] = Mark()
+        mark.until_ms = now_ms + PEER_MARK_MS
+        return is_new
 
     def due(self, now_ms):
-        """Let beliefs lapse and return the trials that are due."""
+        """Let peers' words lapse and return the trials that are due."""
         trials = []
         for cookie, mark in list(self.marks.items()):
-            if mark.until_ms is not None:
-                if now_ms >= mark.until_ms:
-                    del self.marks[cookie]
-            elif now_ms >= mark.trial_ms and self.trials.get(cookie) is None:
+            if not mark.confirmed and now_ms >= mark.until_ms:
+                del self.marks[cookie]
+            elif mark.confirmed and now_ms >= mark.trial_ms:
                 mark.trial_ms = now_ms + DEAD_TRIAL_INTERVAL_MS
-                self.trials[cookie] = now_ms
-                trials.append(Trial(cookie))
+                if cookie not in self.running:
+                    self.running.add(cookie)
+                    trials.append(Trial(cookie))
         return trials
 
     def isolated(self, now_ms):
@@ -179,6 +195,6 @@
 
     def forget(self, cookie):
         """Forget a target that is gone for good."""
-        for table in (self.alive_ms, self.stalled_ms, self.marks, self.trials):
+        for table in (self.alive_ms, self.stalled_ms, self.marks, self._accepted_ms):
             table.pop(cookie, None)
-        self._accepted_ms.pop(cookie, None)
+        self.running.discard(cookie)
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -16,9 +16,14 @@
 TAKE_OVER_SHARE_MS = 120  # spread for each member while a reader tries in vain
 RETRY_FIRST_MS = 150
 RETRY_MOST_MS = 1_200  # a reader without the store asks about once a second
-CONFIGURATION_SPREAD_MS = 250  # followers' calls for a new configuration
-MOST_ROUTES_FROM_READER = 150  # some 20 KB; a small instance has 5 Mbit/s for all
-VIEW_RETRY_MS = 400
+TAKE_OVER_WEAK_MS = 300  # instances with a fast link go first
+WEAK_LINK_MBPS = 50  # a reader sends each change to every member
+SPREAD_MS = 250  # of followers' calls after a change
+SPREAD_MEMBER_MS = 8
+# A route takes some 70 bytes, and a reader may spend 2 Mbit/s of its link.
+SPREAD_ROUTE_MEMBER_MS = 0.3
+MOST_ROUTES_FROM_READER = 3_000  # times members; takes a second, see above
+FETCH_RETRY_MS = 300
 BEACON_INTERVAL_MS = 300
 
 
@@ -40,8 +45,14 @@
     __slots__ = ()
 
 
-class FetchView(namedtuple("FetchView", "host")):
-    """Take over the whole view of a peer."""
+class FetchTargets(namedtuple("FetchTargets", "host")):
+    """Take over the targets that a peer knows."""
+
+    __slots__ = ()
+
+
+class FetchConfiguration(namedtuple("FetchConfiguration", "host")):
+    """Take over the configuration that is in force at a peer."""
 
     __slots__ = ()
 
@@ -66,11 +77,29 @@
     __slots__ = ()
 
 
+class Delta(
+    namedtuple("Delta", "previous revision configuration_version part parts entries")
+):
+    """Entries that changed between two revisions of the store.
+
+    Attributes:
+        previous: Revision at which the reader's targets changed before.
+        revision: Revision that they show now.
+        configuration_version: Configuration that the reader knows by then.
+        part: Number of this part, from 0.
+        parts: Number of parts that the changes were split into.
+        entries: Pairs of a key and a ``Target`` or None.
+    """
+
+    __slots__ = ()
+
+
 class Reading:
     """Decides the next call to the store or to a peer.
 
     Args:
         priority: This balancer's order among readers.
+        weak: Whether others had better read, if there are any.
         random: Source of random numbers.
 
     Attributes:
@@ -86,8 +115,9 @@
         routes: Routes of the configuration in force here.
     """
 
-    def __init__(self, *, priority, random):
+    def __init__(self, *, priority, random, weak=False):
         self.priority = priority
+        self.weak = weak
         self.random = random
         self.reader = False
         self.revision = None
@@ -104,7 +134,8 @@
         self._listed = False
         self._next_call_ms = 0
         self._take_over_ms = 0
-        self._fetch_from = None
+        self._behind = False
+        self._parts = set()
         self._next_beacon_ms = 0
 
     def next_call(self, now_ms):
@@ -124,15 +155,14 @@
             )
         if self.announced_version > self.configuration_version:
             return self._configuration_call(now_ms)
-        if self._fetch_from is not None:
-            host, self._fetch_from = self._fetch_from, None
-            self._next_call_ms = now_ms + VIEW_RETRY_MS
-            return FetchView(host)
+        if self._behind:
+            return self._targets_call(now_ms)
         return None
 
     def on_listed(self, revision, now_ms):
         """Note that everything was read from the store."""
         self._listed = True
+        self._behind = False
         self.revision = self.view_revision = revision
         self._on_answer(now_ms)
 
@@ -164,51 +194,55 @@
         pause_ms = min(RETRY_FIRST_MS << min(self.failures - 1, 5), RETRY_MOST_MS)
         self._next_call_ms = now_ms + pause_ms * (0.75 + self.random.random() / 2)
 
-    def on_view(self, revision, now_ms):
-        """Note that a peer's whole view was fetched.
+    def on_targets(self, revision):
+        """Note that a peer's targets were fetched.
 
         Returns:
-            True when its targets are at least as new as those known here.
+            True when they are at least as new as those known here.
         """
         self._listed = True
         if revision < self.view_revision:
             return False
+        self._behind = False
         self.view_revision = revision
-        self.revision = max(self.revision or 0, revision)
+        if self.revision is None:
+            self.revision = revision
         return True
 
-    def on_delta(self, previous, revision, configuration_version):
-        """Note a peer's changes of targets if they continue this view.
+    def on_delta(self, delta):
+        """Note a part of a reader's changes of targets if it continues this view.
 
         Args:
-            previous: Revision at which the peer's targets changed before.
-            revision: Revision that they show now.
-            configuration_version: Configuration that the peer knows there. While
-                it isn't in force here, a watch must not begin behind it.
+            delta: The ``Delta``.
 
         Returns:
-            True when the changes continue this view.
+            True when the part continues this view.
         """
-        if self.revision is None or not previous <= self.view_revision < revision:
+        known = self.view_revision
+        if self.revision is None or not delta.previous <= known < delta.revision:
             return False
-        self.view_revision = revision
-        if configuration_version <= self.configuration_version:
-            self.revision = max(self.revision, revision)
+        self._parts = {part for part in self._parts if part[0] == delta.revision}
+        self._parts.add((delta.revision, delta.part))
+        if len(self._parts) == delta.parts:
+            self.view_revision = delta.revision
+            # A watch must not begin behind a configuration that isn't known here.
+            if delta.configuration_version <= self.configuration_version:
+                self.revision = max(self.revision, delta.revision)
         return True
 
     def on_beacon(self, beacon, host, now_ms):
         """Take in the word of a reader of the own data centre."""
+        self._reader_host = host
+        if beacon.configuration_version > self.announced_version:
+            self._on_new_configuration(beacon, now_ms)
         fresh = beacon.reachable and beacon.contact_age_ms <= FRESH_MS
         if not fresh:
             self._on_vain_reader(beacon, now_ms)
             return
-        self._reader_host = host
-        if beacon.configuration_version > self.announced_version:
-            self._on_new_configuration(beacon, now_ms)
-        behind = self.revision is None or beacon.revision > self.view_revision
-        if behind:
-            self._fetch_from = host
+        if self.revision is None or beacon.revision > self.view_revision:
+            self._on_behind(now_ms)
         else:
+            self._behind = False
             confirmed_ms = now_ms - beacon.contact_age_ms
             self.confirmed_ms = max(self.confirmed_ms or 0, confirmed_ms)
         self._take_over_ms = now_ms + FRESH_MS - beacon.contact_age_ms + self._spread()
@@ -236,28 +270,48 @@
         self.announced_version = beacon.configuration_version
         if self.reader or self.announced_version <= self.configuration_version:
             return
-        self._ask_reader = beacon.routes <= MOST_ROUTES_FROM_READER
-        spread_ms = CONFIGURATION_SPREAD_MS * self.random.random()
-        self._next_call_ms = max(self._next_call_ms, now_ms + spread_ms)
+        load = beacon.routes * self.members
+        self._ask_reader = load <= MOST_ROUTES_FROM_READER
+        spread_ms = SPREAD_MS + SPREAD_MEMBER_MS * self.members
+        if self._ask_reader:
+            spread_ms = max(spread_ms, SPREAD_ROUTE_MEMBER_MS * load)
+        self._spread_call(spread_ms, now_ms)
+
+    def _on_behind(self, now_ms):
+        """A delta was lost; the next beacon may be early, so wait a moment."""
+        if not self._behind:
+            self._behind = True
+            self._ask_reader = True
+            self._spread_call(SPREAD_MS + SPREAD_MEMBER_MS * self.members, now_ms)
+
+    def _spread_call(self, spread_ms, now_ms):
+        due_ms = now_ms + spread_ms * self.random.random()
+        self._next_call_ms = max(self._next_call_ms, due_ms)
 
     def _configuration_call(self, now_ms):
         """Ask the reader and the store by turns until one has it."""
-        ask_reader, self._ask_reader = self._ask_reader, not self._ask_reader
-        if ask_reader and self._reader_host is not None:
-            self._next_call_ms = now_ms + RETRY_FIRST_MS
-            return FetchView(self._reader_host)
+        if self._turn_to_reader(now_ms):
+            return FetchConfiguration(self._reader_host)
         return ReadConfiguration()
 
+    def _targets_call(self, now_ms):
+        """Ask the reader and the store by turns until one has them."""
+        if self._turn_to_reader(now_ms):
+            return FetchTargets(self._reader_host)
+        return List()
+
     def _first_call(self, now_ms):
-        if self.failures % 2 and self._fetch_from is not None:
-            self._next_call_ms = now_ms + VIEW_RETRY_MS
-            return FetchView(self._fetch_from)
+        """Ask the store first, and any reader that was heard while it fails."""
+        if self.failures and self._turn_to_reader(now_ms):
+            return FetchTargets(self._reader_host)
         return List()
 
-    def offer_peer(self, host):
-        """Name a peer whose view may be taken over while the store is away."""
-        if not self._listed:
-            self._fetch_from = host
+    def _turn_to_reader(self, now_ms):
+        ask_reader, self._ask_reader = self._ask_reader, not self._ask_reader
+        if not ask_reader or self._reader_host is None:
+            return False
+        self._next_call_ms = now_ms + FETCH_RETRY_MS
+        return True
 
     def _on_answer(self, now_ms):
         self.failures = 0
@@ -286,4 +340,5 @@
 
     def _spread(self):
         spread_ms = TAKE_OVER_SPREAD_MS + TAKE_OVER_SPREAD_MEMBER_MS * self.members
-        return spread_ms * self.random.random()
+        wait_ms = TAKE_OVER_WEAK_MS if self.weak else 0
+        return wait_ms + spread_ms * self.random.random()
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -7,9 +7,10 @@
 
 from ujson import dumps, loads
 
-from lagoontally_flows import Beacon, Target, Verdict
+from lagoontally_flows import Beacon, Delta, Target, Verdict
 
 MAX_BYTES = 1_200  # stays below a link's usual packet size
+ENTRIES_A_DELTA = 6  # an entry takes some 150 bytes
 
 
 class Hello(namedtuple("Hello", "data_centre")):
@@ -24,19 +25,6 @@
     __slots__ = ()
 
 
-class Delta(namedtuple("Delta", "previous revision configuration_version entries")):
-    """Entries that changed between two revisions of the store.
-
-    Attributes:
-        previous: Revision that the sender's view showed before.
-        revision: Revision that it shows now.
-        configuration_version: Configuration that the sender knows by then.
-        entries: Pairs of a key and a ``Target`` or None.
-    """
-
-    __slots__ = ()
-
-
 def encode_target(target):
     """Return a target as JSON holds it; None stays None."""
     return target and [target.name.hex(), *target[1:]]
@@ -71,6 +59,19 @@
     )
 
 
+def split_delta(delta):
+    """Return the parts of a delta that fit into datagrams."""
+    starts = range(0, len(delta.entries), ENTRIES_A_DELTA)
+    return [
+        delta._replace(
+            part=part,
+            parts=len(starts),
+            entries=delta.entries[start : start + ENTRIES_A_DELTA],
+        )
+        for part, start in enumerate(starts)
+    ]
+
+
 def encode_message(message):
     """Return the datagram of a message, None where it is too long for one."""
     name = type(message).__name__
@@ -107,9 +108,9 @@
 
 
 def _decode_delta(fields):
-    previous, revision, version, entries = fields
+    *numbers, entries = fields
     decoded = [(str(key), decode_target(target)) for key, target in entries]
-    return Delta(int(previous), int(revision), int(version), decoded)
+    return Delta(*map(int, numbers), decoded)
 
 
 def _decode_verdict(fields):
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -7,8 +7,10 @@
 from zlib import crc32
 
 from lagoontally_flows import (
+    WEAK_LINK_MBPS,
     Balancer,
     Beacon,
+    Delta,
     FlowReset,
     Lifecycle,
     Note,
@@ -23,15 +25,15 @@
 from ._http_server import HttpServer
 from ._log import Log
 from ._loop import BUSY_TICK_MS, TICK_MS, Loop
-from ._messages import Delta
 from ._packet_port import PacketPort
 from ._peers import Peers
 from ._settings import SettingsFaults, parse_settings
-from ._store_reader import VIEW_PATH, StoreReader
+from ._store_reader import CONFIGURATION_PATH, TARGETS_PATH, StoreReader
 from ._trials import Trials
-from ._view_document import encode_view
+from ._view_document import encode_configuration, encode_targets
 
 SETTINGS_CHECK_MS = 2_000  # the file may change without a signal
+WEAK_PRIORITY = 1 << 32  # behind every instance with a fast link
 SUSPENDED_MS = 1_000  # a tick that late means that the machine stood still
 METRICS_PATH = b"/metrics"
 EXIT_SETTINGS = 2
@@ -63,7 +65,10 @@
             counters=self.counters,
         )
         priority = crc32(settings.host.encode())
-        self.reading = Reading(priority=priority, random=random)
+        weak = settings.link_mbps < WEAK_LINK_MBPS
+        self.reading = Reading(
+            priority=priority + (WEAK_PRIORITY if weak else 0), weak=weak, random=random
+        )
         self.peers = Peers(
             self.loop, settings, counters=self.counters, on_message=self._on_message
         )
@@ -88,6 +93,7 @@
         self._settings_check_ms = self.started_ms + SETTINGS_CHECK_MS
         self._turned_ms = self.started_ms
         self._was_ready = False
+        self._encoded_configuration = (None, b"")
         self._catch_signals()
 
     def run(self):
@@ -140,7 +146,7 @@
         if target is None:
             self.balancer.health.forget(cookie)
         else:
-            self.trials.start(target)
+            self.trials.start(target, self.balancer.control_of(cookie))
 
     def _on_trial(self, cookie, evidence):
         self.counters.add("trials", evidence)
@@ -151,7 +157,6 @@
         time_ms = now_ms()
         if isinstance(message, Beacon):
             self.reading.on_beacon(message, host, time_ms)
-            self.reading.offer_peer(host)
         elif isinstance(message, Delta):
             self.reader.on_delta(message, time_ms)
         elif isinstance(message, Verdict):
@@ -194,10 +199,20 @@
         if path == METRICS_PATH:
             return 200, self.counters.text(self._gauges()).encode()
         configuration = self.balancer.configuration
-        if path != VIEW_PATH.encode() or configuration is None:
-            return 404, b""
-        targets = self.balancer.view.targets
-        return 200, encode_view(self.reading.view_revision, configuration, targets)
+        if path == TARGETS_PATH.encode() and self.reading.revision is not None:
+            targets = self.balancer.view.targets
+            return 200, encode_targets(self.reading.view_revision, targets)
+        if path == CONFIGURATION_PATH.encode() and configuration is not None:
+            return 200, self._encoded(configuration)
+        return 404, b""
+
+    def _encoded(self, configuration):
+        """Return the document of a configuration, made once for all peers."""
+        version, document = self._encoded_configuration
+        if version != configuration.version:
+            document = encode_configuration(configuration)
+            self._encoded_configuration = (configuration.version, document)
+        return document
 
     def _gauges(self):
         belief = self.balancer.belief(now_ms())
--- a/libs/forwarder/src/lagoontally_forwarder/_settings.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_settings.py
@@ -11,7 +11,7 @@
     namedtuple(
         "Settings",
         "instance data_centre host packet_address ready_address peer_address "
-        "metrics_address seeds store_address grace_s",
+        "metrics_address seeds store_address link_mbps grace_s",
     )
 ):
     """What one balancer is told.
@@ -26,6 +26,7 @@
         metrics_address: Where its counters are served, None for nowhere.
         seeds: Peer addresses of some balancers, which may be stale.
         store_address: Where the platform's store is.
+        link_mbps: Speed of its link.
         grace_s: Seconds from SIGTERM to SIGKILL.
     """
 
@@ -65,7 +66,8 @@
         values[name] = _address(document, name, findings)
     values["metrics_address"] = _metrics_address(document, findings)
     values["seeds"] = _seeds(document, findings)
-    values["grace_s"] = _seconds(document, "grace_s", findings)
+    for name in ("link_mbps", "grace_s"):
+        values[name] = _number(document, name, findings)
     return SettingsFaults(findings) if findings else Settings(**values)
 
 
@@ -104,9 +106,9 @@
     return tuple(seeds)
 
 
-def _seconds(document, name, findings):
+def _number(document, name, findings):
     value = document.get(name)
     if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
-        findings.append(f"{name}: a number of seconds above 0 is missing")
+        findings.append(f"{name}: a number above 0 is missing")
         return None
     return value
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -1,6 +1,13 @@
 """Makes the calls that ``Reading`` decides on and takes in their answers."""
 
-from lagoontally_flows import FetchView, List, ReadConfiguration, Watch
+from lagoontally_flows import (
+    Delta,
+    FetchConfiguration,
+    FetchTargets,
+    List,
+    ReadConfiguration,
+    Watch,
+)
 from lagoontally_platform import (
     CONFIGURATION_KEY,
     EVERYTHING,
@@ -14,12 +21,13 @@
 )
 
 from ._http_client import CallFailure, HttpClient
-from ._messages import Delta
-from ._view_document import decode_view
+from ._messages import split_delta
+from ._view_document import decode_configuration, decode_targets
 
 CALL_TIMEOUT_MS = 1_200  # a slow store takes a quarter of a second
 WATCH_SLACK_MS = 1_000
-VIEW_PATH = "/view"
+TARGETS_PATH = "/targets"
+CONFIGURATION_PATH = "/configuration"
 
 
 class StoreReader:
@@ -69,8 +77,10 @@
         elif isinstance(call, ReadConfiguration):
             path = page_path(CONFIGURATION_KEY)
             self._get(path, CALL_TIMEOUT_MS, self._on_configuration)
-        elif isinstance(call, FetchView):
-            self._fetch_view(call.host)
+        elif isinstance(call, FetchTargets):
+            self._fetch(call.host, TARGETS_PATH, self._on_peer_targets)
+        elif isinstance(call, FetchConfiguration):
+            self._fetch(call.host, CONFIGURATION_PATH, self._on_peer_configuration)
 
     def close(self):
         """Close the connections."""
@@ -78,9 +88,7 @@
 
     def on_delta(self, delta, now_ms):
         """Take in changes that a reader tells."""
-        if self.reading.on_delta(
-            delta.previous, delta.revision, delta.configuration_version
-        ):
+        if self.reading.on_delta(delta):
             self.balancer.on_entries(delta.entries, now_ms)
 
     def _get(self, path, timeout_ms, done):
@@ -152,8 +160,9 @@
         self.reading.on_changes(listing.revision, now_ms, targets_changed=changed)
         if changed:
             version = self.reading.configuration_version
-            delta = Delta(previous, listing.revision, version, listing.entries)
-            self.peers.broadcast(delta)
+            delta = Delta(previous, listing.revision, version, 0, 1, listing.entries)
+            for part in split_delta(delta):
+                self.peers.broadcast(part)
 
     def _on_configuration(self, result):
         listing = self._decoded(result, decode_page)
@@ -162,23 +171,31 @@
             self._configure(listing.configuration, "store")
             self.reading.on_configuration_read(now_ms)
 
-    def _fetch_view(self, host):
+    def _fetch(self, host, path, done):
         self._peer = HttpClient(self.loop, (host, self._peer_port))
-        self._peer.get(VIEW_PATH, CALL_TIMEOUT_MS, self._on_view)
+        self._peer.get(path, CALL_TIMEOUT_MS, done)
+
+    def _on_peer_targets(self, result):
+        copy = self._peer_copy(result, TARGETS_PATH, decode_targets)
+        if copy is not None and self.reading.on_targets(copy.revision):
+            self.balancer.on_listing(copy.entries, self.loop.clock())
+
+    def _on_peer_configuration(self, result):
+        copy = self._peer_copy(result, CONFIGURATION_PATH, decode_configuration)
+        if copy is not None:
+            self._configure(copy, "peer")
 
-    def _on_view(self, result):
+    def _peer_copy(self, result, path, decode):
+        """Return what a peer sent, or None after noting why there is nothing."""
         self._peer.close()
         answered = not isinstance(result, CallFailure) and result.status == OK
-        copy = decode_view(result.body) if answered else None
+        copy = decode(result.body) if answered else None
         outcome = "taken" if copy else "failed"
-        self.counters.add("views_fetched", outcome)
-        self.log.line("view_fetched", peer=self._peer.address[0], outcome=outcome)
-        if copy is None:
-            return
-        now_ms = self.loop.clock()
-        self._configure(copy.configuration, "peer")
-        if self.reading.on_view(copy.revision, now_ms):
-            self.balancer.on_listing(copy.entries, now_ms)
+        self.counters.add("peer_fetches", outcome)
+        self.log.line(
+            "peer_fetch", peer=self._peer.address[0], path=path, outcome=outcome
+        )
+        return copy
 
     def _configure(self, configuration, source):
         if configuration is None:
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -1,4 +1,4 @@
-"""The whole view of a balancer as a document, for a peer that has none."""
+"""What a balancer knows as documents, for peers that have missed it."""
 
 from collections import namedtuple
 
@@ -9,48 +9,64 @@
 from ._messages import decode_target, encode_target
 
 
-class ViewCopy(namedtuple("ViewCopy", "revision configuration entries")):
-    """A peer's view.
+class TargetsCopy(namedtuple("TargetsCopy", "revision entries")):
+    """The targets that a peer knows.
 
     Attributes:
-        revision: The store's revision that it shows.
-        configuration: The ``Configuration`` in force there.
+        revision: Revision of the store at which they last changed.
         entries: ``Target`` by key.
     """
 
     __slots__ = ()
 
 
-def encode_view(revision, configuration, entries):
-    """Return a view as bytes."""
+def encode_targets(revision, entries):
+    """Return targets as bytes."""
+    targets = {key: encode_target(target) for key, target in entries.items()}
+    return _encode({"revision": revision, "targets": targets})
+
+
+def decode_targets(body):
+    """Return the ``TargetsCopy`` in bytes, None where they hold none."""
+    try:
+        document = loads(body)
+        entries = {
+            key: decode_target(target) for key, target in document["targets"].items()
+        }
+        return TargetsCopy(int(document["revision"]), entries)
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return None  # counted by its caller
+
+
+def encode_configuration(configuration):
+    """Return a configuration as bytes."""
     routes = [[*place, *route] for place, route in configuration.routes.items()]
-    document = {
-        "revision": revision,
-        "version": configuration.version,
-        "idle_timeout_ms": configuration.idle_timeout_ms,
-        "routes": routes,
-        "targets": {key: encode_target(target) for key, target in entries.items()},
-    }
-    return dumps(document, escape_forward_slashes=False).encode()
+    return _encode(
+        {
+            "version": configuration.version,
+            "idle_timeout_ms": configuration.idle_timeout_ms,
+            "routes": routes,
+        }
+    )
 
 
-def decode_view(body):
-    """Return the ``ViewCopy`` in bytes, None where they hold none."""
+def decode_configuration(body):
+    """Return the ``Configuration`` in bytes, None where they hold none."""
     try:
         document = loads(body)
         routes = {
             (address, port): Route(name, _decode_shares(shares), bool(repeatable))
             for address, port, name, shares, repeatable in document["routes"]
         }
-        entries = {
-            key: decode_target(target) for key, target in document["targets"].items()
-        }
         version, idle_ms = int(document["version"]), int(document["idle_timeout_ms"])
-        configuration = Configuration(version, routes, idle_ms)
-        return ViewCopy(int(document["revision"]), configuration, entries)
-    except (ValueError, TypeError, KeyError, AttributeError):
+        return Configuration(version, routes, idle_ms)
+    except (ValueError, TypeError, KeyError):
         return None  # counted by its caller
 
 
+def _encode(document):
+    return dumps(document, escape_forward_slashes=False).encode()
+
+
 def _decode_shares(shares):
     return tuple((str(service), int(weight)) for service, weight in shares)
