Test flows, reading and the process against stand-ins; read a new configuration before watching

Cause: a balancer that became reader in an outage watched the store in vain for seconds before it asked its peer for the configuration. Change: the configuration comes first. Stand-ins of the platform (store, proxy, targets, routers, callers) in libs/soak; features for decisions, wire and process.

--- /dev/null
+++ b/libs/flows/features/fixtures.py
@@ -0,0 +1,112 @@
+"""A packet balancer on a virtual clock, with targets in two data centres."""
+
+from random import Random
+
+from lagoontally_flows import (
+    ACK,
+    SYN,
+    Balancer,
+    Configuration,
+    Packet,
+    Route,
+    Target,
+    target_cookie,
+)
+
+LOCAL = "tifton"
+REMOTE = "camilla"
+SERVICE = "pivot-link"
+OTHER_SERVICE = "usage-ledger"
+ROUTE = (0xC6120001, 443)
+UNKNOWN_ROUTE = (0xC61200FF, 443)
+CALLER = 0x64400007
+IDLE_TIMEOUT_MS = 15_000
+
+
+def make_target(number, *, service=SERVICE, data_centre=LOCAL, **fields):
+    """Return a target; its number makes its name and address."""
+    name = number.to_bytes(8, "big")
+    born = fields.get("born", 0)
+    return Target(
+        name=name,
+        born=born,
+        cookie=target_cookie(name, born),
+        address=(f"10.0.0.{number}", 8080),
+        data_centre=data_centre,
+        service=service,
+        slots=fields.get("slots", 2),
+        leaving=fields.get("leaving", False),
+        warm_up_ms=fields.get("warm_up_ms", 0),
+    )
+
+
+def configuration(version, shares=((SERVICE, 1),), place=ROUTE):
+    """Return a configuration with one route."""
+    return Configuration(version, {place: Route("r", shares, True)}, IDLE_TIMEOUT_MS)
+
+
+class World:
+    """A balancer, its clock and the flows of its callers.
+
+    Attributes:
+        now_ms: The virtual time.
+        actions: What the balancer decided, in order.
+        effects: What it asked for beside.
+    """
+
+    def __init__(self, seed=1):
+        self.now_ms = 1_000_000
+        self.balancer = Balancer(data_centre=LOCAL, random=Random(seed))
+        self.balancer.configure(configuration(1))
+        self.actions = []
+        self.effects = []
+        self.next_port = 40_000
+
+    def list_targets(self, *targets):
+        """Let the platform list these targets and no others."""
+        entries = {target.name.hex(): target for target in targets}
+        self.balancer.on_listing(entries, self.now_ms)
+        self.collect()
+
+    def new_flow(self, route=ROUTE):
+        """Return the addresses and ports of a caller's next flow."""
+        self.next_port += 1
+        return (CALLER, self.next_port, *route)
+
+    def send(self, flow, flags=ACK, *, cookie=0, sequence=100, ack=1, length=0):
+        """Send a packet and return what becomes of it."""
+        packet = Packet(flow, flags, cookie, sequence, ack, length)
+        action = self.balancer.on_packet(packet, self.now_ms)
+        self.actions.append(action)
+        self.collect()
+        return action
+
+    def syn(self, flow, copy=0):
+        """Send a SYN, or a copy of it."""
+        return self.send(flow, SYN, ack=copy, sequence=99)
+
+    def open_flow(self, route=ROUTE):
+        """Open a flow and return it with its target."""
+        flow = self.new_flow(route)
+        target = self.syn(flow).target
+        self.wait(6)
+        self.send(flow, cookie=target.cookie, ack=5_000)
+        return flow, target
+
+    def wait(self, duration_ms):
+        """Let time pass in ticks."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms = min(end_ms, self.now_ms + 100)
+            self.balancer.on_tick(self.now_ms)
+            self.collect()
+
+    def collect(self):
+        """Move the balancer's effects here."""
+        self.effects += self.balancer.take_effects()
+
+    def taken(self, kind):
+        """Return and forget the effects of one kind."""
+        found = [effect for effect in self.effects if isinstance(effect, kind)]
+        self.effects = [effect for effect in self.effects if effect not in found]
+        return found
--- /dev/null
+++ b/libs/flows/features/fleet.py
@@ -0,0 +1,181 @@
+"""Balancers of one data centre that share a store, on a virtual clock."""
+
+from random import Random
+
+from lagoontally_flows import (
+    Delta,
+    FetchConfiguration,
+    FetchTargets,
+    List,
+    ReadConfiguration,
+    Reading,
+    Watch,
+)
+
+TICK_MS = 20
+PAGE_MS = 4
+PEER_MS = 1
+TIMEOUT_MS = 1_200
+
+
+class Store:
+    """The platform's store.
+
+    Attributes:
+        revision: Rises with each change.
+        targets_revision: Revision of the last change of targets.
+        version: Version of the newest configuration.
+        away_from: Names of the balancers that it doesn't answer.
+        forgotten: Revision up to which the history is lost.
+        calls: Number of calls made.
+    """
+
+    def __init__(self):
+        self.revision = 10
+        self.targets_revision = 10
+        self.version = 1
+        self.away_from = set()
+        self.forgotten = 0
+        self.calls = 0
+
+
+class Balancer:
+    """One balancer: its decisions on reading, and the call that is running.
+
+    Attributes:
+        reading: The ``Reading``.
+        pending: The running call and when it ends, None without one.
+        targets_revision: What its view shows.
+        version: The configuration in force.
+        alive: Whether its process runs.
+    """
+
+    def __init__(self, name, priority, seed):
+        self.name = name
+        self.reading = Reading(priority=priority, random=Random(seed))
+        self.pending = None
+        self.targets_revision = None
+        self.version = 0
+        self.alive = True
+
+
+class Fleet:
+    """Balancers, a store and the messages between them.
+
+    Attributes:
+        lost: Names of balancers that the next delta doesn't reach.
+    """
+
+    def __init__(self, count, routes=10):
+        self.now_ms = 1_000_000
+        self.routes = routes
+        self.store = Store()
+        self.balancers = [Balancer(f"b{n}", n, n) for n in range(count)]
+        self.lost = set()
+
+    def run(self, duration_ms):
+        """Let time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            for balancer in self.living():
+                self._tick(balancer)
+
+    def living(self):
+        """Return the balancers whose process runs."""
+        return [balancer for balancer in self.balancers if balancer.alive]
+
+    def readers(self):
+        """Return the balancers that read for the others."""
+        return [one for one in self.living() if one.reading.reader]
+
+    def change_targets(self):
+        """Let the platform list other targets."""
+        self.store.revision += 1
+        self.store.targets_revision = self.store.revision
+
+    def change_configuration(self):
+        """Let the operator publish a configuration."""
+        self.store.revision += 1
+        self.store.version += 1
+
+    def _tick(self, balancer):
+        reading = balancer.reading
+        reading.members = len(self.living())
+        if balancer.pending is not None:
+            call, due_ms, early = balancer.pending
+            if self.now_ms >= due_ms or (early and self._has_news(call)):
+                balancer.pending = None
+                self._finish(balancer, call)
+        if balancer.pending is None:
+            self._begin(balancer)
+        beacon = reading.beacon(self.now_ms)
+        if beacon is not None:
+            for other in self.living():
+                if other is not balancer:
+                    other.reading.on_beacon(beacon, balancer.name, self.now_ms)
+
+    def _has_news(self, call):
+        return isinstance(call, Watch) and self.store.revision > call.revision
+
+    def _begin(self, balancer):
+        call = balancer.reading.next_call(self.now_ms)
+        if call is None:
+            return
+        if isinstance(call, FetchTargets | FetchConfiguration):
+            balancer.pending = (call, self.now_ms + PEER_MS, False)
+            return
+        self.store.calls += 1
+        wait_ms = call.wait_ms if isinstance(call, Watch) else 0
+        answered = balancer.name not in self.store.away_from
+        due_ms = self.now_ms + (wait_ms + PAGE_MS if answered else TIMEOUT_MS)
+        balancer.pending = (call, due_ms, answered)
+
+    def _finish(self, balancer, call):
+        reading, store = balancer.reading, self.store
+        if isinstance(call, FetchTargets):
+            self._on_targets(balancer, call.host)
+        elif isinstance(call, FetchConfiguration):
+            self._configure(balancer, self._named(call.host).version)
+        elif balancer.name in store.away_from:
+            reading.on_failure(self.now_ms)
+        elif isinstance(call, List):
+            balancer.targets_revision = store.targets_revision
+            self._configure(balancer, store.version)
+            reading.on_listed(store.revision, self.now_ms)
+        elif isinstance(call, ReadConfiguration):
+            self._configure(balancer, store.version)
+            reading.on_configuration_read(self.now_ms)
+        elif call.revision < store.forgotten:
+            reading.on_history_gone(self.now_ms)
+        else:
+            self._on_changes(balancer, call)
+
+    def _on_changes(self, balancer, call):
+        reading, store = balancer.reading, self.store
+        previous = reading.view_revision
+        changed = store.targets_revision > call.revision
+        self._configure(balancer, store.version)
+        reading.on_changes(store.revision, self.now_ms, targets_changed=changed)
+        if not changed:
+            return
+        balancer.targets_revision = store.targets_revision
+        delta = Delta(previous, store.revision, balancer.version, 0, 1, ())
+        for other in self.living():
+            lost = other is balancer or other.name in self.lost
+            if not lost and other.reading.on_delta(delta):
+                other.targets_revision = balancer.targets_revision
+        self.lost.clear()
+
+    def _on_targets(self, balancer, host):
+        peer = self._named(host)
+        if peer.alive and balancer.reading.on_targets(peer.reading.view_revision):
+            balancer.targets_revision = peer.targets_revision
+
+    def _configure(self, balancer, version):
+        if version > balancer.version:
+            balancer.version = version
+            balancer.reading.on_configuration(version, self.routes)
+
+    def _named(self, name):
+        return next(one for one in self.balancers if one.name == name)
--- /dev/null
+++ b/libs/flows/features/lifecycle.feature
@@ -0,0 +1,38 @@
+Feature: A balancer starts and ends without losing packets
+
+  Scenario Outline: Routers are told when to send packets
+    Given a balancer that has <view>
+    When it is <state>
+    Then it is <answer>
+
+    Examples:
+      | view    | state           | answer    |
+      | a view  | running         | ready     |
+      | no view | running         | not ready |
+      | a view  | isolated        | not ready |
+      | a view  | told to stop    | not ready |
+
+  Scenario: It serves until routers have noticed
+    Given a balancer that has a view
+    When it is told to stop
+    Then it doesn't end within 1000 ms
+    And it ends within 1200 ms
+
+  Scenario: It serves on while packets come
+    Given a balancer that has a view
+    When it is told to stop
+    And packets come for 3000 ms
+    Then it doesn't end within 3500 ms
+    And it ends within 3700 ms
+
+  Scenario: It ends by itself before it would be killed
+    Given a balancer that has a view
+    When it is told to stop
+    And packets come for 9000 ms
+    Then it ends within 5400 ms
+
+  Scenario: A second order to stop doesn't prolong its life
+    Given a balancer that has a view
+    When it is told to stop
+    And it is told to stop again 1000 ms later
+    Then it ends within 1200 ms
--- /dev/null
+++ b/libs/flows/features/placement.feature
@@ -0,0 +1,38 @@
+Feature: New flows are spread
+
+  Scenario: Flows fill the targets evenly
+    Given a balancer with 4 targets
+    When 40 flows are opened
+    Then each target has 10 flows
+
+  Scenario: A target that still warms up gets fewer flows
+    Given a balancer with 3 targets of which 1 warms up
+    When 52 flows are opened
+    Then the warming target has between 10 and 14 flows
+
+  Scenario: Targets of the own data centre come first
+    Given a balancer with 2 targets and 4 remote ones
+    When 10 flows are opened
+    Then no remote target has flows
+
+  Scenario: Without an own target the remote ones serve
+    Given a balancer with 0 targets and 2 remote ones
+    When 10 flows are opened
+    Then each remote target has 5 flows
+
+  Scenario: A service without targets is refused at once
+    Given a balancer with 0 targets
+    When a SYN comes
+    Then it is reset as "no_target"
+
+  Scenario: A split by weights goes on while one of its services has no targets
+    Given a balancer with 2 targets
+    When the route is split between its service and one without targets
+    Then 50 new flows reach the service that has targets
+
+  Scenario: Closed flows no longer count
+    Given a balancer with 2 targets
+    When 10 flows are opened
+    And the flows of one target are closed
+    And 5 flows are opened
+    Then the new flows are on the target whose flows were closed
--- /dev/null
+++ b/libs/flows/features/steps/reading_steps.py
@@ -0,0 +1,126 @@
+"""Steps for the decisions on who reads the store."""
+
+from behave import given, then, when
+from fleet import Balancer, Fleet
+
+
+@given("{count:d} balancers that have run for {duration_ms:d} ms")
+def step_fleet(context, count, duration_ms):
+    """A fleet that has settled."""
+    context.fleet = Fleet(count)
+    context.fleet.run(duration_ms)
+
+
+@given(
+    "{count:d} balancers with {routes:d} routes that have run for {duration_ms:d} ms"
+)
+def step_fleet_routes(context, count, routes, duration_ms):
+    """A fleet with a configuration of some size."""
+    context.fleet = Fleet(count, routes)
+    context.fleet.run(duration_ms)
+
+
+@when("{duration_ms:d} ms pass for the fleet")
+def step_run(context, duration_ms):
+    """Time passes."""
+    context.fleet.run(duration_ms)
+
+
+@when("the targets change")
+def step_targets(context):
+    """An entry changes."""
+    context.fleet.change_targets()
+
+
+@when("the targets change and {count:d} balancers miss the delta")
+def step_targets_missed(context, count):
+    """Datagrams are lost."""
+    fleet = context.fleet
+    followers = [one for one in fleet.living() if not one.reading.reader]
+    fleet.lost = {one.name for one in followers[:count]}
+    fleet.change_targets()
+
+
+@when("the configuration changes")
+def step_configuration(context):
+    """A configuration is published."""
+    context.fleet.change_configuration()
+
+
+@when("the reader dies")
+def step_reader_dies(context):
+    """The process of each reader is killed."""
+    for reader in context.fleet.readers():
+        reader.alive = False
+
+
+@when("the store doesn't answer the reader any more")
+def step_reader_turned_away(context):
+    """The reader's calls hang."""
+    context.fleet.store.away_from = {one.name for one in context.fleet.readers()}
+
+
+@when("the store doesn't answer {count:d} balancers any more")
+def step_some_turned_away(context, count):
+    """The reader is among those that the store turns away."""
+    fleet = context.fleet
+    names = [one.name for one in fleet.readers() + fleet.living()]
+    fleet.store.away_from = set(list(dict.fromkeys(names))[:count])
+
+
+@when("the store answers nobody")
+def step_outage(context):
+    """The store is away."""
+    fleet = context.fleet
+    fleet.store.away_from = {one.name for one in fleet.balancers} | {"new"}
+
+
+@when("the store answers everybody")
+def step_outage_ends(context):
+    """The store is back."""
+    context.fleet.store.away_from = set()
+
+
+@when("the store forgets its history and the targets change")
+def step_compaction(context):
+    """Watches that ask for the past are refused."""
+    fleet = context.fleet
+    fleet.change_targets()
+    fleet.store.forgotten = fleet.store.revision
+
+
+@when("a balancer starts")
+def step_start(context):
+    """One more balancer, which knows nothing."""
+    context.fleet.balancers.append(Balancer("new", 99, 99))
+
+
+@then("{count:d} balancer reads for the others")
+def step_readers(context, count):
+    """The calls don't grow with the fleet."""
+    assert len(context.fleet.readers()) == count, context.fleet.readers()
+
+
+@then("{duration_ms:d} ms cost at most {most:d} calls to the store")
+def step_calls(context, duration_ms, most):
+    """Calls are paid for."""
+    before = context.fleet.store.calls
+    context.fleet.run(duration_ms)
+    calls = context.fleet.store.calls - before
+    assert calls <= most, calls
+
+
+@then("every balancer shows the targets")
+def step_all_show(context):
+    """No view is old."""
+    newest = context.fleet.store.targets_revision
+    old = [one.name for one in context.fleet.living() if one.targets_revision != newest]
+    assert not old, old
+
+
+@then("every balancer has the configuration")
+def step_all_have(context):
+    """No configuration is old."""
+    newest = context.fleet.store.version
+    old = [one.name for one in context.fleet.living() if one.version != newest]
+    assert not old, old
--- /dev/null
+++ b/libs/flows/features/steps/world_steps.py
@@ -0,0 +1,438 @@
+"""Steps for the balancer's decisions on packets, targets and trials."""
+
+from behave import given, then, when
+from fixtures import (
+    REMOTE,
+    SERVICE,
+    UNKNOWN_ROUTE,
+    World,
+    configuration,
+    make_target,
+)
+
+from lagoontally_flows import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    Drop,
+    FlowReset,
+    Reset,
+    Trial,
+    Verdict,
+)
+
+UNKNOWN_COOKIE = 77
+
+
+def set_up(context, local, remote=0, warming=0):
+    """Make a world with some targets."""
+    context.world = World()
+    context.targets = [
+        make_target(number + 1, warm_up_ms=2_000 if number < warming else 0)
+        for number in range(local)
+    ]
+    context.remote = [
+        make_target(100 + number, data_centre=REMOTE) for number in range(remote)
+    ]
+    context.world.list_targets(*context.targets, *context.remote)
+    context.world.effects.clear()
+
+
+def flows_by_target(context):
+    """Return the number of open flows by cookie."""
+    return context.world.balancer.flows.open_flows
+
+
+def place(context, count):
+    """Open flows and return their targets."""
+    return [context.world.open_flow()[1] for _ in range(count)]
+
+
+def replace_target(context, changed):
+    """List all targets, one of them changed; None takes it away."""
+    others = [one for one in context.targets if one.name != context.target.name]
+    context.targets = others + ([changed] if changed else [])
+    context.world.list_targets(*context.targets, *context.remote)
+
+
+@given("a balancer with {local:d} targets")
+def step_targets(context, local):
+    """A balancer with targets in its own data centre."""
+    set_up(context, local)
+
+
+@given("a balancer with {local:d} targets of which {warming:d} warms up")
+def step_warming(context, local, warming):
+    """Some of the targets have just started."""
+    set_up(context, local, warming=warming)
+
+
+@given("a balancer with {local:d} targets and {remote:d} remote ones")
+def step_remote(context, local, remote):
+    """Targets in two data centres."""
+    set_up(context, local, remote)
+
+
+@when("a flow is opened")
+def step_open(context):
+    """One flow gets a target."""
+    context.flow, context.target = context.world.open_flow()
+
+
+@when("{count:d} flows are opened")
+def step_open_many(context, count):
+    """Flows are opened, one after the other."""
+    context.placed = place(context, count)
+
+
+@when("{duration_ms:d} ms pass")
+def step_pass(context, duration_ms):
+    """Time passes."""
+    context.world.wait(duration_ms)
+
+
+@when("{duration_ms:d} ms pass and the view is confirmed")
+def step_pass_confirmed(context, duration_ms):
+    """Time passes and the platform is heard meanwhile."""
+    context.world.wait(duration_ms)
+    context.world.balancer.view_confirmed_ms = context.world.now_ms
+
+
+@when("its target starts again under the same id")
+def step_start_again(context):
+    """The target's entry shows another start."""
+    context.again = make_target(int.from_bytes(context.target.name, "big"), born=5)
+    replace_target(context, context.again)
+
+
+@when("its target leaves")
+def step_leave(context):
+    """The target's entry says that it is leaving."""
+    replace_target(context, context.target._replace(leaving=True))
+
+
+@when("its target is no longer listed")
+def step_lapse(context):
+    """The target's entry is gone."""
+    replace_target(context, None)
+
+
+@when("all targets are no longer listed at once")
+def step_lapse_all(context):
+    """The store shows no target."""
+    context.world.list_targets()
+
+
+@when("a packet with an unknown cookie comes")
+def step_unknown_cookie(context):
+    """A packet names no target that is known."""
+    flow = context.world.new_flow()
+    context.action = context.world.send(flow, cookie=UNKNOWN_COOKIE)
+
+
+@when("a SYN comes")
+def step_syn(context):
+    """A caller opens a flow."""
+    context.action = context.world.syn(context.world.new_flow())
+
+
+@when("a SYN to an unknown route comes")
+def step_unknown_route(context):
+    """A caller opens a flow to a route that isn't configured."""
+    context.action = context.world.syn(context.world.new_flow(UNKNOWN_ROUTE))
+
+
+@when("a SYN and its copy come at the same moment")
+def step_late_syns(context):
+    """Both waited in the socket."""
+    flow = context.world.new_flow()
+    context.pair = [context.world.syn(flow), context.world.syn(flow, copy=1)]
+
+
+@when("a SYN comes and its copy 200 ms later")
+def step_syn_copy(context):
+    """The target didn't answer the first one."""
+    flow = context.world.new_flow()
+    context.target = context.world.syn(flow).target
+    context.world.wait(200)
+    context.action = context.world.syn(flow, copy=1)
+
+
+@when("a configuration without its route is in force")
+def step_drop_route(context):
+    """The operator removes the route."""
+    context.world.balancer.configure(configuration(9, place=UNKNOWN_ROUTE))
+
+
+@when("configuration {version:d} is in force")
+@when("configuration {version:d} arrives")
+def step_configure(context, version):
+    """A configuration arrives."""
+    context.world.balancer.configure(configuration(version))
+
+
+@when("the route is split between its service and one without targets")
+def step_split(context):
+    """Half of the flows should go where nothing serves."""
+    shares = ((SERVICE, 50), ("nothing-there", 50))
+    context.world.balancer.configure(configuration(2, shares))
+
+
+@when("the flows of one target are closed")
+def step_close_some(context):
+    """Callers end all flows of one target."""
+    context.emptied = context.placed[0]
+    for key, flow in list(context.world.balancer.flows.flows.items()):
+        if flow.cookie == context.emptied.cookie:
+            context.world.send(key, ACK | FIN, cookie=flow.cookie, ack=5_000)
+
+
+@when("a caller sends {packet}")
+def step_stray(context, packet):
+    """A packet that belongs to no flow."""
+    flow = context.world.new_flow()
+    if packet == "a SYN with ACK":
+        context.action = context.world.send(flow, SYN | ACK)
+    elif packet == "data without a cookie":
+        context.action = context.world.send(flow, length=100)
+    else:
+        context.action = context.world.send(flow, RST)
+
+
+def repeat_request(context, flow, target):
+    """Send a request and, 200 ms later, again."""
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+    context.world.wait(200)
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+
+
+@when("its caller repeats a request")
+def step_repeat(context):
+    """The target acknowledged nothing for 200 ms."""
+    repeat_request(context, context.flow, context.target)
+
+
+@when("two flows are opened to one target")
+def step_two_flows(context):
+    """Enough flows that one target has two."""
+    context.opened = [context.world.open_flow() for _ in range(4)]
+
+
+@when("the caller of the first repeats a request while the second is answered")
+def step_repeat_answered(context):
+    """One flow stalls, the other goes on."""
+    (flow, target), *_, (other, other_target) = context.opened
+    assert target == other_target
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+    context.world.wait(190)
+    context.world.send(other, cookie=target.cookie, ack=6_000)
+    context.world.wait(10)
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+
+
+@when("flows to {count:d} targets are opened and all their callers repeat requests")
+def step_repeat_all(context, count):
+    """No target answers."""
+    context.opened = [context.world.open_flow() for _ in range(count)]
+    for flow, target in context.opened:
+        repeat_request(context, flow, target)
+
+
+@when("all their callers repeat requests")
+def step_repeat_again(context):
+    """Nothing has come back since."""
+    for flow, target in context.opened:
+        context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+
+
+@when('the trial ends as "{evidence}"')
+def step_trial_ends(context, evidence):
+    """The trial of the target is over."""
+    cookie = context.target.cookie
+    context.world.balancer.on_trial(cookie, evidence, context.world.now_ms)
+    context.world.collect()
+
+
+@when("a peer says that its target is dead")
+def step_verdict(context):
+    """Another balancer found the target dead."""
+    verdict = Verdict(context.target.cookie, True, "silent")
+    context.world.balancer.on_verdict(verdict, context.world.now_ms)
+    context.world.collect()
+
+
+@then("another balancer that never saw it sends its packets to the same target")
+def step_any_balancer(context):
+    """A flow needs no balancer's memory."""
+    other = World(seed=2)
+    other.list_targets(*context.targets)
+    for _ in range(10):
+        action = other.send(context.flow, cookie=context.target.cookie, length=10)
+        assert action.target == context.target, action
+
+
+@then("the cookie of the new incarnation differs")
+def step_cookie_differs(context):
+    """Old flows can't reach the new incarnation."""
+    assert context.again.cookie != context.target.cookie
+
+
+@then("its packets still go to that target")
+def step_still(context):
+    """The flow goes on."""
+    action = context.world.send(context.flow, cookie=context.target.cookie)
+    assert action.target.cookie == context.target.cookie, action
+
+
+@then("{count:d} new flows go to other targets")
+def step_others(context, count):
+    """No new flow reaches the target."""
+    assert context.target.cookie not in {one.cookie for one in place(context, count)}
+
+
+@then("{count:d} new flows reach its target too")
+def step_reach(context, count):
+    """The target gets new flows."""
+    assert context.target.cookie in {one.cookie for one in place(context, count)}
+
+
+@then("{count:d} new flows reach {targets:d} targets")
+def step_reach_all(context, count, targets):
+    """All targets get new flows."""
+    assert len({one.cookie for one in place(context, count)}) == targets
+
+
+@then("{count:d} new flows reach the service that has targets")
+def step_reach_service(context, count):
+    """No flow is refused."""
+    assert {one.service for one in place(context, count)} == {SERVICE}
+
+
+@then('it is dropped as "{reason}"')
+def step_dropped(context, reason):
+    """Nothing is sent."""
+    assert context.action == Drop(reason), context.action
+
+
+@then('it is reset as "{reason}"')
+def step_reset(context, reason):
+    """The caller hears of it at once."""
+    assert isinstance(context.action, Reset), context.action
+    assert context.action.reason == reason, context.action
+
+
+@then('a new flow is reset as "{reason}"')
+def step_new_reset(context, reason):
+    """A new flow is refused at once."""
+    context.action = context.world.syn(context.world.new_flow())
+    step_reset(context, reason)
+
+
+@then('its next packet is reset as "{reason}"')
+def step_next_reset(context, reason):
+    """An open flow ends."""
+    context.action = context.world.send(context.flow, cookie=context.target.cookie)
+    step_reset(context, reason)
+
+
+@then("configuration {version:d} is still in force")
+def step_in_force(context, version):
+    """Versions never go back."""
+    assert context.world.balancer.configuration.version == version
+
+
+@then("both go to the same target")
+def step_same(context):
+    """The copy isn't moved."""
+    first, second = context.pair
+    assert first.target == second.target, context.pair
+
+
+@then("the copy goes to another target")
+def step_other(context):
+    """The copy is moved."""
+    assert context.action.target != context.target, context.action
+
+
+@then("no trial is made")
+def step_no_trial(context):
+    """Nothing is doubted."""
+    assert not context.world.taken(Trial)
+
+
+@then("a trial of its target is made")
+@then("a trial of the first target is made")
+def step_trial(context):
+    """The target is doubted."""
+    assert Trial(context.target.cookie) in context.world.taken(Trial)
+
+
+@then("the flow is reset")
+def step_flow_reset(context):
+    """The caller hears at once, near what it last acknowledged."""
+    resets = context.world.taken(FlowReset)
+    assert [(one.flow, one.sequence) for one in resets] == [(context.flow, 5_000)]
+
+
+@then("the flow isn't reset")
+def step_flow_kept(context):
+    """The flow goes on."""
+    assert not context.world.taken(FlowReset)
+    step_still(context)
+
+
+@then("the peers are told that the target is {state}")
+def step_told(context, state):
+    """A verdict is sent."""
+    newest = context.world.taken(Verdict)[-1]
+    assert newest.cookie == context.target.cookie, newest
+    assert newest.dead == (state == "dead"), newest
+
+
+@then("nothing is told to the peers")
+def step_not_told(context):
+    """No verdict is sent."""
+    assert not context.world.taken(Verdict)
+
+
+@then("the balancer holds itself for isolated")
+def step_isolated(context):
+    """It blames its own network."""
+    assert context.world.balancer.health.isolated(context.world.now_ms)
+
+
+@then("each target has {count:d} flows")
+def step_each(context, count):
+    """The flows are even."""
+    flows = flows_by_target(context)
+    assert [flows.get(one.cookie, 0) for one in context.targets] == (
+        [count] * len(context.targets)
+    ), flows
+
+
+@then("each remote target has {count:d} flows")
+def step_each_remote(context, count):
+    """The flows are even."""
+    flows = flows_by_target(context)
+    assert all(flows.get(one.cookie) == count for one in context.remote), flows
+
+
+@then("no remote target has flows")
+def step_no_remote(context):
+    """All flows stayed in the data centre."""
+    flows = flows_by_target(context)
+    assert not any(flows.get(one.cookie) for one in context.remote), flows
+
+
+@then("the warming target has between {least:d} and {most:d} flows")
+def step_warming_flows(context, least, most):
+    """It has fewer than its share."""
+    flows = flows_by_target(context)[context.targets[0].cookie]
+    assert least <= flows <= most, flows
+
+
+@then("the new flows are on the target whose flows were closed")
+def step_emptied(context):
+    """Closed flows make room."""
+    assert {one.cookie for one in context.placed} == {context.emptied.cookie}
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -149,12 +149,12 @@
             return self._first_call(now_ms)
         if not self.reader and now_ms >= self._take_over_ms:
             self.reader = True
-        if self.reader:
-            return Watch(
-                self.revision, WATCH_WAIT_MS if self._in_contact(now_ms) else 1
-            )
         if self.announced_version > self.configuration_version:
             return self._configuration_call(now_ms)
+        if self.reader:
+            # Without contact a watch that ends at once shows it soonest.
+            wait_ms = WATCH_WAIT_MS if self._in_contact(now_ms) else 1
+            return Watch(self.revision, wait_ms)
         if self._behind:
             return self._targets_call(now_ms)
         return None
@@ -204,6 +204,7 @@
         if revision < self.view_revision:
             return False
         self._behind = False
+        self._ask_reader = True  # it has answered just now
         self.view_revision = revision
         if self.revision is None:
             self.revision = revision
--- /dev/null
+++ b/libs/soak/src/lagoontally_soak/_deployment.py
@@ -0,0 +1,163 @@
+"""A small deployment on loopback: store, targets, balancers, routers, callers."""
+
+import itertools
+
+from ._caller import Callers
+from ._loop import Loop
+from ._process import BalancerProcess
+from ._proxy import Proxy
+from ._router import Router
+from ._store import Store
+from ._target import Target
+from ._wire import host_number
+
+PACKET_PORT, READY_PORT, PEER_PORT, STORE_PORT = 8172, 8167, 8166, 8169
+TARGET_PORT = 8080
+GRACE_S = 6
+SERVICES = ("pivot-link", "usage-ledger")
+ROUTE_HOST = "198.18.0.1"
+ROUTE_PORTS = {"pivot-link": 443, "usage-ledger": 8443}
+IDLE_TIMEOUT_MS = 15_000
+START_TIMEOUT_S = 20
+
+
+class Deployment:
+    """Everything that a run needs.
+
+    Args:
+        folder: Folder for settings and logs.
+        network: Second octet of all addresses, 1 to 254; runs that overlap need
+            different ones.
+        data_centres: Names of the data centres.
+        balancers: Balancers in each data centre.
+        targets: Targets of each service in each data centre.
+
+    Attributes:
+        ledger: Every ``Run`` of every target.
+        routes: Service by route, of the newest configuration.
+    """
+
+    def __init__(self, folder, network, *, data_centres, balancers, targets):
+        self.network = network
+        self.data_centres = data_centres
+        self.loop = Loop()
+        self.ledger = []
+        self.version = 0
+        self.identities = itertools.count(1)
+        self.store = Store(self.loop, (self.host(0, 1), STORE_PORT))
+        self.routes = {
+            (host_number(ROUTE_HOST), port): service
+            for service, port in ROUTE_PORTS.items()
+        }
+        self.publish()
+        self.targets = {}
+        for place, service, number in itertools.product(
+            range(len(data_centres)), SERVICES, range(targets)
+        ):
+            self.add_target(place, service, 1 + number + 20 * SERVICES.index(service))
+        self.balancers, self.proxies, self.routers, self.callers = {}, {}, {}, {}
+        for place, data_centre in enumerate(data_centres):
+            self._add_balancers(folder, place, data_centre, balancers)
+
+    def host(self, group, number):
+        """Return an address: group 0 the store, from 1 balancers, 101 targets."""
+        return f"127.{self.network}.{group}.{number}"
+
+    def publish(self, **changes):
+        """Publish a configuration with the present routes."""
+        self.version += 2
+        routes = [
+            {
+                "name": f"r-{port}",
+                "host": ROUTE_HOST,
+                "prefix": f"/{port}/",
+                "type": "safe",
+                "service": service,
+            }
+            for (_, port), service in self.routes.items()
+        ]
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": service} for service in SERVICES],
+            "limits": {"idle-timeout-ms": IDLE_TIMEOUT_MS},
+        }
+        self.store.put("op/config", document | changes)
+
+    def add_target(self, place, service, number):
+        """Start a target and let it register itself."""
+        identity = f"i-{next(self.identities):08x}"
+        address = (self.host(101 + place, number), TARGET_PORT)
+        target = Target(
+            self.loop,
+            identity,
+            service,
+            address,
+            client_port=PACKET_PORT,
+            ledger=self.ledger,
+        )
+        self.targets[identity] = (place, target)
+        self.register(identity)
+        return target
+
+    def register(self, identity, state="ready"):
+        """Let a target write its entry."""
+        place, target = self.targets[identity]
+        entry = target.entry(self.data_centres[place], state)
+        self.store.put(f"servers/{identity}", entry)
+
+    def remove_target(self, identity):
+        """End a target and delete its entry."""
+        _, target = self.targets.pop(identity)
+        target.close()
+        self.store.put(f"servers/{identity}", None)
+
+    def start(self):
+        """Start every balancer and wait until all are in rotation."""
+        for balancer in self.balancers.values():
+            balancer.start()
+        return self.loop.run_until(self.all_ready, START_TIMEOUT_S)
+
+    def all_ready(self):
+        """Tell whether every balancer answers that it takes packets."""
+        misses = [
+            count
+            for router in self.routers.values()
+            for count in router.misses.values()
+        ]
+        return not any(misses)
+
+    def stop(self):
+        """End every balancer."""
+        for balancer in self.balancers.values():
+            balancer.kill()
+
+    def _add_balancers(self, folder, place, data_centre, count):
+        addresses = {}
+        for number in range(1, count + 1):
+            host = self.host(1 + place, number)
+            name = f"{data_centre}-{number}"
+            proxy_address = (self.host(51 + place, number), STORE_PORT)
+            self.proxies[name] = Proxy(self.loop, proxy_address, self.store.address)
+            settings = {
+                "instance": name,
+                "data_centre": data_centre,
+                "host": host,
+                "packet_address": f"{host}:{PACKET_PORT}",
+                "ready_address": f"{host}:{READY_PORT}",
+                "peer_address": f"{host}:{PEER_PORT}",
+                "seeds": [f"{self.host(1, 1)}:{PEER_PORT}"],
+                "store_address": "{}:{}".format(*proxy_address),
+                "link_mbps": 350,
+                "grace_s": GRACE_S,
+            }
+            self.balancers[name] = BalancerProcess(settings, folder)
+            addresses[name] = ((host, PACKET_PORT), (host, READY_PORT))
+        self.routers[data_centre] = Router(self.loop, addresses)
+        self.callers[data_centre] = Callers(
+            self.loop,
+            self.host(201 + place, 1),
+            PACKET_PORT,
+            router=self.routers[data_centre],
+            services=self.routes,
+        )
--- /dev/null
+++ b/libs/soak/src/lagoontally_soak/_store.py
@@ -0,0 +1,174 @@
+"""A stand-in for the platform's store."""
+
+import base64
+import json
+import socket
+from typing import NamedTuple
+from urllib.parse import parse_qs, urlsplit
+
+PAGE_ITEMS = 50
+HISTORY = 400
+ANSWERING = "answering"
+BUSY = "busy"
+SILENT = "silent"
+RESETTING = "resetting"
+
+
+class Event(NamedTuple):
+    """A change in the store; a document of None is a deletion."""
+
+    revision: int
+    key: str
+    document: object
+
+
+class Store:
+    """Items by key, their history, and an HTTP server for both.
+
+    Attributes:
+        mode: How calls are treated: one of the constants above.
+        modes: The same for single callers, by host; goes before ``mode``.
+        delay_s: How long each answer takes.
+        calls: Number of calls, by host.
+    """
+
+    def __init__(self, loop, address):
+        self.loop = loop
+        self.items = {}
+        self.events = []
+        self.revision = 10
+        self.floor = 0
+        self.mode = ANSWERING
+        self.modes = {}
+        self.delay_s = 0.0
+        self.calls = {}
+        self.waiting = []
+        self.listener = socket.create_server(address, backlog=128)
+        self.address = self.listener.getsockname()
+        loop.watch(self.listener, self._on_connection)
+
+    def put(self, key, document):
+        """Write an item; None deletes it."""
+        self.revision += 1
+        if document is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = Event(self.revision, key, document)
+        self.events = [*self.events, Event(self.revision, key, document)][-HISTORY:]
+        waiting, self.waiting = self.waiting, []
+        for connection, query in waiting:
+            self._answer_watch(connection, query)
+
+    def forget_history(self):
+        """Drop the history: watches from the past get 410."""
+        self.events = []
+        self.floor = self.revision
+
+    def _on_connection(self):
+        sock, (host, _) = self.listener.accept()
+        _StoreConnection(self, sock, host)
+
+    def handle(self, connection, target):
+        """Answer one call, now or later."""
+        self.calls[connection.host] = self.calls.get(connection.host, 0) + 1
+        mode = self.modes.get(connection.host, self.mode)
+        if mode == SILENT:
+            return
+        if mode == RESETTING:
+            connection.close()
+            return
+        if mode == BUSY:
+            connection.send(503, {})
+            return
+        self.loop.after(self.delay_s, lambda: self._route(connection, target))
+
+    def _route(self, connection, target):
+        url = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/api/kv-range":
+            self._answer_range(connection, query)
+        elif url.path == "/api/kv-watch":
+            self._answer_watch(connection, query)
+        else:
+            connection.send(404, {})
+
+    def _answer_range(self, connection, query):
+        prefix, after = query.get("prefix", ""), query.get("after", "")
+        keys = sorted(
+            key for key in self.items if key.startswith(prefix) and key > after
+        )
+        items = [_item(self.items[key]) for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        connection.send(200, {"items": items, "has-more": more, "as-of": self.revision})
+
+    def _answer_watch(self, connection, query):
+        after = int(query["after"])
+        if after < self.floor:
+            connection.send(410, {})
+            return
+        found = [
+            event
+            for event in self.events
+            if event.revision > after and event.key.startswith(query.get("prefix", ""))
+        ]
+        if found:
+            events = [_item(event) for event in found]
+            connection.send(200, {"events": events, "as-of": self.revision})
+            return
+        waiting = (connection, query)
+        self.waiting.append(waiting)
+        self.loop.after(int(query["wait-ms"]) / 1_000, lambda: self._end_watch(waiting))
+
+    def _end_watch(self, waiting):
+        if waiting in self.waiting:
+            self.waiting.remove(waiting)
+            waiting[0].send(200, {"events": [], "as-of": self.revision})
+
+
+def _item(event):
+    if event.document is None:
+        return {"key": event.key, "revision": event.revision, "deleted": True}
+    document = event.document
+    text = document if isinstance(document, bytes) else json.dumps(document).encode()
+    value = base64.b64encode(text).decode()
+    return {"key": event.key, "value": value, "revision": event.revision, "lease": 0}
+
+
+class _StoreConnection:
+    def __init__(self, store, sock, host):
+        self.store = store
+        self.sock = sock
+        self.host = host
+        self.received = b""
+        self.is_open = True
+        store.loop.watch(sock, self.on_readable)
+
+    def on_readable(self):
+        try:
+            data = self.sock.recv(65_536)
+        except OSError:
+            data = b""  # the caller reset the connection
+        if not data:
+            self.close()
+            return
+        self.received += data
+        while self.is_open and b"\r\n\r\n" in self.received:
+            head, _, self.received = self.received.partition(b"\r\n\r\n")
+            self.store.handle(self, head.split(b" ")[1].decode())
+
+    def send(self, status, document):
+        if not self.is_open:
+            return
+        body = json.dumps(document).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.sock.setblocking(True)
+        try:
+            self.sock.sendall(head.encode() + body)
+            self.sock.setblocking(False)
+        except OSError:
+            self.close()  # the caller has gone
+
+    def close(self):
+        if self.is_open:
+            self.is_open = False
+            self.store.loop.unwatch(self.sock)
