Serve open flows before the configuration is there; list targets and configuration at once

Change: a starting balancer reads targets and configuration in two calls at the same time, sends open flows on as soon as it has the targets, and holds SYNs until the configuration is there; the first listing is one line.

--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -141,11 +141,10 @@
             reading.on_failure(self.now_ms)
         elif isinstance(call, List):
             balancer.targets_revision = store.targets_revision
-            self._configure(balancer, store.version)
             reading.on_listed(store.revision, self.now_ms)
         elif isinstance(call, ReadConfiguration):
             self._configure(balancer, store.version)
-            reading.on_configuration_read(self.now_ms)
+            reading.on_configuration_read(store.revision, self.now_ms, found=True)
         elif call.revision < store.forgotten:
             reading.on_history_gone(self.now_ms)
         else:
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -9,7 +9,7 @@
 from ._flow_table import FlowTable
 from ._health import Health
 from ._placement import choose_service, choose_target
-from ._records import FIN, RST, SYN, Drop, Forward, Reset
+from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
 from ._view import View
 
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
@@ -66,11 +66,14 @@
             now_ms: Time of the step.
 
         Returns:
-            A ``Forward``, ``Reset`` or ``Drop``.
+            A ``Forward``, ``Reset`` or ``Drop``, or a ``Hold`` until there is a
+            configuration.
         """
         if packet.flags & SYN:
             if packet.flags & ~SYN:
                 return Drop("forged_handshake")
+            if self.configuration is None:
+                return Hold()
             return self._on_syn(packet, now_ms)
         flow = self.flows.flows.get(packet.flow)
         cookie = packet.cookie or (flow.cookie if flow else 0)
@@ -80,7 +83,7 @@
         if packet.flags & RST:
             self.flows.remove(packet.flow)
             return Forward(target, "open_flow") if target else Drop("unknown_cookie")
-        if self._route(packet) is None:
+        if self.configuration is not None and self._route(packet) is None:
             self.flows.remove(packet.flow)
             return Reset("route_removed", packet.acknowledgement)
         if target is None:
@@ -262,10 +265,17 @@
         if before == target:
             return
         shown = target or before
-        event = "target_listed" if target is not None else "target_lapsed"
+        replaced = before is not None and before.cookie != shown.cookie
+        if target is None or replaced:
+            self._try_lapsed(before, now_ms)
+        self._note_entry(shown, listed=target is not None)
+
+    def _note_entry(self, shown, *, listed):
+        if self.view_confirmed_ms is None:
+            return  # the first listing is one line, not one for each target
         self.effects.append(
             Note(
-                event,
+                "target_listed" if listed else "target_lapsed",
                 (
                     ("target", shown.name.hex()),
                     ("service", shown.service),
@@ -275,9 +285,6 @@
                 ),
             )
         )
-        replaced = before is not None and before.cookie != shown.cookie
-        if target is None or replaced:
-            self._try_lapsed(before, now_ms)
 
     def _try_lapsed(self, target, now_ms):
         """Find out whether a target that is no longer listed still runs."""
--- a/libs/flows/src/lagoontally_flows/_cookie.py
+++ b/libs/flows/src/lagoontally_flows/_cookie.py
@@ -1,6 +1,6 @@
 """The cookie that names a target in the packets of its flows."""
 
-from zlib import crc32
+from binascii import crc32
 
 NO_COOKIE = 0
 
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -28,7 +28,7 @@
 
 
 class List(namedtuple("List", "")):
-    """Read everything from the store."""
+    """Read all targets from the store."""
 
     __slots__ = ()
 
@@ -132,6 +132,8 @@
         self._ask_reader = True
         self._reader_host = None
         self._listed = False
+        self._configured = False
+        self._configuration_revision = None
         self._next_call_ms = 0
         self._take_over_ms = 0
         self._behind = False
@@ -149,7 +151,8 @@
             return self._first_call(now_ms)
         if not self.reader and now_ms >= self._take_over_ms:
             self.reader = True
-        if self.announced_version > self.configuration_version:
+        announced = self.announced_version > self.configuration_version
+        if announced or not self._configured:
             return self._configuration_call(now_ms)
         if self.reader:
             # Without contact a watch that ends at once shows it soonest.
@@ -160,10 +163,11 @@
         return None
 
     def on_listed(self, revision, now_ms):
-        """Note that everything was read from the store."""
+        """Note that all targets were read from the store."""
         self._listed = True
         self._behind = False
         self.revision = self.view_revision = revision
+        self._limit_watch()
         self._on_answer(now_ms)
 
     def on_changes(self, revision, now_ms, *, targets_changed):
@@ -176,16 +180,28 @@
 
     def on_configuration(self, version, routes):
         """Note that a configuration of some version is in force."""
+        self._configured = True
         self.configuration_version = version
         self.routes = routes
 
-    def on_configuration_read(self, now_ms):
-        """Note that the store answered a call for the configuration."""
+    def on_configuration_read(self, revision, now_ms, *, found):
+        """Note that the store answered a call for the configuration.
+
+        Args:
+            revision: The store's revision that the answer shows.
+            now_ms: Time of the step.
+            found: Whether there was one that can be used.
+        """
+        self._configured = self._configured or found
+        self._configuration_revision = revision
+        self._limit_watch()
         self._on_answer(now_ms)
+        if not found:
+            self._next_call_ms = now_ms + FETCH_RETRY_MS
 
     def on_history_gone(self, now_ms):
         """Note that the store no longer has the changes that were asked for."""
-        self._listed = False
+        self._listed = self._configured = False
         self._on_answer(now_ms)
 
     def on_failure(self, now_ms):
@@ -240,6 +256,9 @@
         if not fresh:
             self._on_vain_reader(beacon, now_ms)
             return
+        if beacon.configuration_version <= self.configuration_version:
+            known = self._configuration_revision or 0
+            self._configuration_revision = max(known, beacon.revision)
         if self.revision is None or beacon.revision > self.view_revision:
             self._on_behind(now_ms)
         else:
@@ -307,6 +326,12 @@
             return FetchTargets(self._reader_host)
         return List()
 
+    def _limit_watch(self):
+        """Let a watch begin where both targets and configuration were known."""
+        known = self._configuration_revision
+        if known is not None and self.revision is not None:
+            self.revision = min(self.revision, known)
+
     def _turn_to_reader(self, now_ms):
         ask_reader, self._ask_reader = self._ask_reader, not self._ask_reader
         if not ask_reader or self._reader_host is None:
--- a/libs/flows/src/lagoontally_flows/_records.py
+++ b/libs/flows/src/lagoontally_flows/_records.py
@@ -93,6 +93,12 @@
     __slots__ = ()
 
 
+class Hold(namedtuple("Hold", "")):
+    """Keep the packet until there is a configuration."""
+
+    __slots__ = ()
+
+
 class Drop(namedtuple("Drop", "reason")):
     """Do nothing with the packet."""
 
--- a/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
@@ -1,6 +1,6 @@
 """Takes callers' packets and sends them where the balancer decides."""
 
-from lagoontally_flows import Drop, Forward
+from lagoontally_flows import Drop, Forward, Hold
 from lagoontally_platform import (
     MAX_DATAGRAM_BYTES,
     NAME_BYTES,
@@ -16,6 +16,7 @@
 
 from ._sockets import datagram_socket
 
+MOST_HELD = 256  # SYNs of a second or two, while a large configuration comes
 PACKETS_A_TURN = 128  # then other sockets have their turn
 USUAL = ("open_flow", "placed")
 REQUEST_ID_BYTES = 64
@@ -42,6 +43,7 @@
         self.counters = counters
         self.packet_ms = 0
         self.is_open = False
+        self._held = []
         self._reset_port = address[1]
         self._sock = datagram_socket(address)
         # One byte more than a packet shows datagrams that are too long.
@@ -54,6 +56,14 @@
             self.is_open = True
             self.loop.watch(self._sock, self._on_readable)
 
+    def release(self):
+        """Decide on the packets that waited for a configuration."""
+        held, self._held = self._held, []
+        now_ms = self.loop.clock()
+        for datagram in held:
+            self._space[: len(datagram)] = datagram
+            self._on_packet(len(datagram), now_ms)
+
     def reset(self, flow, sequence, reason, **inputs):
         """Reset a flow."""
         host = format_host(flow[0])
@@ -84,6 +94,11 @@
         action = self.balancer.on_packet(packet, now_ms)
         if isinstance(action, Forward):
             self._forward(packet, action, size)
+        elif isinstance(action, Hold):
+            if len(self._held) < MOST_HELD:
+                self._held.append(bytes(self._space[:size]))
+            else:
+                self.counters.add("dropped", "too_many_held")
         elif isinstance(action, Drop):
             self.counters.add("dropped", action.reason)
             self.log.line("drop", **self._identify(packet, size), reason=action.reason)
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -1,10 +1,10 @@
 """A balancer as a process: its parts, wired, and its loop."""
 
+from _random import Random  # ``random`` takes 3 ms more at the start
 from _signal import SIGHUP, SIGTERM, set_wakeup_fd, signal
 from _socket import socketpair
+from binascii import crc32
 from os import environ, stat
-from random import Random
-from zlib import crc32
 
 from lagoontally_flows import (
     WEAK_LINK_MBPS,
@@ -35,6 +35,7 @@
 SETTINGS_CHECK_MS = 2_000  # the file may change without a signal
 WEAK_PRIORITY = 1 << 32  # behind every instance with a fast link
 SUSPENDED_MS = 1_000  # a tick that late means that the machine stood still
+CONFIGURATION_WAIT_MS = 2_000  # a large one takes a second on a slow link
 METRICS_PATH = b"/metrics"
 EXIT_SETTINGS = 2
 
@@ -176,13 +177,21 @@
         )
 
     def _note_readiness(self, time_ms):
-        has_view = self.reading.revision is not None and (
-            self.balancer.configuration is not None
-        )
+        has_view = self.reading.revision is not None
         if has_view and not self.port.is_open:
             self.port.open()
             self.counters.time("start", time_ms - self.started_ms)
-            self.log.line("serving", after_ms=time_ms - self.started_ms)
+            self.log.line(
+                "serving",
+                after_ms=time_ms - self.started_ms,
+                targets=len(self.balancer.view.targets),
+                version=self.reading.configuration_version,
+            )
+        if self.balancer.configuration is not None:
+            self.port.release()
+        else:
+            waited_ms = time_ms - self.started_ms
+            has_view = has_view and waited_ms < CONFIGURATION_WAIT_MS
         self.lifecycle.packet_ms = self.port.packet_ms
         isolated = self.balancer.health.isolated(time_ms)
         ready = self.lifecycle.ready(has_view=has_view, isolated=isolated)
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -10,6 +10,7 @@
 )
 from lagoontally_platform import (
     CONFIGURATION_KEY,
+    ENTRIES,
     EVERYTHING,
     HISTORY_GONE,
     OK,
@@ -55,13 +56,19 @@
         self._peer = None
         self._pages = {}
         self._page_revision = None
-        self._page_configuration = None
         self._called_ms = 0
         self._reached = True
+        # A balancer that starts reads targets and configuration at the same time:
+        # open flows need only the targets, and a configuration may be large.
+        self._early = HttpClient(loop, settings.store_address)
+        self._early.get(
+            page_path(CONFIGURATION_KEY), CALL_TIMEOUT_MS, self._on_early_configuration
+        )
 
     def on_tick(self, now_ms):
         """Make the call that is due, and give up those that take too long."""
         self.store.on_tick(now_ms)
+        self._early.on_tick(now_ms)
         if self._peer is not None:
             self._peer.on_tick(now_ms)
         if self.store.busy or (self._peer is not None and self._peer.busy):
@@ -69,8 +76,8 @@
         call = self.reading.next_call(now_ms)
         if isinstance(call, List):
             self._pages.clear()
-            self._page_revision = self._page_configuration = None
-            self._get(page_path(EVERYTHING), CALL_TIMEOUT_MS, self._on_page)
+            self._page_revision = None
+            self._get(page_path(ENTRIES), CALL_TIMEOUT_MS, self._on_page)
         elif isinstance(call, Watch):
             path = changes_path(EVERYTHING, call.revision, call.wait_ms)
             self._get(path, call.wait_ms + WATCH_SLACK_MS, self._on_changes)
@@ -85,6 +92,7 @@
     def close(self):
         """Close the connections."""
         self.store.close()
+        self._early.close()
 
     def on_delta(self, delta, now_ms):
         """Take in changes that a reader tells."""
@@ -132,13 +140,11 @@
         self._pages.update(listing.entries)
         if self._page_revision is None:
             self._page_revision = listing.revision
-        self._page_configuration = listing.configuration or self._page_configuration
         if listing.next_key is not None:
-            path = page_path(EVERYTHING, listing.next_key)
+            path = page_path(ENTRIES, listing.next_key)
             self._get(path, CALL_TIMEOUT_MS, self._on_page)
             return
         now_ms = self.loop.clock()
-        self._configure(self._page_configuration, "store")
         entries = {key: target for key, target in self._pages.items() if target}
         self.balancer.on_listing(entries, now_ms)
         self.reading.on_listed(self._page_revision, now_ms)
@@ -167,9 +173,16 @@
     def _on_configuration(self, result):
         listing = self._decoded(result, decode_page)
         if listing is not None:
-            now_ms = self.loop.clock()
             self._configure(listing.configuration, "store")
-            self.reading.on_configuration_read(now_ms)
+            self.reading.on_configuration_read(
+                listing.revision,
+                self.loop.clock(),
+                found=listing.configuration is not None,
+            )
+
+    def _on_early_configuration(self, result):
+        self._early.close()
+        self._on_configuration(result)
 
     def _fetch(self, host, path, done):
         self._peer = HttpClient(self.loop, (host, self._peer_port))
