--- a/deploy/balancer.py
+++ b/deploy/balancer.py
@@ -2,8 +2,7 @@
 
 import sys
 
-_app = __file__.rpartition("/")[0]
-sys.path[:0] = [_app, _app + "/../deps"]
+sys.path.insert(0, __file__.rpartition("/")[0])
 
 from lagoontally_forwarder import main  # noqa: E402  # its path is set above
 
--- a/deploy/build.py
+++ b/deploy/build.py
@@ -6,31 +6,18 @@
 
 import compileall
 import shutil
-import subprocess
 import sys
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 TARGET = ROOT / "target"
 PACKAGES = (
+    ROOT / "libs/lean/src/lagoontally_lean",
     ROOT / "libs/flows/src/lagoontally_flows",
     ROOT / "libs/forwarder/src/lagoontally_forwarder",
     ROOT / "platform/lagoontally_platform",
 )
 ENTRY = ROOT / "deploy/balancer.py"
-REQUIREMENTS = ROOT / "deploy/requirements.txt"
-
-
-def install_requirements():
-    """Install the libraries that the program imports."""
-    marker = TARGET / "deps" / "installed.txt"
-    wanted = REQUIREMENTS.read_text()
-    if marker.exists() and marker.read_text() == wanted:
-        return
-    command = [sys.executable, "-m", "pip", "install", "--quiet", "--upgrade"]
-    command += ["--disable-pip-version-check", "--target", str(TARGET / "deps")]
-    subprocess.run([*command, "-r", str(REQUIREMENTS)], check=True)
-    marker.write_text(wanted)
 
 
 def compile_program():
@@ -50,5 +37,4 @@
 
 
 if __name__ == "__main__":
-    install_requirements()
     compile_program()
--- a/libs/flows/src/lagoontally_flows/_effects.py
+++ b/libs/flows/src/lagoontally_flows/_effects.py
@@ -1,9 +1,9 @@
 """What a step asks for beside the fate of its packet."""
 
-from collections import namedtuple
+from lagoontally_lean import Record
 
 
-class FlowReset(namedtuple("FlowReset", "flow sequence cookie reason")):
+class FlowReset(Record, fields="flow sequence cookie reason"):
     """Reset a flow whose caller hasn't just sent a packet.
 
     Attributes:
@@ -16,7 +16,7 @@
     __slots__ = ()
 
 
-class Note(namedtuple("Note", "event fields")):
+class Note(Record, fields="event fields"):
     """A decision for the log.
 
     Attributes:
--- a/libs/flows/src/lagoontally_flows/_health.py
+++ b/libs/flows/src/lagoontally_flows/_health.py
@@ -10,7 +10,7 @@
 without a trial of its own: the peer may be the one that is cut off.
 """
 
-from collections import namedtuple
+from lagoontally_lean import Record
 
 RECENT_LIFE_MS = 150  # shorter than a caller's first retransmission at 200 ms
 TRIAL_PAUSE_MS = 400  # between trials of a target that answers them
@@ -26,13 +26,13 @@
 UNCLEAR = "unclear"
 
 
-class Trial(namedtuple("Trial", "cookie")):
+class Trial(Record, fields="cookie"):
     """Try a connection to a target."""
 
     __slots__ = ()
 
 
-class Verdict(namedtuple("Verdict", "cookie dead evidence")):
+class Verdict(Record, fields="cookie dead evidence"):
     """What this balancer has found out of a target, for its peers.
 
     Attributes:
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -6,7 +6,7 @@
 reader has lost the store. At the start each reads once, to serve at once.
 """
 
-from collections import namedtuple
+from lagoontally_lean import Record
 
 WATCH_WAIT_MS = 800  # answers show that the store is reached; see FRESH_MS
 WATCH_PAUSE_MS = 150  # collects changes that come together into one call
@@ -27,41 +27,39 @@
 BEACON_INTERVAL_MS = 300
 
 
-class List(namedtuple("List", "")):
+class List(Record, fields=""):
     """Read all targets from the store."""
 
     __slots__ = ()
 
 
-class Watch(namedtuple("Watch", "revision wait_ms")):
+class Watch(Record, fields="revision wait_ms"):
     """Wait for changes in the store after a revision."""
 
     __slots__ = ()
 
 
-class ReadConfiguration(namedtuple("ReadConfiguration", "")):
+class ReadConfiguration(Record, fields=""):
     """Read the configuration from the store."""
 
     __slots__ = ()
 
 
-class FetchTargets(namedtuple("FetchTargets", "host")):
+class FetchTargets(Record, fields="host"):
     """Take over the targets that a peer knows."""
 
     __slots__ = ()
 
 
-class FetchConfiguration(namedtuple("FetchConfiguration", "host")):
+class FetchConfiguration(Record, fields="host"):
     """Take over the configuration that is in force at a peer."""
 
     __slots__ = ()
 
 
 class Beacon(
-    namedtuple(
-        "Beacon",
-        "priority revision configuration_version routes contact_age_ms reachable",
-    )
+    Record,
+    fields="priority revision configuration_version routes contact_age_ms reachable",
 ):
     """What a reader tells the other balancers of its data centre.
 
@@ -78,7 +76,8 @@
 
 
 class Delta(
-    namedtuple("Delta", "previous revision configuration_version part parts entries")
+    Record,
+    fields="previous revision configuration_version part parts entries",
 ):
     """Entries that changed between two revisions of the store.
 
--- a/libs/flows/src/lagoontally_flows/_records.py
+++ b/libs/flows/src/lagoontally_flows/_records.py
@@ -1,11 +1,6 @@
-"""Records that the decisions work on.
+"""Records that the decisions work on."""
 
-They are ``collections.namedtuple`` classes: importing ``typing`` costs a
-starting balancer some 15 ms of processor time, a tenth of a second on a small
-instance (docs/PLATFORM.md has the figures).
-"""
-
-from collections import namedtuple
+from lagoontally_lean import Record
 
 SYN = 2
 ACK = 16
@@ -13,7 +8,7 @@
 RST = 1
 
 
-class Packet(namedtuple("Packet", "flow flags cookie sequence acknowledgement length")):
+class Packet(Record, fields="flow flags cookie sequence acknowledgement length"):
     """Header of a packet that a caller sent.
 
     Attributes:
@@ -30,10 +25,8 @@
 
 
 class Target(
-    namedtuple(
-        "Target",
-        "name born cookie address data_centre service slots leaving warm_up_ms",
-    )
+    Record,
+    fields="name born cookie address data_centre service slots leaving warm_up_ms",
 ):
     """One incarnation of an upstream process.
 
@@ -52,7 +45,7 @@
     __slots__ = ()
 
 
-class Route(namedtuple("Route", "name shares repeatable")):
+class Route(Record, fields="name shares repeatable"):
     """Where new flows to one address and port go.
 
     Attributes:
@@ -64,7 +57,7 @@
     __slots__ = ()
 
 
-class Configuration(namedtuple("Configuration", "version routes idle_timeout_ms")):
+class Configuration(Record, fields="version routes idle_timeout_ms"):
     """A configuration in force.
 
     Attributes:
@@ -76,13 +69,13 @@
     __slots__ = ()
 
 
-class Forward(namedtuple("Forward", "target reason")):
+class Forward(Record, fields="target reason"):
     """Send the packet on to a target, named by the target's cookie."""
 
     __slots__ = ()
 
 
-class Reset(namedtuple("Reset", "reason sequence")):
+class Reset(Record, fields="reason sequence"):
     """Answer the caller with a reset.
 
     Attributes:
@@ -93,13 +86,13 @@
     __slots__ = ()
 
 
-class Hold(namedtuple("Hold", "")):
+class Hold(Record, fields=""):
     """Keep the packet until there is a configuration."""
 
     __slots__ = ()
 
 
-class Drop(namedtuple("Drop", "reason")):
+class Drop(Record, fields="reason"):
     """Do nothing with the packet."""
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_view.py
+++ b/libs/flows/src/lagoontally_flows/_view.py
@@ -1,12 +1,12 @@
 """The targets that the platform lists, and those that it has just dropped."""
 
-from collections import namedtuple
+from lagoontally_lean import Record
 
 LAPSED_KEPT_MS = 60_000  # longest life of a flow that the platform promises
 MASS_LAPSE_WINDOW_MS = 12_000  # a store that forgets leases does so for seconds
 
 
-class Lapse(namedtuple("Lapse", "target at_ms")):
+class Lapse(Record, fields="target at_ms"):
     """A target whose entry disappeared.
 
     Attributes:
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -4,22 +4,23 @@
 (docs/PLATFORM.md); calls here need a status and a body of a known length.
 """
 
-from collections import namedtuple
 from select import EPOLLIN, EPOLLOUT
 
+from lagoontally_lean import Record
+
 from ._sockets import connect, connect_error
 
 RECEIVE_BYTES = 65_536
 MAX_BODY_BYTES = 8 << 20  # a page holds at most 1 MB, encoded; views are smaller
 
 
-class Answer(namedtuple("Answer", "status body")):
+class Answer(Record, fields="status body"):
     """An answer to a call."""
 
     __slots__ = ()
 
 
-class CallFailure(namedtuple("CallFailure", "reason")):
+class CallFailure(Record, fields="reason"):
     """A call that wasn't answered."""
 
     __slots__ = ()
--- a/libs/forwarder/src/lagoontally_forwarder/_log.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_log.py
@@ -6,10 +6,10 @@
 counted, and so is what exceeds the budget of a second.
 """
 
-from os import set_blocking, write
+from posix import set_blocking, write  # ``os`` adds a millisecond to the start
 from time import time
 
-from ujson import dumps
+from lagoontally_lean import dumps
 
 BYTES_PER_S = 16_000  # of log, on average; operators keep some days of it
 BURST_BYTES = 64_000  # start and stop write many lines at once
@@ -55,7 +55,7 @@
             record["dropped_lines"] = self.dropped
         record["event"] = event
         record.update(fields)
-        text = dumps(record, escape_forward_slashes=False).encode() + b"\n"
+        text = dumps(record).encode() + b"\n"
         if len(text) > self._budget:
             self.dropped += 1
             return
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -3,23 +3,20 @@
 A message that can't be read is None: a datagram may be anyone's.
 """
 
-from collections import namedtuple
-
-from ujson import dumps, loads
-
 from lagoontally_flows import Beacon, Delta, Target, Verdict
+from lagoontally_lean import Record, dumps, loads
 
 MAX_BYTES = 1_200  # stays below a link's usual packet size
 ENTRIES_A_DELTA = 6  # an entry takes some 150 bytes
 
 
-class Hello(namedtuple("Hello", "data_centre")):
+class Hello(Record, fields="data_centre"):
     """Asks a seed for the balancers of a data centre, and says where one is."""
 
     __slots__ = ()
 
 
-class Members(namedtuple("Members", "hosts")):
+class Members(Record, fields="hosts"):
     """Hosts of the balancers of the asker's data centre."""
 
     __slots__ = ()
@@ -78,7 +75,7 @@
     if isinstance(message, Delta):
         entries = [[key, encode_target(target)] for key, target in message.entries]
         message = message._replace(entries=entries)
-    data = dumps([name, *message], escape_forward_slashes=False).encode()
+    data = dumps([name, *message]).encode()
     return data if len(data) <= MAX_BYTES else None
 
 
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -4,7 +4,7 @@
 from _signal import SIGHUP, SIGTERM, set_wakeup_fd, signal
 from _socket import socketpair
 from binascii import crc32
-from os import environ, stat
+from posix import environ, stat  # ``os`` adds a millisecond to the start
 
 from lagoontally_flows import (
     WEAK_LINK_MBPS,
@@ -279,7 +279,7 @@
 
 def main():
     """Run a balancer with the settings that the platform names."""
-    path = environ.get(SETTINGS_VARIABLE)
+    path = environ.get(SETTINGS_VARIABLE.encode(), b"").decode()
     if not path:
         print(f"{SETTINGS_VARIABLE} names no settings file", flush=True)
         return EXIT_SETTINGS
--- a/libs/forwarder/src/lagoontally_forwarder/_settings.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_settings.py
@@ -1,18 +1,13 @@
 """Settings of a balancer on the platform, checked as a whole."""
 
-from collections import namedtuple
-
-from ujson import loads
-
+from lagoontally_lean import Record, loads
 from lagoontally_platform import parse_address
 
 
 class Settings(
-    namedtuple(
-        "Settings",
-        "instance data_centre host packet_address ready_address peer_address "
-        "metrics_address seeds store_address link_mbps grace_s",
-    )
+    Record,
+    fields="instance data_centre host packet_address ready_address "
+    "peer_address metrics_address seeds store_address link_mbps grace_s",
 ):
     """What one balancer is told.
 
@@ -33,7 +28,7 @@
     __slots__ = ()
 
 
-class SettingsFaults(namedtuple("SettingsFaults", "findings")):
+class SettingsFaults(Record, fields="findings"):
     """Everything that is wrong with settings: a list of texts."""
 
     __slots__ = ()
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -1,15 +1,12 @@
 """What a balancer knows as documents, for peers that have missed it."""
 
-from collections import namedtuple
-
-from ujson import dumps, loads
-
 from lagoontally_flows import Configuration, Route
+from lagoontally_lean import Record, dumps, loads
 
 from ._messages import decode_target, encode_target
 
 
-class TargetsCopy(namedtuple("TargetsCopy", "revision entries")):
+class TargetsCopy(Record, fields="revision entries"):
     """The targets that a peer knows.
 
     Attributes:
@@ -65,7 +62,7 @@
 
 
 def _encode(document):
-    return dumps(document, escape_forward_slashes=False).encode()
+    return dumps(document).encode()
 
 
 def _decode_shares(shares):
