Leave the rotation of a cut data centre that can't serve its callers

Ruled out: targets that were reachable (all eight refuse connections). Change: a balancer that refused most SYNs of late and no longer hears the platform isn't ready until it hears it again.

--- a/libs/flows/features/lifecycle.feature
+++ b/libs/flows/features/lifecycle.feature
@@ -10,6 +10,7 @@
       | a view  | running         | ready     |
       | no view | running         | not ready |
       | a view  | isolated        | not ready |
+      | a view  | cut off         | not ready |
       | a view  | told to stop    | not ready |
 
   Scenario: It serves until routers have noticed
--- /dev/null
+++ b/libs/flows/features/steps/cut_steps.py
@@ -0,0 +1,53 @@
+"""Steps for a data centre that is cut off."""
+
+from behave import then, when
+
+
+@when("the platform is silent for {duration_ms:d} ms")
+def step_silent(context, duration_ms):
+    """The view gets old."""
+    context.world.balancer.view_confirmed_ms = context.world.now_ms
+    context.world.wait(duration_ms)
+
+
+@when("the platform was never heard")
+def step_never_heard(context):
+    """The view is a peer's."""
+    context.world.balancer.view_confirmed_ms = None
+
+
+@when("all remote targets are found dead")
+def step_all_dead(context):
+    """Trials of each have failed."""
+    for target in context.remote:
+        context.world.balancer.on_trial(target.cookie, "silent", context.world.now_ms)
+    context.world.collect()
+
+
+@when("{count:d} SYNs are refused")
+def step_refused(context, count):
+    """No target can take them."""
+    for _ in range(count):
+        action = context.world.syn(context.world.new_flow())
+        assert action.reason == "no_target", action
+    context.world.wait(100)
+
+
+@when("the platform is heard again")
+def step_heard(context):
+    """The cut has healed."""
+    context.world.balancer.view_confirmed_ms = context.world.now_ms
+    context.world.wait(100)
+
+
+@then("the balancer leaves the rotation")
+def step_leaves(context):
+    """Routers send its callers to other data centres."""
+    assert context.world.balancer.cut_off
+
+
+@then("the balancer stays in the rotation")
+@then("the balancer is back in the rotation")
+def step_stays(context):
+    """It serves what it can."""
+    assert not context.world.balancer.cut_off
--- a/libs/flows/features/steps/lifecycle_steps.py
+++ b/libs/flows/features/steps/lifecycle_steps.py
@@ -13,7 +13,7 @@
     """A balancer before any order."""
     context.lifecycle = Lifecycle(grace_ms=GRACE_MS)
     context.has_view = view == "a view"
-    context.isolated = False
+    context.isolated = context.cut_off = False
     context.packets_until_ms = 0
 
 
@@ -28,6 +28,12 @@
     context.isolated = True
 
 
+@when("it is cut off")
+def step_cut_off(context):
+    """Its data centre can't serve its callers."""
+    context.cut_off = True
+
+
 @when("it is told to stop")
 def step_stop(context):
     """The platform wants its process to end."""
@@ -49,14 +55,20 @@
 @then("it is ready")
 def step_ready(context):
     """Routers may send packets."""
-    assert context.lifecycle.ready(has_view=context.has_view, isolated=context.isolated)
+    assert context.lifecycle.ready(
+        has_view=context.has_view,
+        isolated=context.isolated,
+        cut_off=context.cut_off,
+    )
 
 
 @then("it is not ready")
 def step_not_ready(context):
     """Routers shouldn't send packets."""
     assert not context.lifecycle.ready(
-        has_view=context.has_view, isolated=context.isolated
+        has_view=context.has_view,
+        isolated=context.isolated,
+        cut_off=context.cut_off,
     )
 
 
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -5,6 +5,7 @@
 only improves choices: it can be lost at any time.
 """
 
+from ._demand import Demand, is_cut_off
 from ._effects import FlowReset, Note
 from ._flow_table import FlowTable
 from ._health import Health
@@ -30,6 +31,8 @@
         configuration: The ``Configuration`` in force, None before the first.
         flows: The flows seen lately.
         health: Which targets answer.
+        demand: What callers asked for of late.
+        cut_off: Whether callers are better served through another data centre.
         effects: What steps asked for and the caller of the step has to do.
         view_confirmed_ms: When the view was last known to be current.
     """
@@ -41,6 +44,8 @@
         self.configuration = None
         self.flows = FlowTable()
         self.health = Health()
+        self.demand = Demand()
+        self.cut_off = False
         self.effects = []
         self.view_confirmed_ms = None
         self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
@@ -146,6 +151,13 @@
             self.flows.sweep(now_ms, self.configuration.idle_timeout_ms)
         self.view.forget_lapsed(now_ms)
         self.effects.extend(self.health.due(now_ms))
+        self.demand.on_tick(now_ms)
+        age_ms = None
+        if self.view_confirmed_ms is not None:
+            age_ms = now_ms - self.view_confirmed_ms
+        self.cut_off = is_cut_off(
+            self.demand, view_age_ms=age_ms, was_cut_off=self.cut_off
+        )
 
     def belief(self, now_ms):
         """Return what decisions rest on, and its age, for logs and metrics."""
@@ -199,6 +211,7 @@
 
     def _place(self, packet, route, now_ms):
         target = self._choose(route, now_ms)
+        self.demand.on_syn(route.shares, served=target is not None)
         if target is None:
             return Reset("no_target", packet.acknowledgement)
         self.flows.add(packet.flow, target.cookie, now_ms)
--- a/libs/flows/src/lagoontally_flows/_lifecycle.py
+++ b/libs/flows/src/lagoontally_flows/_lifecycle.py
@@ -26,14 +26,16 @@
         if self.stopping_ms is None:
             self.stopping_ms = now_ms
 
-    def ready(self, *, has_view, isolated):
+    def ready(self, *, has_view, isolated, cut_off):
         """Tell whether routers may send packets here.
 
         Args:
             has_view: Whether targets and configuration are known.
             isolated: Whether this balancer seems cut off from the targets.
+            cut_off: Whether its data centre is cut off and can't serve its callers.
         """
-        return has_view and not isolated and self.stopping_ms is None
+        can_serve = has_view and not isolated and not cut_off
+        return can_serve and self.stopping_ms is None
 
     def may_end(self, now_ms):
         """Tell whether the process may end: packets go elsewhere by now."""
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -194,10 +194,19 @@
             has_view = has_view and waited_ms < CONFIGURATION_WAIT_MS
         self.lifecycle.packet_ms = self.port.packet_ms
         isolated = self.balancer.health.isolated(time_ms)
-        ready = self.lifecycle.ready(has_view=has_view, isolated=isolated)
+        cut_off = self.balancer.cut_off
+        ready = self.lifecycle.ready(
+            has_view=has_view, isolated=isolated, cut_off=cut_off
+        )
         if ready != self._was_ready:
             self._was_ready = ready
-            self.log.line("ready" if ready else "unready", isolated=isolated)
+            self.log.line(
+                "ready" if ready else "unready",
+                isolated=isolated,
+                cut_off=cut_off,
+                stopping=self.lifecycle.stopping_ms is not None,
+                **self.balancer.belief(time_ms),
+            )
 
     def _serve_readiness(self, path):
         if path != READINESS_PATH:
