Try targets whose SYN isn't answered; spread flows by the data centres' slots

(2) the only target of kgn-d got all its callers, 90 % of what two slots can do, while others had 60 % free: 503 answers and 239 late ones.

--- a/libs/flows/features/health.feature
+++ b/libs/flows/features/health.feature
@@ -8,6 +8,15 @@
     Then the copy goes to another target
     And a trial of the first target is made
 
+  Scenario: A caller that was refused by a target's host gets another target
+    When a SYN isn't answered for 8 ms
+    And the same caller opens another flow
+    Then it goes to another target
+
+  Scenario: A SYN that isn't answered soon makes a trial
+    When a SYN isn't answered for 100 ms
+    Then a trial of the first target is made
+
   Scenario: A refused trial resets the target's flows and tells the peers
     When a flow is opened
     And its caller repeats a request
--- a/libs/flows/features/placement.feature
+++ b/libs/flows/features/placement.feature
@@ -11,10 +11,15 @@
     Then the warming target has between 10 and 14 flows
 
   Scenario: Targets of the own data centre come first
-    Given a balancer with 2 targets and 4 remote ones
+    Given a balancer with 2 targets and 2 remote ones
     When 10 flows are opened
     Then no remote target has flows
 
+  Scenario: A data centre with few targets sends some flows to the others
+    Given a balancer with 1 targets and 9 remote ones
+    When 400 flows are opened
+    Then the own target has between 80 and 120 flows
+
   Scenario: Without an own target the remote ones serve
     Given a balancer with 0 targets and 2 remote ones
     When 10 flows are opened
--- a/libs/flows/features/steps/world_steps.py
+++ b/libs/flows/features/steps/world_steps.py
@@ -436,3 +436,30 @@
 def step_emptied(context):
     """Closed flows make room."""
     assert {one.cookie for one in context.placed} == {context.emptied.cookie}
+
+
+@then("the own target has between {least:d} and {most:d} flows")
+def step_own_flows(context, least, most):
+    """It has a quarter more than an even spread."""
+    flows = flows_by_target(context)[context.targets[0].cookie]
+    assert least <= flows <= most, flows
+
+
+@when("a SYN isn't answered for {duration_ms:d} ms")
+def step_unanswered(context, duration_ms):
+    """The target's host refused it, which only the caller sees."""
+    flow = context.world.new_flow()
+    context.target = context.world.syn(flow).target
+    context.world.wait(duration_ms)
+
+
+@when("the same caller opens another flow")
+def step_same_caller(context):
+    """From another port."""
+    context.action = context.world.syn(context.world.new_flow())
+
+
+@then("it goes to another target")
+def step_goes_elsewhere(context):
+    """The unanswered target isn't tried again by the same caller."""
+    assert context.action.target != context.target, context.action
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -5,18 +5,18 @@
 only improves choices: it can be lost at any time.
 """
 
+from ._chooser import Chooser
 from ._demand import Demand, is_cut_off
 from ._effects import FlowReset, Note
 from ._flow_table import FlowTable
 from ._health import Health
-from ._placement import choose_service, choose_target
+from ._openings import Openings
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
 from ._view import View
 
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 UNKNOWN_COOKIES_KEPT = 1_024
-TIE_SPREAD = 2_654_435_761  # Knuth's multiplicative hash
 
 
 class Balancer:
@@ -31,6 +31,8 @@
         configuration: The ``Configuration`` in force, None before the first.
         flows: The flows seen lately.
         health: Which targets answer.
+        openings: Flows whose target hasn't answered yet.
+        chooser: Chooses the targets of new flows.
         demand: What callers asked for of late.
         cut_off: Whether callers are better served through another data centre.
         effects: What steps asked for and the caller of the step has to do.
@@ -39,16 +41,22 @@
 
     def __init__(self, *, data_centre, random):
         self.data_centre = data_centre
-        self.random = random
         self.view = View()
         self.configuration = None
         self.flows = FlowTable()
         self.health = Health()
+        self.openings = Openings()
+        self.chooser = Chooser(
+            view=self.view,
+            health=self.health,
+            flows=self.flows,
+            data_centre=data_centre,
+            random=random,
+        )
         self.demand = Demand()
         self.cut_off = False
         self.effects = []
         self.view_confirmed_ms = None
-        self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
         self._unknown_since_ms = {}
 
     def configure(self, configuration):
@@ -85,6 +93,7 @@
         if not cookie:
             return Drop("no_cookie")
         target = self.view.by_cookie.get(cookie)
+        self.openings.remove(packet.flow)
         if packet.flags & RST:
             self.flows.remove(packet.flow)
             return Forward(target, "open_flow") if target else Drop("unknown_cookie")
@@ -150,6 +159,7 @@
         if self.configuration is not None:
             self.flows.sweep(now_ms, self.configuration.idle_timeout_ms)
         self.view.forget_lapsed(now_ms)
+        self._doubt_overdue(now_ms)
         self.effects.extend(self.health.due(now_ms))
         self.demand.on_tick(now_ms)
         age_ms = None
@@ -189,10 +199,10 @@
         waited_here = now_ms - flow.seen_ms < STALL_AFTER_MS
         if flow.opened or waited_here or not packet.acknowledgement:
             return self._on_repeated_syn(packet, flow, route, now_ms)
+        silent, since_ms = flow.cookie, flow.seen_ms
         flow.seen_ms = now_ms
-        silent = flow.cookie
-        self.effects.extend(self.health.on_stall(silent, now_ms))
-        target = self._choose(route, now_ms, avoid=flow.tried)
+        self.effects.extend(self.health.on_stall(silent, since_ms, now_ms))
+        target = self.chooser.choose(route, now_ms, avoid=flow.tried)
         if target is None:
             target = self.view.by_cookie.get(silent)
         else:
@@ -210,38 +220,21 @@
         return self._place(packet, route, now_ms)
 
     def _place(self, packet, route, now_ms):
-        target = self._choose(route, now_ms)
+        caller = packet.flow[0]
+        target = self.chooser.choose(
+            route, now_ms, avoid=self.openings.tried_by(caller)
+        ) or self.chooser.choose(route, now_ms)
         self.demand.on_syn(route.shares, served=target is not None)
         if target is None:
             return Reset("no_target", packet.acknowledgement)
-        self.flows.add(packet.flow, target.cookie, now_ms)
+        flow = self.flows.add(packet.flow, target.cookie, now_ms)
+        self.openings.add(packet.flow, flow, now_ms)
+        self._doubt_overdue(now_ms)
         return Forward(target, "placed")
 
-    def _choose(self, route, now_ms, avoid=()):
-        choices = {
-            service: self._healthy(service, now_ms, avoid)
-            for service, _ in route.shares
-        }
-        draw = self.random.random()
-        service = choose_service(route.shares, choices.get, draw)
-        if service is None:
-            return None
-        return choose_target(
-            choices[service],
-            load=lambda target: self.flows.open_flows.get(target.cookie, 0),
-            data_centre=self.data_centre,
-            tie=self._tie,
-        )
-
-    def _healthy(self, service, now_ms, avoid):
-        return [
-            target
-            for target in self.view.candidates(service, now_ms)
-            if target.cookie not in avoid and not self.health.is_dead(target.cookie)
-        ]
-
-    def _tie(self, target):
-        return (target.cookie ^ self._tie_salt) * TIE_SPREAD & 0xFFFFFFFF
+    def _doubt_overdue(self, now_ms):
+        for cookie, placed_ms in self.openings.overdue(now_ms):
+            self.effects.extend(self.health.on_stall(cookie, placed_ms, now_ms))
 
     def _note_packet(self, packet, flow, cookie, now_ms):
         if flow is None or flow.cookie != cookie:
@@ -254,7 +247,7 @@
         )
         if stalled:
             flow.seen_ms = now_ms
-            trials = self.health.on_stall(cookie, now_ms)
+            trials = self.health.on_stall(cookie, flow.progress_ms, now_ms)
             self.effects.extend(trials)
         elif flow.note(packet, now_ms):
             self.health.on_life(cookie, now_ms)
--- a/libs/flows/src/lagoontally_flows/_health.py
+++ b/libs/flows/src/lagoontally_flows/_health.py
@@ -12,7 +12,6 @@
 
 from lagoontally_lean import Record
 
-RECENT_LIFE_MS = 150  # shorter than a caller's first retransmission at 200 ms
 TRIAL_PAUSE_MS = 400  # between trials of a target that answers them
 DEAD_TRIAL_INTERVAL_MS = 1_000  # between trials of a dead target
 PEER_MARK_MS = 2_500  # a peer's word lapses after it missed two trials
@@ -95,17 +94,18 @@
         self.any_alive_ms = now_ms
         self.stalled_ms.pop(cookie, None)
 
-    def on_stall(self, cookie, now_ms):
-        """Note that a caller repeated a packet.
+    def on_stall(self, cookie, since_ms, now_ms):
+        """Note that a caller wasn't answered.
 
         Args:
-            cookie: The target that the packet had gone to.
+            cookie: The target that its packet had gone to.
+            since_ms: When that packet was sent on.
             now_ms: Time of the step.
 
         Returns:
             A list with the ``Trial`` to make, if one is due.
         """
-        if now_ms - self.alive_ms.get(cookie, LONG_AGO_MS) < RECENT_LIFE_MS:
+        if self.alive_ms.get(cookie, LONG_AGO_MS) > since_ms:
             return []
         self.stalled_ms[cookie] = now_ms
         return self.doubt(cookie, now_ms)
--- a/libs/flows/src/lagoontally_flows/_placement.py
+++ b/libs/flows/src/lagoontally_flows/_placement.py
@@ -1,12 +1,15 @@
-"""Which target gets a new flow.
+"""Which service and which target get a new flow.
 
 Answers the loads of a release, a burst and a move of callers between data
-centres: flows go to the target with the fewest flows a slot, one that still
-warms up counts as fuller, and targets of the own data centre come first, since
-a cut between data centres leaves their flows alone.
+centres. Flows go to the target with the fewest flows a slot, where one that warms
+up counts as fuller. Targets of the own data centre come first, since a cut
+between data centres leaves their flows alone; but a data centre whose targets
+have less than their part of all slots sends some of its flows to those that have
+more, or its few targets would be overrun.
 """
 
 WARM_UP_WEIGHT = 1.6  # requests take this much longer on a cold target
+LOCAL_OVERLOAD = 1.25  # load that staying local is worth, over an even spread
 
 
 def choose_service(shares, has_targets, draw):
@@ -21,39 +24,75 @@
         A service drawn by weight from those that can take flows, else None.
     """
     usable = [(service, weight) for service, weight in shares if has_targets(service)]
-    total = sum(weight for _, weight in usable)
     if not usable:
         return None
-    if total <= 0:
-        return usable[0][0]
-    left = draw * total
-    for service, weight in usable:
-        left -= weight
-        if left < 0:
-            return service
-    return usable[-1][0]
+    return _draw(usable, draw)
 
 
-def choose_target(candidates, *, load, data_centre, tie):
+def choose_target(candidates, *, load, data_centre, data_centres, draw, tie):
     """Return the target for a new flow.
 
     Args:
         candidates: ``Target`` records, none of them dead.
         load: Function of a target: number of this balancer's flows on it.
-        data_centre: This balancer's data centre; its targets come first.
+        data_centre: This balancer's data centre.
+        data_centres: All data centres, each with about as many callers.
+        draw: Random number from 0 up to 1.
         tie: Function of a target that orders equals, other on each balancer.
 
     Returns:
         A ``Target``, or None without candidates.
     """
-    local = [target for target in candidates if target.data_centre == data_centre]
+    capacity = {}
+    for target in candidates:
+        place = target.data_centre
+        capacity[place] = capacity.get(place, 0) + _capacity(target)
+    if not capacity:
+        return None
+    place = _draw(_spread(capacity, data_centre, len(data_centres)), draw)
     return min(
-        local or candidates,
-        key=lambda target: (_fullness(target, load(target)), tie(target)),
-        default=None,
+        (target for target in candidates if target.data_centre == place),
+        key=lambda target: ((load(target) + 1) / _capacity(target), tie(target)),
     )
 
 
-def _fullness(target, flows):
-    weight = WARM_UP_WEIGHT if target.warm_up_ms > 0 else 1.0
-    return (flows + 1) * weight / target.slots
+def _spread(capacity, data_centre, count):
+    """Return pairs of a data centre and its part of the flows from ``data_centre``.
+
+    Args:
+        capacity: Capacity by data centre.
+        data_centre: Where the callers are.
+        count: Number of data centres, each with as many callers.
+    """
+    total = sum(capacity.values())
+    local = min(1.0, LOCAL_OVERLOAD * count * capacity.get(data_centre, 0) / total)
+    if local >= 1.0:
+        return [(data_centre, 1.0)]
+    others = [
+        (place, max(0.0, size / total - 1 / count))
+        for place, size in capacity.items()
+        if place != data_centre
+    ]
+    spare = sum(size for _, size in others)
+    if not spare:
+        others = [(place, capacity[place]) for place, _ in others]
+        spare = sum(size for _, size in others)
+    if not others:
+        return [(data_centre, 1.0)]
+    parts = [(place, (1.0 - local) * size / spare) for place, size in others]
+    return [(data_centre, local), *parts] if local else parts
+
+
+def _capacity(target):
+    return target.slots / (WARM_UP_WEIGHT if target.warm_up_ms > 0 else 1.0)
+
+
+def _draw(parts, draw):
+    """Return the name that a random number falls on, among pairs with weights."""
+    total = sum(weight for _, weight in parts)
+    left = draw * total
+    for name, weight in parts:
+        left -= weight
+        if left < 0:
+            return name
+    return parts[-1][0]
--- a/libs/flows/src/lagoontally_flows/_view.py
+++ b/libs/flows/src/lagoontally_flows/_view.py
@@ -38,6 +38,7 @@
         self.lapses = {}
         self.changes = 0
         self._services = {}
+        self._data_centres = set()
         self._services_of = -1
 
     def put(self, key, target, now_ms):
@@ -108,9 +109,17 @@
         ]
         return ready + lapsed if len(lapsed) >= max(len(ready), 2) else ready
 
+    def data_centres(self):
+        """Return the data centres that have listed targets."""
+        self._ready_by_service()
+        return self._data_centres
+
     def _ready_by_service(self):
         if self._services_of != self.changes:
             self._services = {}
+            self._data_centres = {
+                target.data_centre for target in self.targets.values()
+            }
             for target in self.targets.values():
                 if not target.leaving:
                     self._services.setdefault(target.service, []).append(target)
