--- a/libs/core/src/lagoontally_core/_actions.py
+++ b/libs/core/src/lagoontally_core/_actions.py
@@ -112,13 +112,6 @@
     host: str
 
 
-class AskLoad(NamedTuple):
-    """Ask a target for its load."""
-
-    target: str
-    host: str
-
-
 class SendPeer(NamedTuple):
     """Send a message to another balancer; it may be lost."""
 
--- a/libs/core/src/lagoontally_core/_events.py
+++ b/libs/core/src/lagoontally_core/_events.py
@@ -111,20 +111,6 @@
     service: str
 
 
-class LoadReply(NamedTuple):
-    """A target has reported its load.
-
-    Attributes:
-        target: ``IP:port`` of the target.
-        busy: Requests that run or wait there.
-        lines: Open lines.
-    """
-
-    target: str
-    busy: int
-    lines: int
-
-
 class PeerMessage(NamedTuple):
     """A message of another balancer; ``message`` is a type of ``_peer_messages``."""
 
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -13,7 +13,6 @@
     IdentityReply,
     InstancesRead,
     LeaveRequested,
-    LoadReply,
     OperatorQuery,
     PeerMessage,
     Received,
@@ -183,12 +182,6 @@
     turn.count("upstream.late_reply")
 
 
-@handle.register
-def on_load_reply(event: LoadReply, turn):
-    """Count load reports; no choice depends on them yet."""
-    turn.count("upstream.load_report")
-
-
 @handle.register
 def on_operator_query(event: OperatorQuery, turn):
     """Answer an operator, or begin to leave at an operator's word."""
--- a/libs/daemon/src/lagoontally_daemon/_performer.py
+++ b/libs/daemon/src/lagoontally_daemon/_performer.py
@@ -9,7 +9,6 @@
     AnswerCaller,
     AnswerOperator,
     AskIdentity,
-    AskLoad,
     Count,
     LogChange,
     NotifyCaller,
@@ -77,10 +76,6 @@
     def _(self, action: AskIdentity):
         self.edges.upstreams.ask_identity(action)
 
-    @hand_over.register
-    def _(self, action: AskLoad):
-        self.edges.upstreams.ask_load(action)
-
     @hand_over.register
     def _(self, action: SendPeer):
         self.edges.peers.send(action)
--- a/libs/edges/features/datagrams.feature
+++ b/libs/edges/features/datagrams.feature
@@ -61,10 +61,10 @@
     Then the reply is posted with the target and path 7
     And the target receives an acknowledgement
 
-  Scenario: Targets answer questions of identity and load
+  Scenario: Targets answer questions of identity
     Given an upstream edge and a target
-    When the target answers its identity and its load
-    Then the identity and the load are posted
+    When the target answers its identity
+    Then the identity is posted
 
   Scenario: Questions don't stay on a path that may have gone silent
     Given an upstream edge and a target
--- a/libs/edges/features/steps/datagrams_steps.py
+++ b/libs/edges/features/steps/datagrams_steps.py
@@ -9,12 +9,10 @@
 from lagoontally_core import (
     AnswerCaller,
     AskIdentity,
-    AskLoad,
     CallerAck,
     CallerReset,
     Flow,
     IdentityReply,
-    LoadReply,
     NeedEcho,
     ReplyTo,
     SendKind,
@@ -275,30 +273,25 @@
     by.sendto(message.encode(), sender)
 
 
-@when("the target answers its identity and its load")
+@when("the target answers its identity")
 def step_answer_questions(context):
     """The paths and the host are those of the protocol."""
     replies = {
         (".well-known", "lagoontally"): b'{"workspace": "w", "service": "s"}',
-        ("load",): b'{"busy": 1, "lines": 2}',
     }
     context.edge.ask_identity(AskIdentity(context.target, "s.w"))
-    context.edge.ask_load(AskLoad(context.target, "s.w"))
     for _ in replies:
         question, sender = receive_question(context)
         assert question.opt.uri_host == "s.w"
         payload = replies[question.opt.uri_path]
         answer_question(context.target_socket, question, sender, payload)
-    turn_until(context.edge.loop, lambda: context.recorder.events.qsize() == 2)
+    turn_until(context.edge.loop, lambda: context.recorder.events.qsize() == 1)
 
 
-@then("the identity and the load are posted")
+@then("the identity is posted")
 def step_questions_posted(context):
-    """Each becomes its own event."""
-    expected = [
-        IdentityReply(context.target, "w", "s"),
-        LoadReply(context.target, 1, 2),
-    ]
+    """It becomes an event of its own."""
+    expected = [IdentityReply(context.target, "w", "s")]
     assert context.recorder.waiting() == expected
 
 
@@ -307,7 +300,7 @@
     """The target notes where they come from."""
     context.senders = []
     for _ in range(number):
-        context.edge.ask_load(AskLoad(context.target, "s.w"))
+        context.edge.ask_identity(AskIdentity(context.target, "s.w"))
         context.senders.append(receive_question(context)[1])
         context.recorder.now_ms += 10_000
 
@@ -323,13 +316,13 @@
 def step_faulty_answers(context):
     """Only the target that was asked may answer."""
     stranger, target = context.recorder.udp(), context.target_socket
-    good = b'{"busy": 1, "lines": 2}'
+    good = b'{"workspace": "w", "service": "s"}'
     for by, payload, code in (
         (stranger, good, codes.CONTENT),
-        (target, b'{"busy": "1"}', codes.CONTENT),
+        (target, b'{"workspace": 1}', codes.CONTENT),
         (target, good, codes.NOT_FOUND),
     ):
-        context.edge.ask_load(AskLoad(context.target, "s.w"))
+        context.edge.ask_identity(AskIdentity(context.target, "s.w"))
         answer_question(by, *receive_question(context), payload, code)
     counters = context.recorder.counters
     turn_until(context.edge.loop, lambda: sum(counters.values()) == 3)
--- a/libs/edges/src/lagoontally_edges/_upstream_edge.py
+++ b/libs/edges/src/lagoontally_edges/_upstream_edge.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiocoap.numbers.types import ACK
 
-from lagoontally_core import IdentityReply, LoadReply, UpstreamReply
+from lagoontally_core import IdentityReply, UpstreamReply
 
 from ._coap import (
     decode_content,
@@ -32,7 +32,6 @@
 QUESTION_PATHS = (-1, -2)
 QUESTION_PATH_MS = 10_000
 IDENTITY_PATH = (".well-known", "lagoontally")
-LOAD_PATH = ("load",)
 
 
 class Question(NamedTuple):
@@ -48,13 +47,7 @@
     service: str
 
 
-class _Load(msgspec.Struct):
-    busy: int
-    lines: int
-
-
 _IDENTITY_DECODER = msgspec.json.Decoder(_Identity)
-_LOAD_DECODER = msgspec.json.Decoder(_Load)
 
 
 class UpstreamEdge:
@@ -96,10 +89,6 @@
         """Ask a target which workspace and service it serves."""
         self.ask(action, IDENTITY_PATH, _IDENTITY_DECODER, IdentityReply)
 
-    def ask_load(self, action):
-        """Ask a target for its load."""
-        self.ask(action, LOAD_PATH, _LOAD_DECODER, LoadReply)
-
     def ask(self, action, path, decoder, reply_type):
         """Send a GET whose answer becomes a ``reply_type``."""
         token = secrets.token_bytes(QUESTION_TOKEN_BYTES)
