Log each request's way; trace follows an id through balancers' logs to its cause

Cause: on-call engineers have a request's id and logs. A request on an open flow left no line, so nothing led from its id to a flow. Change: one line at a request's first packet, targets by id in all lines, and 'lagoontally trace ID LOG...', which adds what was believed of the targets and what the balancers did, and names the cause.

--- /dev/null
+++ b/libs/cli/features/trace.feature
@@ -0,0 +1,42 @@
+Feature: A failure is traced through balancers' logs
+
+  Scenario Outline: From a request's id to its cause
+    Given the logs of a <failure>
+    When the request is traced
+    Then the cause is "<cause>"
+
+    Examples:
+      | failure           | cause                                              |
+      | silent target     | found dead: it answers nothing                     |
+      | refusing target   | found dead: its host refuses connections           |
+      | cut data centre   | no target of the service was believed alive        |
+      | dropped route     | a configuration removed the route                  |
+      | killed balancer   | its balancer tifton-1 ended and started again      |
+      | paused balancer   | its balancer tifton-1 stood still, 4000 ms        |
+      | served request    | sent to target 00000000000000aa, which was believed alive |
+
+  Scenario: Lines of other flows are left out and those of the target are in
+    Given the logs of a silent target
+    When the request is traced
+    Then the events are start, placed, request, trial, target_dead, reset
+    And the exit status is 0
+
+  Scenario: A flow and a target can be followed too
+    Given the logs of a silent target
+    When the flow is traced
+    Then the cause is "found dead: it answers nothing"
+    When the target is traced
+    Then the events are start, trial, target_dead
+
+  Scenario: Cut and interleaved lines are skipped and counted
+    Given the logs of a silent target
+    And the logs hold a cut line and a line of another program
+    When the request is traced
+    Then the cause is "found dead: it answers nothing"
+    And the output says "2 lines can't be read"
+
+  Scenario: What no line mentions
+    Given the logs of a silent target
+    When an unknown request is traced
+    Then the cause is "no line mentions"
+    And the exit status is 1
--- a/libs/cli/src/lagoontally/_main.py
+++ b/libs/cli/src/lagoontally/_main.py
@@ -10,6 +10,7 @@
 from ._render import render
 from ._run import run
 from ._status import status
+from ._trace import trace
 
 PROGRAM = "lagoontally"
 COMPLETION_VARIABLE = "_LAGOONTALLY_COMPLETE"
@@ -44,5 +45,5 @@
     click.echo(kind(main, {}, PROGRAM, COMPLETION_VARIABLE).source())
 
 
-for command in (run, check, render, status, explain, drain):
+for command in (run, check, render, status, explain, trace, drain):
     main.add_command(command)
--- /dev/null
+++ b/libs/cli/src/lagoontally/_trace.py
@@ -0,0 +1,66 @@
+"""The command that follows a flow, request or target through balancers' logs."""
+
+import json
+from pathlib import Path
+
+import click
+
+from ._command import Command
+from ._options import json_option
+from ._trace_log import follow, read_logs, verdict_of
+
+DEFAULT_WINDOW_S = 5.0
+HIDDEN = ("time", "at_ms", "instance", "event", "dropped_lines")
+
+
+@click.command(
+    cls=Command,
+    examples=(
+        "lagoontally trace 5f3a9c01be77 logs/*.log",
+        "lagoontally trace '100.64.0.7:40001>198.18.0.1:443' tifton-1.log",
+        "lagoontally trace 000000007f3a91c2 logs/*.log --window 20",
+    ),
+)
+@click.argument("subject")
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path)
+)
+@click.option(
+    "--window",
+    "window_s",
+    default=DEFAULT_WINDOW_S,
+    show_default=True,
+    help="Seconds before and after in which beliefs and restarts count.",
+)
+@json_option
+@click.pass_context
+def trace(ctx, subject, logs, window_s, as_json):
+    """Follow SUBJECT through the LOGS of balancers on the platform.
+
+    SUBJECT is a request's id, a flow as logs show it, or a target's id. The lines
+    that mention it come in the order of time, with those on the targets that were
+    used and on what the balancers concerned were doing, and then the cause that
+    they show. Lines that can't be read are skipped and counted.
+    """
+    log = read_logs(logs)
+    lines = follow(log, subject, window_s=window_s)
+    verdict = verdict_of(lines, subject)
+    if as_json:
+        document = {"lines": lines, "verdict": verdict, "unreadable": log.unreadable}
+        click.echo(json.dumps(document))
+    else:
+        for line in lines:
+            click.echo(_text(line))
+        if log.unreadable:
+            click.echo(f"{log.unreadable} lines can't be read and were skipped")
+        click.echo(f"cause: {verdict}")
+    ctx.exit(0 if lines else 1)
+
+
+def _text(line):
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in HIDDEN and value not in (None, "")
+    )
+    return f"{line['time']:.3f} {line['instance']} {line['event']} {fields}"
--- /dev/null
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -0,0 +1,146 @@
+"""Finds the lines of balancers' logs that explain what became of something."""
+
+import json
+from typing import NamedTuple
+
+TARGET_EVENTS = ("trial", "target_dead", "target_alive", "target_lapsed")
+INSTANCE_EVENTS = (
+    "start",
+    "serving",
+    "stopping",
+    "stop",
+    "ready",
+    "unready",
+    "resumed",
+    "store_lost",
+    "store_regained",
+    "configuration_in_force",
+)
+# What the last line on a flow means, by event and reason.
+VERDICTS = {
+    "no_route": "the configuration in force at the balancer had no such route",
+    "route_removed": "a configuration removed the route of the open flow",
+    "no_target": "no target of the service was believed alive and reachable",
+    "target_gone": "the flow's target is unknown to the platform",
+    "target_dead": "the flow's target had been found dead",
+    "target_refused": "the flow's target was found dead: its host refuses connections",
+    "target_silent": "the flow's target was found dead: it answers nothing",
+    "unknown_cookie": "the balancer didn't know the flow's target yet",
+}
+
+
+class Log(NamedTuple):
+    """Lines of several processes, in the order of their time.
+
+    Attributes:
+        lines: Documents, one a line.
+        unreadable: Number of lines that hold none, cut ones for example.
+    """
+
+    lines: list
+    unreadable: int
+
+
+def read_logs(paths):
+    """Return the ``Log`` in some files; other programs' lines count as unreadable."""
+    lines, unreadable = [], 0
+    for path in paths:
+        for text in path.read_bytes().splitlines():
+            line = _parse(text)
+            if line is None:
+                unreadable += 1
+            else:
+                lines.append(line)
+    lines.sort(key=lambda line: line["time"])
+    return Log(lines, unreadable)
+
+
+def _parse(text):
+    start = text.find(b"{")  # collectors put their own words in front
+    try:
+        line = json.loads(text[start:]) if start >= 0 else None
+    except ValueError:
+        return None
+    needed = {"time", "instance", "event"}
+    return line if isinstance(line, dict) and needed <= line.keys() else None
+
+
+def follow(log, subject, *, window_s):
+    """Return the lines that explain what became of a subject.
+
+    Args:
+        log: The ``Log``.
+        subject: A request's id, a flow or a target's id.
+        window_s: Seconds around the subject's own lines in which the beliefs on
+            its targets and the state of its balancers count.
+
+    Returns:
+        Lines in the order of time, empty when none mentions the subject.
+    """
+    own = [line for line in log.lines if _mentions(line, subject)]
+    flows = {line["flow"] for line in own if line.get("flow")}
+    if flows and not any(line.get("target") == subject for line in own):
+        own = [line for line in log.lines if line.get("flow") in flows]
+    if not own:
+        return []
+    targets = {line.get("target") for line in own} - {None}
+    instances = {line["instance"] for line in own}
+    first, last = own[0]["time"] - window_s, own[-1]["time"] + window_s
+    return [
+        line
+        for line in log.lines
+        if line in own
+        or (
+            first <= line["time"] <= last
+            and _is_context(line, targets=targets, instances=instances)
+        )
+    ]
+
+
+def _mentions(line, subject):
+    return subject in (line.get("request"), line.get("flow"), line.get("target"))
+
+
+def _is_context(line, *, targets, instances):
+    if line["event"] in TARGET_EVENTS:
+        return line.get("target") in targets
+    return line["event"] in INSTANCE_EVENTS and line["instance"] in instances
+
+
+def verdict_of(lines, subject):
+    """Return in words what the lines show of the cause."""
+    if not lines:
+        return f"no line mentions {subject}; was its balancer's log lost?"
+    for line in reversed(lines):
+        if line["event"] in ("reset", "drop"):
+            reason = VERDICTS.get(line["reason"], line["reason"])
+            return f"{reason} ({_inputs(line)})"
+    return _without_reset(lines)
+
+
+def _without_reset(lines):
+    """Return the cause where no balancer has ended the flow."""
+    flow_lines = [line for line in lines if line.get("flow")]
+    if not flow_lines:
+        return "only beliefs on the target are logged; follow one of its flows"
+    last = flow_lines[-1]
+    after = [line for line in lines if line["time"] >= last["time"]]
+    instance = last["instance"]
+    for line in after:
+        if line["event"] == "target_dead" and line["target"] == last.get("target"):
+            return f"its target {line['target']} was found dead ({line['evidence']})"
+        if line["instance"] != instance:
+            continue
+        if line["event"] in ("start", "stop"):
+            return f"its balancer {instance} ended and started again after the request"
+        if line["event"] == "resumed":
+            return f"its balancer {instance} stood still, {line['stood_still_ms']} ms"
+    if last["event"] == "silent_target":
+        return "the first target didn't answer; a copy of the SYN went to another"
+    return f"sent to target {last.get('target')}, which was believed alive"
+
+
+def _inputs(line):
+    names = ("version", "view_age_ms", "targets", "dead", "target")
+    shown = [f"{name} {line[name]}" for name in names if line.get(name) is not None]
+    return ", ".join([f"at {line['instance']}", *shown])
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -169,6 +169,11 @@
             self.demand, view_age_ms=age_ms, was_cut_off=self.cut_off
         )
 
+    def target_id(self, cookie):
+        """Return the id of the target that a cookie names, as logs show it."""
+        target = self.view.by_cookie.get(cookie)
+        return target.name.hex() if target else f"unknown-{cookie:08x}"
+
     def belief(self, now_ms):
         """Return what decisions rest on, and its age, for logs and metrics."""
         confirmed_ms = self.view_confirmed_ms
--- a/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
@@ -64,13 +64,18 @@
             self._space[: len(datagram)] = datagram
             self._on_packet(len(datagram), now_ms)
 
-    def reset(self, flow, sequence, reason, **inputs):
-        """Reset a flow."""
+    def reset(self, flow, sequence, reason, cookie, **inputs):
+        """Reset a flow, which is open to the target that the cookie names."""
         host = format_host(flow[0])
         sent = self._send(encode_reset(flow, sequence), (host, self._reset_port))
         self.counters.add("resets", reason)
         self.log.line(
-            "reset", flow=format_flow(flow), reason=reason, sent=sent, **inputs
+            "reset",
+            flow=format_flow(flow),
+            reason=reason,
+            target=self.balancer.target_id(cookie),
+            sent=sent,
+            **inputs,
         )
 
     def _on_readable(self, _events):
@@ -107,7 +112,7 @@
                 packet.flow,
                 action.sequence,
                 action.reason,
-                cookie=packet.cookie,
+                packet.cookie,
                 request=self._request_id(size),
                 **self.balancer.belief(now_ms),
             )
@@ -120,13 +125,27 @@
         if action.reason != "open_flow":
             self.log.line(
                 action.reason,
-                **self._identify(packet, size),
+                flow=format_flow(packet.flow),
                 target=target.name.hex(),
                 service=target.service,
                 to=format_address(target.address),
                 sent=sent,
                 **self.balancer.belief(self.packet_ms),
             )
+        elif packet.length:
+            self._note_request(packet, target, size, sent)
+
+    def _note_request(self, packet, target, size, sent):
+        """Log where a request goes, at its first packet."""
+        request = self._request_id(size)
+        if request:
+            self.log.line(
+                "request",
+                request=request,
+                flow=format_flow(packet.flow),
+                target=target.name.hex(),
+                sent=sent,
+            )
 
     def _send(self, data, address):
         """Send a datagram and tell whether the system took it."""
@@ -138,7 +157,9 @@
         return True
 
     def _identify(self, packet, size):
-        fields = {"flow": format_flow(packet.flow), "cookie": packet.cookie}
+        fields = {"flow": format_flow(packet.flow)}
+        if packet.cookie:
+            fields["target"] = self.balancer.target_id(packet.cookie)
         request = self._request_id(size)
         if request:
             fields["request"] = request
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -132,7 +132,7 @@
         for effect in self.balancer.take_effects():
             if isinstance(effect, FlowReset):
                 self.port.reset(
-                    effect.flow, effect.sequence, effect.reason, cookie=effect.cookie
+                    effect.flow, effect.sequence, effect.reason, effect.cookie
                 )
             elif isinstance(effect, Trial):
                 self._start_trial(effect.cookie)
@@ -151,7 +151,7 @@
 
     def _on_trial(self, cookie, evidence):
         self.counters.add("trials", evidence)
-        self.log.line("trial", cookie=cookie, outcome=evidence)
+        self.log.line("trial", target=self.balancer.target_id(cookie), outcome=evidence)
         self.balancer.on_trial(cookie, evidence, now_ms())
 
     def _on_message(self, message, host):
@@ -171,7 +171,7 @@
             return
         self.log.line(
             "target_dead" if verdict.dead else "target_alive",
-            cookie=verdict.cookie,
+            target=self.balancer.target_id(verdict.cookie),
             evidence=verdict.evidence,
             source=source,
         )
