Keep new flows from targets that take requests and answer none

Also there: a start costs three calls to the store, more than half of all. The first listing of a process may be seconds old, at a tenth of the price; the first watch or beacon makes up for it.

--- /dev/null
+++ b/libs/flows/features/steps/stuck_steps.py
@@ -0,0 +1,128 @@
+"""Steps for targets that take requests and answer none."""
+
+from behave import given, then, when
+from fixtures import IDLE_TIMEOUT_MS, ROUTE, SERVICE
+
+from lagoontally_flows import ACK, FIN, Configuration, Route, Verdict
+
+REQUEST_BYTES = 169
+
+
+@given("requests mustn't be repeated")
+def step_unsafe(context):
+    """The route is for commands."""
+    route = Route("r", ((SERVICE, 1),), False)
+    configuration = Configuration(5, {ROUTE: route}, IDLE_TIMEOUT_MS)
+    context.world.balancer.configure(configuration)
+
+
+def ask(context, flow, target):
+    """Send a request."""
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=REQUEST_BYTES)
+
+
+@when("its caller asks and gets no answer for {duration_ms:d} ms")
+def step_unanswered(context, duration_ms):
+    """Nothing is acknowledged."""
+    ask(context, context.flow, context.target)
+    context.world.wait(duration_ms)
+
+
+@when("its caller gets the answer")
+def step_answered(context):
+    """It acknowledges what came."""
+    cookie = context.target.cookie
+    context.world.send(context.flow, cookie=cookie, sequence=269, ack=6_000)
+
+
+@when("{count:d} peers say that its target is stuck")
+def step_peers(context, count):
+    """Requests to it are overdue elsewhere."""
+    for number in range(count):
+        tell(context, context.target, "stuck", number)
+
+
+@when("{count:d} peers say that callers gave up on its target")
+def step_given_up(context, count):
+    """Callers elsewhere got nothing."""
+    for number in range(count):
+        tell(context, context.target, "unanswered", number)
+
+
+@when("every target is said to be stuck")
+def step_all(context):
+    """A peer has trouble with each."""
+    for target in context.targets:
+        tell(context, target, "stuck")
+
+
+def tell(context, target, evidence, number=0):
+    """Let a peer tell of a target."""
+    world = context.world
+    verdict = Verdict(target.cookie, True, evidence)
+    world.balancer.on_verdict(verdict, f"peer-{number}", world.now_ms)
+
+
+def open_beside(context):
+    """Open a flow to the same target, whatever is believed of it."""
+    stuck = context.world.balancer.stuck
+    suspects, stuck.suspects = stuck.suspects, {}
+    target = None
+    while target != context.target:
+        flow, target = context.world.open_flow()
+    stuck.suspects = suspects
+    return flow
+
+
+@when("another caller of its target gives up after {duration_ms:d} ms")
+def step_gives_up(context, duration_ms):
+    """It ends its flow with nothing new acknowledged."""
+    flow = open_beside(context)
+    ask(context, flow, context.target)
+    context.world.wait(duration_ms)
+    context.world.send(flow, ACK | FIN, cookie=context.target.cookie, ack=5_000)
+
+
+@when("another caller of its target ends after its answer")
+def step_ends(context):
+    """Its last packet acknowledges the answer."""
+    flow = open_beside(context)
+    ask(context, flow, context.target)
+    context.world.wait(600)
+    context.world.send(flow, ACK | FIN, cookie=context.target.cookie, ack=6_000)
+
+
+@when("a flow of another balancer arrives here")
+def step_moved(context):
+    """Its first packet here isn't a SYN."""
+    flow = context.world.new_flow()
+    context.world.send(flow, cookie=context.targets[1].cookie, ack=77)
+
+
+@then('its next request is reset as "{reason}"')
+def step_request_reset(context, reason):
+    """It is refused before any target has it."""
+    action = context.world.send(
+        context.flow, cookie=context.target.cookie, ack=5_000, length=REQUEST_BYTES
+    )
+    assert getattr(action, "reason", None) == reason, action
+
+
+@when("the first waits {duration_ms:d} ms while the second is answered")
+def step_one_waits(context, duration_ms):
+    """Only one request is long."""
+    (flow, target), *_, (other, _) = context.opened
+    context.target = target
+    ask(context, flow, target)
+    context.world.wait(duration_ms // 2)
+    ask(context, other, target)
+    context.world.wait(30)
+    context.world.send(other, cookie=target.cookie, ack=6_000)
+    context.world.wait(duration_ms // 2)
+
+
+@then("{count:d} new flows reach the first target too")
+def step_first_reached(context, count):
+    """It gets new flows."""
+    reached = {context.world.open_flow()[1].cookie for _ in range(count)}
+    assert context.target.cookie in reached
--- a/libs/flows/features/steps/world_steps.py
+++ b/libs/flows/features/steps/world_steps.py
@@ -258,7 +258,7 @@
 def step_verdict(context):
     """Another balancer found the target dead."""
     verdict = Verdict(context.target.cookie, True, "silent")
-    context.world.balancer.on_verdict(verdict, context.world.now_ms)
+    context.world.balancer.on_verdict(verdict, "peer", context.world.now_ms)
     context.world.collect()
 
 
--- /dev/null
+++ b/libs/flows/features/stuck.feature
@@ -0,0 +1,68 @@
+Feature: Targets that take requests and answer none
+
+  Background:
+    Given a balancer with 3 targets
+
+  Scenario: A request that waits too long keeps new flows away
+    When a flow is opened
+    And its caller asks and gets no answer for 500 ms
+    Then 30 new flows go to other targets
+    And the peers are told that the target is dead
+    And the flow isn't reset
+
+  Scenario: Several witnesses give requests that may be repeated back
+    When a flow is opened
+    And 2 peers say that callers gave up on its target
+    And another caller of its target gives up after 600 ms
+    Then its next request is reset as "target_stuck"
+
+  Scenario: Two witnesses aren't enough
+    When a flow is opened
+    And 2 peers say that callers gave up on its target
+    Then its packets still go to that target
+
+  Scenario: A request that mustn't be repeated is left alone
+    Given requests mustn't be repeated
+    When a flow is opened
+    And 3 peers say that callers gave up on its target
+    Then its packets still go to that target
+
+  Scenario: Peers that are only waiting prove nothing
+    When a flow is opened
+    And 5 peers say that its target is stuck
+    Then its packets still go to that target
+    And 30 new flows go to other targets
+
+  Scenario: A caller that gives up with its answer in hand proves nothing
+    When a flow is opened
+    And 2 peers say that callers gave up on its target
+    And another caller of its target ends after its answer
+    Then its packets still go to that target
+
+  Scenario: Flows that routers deal anew prove nothing
+    When a flow is opened
+    And its caller asks and gets no answer for 100 ms
+    And a flow of another balancer arrives here
+    And 500 ms pass
+    Then 30 new flows reach its target too
+
+  Scenario: A target that answers others isn't stuck
+    When two flows are opened to one target
+    And the first waits 500 ms while the second is answered
+    Then 30 new flows reach the first target too
+
+  Scenario: An answer ends the suspicion
+    When a flow is opened
+    And its caller asks and gets no answer for 500 ms
+    And its caller gets the answer
+    Then 30 new flows reach its target too
+
+  Scenario: Suspicion lapses
+    When a flow is opened
+    And 1 peers say that its target is stuck
+    And 4500 ms pass
+    Then 30 new flows reach its target too
+
+  Scenario: Where all are stuck the callers aren't refused
+    When every target is said to be stuck
+    Then 30 new flows reach 3 targets
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -6,12 +6,14 @@
 """
 
 from ._chooser import Chooser
+from ._cookie import NO_COOKIE
 from ._demand import Demand, is_cut_off
 from ._effects import FlowReset, Note
 from ._flow_table import FlowTable
-from ._health import Health
+from ._health import STUCK, UNANSWERED, Health, Verdict
 from ._openings import Openings
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
+from ._stuck import OVERDUE_MS, OWN, Stuck, overdue
 from ._view import View
 
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
@@ -31,6 +33,7 @@
         configuration: The ``Configuration`` in force, None before the first.
         flows: The flows seen lately.
         health: Which targets answer.
+        stuck: Targets that take requests and don't answer.
         openings: Flows whose target hasn't answered yet.
         chooser: Chooses the targets of new flows.
         demand: What callers asked for of late.
@@ -45,10 +48,12 @@
         self.configuration = None
         self.flows = FlowTable()
         self.health = Health()
+        self.stuck = Stuck()
         self.openings = Openings()
         self.chooser = Chooser(
             view=self.view,
             health=self.health,
+            stuck=self.stuck,
             flows=self.flows,
             data_centre=data_centre,
             random=random,
@@ -89,27 +94,38 @@
                 return Hold()
             return self._on_syn(packet, now_ms)
         flow = self.flows.flows.get(packet.flow)
-        cookie = packet.cookie or (flow.cookie if flow else 0)
-        if not cookie:
+        cookie = packet.cookie or (flow.cookie if flow else NO_COOKIE)
+        if cookie == NO_COOKIE:
             return Drop("no_cookie")
-        target = self.view.by_cookie.get(cookie)
         self.openings.remove(packet.flow)
+        if packet.flags & (RST | FIN):
+            self._on_given_up(packet, flow, now_ms)
         if packet.flags & RST:
+            target = self.view.by_cookie.get(cookie)
             self.flows.remove(packet.flow)
             return Forward(target, "open_flow") if target else Drop("unknown_cookie")
+        return self._on_open_flow(packet, flow, cookie, now_ms)
+
+    def _on_open_flow(self, packet, flow, cookie, now_ms):
         if self.configuration is not None and self._route(packet) is None:
-            self.flows.remove(packet.flow)
-            return Reset("route_removed", packet.acknowledgement)
+            return self._end(packet, "route_removed")
+        target = self.view.by_cookie.get(cookie)
         if target is None:
             return self._on_unknown_cookie(packet, cookie, now_ms)
         if self.health.is_confirmed(cookie):
-            self.flows.remove(packet.flow)
-            return Reset("target_dead", packet.acknowledgement)
+            return self._end(packet, "target_dead")
+        if packet.length and self._is_given_back(packet, cookie):
+            return self._end(packet, "target_stuck")
         self._note_packet(packet, flow, cookie, now_ms)
         if self.health.is_dead(cookie):
             self.effects.extend(self.health.doubt(cookie, now_ms))
         return Forward(target, "open_flow")
 
+    def _end(self, packet, reason):
+        """Forget a flow and return the reset that tells its caller."""
+        self.flows.remove(packet.flow)
+        return Reset(reason, packet.acknowledgement)
+
     def on_entries(self, changes, now_ms):
         """Take in changed entries: pairs of a key and a ``Target`` or None."""
         for key, target in changes:
@@ -128,8 +144,14 @@
         if any(verdict.dead for verdict in verdicts):
             self._reset_flows(cookie, evidence)
 
-    def on_verdict(self, verdict, now_ms):
-        """Take in what a peer found out of a target."""
+    def on_verdict(self, verdict, host, now_ms):
+        """Take in what a peer at some host found out of a target."""
+        if verdict.evidence == STUCK:
+            self.stuck.suspect(verdict.cookie, now_ms)
+            return
+        if verdict.evidence == UNANSWERED:
+            self.stuck.prove(verdict.cookie, host, now_ms)
+            return
         is_new = self.health.on_verdict(verdict, now_ms)
         if is_new and self.flows.open_flows.get(verdict.cookie):
             self.effects.extend(self.health.doubt(verdict.cookie, now_ms))
@@ -161,6 +183,9 @@
         self.view.forget_lapsed(now_ms)
         self._doubt_overdue(now_ms)
         self.effects.extend(self.health.due(now_ms))
+        self.stuck.on_tick(now_ms)
+        if self.configuration is not None:
+            self._on_overdue_requests(now_ms)
         self.demand.on_tick(now_ms)
         age_ms = None
         if self.view_confirmed_ms is not None:
@@ -243,6 +268,9 @@
 
     def _note_packet(self, packet, flow, cookie, now_ms):
         if flow is None or flow.cookie != cookie:
+            # Routers have dealt the flows anew: answers may be acknowledged
+            # through other balancers now.
+            self.flows.forget_waiting()
             flow = self.flows.add(packet.flow, cookie, now_ms)
         stalled = (
             packet.length
@@ -254,10 +282,42 @@
             flow.seen_ms = now_ms
             trials = self.health.on_stall(cookie, flow.progress_ms, now_ms)
             self.effects.extend(trials)
-        elif flow.note(packet, now_ms):
+            return
+        if flow.note(packet, now_ms):
             self.health.on_life(cookie, now_ms)
+            if flow.asked_ms is not None:
+                self.flows.answer(packet.flow, flow)
+                self.stuck.on_answer(cookie, now_ms)
         if packet.flags & FIN:
+            self.flows.answer(packet.flow, flow)
             self.flows.close(flow)
+        elif packet.length:
+            self.flows.ask(packet.flow, flow, now_ms)
+
+    def _on_overdue_requests(self, now_ms):
+        for _, flow in overdue(self.flows, now_ms):
+            cookie = flow.cookie
+            if self.stuck.answered_since(cookie, flow.asked_ms):
+                continue  # it answers others; this request may just be long
+            if self.stuck.suspect(cookie, now_ms):
+                self.effects.append(Verdict(cookie, True, STUCK))
+
+    def _on_given_up(self, packet, flow, now_ms):
+        """A caller ends a flow; take in if its request was never answered."""
+        if flow is None or flow.asked_ms is None:
+            return
+        waited_ms = now_ms - flow.asked_ms
+        unanswered = packet.acknowledgement == flow.acknowledged
+        if unanswered and waited_ms >= OVERDUE_MS:
+            self.stuck.prove(flow.cookie, OWN, now_ms)
+            self.effects.append(Verdict(flow.cookie, True, UNANSWERED))
+
+    def _is_given_back(self, packet, cookie):
+        """Tell whether a request is better served by another target."""
+        if not self.stuck.is_certain(cookie) or self.configuration is None:
+            return False
+        route = self._route(packet)
+        return route is not None and route.repeatable
 
     def _on_unknown_cookie(self, packet, cookie, now_ms):
         since_ms = self._unknown_since_ms.setdefault(cookie, now_ms)
@@ -266,8 +326,7 @@
         confirmed_ms = self.view_confirmed_ms
         if confirmed_ms is None or confirmed_ms - since_ms < UNKNOWN_COOKIE_MS:
             return Drop("unknown_cookie")
-        self.flows.remove(packet.flow)
-        return Reset("target_gone", packet.acknowledgement)
+        return self._end(packet, "target_gone")
 
     def _on_entry(self, key, target, now_ms):
         before = self.view.put(key, target, now_ms)
--- a/libs/flows/src/lagoontally_flows/_chooser.py
+++ b/libs/flows/src/lagoontally_flows/_chooser.py
@@ -11,14 +11,16 @@
     Args:
         view: The ``View``.
         health: The ``Health``.
+        stuck: The ``Stuck``, whose targets come last.
         flows: The ``FlowTable``, whose counts are the load.
         data_centre: Where this balancer runs.
         random: Source of random numbers, as of ``random.Random``.
     """
 
-    def __init__(self, *, view, health, flows, data_centre, random):
+    def __init__(self, *, view, health, stuck, flows, data_centre, random):
         self.view = view
         self.health = health
+        self.stuck = stuck
         self.flows = flows
         self.data_centre = data_centre
         self.random = random
@@ -49,11 +51,15 @@
         )
 
     def _healthy(self, service, now_ms, avoid):
-        return [
+        healthy = [
             target
             for target in self.view.candidates(service, now_ms)
             if target.cookie not in avoid and not self.health.is_dead(target.cookie)
         ]
+        answering = [
+            target for target in healthy if not self.stuck.is_stuck(target.cookie)
+        ]
+        return answering or healthy
 
     def _tie(self, target):
         return (target.cookie ^ self._tie_salt) * TIE_SPREAD & 0xFFFFFFFF
--- a/libs/flows/src/lagoontally_flows/_flow_table.py
+++ b/libs/flows/src/lagoontally_flows/_flow_table.py
@@ -20,6 +20,7 @@
         progress_ms: When its caller last sent something new.
         data_end: Sequence number behind the newest data that its caller sent.
         acknowledged: What its caller last acknowledged.
+        asked_ms: When the request that waits for an answer came, else None.
         opened: Whether its caller has answered the target's SYN.
         closing: Whether its caller has ended it.
     """
@@ -31,6 +32,7 @@
         "progress_ms",
         "data_end",
         "acknowledged",
+        "asked_ms",
         "opened",
         "closing",
     )
@@ -42,6 +44,7 @@
         self.progress_ms = now_ms
         self.data_end = None
         self.acknowledged = 0
+        self.asked_ms = None
         self.opened = False
         self.closing = False
 
@@ -81,11 +84,13 @@
     Attributes:
         flows: ``Flow`` by addresses and ports.
         open_flows: Number of flows that aren't closing, by cookie.
+        waiting: Flows with a request that waits for an answer, oldest first.
     """
 
     def __init__(self):
         self.flows = {}
         self.open_flows = {}
+        self.waiting = {}
         self._swept_ms = 0
 
     def add(self, key, cookie, now_ms):
@@ -102,6 +107,24 @@
         flow.tried.append(cookie)
         self.open_flows[cookie] = self.open_flows.get(cookie, 0) + 1
 
+    def ask(self, key, flow, now_ms):
+        """Note that a flow's caller has sent a request, unless one waits already."""
+        if flow.asked_ms is None:
+            flow.asked_ms = now_ms
+            self.waiting[key] = flow
+
+    def answer(self, key, flow):
+        """Note that a flow's caller has got something."""
+        if flow.asked_ms is not None:
+            flow.asked_ms = None
+            self.waiting.pop(key, None)
+
+    def forget_waiting(self):
+        """Forget which requests wait for an answer."""
+        for flow in self.waiting.values():
+            flow.asked_ms = None
+        self.waiting.clear()
+
     def close(self, flow):
         """Stop counting a flow whose caller ended it."""
         if not flow.closing:
@@ -110,6 +133,7 @@
 
     def remove(self, key):
         """Forget a flow, if it is known."""
+        self.waiting.pop(key, None)
         flow = self.flows.pop(key, None)
         if flow is not None and not flow.closing:
             self._release(flow)
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -27,8 +27,13 @@
 BEACON_INTERVAL_MS = 300
 
 
-class List(Record, fields=""):
-    """Read all targets from the store."""
+class List(Record, fields="may_be_old"):
+    """Read all targets from the store.
+
+    Attributes:
+        may_be_old: Whether seconds of age do: what has changed since comes with
+            the first watch or beacon.
+    """
 
     __slots__ = ()
 
@@ -317,13 +322,13 @@
         """Ask the reader and the store by turns until one has them."""
         if self._turn_to_reader(now_ms):
             return FetchTargets(self._reader_host)
-        return List()
+        return List(may_be_old=False)
 
     def _first_call(self, now_ms):
         """Ask the store first, and any reader that was heard while it fails."""
         if self.failures and self._turn_to_reader(now_ms):
             return FetchTargets(self._reader_host)
-        return List()
+        return List(may_be_old=self.revision is None)
 
     def _limit_watch(self):
         """Let a watch begin where both targets and configuration were known."""
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -162,7 +162,7 @@
             self.reader.on_delta(message, time_ms)
         elif isinstance(message, Verdict):
             self._note_verdict(message, host)
-            self.balancer.on_verdict(message, time_ms)
+            self.balancer.on_verdict(message, host, time_ms)
 
     def _note_verdict(self, verdict, source):
         if self.balancer.health.is_dead(verdict.cookie) == verdict.dead and (
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -56,13 +56,16 @@
         self._peer = None
         self._pages = {}
         self._page_revision = None
+        self._may_be_old = False
         self._called_ms = 0
         self._reached = True
         # A balancer that starts reads targets and configuration at the same time:
         # open flows need only the targets, and a configuration may be large.
         self._early = HttpClient(loop, settings.store_address)
         self._early.get(
-            page_path(CONFIGURATION_KEY), CALL_TIMEOUT_MS, self._on_early_configuration
+            page_path(CONFIGURATION_KEY, may_be_old=True),
+            CALL_TIMEOUT_MS,
+            self._on_early_configuration,
         )
 
     def on_tick(self, now_ms):
@@ -77,7 +80,8 @@
         if isinstance(call, List):
             self._pages.clear()
             self._page_revision = None
-            self._get(page_path(ENTRIES), CALL_TIMEOUT_MS, self._on_page)
+            self._may_be_old = call.may_be_old
+            self._get_page(None)
         elif isinstance(call, Watch):
             path = changes_path(EVERYTHING, call.revision, call.wait_ms)
             self._get(path, call.wait_ms + WATCH_SLACK_MS, self._on_changes)
@@ -99,6 +103,10 @@
         if self.reading.on_delta(delta):
             self.balancer.on_entries(delta.entries, now_ms)
 
+    def _get_page(self, after):
+        path = page_path(ENTRIES, after, may_be_old=self._may_be_old)
+        self._get(path, CALL_TIMEOUT_MS, self._on_page)
+
     def _get(self, path, timeout_ms, done):
         self._called_ms = self.loop.clock()
         self.store.get(path, timeout_ms, done)
@@ -141,8 +149,7 @@
         if self._page_revision is None:
             self._page_revision = listing.revision
         if listing.next_key is not None:
-            path = page_path(ENTRIES, listing.next_key)
-            self._get(path, CALL_TIMEOUT_MS, self._on_page)
+            self._get_page(listing.next_key)
             return
         now_ms = self.loop.clock()
         entries = {key: target for key, target in self._pages.items() if target}
