Hold a target for ended once its address has another one

Ruled out: loss (trials accepted from six balancers), the target's own return (its id isn't listed). Change: an entry at the address of an older target ends that target: its flows are reset at once, and trials of it count for nothing. trace follows callers too.

--- a/libs/cli/features/steps/trace_steps.py
+++ b/libs/cli/features/steps/trace_steps.py
@@ -101,6 +101,12 @@
     trace(context, FLOW)
 
 
+@when("the caller is traced")
+def step_caller(context):
+    """By its address alone."""
+    trace(context, FLOW.partition(":")[0])
+
+
 @when("the target is traced")
 def step_target(context):
     """By its id, where only beliefs are wanted."""
--- a/libs/cli/features/trace.feature
+++ b/libs/cli/features/trace.feature
@@ -25,6 +25,8 @@
     Given the logs of a silent target
     When the flow is traced
     Then the cause is "found dead: it answers nothing"
+    When the caller is traced
+    Then the cause is "found dead: it answers nothing"
     When the target is traced
     Then the events are start, trial, target_dead
 
--- a/libs/cli/src/lagoontally/_trace.py
+++ b/libs/cli/src/lagoontally/_trace.py
@@ -37,7 +37,9 @@
 def trace(ctx, subject, logs, window_s, as_json):
     """Follow SUBJECT through the LOGS of balancers on the platform.
 
-    SUBJECT is a request's id, a flow as logs show it, or a target's id. The lines
+    SUBJECT is a request's id, a flow as logs show it, a caller's address (with or
+    without its port) or a target's id. A request whose flow never opened is in no
+    line; follow its caller. The lines
     that mention it come in the order of time, with those on the targets that were
     used and on what the balancers concerned were doing, and then the cause that
     they show. Lines that can't be read are skipped and counted.
--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -24,6 +24,8 @@
     "target_gone": "the flow's target is unknown to the platform",
     "target_dead": "the flow's target had been found dead",
     "target_refused": "the flow's target was found dead: its host refuses connections",
+    "target_ended": "the flow's target has ended: its address has another target",
+    "target_stuck": "the flow's target takes requests and answers none",
     "target_silent": "the flow's target was found dead: it answers nothing",
     "unknown_cookie": "the balancer didn't know the flow's target yet",
 }
@@ -70,7 +72,7 @@
 
     Args:
         log: The ``Log``.
-        subject: A request's id, a flow or a target's id.
+        subject: A request's id, a flow, a caller or a target's id.
         window_s: Seconds around the subject's own lines in which the beliefs on
             its targets and the state of its balancers count.
 
@@ -98,7 +100,11 @@
 
 
 def _mentions(line, subject):
-    return subject in (line.get("request"), line.get("flow"), line.get("target"))
+    if subject in (line.get("request"), line.get("flow"), line.get("target")):
+        return True
+    # A caller: its address, with or without its port.
+    caller = (line.get("flow") or "").partition(">")[0]
+    return subject in (caller, caller.partition(":")[0])
 
 
 def _is_context(line, *, targets, instances):
--- a/libs/flows/features/flows.feature
+++ b/libs/flows/features/flows.feature
@@ -12,6 +12,19 @@
     And its target starts again under the same id
     Then the cookie of the new incarnation differs
 
+  Scenario: A target whose address was given to another one has ended
+    When a flow is opened
+    And another service's target is listed at its target's address
+    Then the flow is reset
+    And 30 new flows go to other targets
+    When the trial ends as "accepted"
+    Then 30 new flows go to other targets
+
+  Scenario: An older target's entry doesn't end the one at its address
+    When a flow is opened
+    And an older target is listed at its target's address
+    Then the flow isn't reset
+
   Scenario: A leaving target keeps its flows and gets no new ones
     When a flow is opened
     And its target leaves
--- a/libs/flows/features/steps/world_steps.py
+++ b/libs/flows/features/steps/world_steps.py
@@ -463,3 +463,22 @@
 def step_goes_elsewhere(context):
     """The unanswered target isn't tried again by the same caller."""
     assert context.action.target != context.target, context.action
+
+
+@when("another service's target is listed at its target's address")
+def step_reused(context):
+    """The address has changed hands."""
+    context.heir = make_target(90, service="usage-ledger", born=9)
+    context.heir = context.heir._replace(address=context.target.address)
+    context.targets.append(context.heir)
+    context.world.list_targets(*context.targets)
+
+
+@when("an older target is listed at its target's address")
+def step_older(context):
+    """A foreign or late entry."""
+    replace_target(context, context.target._replace(born=50))
+    claimer = make_target(91, born=1)._replace(address=context.target.address)
+    context.targets.append(claimer)
+    context.world.effects.clear()
+    context.world.list_targets(*context.targets)
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -180,7 +180,9 @@
         """Let time pass: trials, memory that runs out."""
         if self.configuration is not None:
             self.flows.sweep(now_ms, self.configuration.idle_timeout_ms)
-        self.view.forget_lapsed(now_ms)
+        for cookie in self.view.forget_lapsed(now_ms):
+            self.health.forget(cookie)
+            self.stuck.forget(cookie)
         self._doubt_overdue(now_ms)
         self.effects.extend(self.health.due(now_ms))
         self.stuck.on_tick(now_ms)
@@ -329,6 +331,10 @@
         return self._end(packet, "target_gone")
 
     def _on_entry(self, key, target, now_ms):
+        ended = target and self.view.superseded_by(target)
+        if ended:
+            self.health.ended.add(ended.cookie)
+            self._reset_flows(ended.cookie, "ended")
         before = self.view.put(key, target, now_ms)
         if target is not None:
             self._unknown_since_ms.pop(target.cookie, None)
--- a/libs/flows/src/lagoontally_flows/_health.py
+++ b/libs/flows/src/lagoontally_flows/_health.py
@@ -71,6 +71,8 @@
         stalled_ms: When a caller of each target last repeated itself.
         marks: ``Mark`` of each target held for dead.
         running: Cookies of the targets that are being tried.
+        ended: Cookies of the targets whose address has another target now. A trial
+            of theirs would be answered by that one.
         any_alive_ms: When any target last showed life.
     """
 
@@ -79,17 +81,18 @@
         self.stalled_ms = {}
         self.marks = {}
         self.running = set()
+        self.ended = set()
         self.any_alive_ms = LONG_AGO_MS
         self._accepted_ms = {}
 
     def is_dead(self, cookie):
         """Tell whether a target gets no new flows."""
-        return cookie in self.marks
+        return cookie in self.marks or cookie in self.ended
 
     def is_confirmed(self, cookie):
         """Tell whether a target is dead by a trial of this balancer."""
         mark = self.marks.get(cookie)
-        return mark is not None and mark.confirmed
+        return cookie in self.ended or (mark is not None and mark.confirmed)
 
     def on_life(self, cookie, now_ms):
         """Note that a target answered a caller."""
@@ -138,6 +141,8 @@
             A list with the ``Verdict`` to tell peers, empty if nothing is news.
         """
         self.running.discard(cookie)
+        if cookie in self.ended:
+            return []
         if evidence == ACCEPTED:
             self._accepted_ms[cookie] = now_ms
             self.any_alive_ms = now_ms
@@ -172,7 +177,7 @@
         """Let peers' words lapse and return the trials that are due."""
         trials = []
         for cookie, mark in list(self.marks.items()):
-            if not mark.confirmed and now_ms >= mark.until_ms:
+            if not mark.confirmed and now_ms >= mark.until_ms or cookie in self.ended:
                 del self.marks[cookie]
             elif mark.confirmed and now_ms >= mark.trial_ms:
                 mark.trial_ms = now_ms + DEAD_TRIAL_INTERVAL_MS
@@ -201,3 +206,4 @@
         for table in (self.alive_ms, self.stalled_ms, self.marks, self._accepted_ms):
             table.pop(cookie, None)
         self.running.discard(cookie)
+        self.ended.discard(cookie)
--- a/libs/flows/src/lagoontally_flows/_view.py
+++ b/libs/flows/src/lagoontally_flows/_view.py
@@ -28,6 +28,7 @@
     Attributes:
         targets: Listed targets by the key of their entry.
         by_cookie: Every target whose flows can be served, by cookie.
+        by_address: The target that each address was last listed for.
         lapses: Targets that are no longer listed, by cookie.
         changes: Rises whenever a target comes, goes or changes.
     """
@@ -35,6 +36,7 @@
     def __init__(self):
         self.targets = {}
         self.by_cookie = {}
+        self.by_address = {}
         self.lapses = {}
         self.changes = 0
         self._services = {}
@@ -60,6 +62,7 @@
         else:
             self.targets[key] = target
             self.by_cookie[target.cookie] = target
+            self.by_address[target.address] = target
             self.lapses.pop(target.cookie, None)
         if before is not None and (target is None or before.cookie != target.cookie):
             self.lapses[before.cookie] = Lapse(before, now_ms)
@@ -78,13 +81,33 @@
         for key, target in entries.items():
             self.put(key, target, now_ms)
 
+    def superseded_by(self, target):
+        """Return the target whose address another one has taken over, else None.
+
+        An address changes hands only after its target has ended.
+        """
+        former = self.by_address.get(target.address)
+        if former is None or former.cookie == target.cookie:
+            return None
+        return former if former.born <= target.born else None
+
     def forget_lapsed(self, now_ms):
-        """Drop the targets that lapsed so long ago that no flow of theirs lives."""
+        """Drop the targets that lapsed so long ago that no flow of theirs lives.
+
+        Returns:
+            Their cookies.
+        """
+        forgotten = []
         for cookie, lapse in list(self.lapses.items()):
             if now_ms - lapse.at_ms > LAPSED_KEPT_MS:
                 del self.lapses[cookie]
                 del self.by_cookie[cookie]
+                address = lapse.target.address
+                if self.by_address.get(address) == lapse.target:
+                    del self.by_address[address]
+                forgotten.append(cookie)
                 self.changes += 1
+        return forgotten
 
     def candidates(self, service, now_ms):
         """Return the targets of a service that may get new flows.
