--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -3,7 +3,13 @@
 import json
 from typing import NamedTuple
 
-TARGET_EVENTS = ("trial", "target_dead", "target_alive", "target_lapsed")
+TARGET_EVENTS = (
+    "trial",
+    "target_dead",
+    "target_alive",
+    "target_stuck",
+    "target_lapsed",
+)
 INSTANCE_EVENTS = (
     "start",
     "serving",
@@ -16,6 +22,10 @@
     "store_regained",
     "configuration_in_force",
 )
+BELIEFS = {
+    "target_dead": "was found dead",
+    "target_stuck": "took requests and answered none",
+}
 # What the last line on a flow means, by event and reason.
 VERDICTS = {
     "no_route": "the configuration in force at the balancer had no such route",
@@ -133,8 +143,9 @@
     after = [line for line in lines if line["time"] >= last["time"]]
     instance = last["instance"]
     for line in after:
-        if line["event"] == "target_dead" and line["target"] == last.get("target"):
-            return f"its target {line['target']} was found dead ({line['evidence']})"
+        believed = BELIEFS.get(line["event"])
+        if believed and line["target"] == last.get("target"):
+            return f"its target {line['target']} {believed} ({line['evidence']})"
         if line["instance"] != instance:
             continue
         if line["event"] in ("start", "stop"):
--- a/libs/flows/features/steps/stuck_steps.py
+++ b/libs/flows/features/steps/stuck_steps.py
@@ -126,3 +126,9 @@
     """It gets new flows."""
     reached = {context.world.open_flow()[1].cookie for _ in range(count)}
     assert context.target.cookie in reached
+
+
+@when("the balancer is out of the rotation")
+def step_out(context):
+    """It was told to stop."""
+    context.world.balancer.in_rotation = False
--- a/libs/flows/features/stuck.feature
+++ b/libs/flows/features/stuck.feature
@@ -46,6 +46,12 @@
     And 500 ms pass
     Then 30 new flows reach its target too
 
+  Scenario: A balancer that leaves the rotation suspects nobody
+    When a flow is opened
+    And the balancer is out of the rotation
+    And its caller asks and gets no answer for 500 ms
+    Then 30 new flows reach its target too
+
   Scenario: A target that answers others isn't stuck
     When two flows are opened to one target
     And the first waits 500 ms while the second is answered
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -3,7 +3,16 @@
 from ._balancer import Balancer
 from ._cookie import NO_COOKIE, target_cookie
 from ._effects import FlowReset, Note
-from ._health import ACCEPTED, REFUSED, SILENT, UNCLEAR, Trial, Verdict
+from ._health import (
+    ACCEPTED,
+    REFUSED,
+    SILENT,
+    STUCK,
+    UNANSWERED,
+    UNCLEAR,
+    Trial,
+    Verdict,
+)
 from ._lifecycle import Lifecycle
 from ._reading import (
     WEAK_LINK_MBPS,
@@ -30,6 +39,7 @@
     Route,
     Target,
 )
+from ._stuck import OWN
 
 __all__ = [
     "ACCEPTED",
@@ -38,8 +48,11 @@
     "NO_COOKIE",
     "REFUSED",
     "RST",
+    "OWN",
     "SILENT",
+    "STUCK",
     "SYN",
+    "UNANSWERED",
     "UNCLEAR",
     "WEAK_LINK_MBPS",
     "Balancer",
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -38,6 +38,7 @@
         chooser: Chooses the targets of new flows.
         demand: What callers asked for of late.
         cut_off: Whether callers are better served through another data centre.
+        in_rotation: Whether routers are told to send packets here.
         effects: What steps asked for and the caller of the step has to do.
         view_confirmed_ms: When the view was last known to be current.
     """
@@ -60,6 +61,7 @@
         )
         self.demand = Demand()
         self.cut_off = False
+        self.in_rotation = True
         self.effects = []
         self.view_confirmed_ms = None
         self._unknown_since_ms = {}
@@ -297,7 +299,9 @@
             self.flows.ask(packet.flow, flow, now_ms)
 
     def _on_overdue_requests(self, now_ms):
-        for _, flow in overdue(self.flows, now_ms):
+        if not self.in_rotation:
+            self.flows.forget_waiting()  # answers are acknowledged elsewhere
+        for flow in overdue(self.flows, now_ms):
             cookie = flow.cookie
             if self.stuck.answered_since(cookie, flow.asked_ms):
                 continue  # it answers others; this request may just be long
--- a/libs/flows/src/lagoontally_flows/_stuck.py
+++ b/libs/flows/src/lagoontally_flows/_stuck.py
@@ -88,18 +88,18 @@
 
 
 def overdue(flows, now_ms):
-    """Return the flows whose request waits too long.
+    """Return the flows whose request has waited for ``OVERDUE_MS`` or more.
 
     Args:
         flows: The ``FlowTable``.
         now_ms: Time of the step.
 
     Returns:
-        Pairs of addresses and ports and a ``Flow``, longest wait first.
+        ``Flow`` objects, longest wait first.
     """
     found = []
-    for key, flow in flows.waiting.items():
+    for flow in flows.waiting.values():
         if now_ms - flow.asked_ms < OVERDUE_MS:
             break
-        found.append((key, flow))
+        found.append(flow)
     return found
--- a/libs/forwarder/src/lagoontally_forwarder/_loop.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_loop.py
@@ -6,7 +6,7 @@
 
 from select import EPOLLIN, epoll
 
-TICK_MS = 100
+TICK_MS = 50
 BUSY_TICK_MS = 20  # while trials of targets run
 MS_PER_S = 1_000
 
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -7,6 +7,9 @@
 from posix import environ, stat  # ``os`` adds a millisecond to the start
 
 from lagoontally_flows import (
+    OWN,
+    STUCK,
+    UNANSWERED,
     WEAK_LINK_MBPS,
     Balancer,
     Beacon,
@@ -137,7 +140,7 @@
             elif isinstance(effect, Trial):
                 self._start_trial(effect.cookie)
             elif isinstance(effect, Verdict):
-                self._note_verdict(effect, "self")
+                self._note_verdict(effect, OWN)
                 self.peers.broadcast(effect)
             elif isinstance(effect, Note):
                 self.log.line(effect.event, **dict(effect.fields))
@@ -165,16 +168,21 @@
             self.balancer.on_verdict(message, host, time_ms)
 
     def _note_verdict(self, verdict, source):
-        if self.balancer.health.is_dead(verdict.cookie) == verdict.dead and (
-            source != "self"
-        ):
-            return
-        self.log.line(
-            "target_dead" if verdict.dead else "target_alive",
-            target=self.balancer.target_id(verdict.cookie),
-            evidence=verdict.evidence,
-            source=source,
-        )
+        """Log a verdict that changes what is believed."""
+        balancer = self.balancer
+        if verdict.evidence in (STUCK, UNANSWERED):
+            event = "target_stuck"
+            known = balancer.stuck.is_stuck(verdict.cookie)
+        else:
+            event = "target_dead" if verdict.dead else "target_alive"
+            known = balancer.health.is_dead(verdict.cookie) == verdict.dead
+        if source == OWN or not known:
+            self.log.line(
+                event,
+                target=balancer.target_id(verdict.cookie),
+                evidence=verdict.evidence,
+                source=source,
+            )
 
     def _note_readiness(self, time_ms):
         has_view = self.reading.revision is not None
@@ -199,7 +207,7 @@
             has_view=has_view, isolated=isolated, cut_off=cut_off
         )
         if ready != self._was_ready:
-            self._was_ready = ready
+            self._was_ready = self.balancer.in_rotation = ready
             self.log.line(
                 "ready" if ready else "unready",
                 isolated=isolated,
