--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -26,6 +26,8 @@
         targets_revision: Revision of the last change of targets.
         version: Version of the newest configuration.
         away_from: Names of the balancers that it doesn't answer.
+        stale_revision: Revision that answers show which may be old, None for the
+            newest.
         forgotten: Revision up to which the history is lost.
         calls: Number of calls made.
     """
@@ -36,6 +38,7 @@
         self.version = 1
         self.away_from = set()
         self.forgotten = 0
+        self.stale_revision = None
         self.calls = 0
 
 
@@ -140,8 +143,19 @@
         elif balancer.name in store.away_from:
             reading.on_failure(self.now_ms)
         elif isinstance(call, List):
-            balancer.targets_revision = store.targets_revision
-            reading.on_listed(store.revision, self.now_ms)
+            old = call.may_be_old and store.stale_revision is not None
+            revision = store.stale_revision if old else store.revision
+            known, previous = balancer.targets_revision, reading.view_revision
+            changed = store.targets_revision
+            balancer.targets_revision = None if changed > revision else changed
+            reading.on_listed(
+                revision,
+                self.now_ms,
+                targets_changed=balancer.targets_revision != known,
+                may_be_old=call.may_be_old,
+            )
+            if balancer.targets_revision != known:
+                self._tell(balancer, previous)
         elif isinstance(call, ReadConfiguration):
             self._configure(balancer, store.version)
             reading.on_configuration_read(store.revision, self.now_ms, found=True)
@@ -159,7 +173,13 @@
         if not changed:
             return
         balancer.targets_revision = store.targets_revision
-        delta = Delta(previous, store.revision, balancer.version, 0, 1, ())
+        self._tell(balancer, previous)
+
+    def _tell(self, balancer, previous):
+        if not balancer.reading.reader:
+            return
+        revision = balancer.reading.view_revision
+        delta = Delta(previous, revision, balancer.version, 0, 1, ())
         for other in self.living():
             lost = other is balancer or other.name in self.lost
             if not lost and other.reading.on_delta(delta):
--- a/libs/flows/features/reading.feature
+++ b/libs/flows/features/reading.feature
@@ -47,6 +47,9 @@
     Then every balancer shows the targets
     And every balancer has the configuration
 
+  Scenario: The same with many seeds
+    Then with 60 seeds a lost reader delays a change by 2900 ms at most
+
   Scenario: A third of the balancers is turned away
     Given 12 balancers that have run for 5000 ms
     When the store doesn't answer 4 balancers any more
@@ -81,11 +84,26 @@
     Then every balancer shows the targets
     And 1 balancer reads for the others
 
+  Scenario: A balancer whose first listing is old catches up at once
+    Given 12 balancers that have run for 5000 ms
+    When old answers of the store stay behind from now on
+    And the targets change
+    And 1000 ms pass for the fleet
+    And a balancer starts
+    And 60 ms pass for the fleet
+    Then every balancer shows the targets
+
   Scenario: A store that has lost its history is read anew
     Given 12 balancers that have run for 5000 ms
     When the store forgets its history and the targets change
     And 1500 ms pass for the fleet
     Then every balancer shows the targets
+    And the change has cost at most 8 calls to the store
+
+  Scenario: A lost history without a change costs the followers nothing
+    Given 12 balancers that have run for 5000 ms
+    When the store forgets its history
+    Then 1500 ms cost at most 8 calls to the store
 
   Scenario: A balancer that starts in an outage takes over what its peers know
     Given 12 balancers that have run for 5000 ms
--- a/libs/flows/features/steps/reading_steps.py
+++ b/libs/flows/features/steps/reading_steps.py
@@ -1,5 +1,7 @@
 """Steps for the decisions on who reads the store."""
 
+from random import Random
+
 from behave import given, then, when
 from fleet import Balancer, Fleet
 
@@ -85,10 +87,31 @@
 def step_compaction(context):
     """Watches that ask for the past are refused."""
     fleet = context.fleet
+    context.calls_before = fleet.store.calls
     fleet.change_targets()
     fleet.store.forgotten = fleet.store.revision
 
 
+@when("the store forgets its history")
+def step_compaction_only(context):
+    """Something else was written meanwhile."""
+    context.fleet.store.revision += 5
+    context.fleet.store.forgotten = context.fleet.store.revision
+
+
+@then("the change has cost at most {most:d} calls to the store")
+def step_change_calls(context, most):
+    """Only the reader reads anew."""
+    calls = context.fleet.store.calls - context.calls_before
+    assert calls <= most, calls
+
+
+@when("old answers of the store stay behind from now on")
+def step_stale(context):
+    """They show the store as it is now."""
+    context.fleet.store.stale_revision = context.fleet.store.revision
+
+
 @when("a balancer starts")
 def step_start(context):
     """One more balancer, which knows nothing."""
@@ -124,3 +147,19 @@
     newest = context.fleet.store.version
     old = [one.name for one in context.fleet.living() if one.version != newest]
     assert not old, old
+
+
+@then("with {seeds:d} seeds a lost reader delays a change by {most_ms:d} ms at most")
+def step_seeds(context, seeds, most_ms):
+    """The store turns the reader away just before the change."""
+    for seed in range(seeds):
+        context.fleet = Fleet(12)
+        for number, balancer in enumerate(context.fleet.balancers):
+            balancer.reading.random = Random(seed * 100 + number)
+        context.fleet.run(5_000)
+        step_reader_turned_away(context)
+        step_targets(context)
+        step_configuration(context)
+        context.fleet.run(most_ms)
+        step_all_show(context)
+        step_all_have(context)
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -31,8 +31,8 @@
     """Read all targets from the store.
 
     Attributes:
-        may_be_old: Whether seconds of age do: what has changed since comes with
-            the first watch or beacon.
+        may_be_old: Whether seconds of age do: a watch that follows at once brings
+            what has changed since.
     """
 
     __slots__ = ()
@@ -136,6 +136,7 @@
         self._ask_reader = True
         self._reader_host = None
         self._listed = False
+        self._listing_is_old = False
         self._configured = False
         self._configuration_revision = None
         self._next_call_ms = 0
@@ -153,6 +154,9 @@
             return None
         if not self._listed:
             return self._first_call(now_ms)
+        if self._listing_is_old:
+            self._listing_is_old = False  # one try; beacons make up for the rest
+            return Watch(self.revision, 1)
         if not self.reader and now_ms >= self._take_over_ms:
             self.reader = True
         announced = self.announced_version > self.configuration_version
@@ -166,11 +170,14 @@
             return self._targets_call(now_ms)
         return None
 
-    def on_listed(self, revision, now_ms):
+    def on_listed(self, revision, now_ms, *, targets_changed, may_be_old=False):
         """Note that all targets were read from the store."""
         self._listed = True
+        self._listing_is_old = may_be_old
         self._behind = False
-        self.revision = self.view_revision = revision
+        self.revision = revision
+        if targets_changed:
+            self.view_revision = max(self.view_revision, revision)
         self._limit_watch()
         self._on_answer(now_ms)
 
@@ -253,7 +260,8 @@
 
     def on_beacon(self, beacon, host, now_ms):
         """Take in the word of a reader of the own data centre."""
-        self._reader_host = host
+        if beacon.configuration_version >= self.announced_version:
+            self._reader_host = host  # others wouldn't have what is needed
         if beacon.configuration_version > self.announced_version:
             self._on_new_configuration(beacon, now_ms)
         fresh = beacon.reachable and beacon.contact_age_ms <= FRESH_MS
@@ -348,7 +356,8 @@
         self.contact_ms = now_ms
         self.confirmed_ms = now_ms
         if not self.reader:
-            self._take_over_ms = max(self._take_over_ms, now_ms + self._spread())
+            due_ms = now_ms + FRESH_MS + self._spread()
+            self._take_over_ms = max(self._take_over_ms, due_ms)
 
     def _on_vain_reader(self, beacon, now_ms):
         """Let few balancers try while the store answers none that is heard of."""
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -6,6 +6,7 @@
 from ._sockets import datagram_socket
 
 HELLO_INTERVAL_MS = 2_000
+FIRST_HELLO_INTERVAL_MS = 250  # until a seed has answered: it may be starting too
 MEMBER_KEPT_MS = 12_000  # a seed that misses some greetings still knows them
 MOST_MEMBERS = 70  # hosts that fit into one datagram
 MESSAGES_A_TURN = 64
@@ -47,7 +48,9 @@
         """Greet the seeds when it is time, and forget silent members."""
         if now_ms < self._next_hello_ms:
             return
-        self._next_hello_ms = now_ms + HELLO_INTERVAL_MS
+        alone = not self.members
+        interval_ms = FIRST_HELLO_INTERVAL_MS if alone else HELLO_INTERVAL_MS
+        self._next_hello_ms = now_ms + interval_ms
         hello = encode_message(Hello(self.settings.data_centre))
         for seed in self.settings.seeds:
             if seed[0] != self.settings.host:
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -153,8 +153,31 @@
             return
         now_ms = self.loop.clock()
         entries = {key: target for key, target in self._pages.items() if target}
-        self.balancer.on_listing(entries, now_ms)
-        self.reading.on_listed(self._page_revision, now_ms)
+        known = self.balancer.view.targets
+        changes = [
+            (key, entries.get(key))
+            for key in known.keys() | entries.keys()
+            if known.get(key) != entries.get(key)
+        ]
+        previous = self.reading.view_revision
+        self.balancer.on_entries(changes, now_ms)
+        self.reading.on_listed(
+            self._page_revision,
+            now_ms,
+            targets_changed=bool(changes),
+            may_be_old=self._may_be_old,
+        )
+        self._tell(previous, changes)
+
+    def _tell(self, previous, changes):
+        """Tell the members what has changed, if this balancer reads for them."""
+        if not changes or not self.reading.reader:
+            return
+        revision = self.reading.view_revision
+        version = self.reading.configuration_version
+        delta = Delta(previous, revision, version, 0, 1, changes)
+        for part in split_delta(delta):
+            self.peers.broadcast(part)
 
     def _on_changes(self, result):
         now_ms = self.loop.clock()
@@ -169,13 +192,10 @@
         previous = self.reading.view_revision
         self._configure(listing.configuration, "store")
         self.balancer.on_entries(listing.entries, now_ms)
-        changed = bool(listing.entries)
-        self.reading.on_changes(listing.revision, now_ms, targets_changed=changed)
-        if changed:
-            version = self.reading.configuration_version
-            delta = Delta(previous, listing.revision, version, 0, 1, listing.entries)
-            for part in split_delta(delta):
-                self.peers.broadcast(part)
+        self.reading.on_changes(
+            listing.revision, now_ms, targets_changed=bool(listing.entries)
+        )
+        self._tell(previous, listing.entries)
 
     def _on_configuration(self, result):
         listing = self._decoded(result, decode_page)
