--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -200,6 +200,8 @@
 
     def target_id(self, cookie):
         """Return the id of the target that a cookie names, as logs show it."""
+        if cookie == NO_COOKIE:
+            return ""
         target = self.view.by_cookie.get(cookie)
         return target.name.hex() if target else f"unknown-{cookie:08x}"
 
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -135,7 +135,11 @@
         for effect in self.balancer.take_effects():
             if isinstance(effect, FlowReset):
                 self.port.reset(
-                    effect.flow, effect.sequence, effect.reason, effect.cookie
+                    effect.flow,
+                    effect.sequence,
+                    effect.reason,
+                    effect.cookie,
+                    **self.balancer.belief(now_ms()),
                 )
             elif isinstance(effect, Trial):
                 self._start_trial(effect.cookie)
