Stand-ins of packets beside the other stand-ins; a caller's flows at once stay local

Cause: 'Requests are answered by targets of the callers' data centre' failed with targets of both: each of 40 flows that one caller opened at once avoided the targets that its other flows still waited for. One address may stand for many callers. Change: only openings of 5 ms or more, the way to a target and back, are avoided; an answer on a dropped route is judged by its request alone. The stand-ins move to lagoontally_standins.packets, since they speak the platform's names.

--- a/libs/flows/features/health.feature
+++ b/libs/flows/features/health.feature
@@ -19,6 +19,11 @@
     When 500 ms pass
     Then no opening is remembered
 
+  Scenario: Flows that a caller opens at once all stay in the data centre
+    Given a balancer with 2 targets and 2 remote ones
+    When a caller opens 40 flows and answers none
+    Then no remote target has flows
+
   Scenario: A SYN that isn't answered soon makes a trial
     When a SYN isn't answered for 100 ms
     Then a trial of the first target is made
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -258,7 +258,7 @@
     def _place(self, packet, route, now_ms):
         caller = packet.flow[0]
         target = self.chooser.choose(
-            route, now_ms, avoid=self.openings.tried_by(caller)
+            route, now_ms, avoid=self.openings.tried_by(caller, now_ms)
         ) or self.chooser.choose(route, now_ms)
         self.demand.on_syn(route.shares, served=target is not None)
         if target is None:
--- a/libs/flows/src/lagoontally_flows/_openings.py
+++ b/libs/flows/src/lagoontally_flows/_openings.py
@@ -7,6 +7,7 @@
 
 OVERDUE_MS = 45  # a handshake takes some 7 ms, 30 where an instance is slow
 KEPT_MS = 400  # callers whose SYN was refused try again at once
+REFUSAL_MS = 5  # the way to a target and back; a caller can't know sooner
 MOST_A_CALLER = 8  # a caller that opens more at once isn't looked at further
 
 
@@ -63,7 +64,9 @@
             self.remove(key)
         return found
 
-    def tried_by(self, caller):
-        """Return the cookies of targets that this caller waits for in vain."""
-        keys = self.by_caller.get(caller, ())
-        return {self.waiting[key][0].cookie for key in keys}
+    def tried_by(self, caller, now_ms):
+        """Return the cookies of targets that a caller may have been refused by."""
+        tried = (self.waiting[key] for key in self.by_caller.get(caller, ()))
+        return {
+            flow.cookie for flow, placed_ms in tried if now_ms - placed_ms >= REFUSAL_MS
+        }
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -13,7 +13,7 @@
 from behave import given, then, when
 from fixtures import SETTINGS
 
-from lagoontally_soak import (
+from lagoontally_standins.packets import (
     ANSWERING,
     BUSY,
     PASS,
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -5,8 +5,17 @@
 
 from behave import then, when
 
-from lagoontally_soak import DELAYED, ONE_WAY, PASS, RESET, SILENT, Loop, Proxy, Store
-from lagoontally_soak._run import soak
+from lagoontally_soak import soak
+from lagoontally_standins.packets import (
+    DELAYED,
+    ONE_WAY,
+    PASS,
+    RESET,
+    SILENT,
+    Loop,
+    Proxy,
+    Store,
+)
 
 HOST = "127.0.0.1"
 NETWORK = 2 + os.getpid() % 250
--- a/libs/soak/src/lagoontally_soak/__init__.py
+++ b/libs/soak/src/lagoontally_soak/__init__.py
@@ -1,28 +1,6 @@
-"""Stand-ins of the users' platform, and a soak of real balancers under faults."""
+"""A soak of real balancers of packets under seeded faults."""
 
-from ._caller import Callers, Outcome
-from ._deployment import GRACE_S, PEER_PORT, Deployment
-from ._loop import Loop
-from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT, Proxy
-from ._store import ANSWERING, BUSY, Store
-from ._target import Run, Target
+from ._checks import Violation
+from ._run import Soak, soak
 
-__all__ = [
-    "ANSWERING",
-    "BUSY",
-    "DELAYED",
-    "GRACE_S",
-    "ONE_WAY",
-    "PASS",
-    "PEER_PORT",
-    "RESET",
-    "SILENT",
-    "Callers",
-    "Deployment",
-    "Loop",
-    "Outcome",
-    "Proxy",
-    "Run",
-    "Store",
-    "Target",
-]
+__all__ = ["Soak", "Violation", "soak"]
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from ._caller import Outcome
+from lagoontally_standins.packets import Outcome
 
 DRAIN_S = 3.0
 CONFIGURATION_S = 3.0
--- a/libs/soak/src/lagoontally_soak/_faults.py
+++ b/libs/soak/src/lagoontally_soak/_faults.py
@@ -3,9 +3,16 @@
 import signal
 from typing import NamedTuple
 
-from ._deployment import SERVICES
-from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT
-from ._store import ANSWERING, BUSY
+from lagoontally_standins.packets import (
+    ANSWERING,
+    BUSY,
+    DELAYED,
+    ONE_WAY,
+    PASS,
+    RESET,
+    SERVICES,
+    SILENT,
+)
 
 LAPSE_S = 3.6  # three heartbeats: how long a dead target's entry stays
 DRAIN_S = 3.0
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -5,9 +5,9 @@
 from pathlib import Path
 from random import Random
 
-from ._caller import Outcome
+from lagoontally_standins.packets import Deployment, Outcome
+
 from ._checks import Checks, Violation
-from ._deployment import Deployment
 from ._faults import Faults
 
 DATA_CENTRES = ("tifton", "camilla")
--- /dev/null
+++ b/libs/standins/src/lagoontally_standins/packets/__init__.py
@@ -0,0 +1,29 @@
+"""Stand-ins of the platform whose targets are reached by packets."""
+
+from ._caller import Callers, Outcome
+from ._deployment import GRACE_S, PEER_PORT, SERVICES, Deployment
+from ._loop import Loop
+from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT, Proxy
+from ._store import ANSWERING, BUSY, Store
+from ._target import Run, Target
+
+__all__ = [
+    "ANSWERING",
+    "BUSY",
+    "DELAYED",
+    "GRACE_S",
+    "ONE_WAY",
+    "PASS",
+    "PEER_PORT",
+    "RESET",
+    "SERVICES",
+    "SILENT",
+    "Callers",
+    "Deployment",
+    "Loop",
+    "Outcome",
+    "Proxy",
+    "Run",
+    "Store",
+    "Target",
+]
--- a/libs/soak/src/lagoontally_soak/_caller.py
+++ b/libs/standins/src/lagoontally_standins/packets/_caller.py
@@ -103,8 +103,8 @@
 
     def _on_answer(self, answer):
         service, self.target, request = answer.split(" ", 2)
-        right = request == self.request and service == self.callers.service_of(
-            self.flow
+        right = request == self.request and (
+            self.callers.service_of(self.flow) in (service, None)
         )
         if self.outcome is Outcome.PENDING:
             self.outcome = Outcome.ANSWERED if right else Outcome.WRONG
@@ -172,8 +172,8 @@
         return flow
 
     def service_of(self, flow):
-        """Return the service that a flow's route leads to."""
-        return self.services[flow[2:]]
+        """Return the service that a flow's route leads to, None once it is dropped."""
+        return self.services.get(flow[2:])
 
     def _on_readable(self):
         while True:
