Take entries for gone that are missing two seconds after the store's return

Cause: entries that lapsed together served on for 12 s, also after an outage whose end the balancer had seen; the platform has them back within two seconds or never. Change: what lapses around a noticed return is gone two seconds after it; the 12 s hold for outages that only others see.

--- a/libs/flows/features/health.feature
+++ b/libs/flows/features/health.feature
@@ -92,6 +92,13 @@
     When 13000 ms pass
     Then a new flow is reset as "no_target"
 
+  Scenario: What is still missing two seconds after the store's return is gone
+    When the store comes back from an outage
+    And all targets are no longer listed at once
+    Then 30 new flows reach 3 targets
+    When 2100 ms pass
+    Then a new flow is reset as "no_target"
+
   Scenario: A single lapsed target gets no new flows
     When a flow is opened
     And its target is no longer listed
--- a/libs/flows/features/steps/world_steps.py
+++ b/libs/flows/features/steps/world_steps.py
@@ -503,3 +503,9 @@
     """Memory is given back."""
     openings = context.world.balancer.openings
     assert not openings.waiting and not openings.by_caller
+
+
+@when("the store comes back from an outage")
+def step_returned(context):
+    """It answers again."""
+    context.world.balancer.view.store_returned_ms = context.world.now_ms
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -115,6 +115,7 @@
         contact_ms: When the store last answered this balancer.
         confirmed_ms: When the view was last known to be current.
         failures: Calls to the store in a row without a usable answer.
+        returned_ms: When the store last came back, as far as noticed; else None.
         members: Balancers of this data centre, this one included.
         routes: Routes of the configuration in force here.
     """
@@ -131,6 +132,8 @@
         self.contact_ms = None
         self.confirmed_ms = None
         self.failures = 0
+        self.returned_ms = None
+        self._reader_in_vain = False
         self.members = 1
         self.routes = 0
         self._ask_reader = True
@@ -266,8 +269,12 @@
             self._on_new_configuration(beacon, now_ms)
         fresh = beacon.reachable and beacon.contact_age_ms <= FRESH_MS
         if not fresh:
+            self._reader_in_vain = True
             self._on_vain_reader(beacon, now_ms)
             return
+        if self._reader_in_vain:
+            self._reader_in_vain = False
+            self.returned_ms = now_ms
         if beacon.configuration_version <= self.configuration_version:
             known = self._configuration_revision or 0
             self._configuration_revision = max(known, beacon.revision)
@@ -352,6 +359,8 @@
         return True
 
     def _on_answer(self, now_ms):
+        if self.failures:
+            self.returned_ms = now_ms
         self.failures = 0
         self.contact_ms = now_ms
         self.confirmed_ms = now_ms
--- a/libs/flows/src/lagoontally_flows/_view.py
+++ b/libs/flows/src/lagoontally_flows/_view.py
@@ -3,6 +3,8 @@
 from lagoontally_lean import Record
 
 LAPSED_KEPT_MS = 60_000  # longest life of a flow that the platform promises
+RETURN_MS = 2_000  # entries of live targets are back so soon after an outage
+RETURN_SEEN_MS = 500  # a listing may come a little before the return is noted
 MASS_LAPSE_WINDOW_MS = 12_000  # a store that forgets leases does so for seconds
 
 
@@ -30,6 +32,7 @@
         by_cookie: Every target whose flows can be served, by cookie.
         by_address: The target that each address was last listed for.
         lapses: Targets that are no longer listed, by cookie.
+        store_returned_ms: When the store last came back from an outage, or None.
         changes: Rises whenever a target comes, goes or changes.
     """
 
@@ -38,6 +41,7 @@
         self.by_cookie = {}
         self.by_address = {}
         self.lapses = {}
+        self.store_returned_ms = None
         self.changes = 0
         self._services = {}
         self._data_centres = set()
@@ -128,10 +132,19 @@
             for lapse in self.lapses.values()
             if lapse.target.service == service
             and not lapse.target.leaving
-            and now_ms - lapse.at_ms <= MASS_LAPSE_WINDOW_MS
+            and self._may_return(lapse, now_ms)
         ]
         return ready + lapsed if len(lapsed) >= max(len(ready), 2) else ready
 
+    def _may_return(self, lapse, now_ms):
+        """Tell whether a lapsed entry may be one that the store has just lost."""
+        returned_ms = self.store_returned_ms
+        if returned_ms is not None:
+            seen_ms = lapse.at_ms - returned_ms
+            if -RETURN_SEEN_MS <= seen_ms <= RETURN_MS:
+                return now_ms - returned_ms <= RETURN_MS
+        return now_ms - lapse.at_ms <= MASS_LAPSE_WINDOW_MS
+
     def data_centres(self):
         """Return the data centres that have listed targets."""
         self._ready_by_service()
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -122,6 +122,7 @@
         self.trials.on_tick(time_ms)
         self.balancer.on_tick(time_ms)
         self.balancer.view_confirmed_ms = self.reading.confirmed_ms
+        self.balancer.view.store_returned_ms = self.reading.returned_ms
         beacon = self.reading.beacon(time_ms)
         if beacon is not None:
             self.peers.broadcast(beacon)
