Forget the former opening when a caller uses its port again

A flow placed again from the same port stood twice under its caller, and only one of the two was removed. Ruled out: memory, SIGHUP. Change: placing a flow removes its former opening. The feature fails before and passes. Also: each soak scenario of a run takes its own addresses; one failed with 'address already in use' in a clean clone, since the first run's sockets stay open.

--- a/libs/flows/features/health.feature
+++ b/libs/flows/features/health.feature
@@ -19,6 +19,14 @@
     When 500 ms pass
     Then no opening is remembered
 
+  Scenario: A port that a caller uses again for another flow
+    When a SYN isn't answered for 200 ms
+    And the caller opens a flow from the same port again and gets an answer
+    And 500 ms pass
+    And the same caller opens another flow
+    Then it gets a target
+    And one opening is remembered
+
   Scenario: Flows that a caller opens at once all stay in the data centre
     Given a balancer with 2 targets and 2 remote ones
     When a caller opens 40 flows and answers none
--- a/libs/flows/features/steps/world_steps.py
+++ b/libs/flows/features/steps/world_steps.py
@@ -448,7 +448,7 @@
 @when("a SYN isn't answered for {duration_ms:d} ms")
 def step_unanswered(context, duration_ms):
     """The target's host refused it, which only the caller sees."""
-    flow = context.world.new_flow()
+    flow = context.flow = context.world.new_flow()
     context.target = context.world.syn(flow).target
     context.world.wait(duration_ms)
 
@@ -509,3 +509,25 @@
 def step_returned(context):
     """It answers again."""
     context.world.balancer.view.store_returned_ms = context.world.now_ms
+
+
+@when("the caller opens a flow from the same port again and gets an answer")
+def step_port_again(context):
+    """Its stack has given up the first one."""
+    target = context.world.syn(context.flow).target
+    context.world.wait(6)
+    context.world.send(context.flow, cookie=target.cookie, ack=5_000)
+
+
+@then("it gets a target")
+def step_gets_target(context):
+    """Its SYN is sent on."""
+    assert context.action.target is not None, context.action
+
+
+@then("one opening is remembered")
+def step_one_opening(context):
+    """Only the newest flow isn't open yet."""
+    openings = context.world.balancer.openings
+    assert len(openings.waiting) == 1, openings.waiting
+    assert [len(keys) for keys in openings.by_caller.values()] == [1]
--- a/libs/flows/src/lagoontally_flows/_openings.py
+++ b/libs/flows/src/lagoontally_flows/_openings.py
@@ -26,6 +26,7 @@
 
     def add(self, key, flow, now_ms):
         """Note that a SYN was sent to a target."""
+        self.remove(key)  # a caller may use a port again for another flow
         self.waiting[key] = (flow, now_ms)
         keys = self.by_caller.setdefault(key[0], [])
         keys.append(key)
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -1,5 +1,6 @@
 """Steps for the soak of real balancers."""
 
+import itertools
 import os
 import socket
 
@@ -18,7 +19,7 @@
 )
 
 HOST = "127.0.0.1"
-NETWORK = 2 + os.getpid() % 250
+NETWORKS = itertools.count(os.getpid() * 7)  # sockets of a run stay open
 CALL = b"GET /api/kv-range?prefix= HTTP/1.1\r\nHost: x\r\n\r\n"
 WAIT_S = 0.2
 
@@ -26,7 +27,8 @@
 @when("seed {seed:d} is run for {seconds:d} s")
 def step_soak(context, seed, seconds):
     """Faults in series and together, callers all the while."""
-    context.run = soak(seed=seed, seconds=seconds, network=NETWORK)
+    network = 2 + next(NETWORKS) % 250
+    context.run = soak(seed=seed, seconds=seconds, network=network)
 
 
 @then("no promise is broken")
