Soak: compare runs with the service that a route ever had

By reading the code: a request on an open flow whose route has just been dropped was noted as for no service, and a balancer that hasn't heard of the drop may still send it on. Change: a route's service is remembered, so that such runs are compared too.

--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -30,6 +30,8 @@
 
     Attributes:
         violations: The ``Violation`` records found.
+        services: Service of every route that was ever published; a dropped one may
+            still be served by balancers that haven't heard of it.
         outcomes: Number of requests by how they ended.
     """
 
@@ -43,6 +45,7 @@
         self.checks = Checks(self.deployment, self.faults)
         self.numbers = itertools.count()
         self.asked = {}
+        self.services = {}
         self.running = {}
         self.targets = {}
         self.pools = {data_centre: [] for data_centre in DATA_CENTRES}
@@ -75,6 +78,7 @@
             self.loop.after(self.random.uniform(*FAULT_INTERVAL_S), self._fault_on)
 
     def _ask_on(self):
+        self.services.update(self.deployment.routes)
         for identity, (_, target) in self.deployment.targets.items():
             self.targets.setdefault(identity, target)
         self._collect()
@@ -95,13 +99,10 @@
         else:
             return
         request = f"q{next(self.numbers)}"
-        self.asked[request] = self._service_of(flow)
+        self.asked[request] = self.services[flow.flow[2:]]
         self.running[flow] = self.loop.now
         flow.ask(request)
 
-    def _service_of(self, flow):
-        return self.deployment.routes.get(flow.flow[2:], "dropped")
-
     def _collect(self):
         for flow, asked_at in list(self.running.items()):
             if flow.outcome is Outcome.PENDING:
@@ -109,7 +110,7 @@
             del self.running[flow]
             name = flow.outcome.value
             self.outcomes[name] = self.outcomes.get(name, 0) + 1
-            if self._service_of(flow) != "dropped":
+            if flow.flow[2:] in self.deployment.routes:
                 self.violations += self.checks.on_end(flow, asked_at)
             if flow.outcome is not Outcome.ANSWERED:
                 flow.close()
@@ -129,7 +130,7 @@
         ]
         for flow in flows:
             request = f"q{next(self.numbers)}"
-            self.asked[request] = self._service_of(flow)
+            self.asked[request] = self.services[flow.flow[2:]]
             flow.ask(request)
         self.loop.run_until(
             lambda: all(flow.outcome is not Outcome.PENDING for flow in flows), 4
