Soak: a dropped route takes no request after three seconds

Cause: with runs on dropped routes compared by service, nothing noticed a configuration that isn't taken on a route that is gone. Change: an answer on a route dropped more than 3 s ago, with nothing disturbed, is a violation.

--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -71,6 +71,8 @@
         if flow.outcome is Outcome.WRONG:
             return [Violation("an answer is the request's own", flow.request)]
         route = flow.flow[2:]
+        if route in self.faults.dropped:
+            return self._on_dropped_route(flow, asked_at)
         if flow.outcome is Outcome.RESET and self._target_is_fine(flow):
             detail = f"{flow.flow} to {flow.target}, asked {flow.request}"
             return [Violation("an open flow isn't reset", detail)]
@@ -82,6 +84,15 @@
             return [Violation("a route in force takes flows", detail)]
         return []
 
+    def _on_dropped_route(self, flow, asked_at):
+        dropped = self.faults.dropped[flow.flow[2:]]
+        late = asked_at > dropped + CONFIGURATION_S
+        answered = flow.outcome is Outcome.ANSWERED
+        if not answered or not late or self._calm_excused(asked_at):
+            return []
+        detail = f"{flow.flow} asked {flow.request} {asked_at - dropped:.2f} s after"
+        return [Violation("a dropped route takes no request", detail)]
+
     def _target_is_fine(self, flow):
         """Tell whether the flow's target lived undisturbed and its route held."""
         now = self.deployment.loop.now
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -110,8 +110,7 @@
             del self.running[flow]
             name = flow.outcome.value
             self.outcomes[name] = self.outcomes.get(name, 0) + 1
-            if flow.flow[2:] in self.deployment.routes:
-                self.violations += self.checks.on_end(flow, asked_at)
+            self.violations += self.checks.on_end(flow, asked_at)
             if flow.outcome is not Outcome.ANSWERED:
                 flow.close()
 
