--- a/libs/flows/features/fixtures.py
+++ b/libs/flows/features/fixtures.py
@@ -110,3 +110,40 @@
         found = [effect for effect in self.effects if isinstance(effect, kind)]
         self.effects = [effect for effect in self.effects if effect not in found]
         return found
+
+
+def set_up(context, local, remote=0, warming=0):
+    """Make a world with some targets."""
+    context.world = World()
+    context.targets = [
+        make_target(number + 1, warm_up_ms=2_000 if number < warming else 0)
+        for number in range(local)
+    ]
+    context.remote = [
+        make_target(100 + number, data_centre=REMOTE) for number in range(remote)
+    ]
+    context.world.list_targets(*context.targets, *context.remote)
+    context.world.effects.clear()
+
+
+def flows_by_target(context):
+    """Return the number of open flows by cookie."""
+    return context.world.balancer.flows.open_flows
+
+
+def place(context, count):
+    """Open flows and return their targets."""
+    return [context.world.open_flow()[1] for _ in range(count)]
+
+
+def replace_target(context, changed):
+    """List all targets, one of them changed; None takes it away."""
+    others = [one for one in context.targets if one.name != context.target.name]
+    context.targets = others + ([changed] if changed else [])
+    context.world.list_targets(*context.targets, *context.remote)
+
+
+def check_goes_on(context):
+    """Check that the flow's next packet goes to its target."""
+    action = context.world.send(context.flow, cookie=context.target.cookie)
+    assert action.target.cookie == context.target.cookie, action
--- /dev/null
+++ b/libs/flows/features/steps/health_steps.py
@@ -0,0 +1,184 @@
+"""Steps for targets that don't answer: stalls, trials and verdicts."""
+
+from behave import then, when
+from fixtures import check_goes_on
+
+from lagoontally_flows import FlowReset, Trial, Verdict
+
+
+def repeat_request(context, flow, target):
+    """Send a request and, 200 ms later, again."""
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+    context.world.wait(200)
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+
+
+@when("its caller repeats a request")
+def step_repeat(context):
+    """The target acknowledged nothing for 200 ms."""
+    repeat_request(context, context.flow, context.target)
+
+
+@when("two flows are opened to one target")
+def step_two_flows(context):
+    """Enough flows that one target has two."""
+    context.opened = [context.world.open_flow() for _ in range(4)]
+
+
+@when("the caller of the first repeats a request while the second is answered")
+def step_repeat_answered(context):
+    """One flow stalls, the other goes on."""
+    (flow, target), *_, (other, other_target) = context.opened
+    assert target == other_target
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+    context.world.wait(100)
+    context.world.send(other, cookie=target.cookie, ack=6_000)
+    context.world.wait(100)
+    context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+
+
+@when("flows to {count:d} targets are opened and all their callers repeat requests")
+def step_repeat_all(context, count):
+    """No target answers."""
+    context.opened = [context.world.open_flow() for _ in range(count)]
+    for flow, target in context.opened:
+        repeat_request(context, flow, target)
+
+
+@when("all their callers repeat requests")
+def step_repeat_again(context):
+    """Nothing has come back since."""
+    for flow, target in context.opened:
+        context.world.send(flow, cookie=target.cookie, ack=5_000, length=100)
+
+
+@when('the trial ends as "{evidence}"')
+def step_trial_ends(context, evidence):
+    """The trial of the target is over."""
+    cookie = context.target.cookie
+    context.world.balancer.on_trial(cookie, evidence, context.world.now_ms)
+    context.world.collect()
+
+
+@when("a peer says that its target is dead")
+def step_verdict(context):
+    """Another balancer found the target dead."""
+    verdict = Verdict(context.target.cookie, True, "silent")
+    context.world.balancer.on_verdict(verdict, "peer", context.world.now_ms)
+    context.world.collect()
+
+
+@then("no trial is made")
+def step_no_trial(context):
+    """Nothing is doubted."""
+    assert not context.world.taken(Trial)
+
+
+@then("a trial of its target is made")
+@then("a trial of the first target is made")
+def step_trial(context):
+    """The target is doubted."""
+    assert Trial(context.target.cookie) in context.world.taken(Trial)
+
+
+@then("the flow is reset")
+def step_flow_reset(context):
+    """The caller hears at once, near what it last acknowledged."""
+    resets = context.world.taken(FlowReset)
+    assert [(one.flow, one.sequence) for one in resets] == [(context.flow, 5_000)]
+
+
+@then("the flow isn't reset")
+def step_flow_kept(context):
+    """The flow goes on."""
+    assert not context.world.taken(FlowReset)
+    check_goes_on(context)
+
+
+@then("the peers are told that the target is {state}")
+def step_told(context, state):
+    """A verdict is sent."""
+    newest = context.world.taken(Verdict)[-1]
+    assert newest.cookie == context.target.cookie, newest
+    assert newest.dead == (state == "dead"), newest
+
+
+@then("nothing is told to the peers")
+def step_not_told(context):
+    """No verdict is sent."""
+    assert not context.world.taken(Verdict)
+
+
+@then("the balancer holds itself for isolated")
+def step_isolated(context):
+    """It blames its own network."""
+    assert context.world.balancer.health.isolated(context.world.now_ms)
+
+
+@when("a SYN isn't answered for {duration_ms:d} ms")
+def step_unanswered(context, duration_ms):
+    """The target's host refused it, which only the caller sees."""
+    flow = context.flow = context.world.new_flow()
+    context.target = context.world.syn(flow).target
+    context.world.wait(duration_ms)
+
+
+@when("the same caller opens another flow")
+def step_same_caller(context):
+    """From another port."""
+    context.action = context.world.syn(context.world.new_flow())
+
+
+@then("it goes to another target")
+def step_goes_elsewhere(context):
+    """The unanswered target isn't tried again by the same caller."""
+    assert context.action.target != context.target, context.action
+
+
+@when("a caller opens {count:d} flows and answers none")
+def step_flood(context, count):
+    """All within one moment."""
+    for _ in range(count):
+        context.world.syn(context.world.new_flow())
+
+
+@then("at most {count:d} of them are looked at for its next flow")
+def step_looked_at(context, count):
+    """The cost of a SYN doesn't rise with the flood."""
+    openings = context.world.balancer.openings
+    assert all(len(keys) <= count for keys in openings.by_caller.values())
+
+
+@then("no opening is remembered")
+def step_no_opening(context):
+    """Memory is given back."""
+    openings = context.world.balancer.openings
+    assert not openings.waiting and not openings.by_caller
+
+
+@when("the store comes back from an outage")
+def step_returned(context):
+    """It answers again."""
+    context.world.balancer.view.store_returned_ms = context.world.now_ms
+
+
+@when("the caller opens a flow from the same port again and gets an answer")
+def step_port_again(context):
+    """Its stack has given up the first one."""
+    target = context.world.syn(context.flow).target
+    context.world.wait(6)
+    context.world.send(context.flow, cookie=target.cookie, ack=5_000)
+
+
+@then("it gets a target")
+def step_gets_target(context):
+    """Its SYN is sent on."""
+    assert context.action.target is not None, context.action
+
+
+@then("one opening is remembered")
+def step_one_opening(context):
+    """Only the newest flow isn't open yet."""
+    openings = context.world.balancer.openings
+    assert len(openings.waiting) == 1, openings.waiting
+    assert [len(keys) for keys in openings.by_caller.values()] == [1]
