Take in a reader's changes whole, never parts of two

After an outage two readers of kgn-a tell what changed, in parts, split in different ways. Change: parts are kept until all of one reader's change are here, then taken in at once.

--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -179,10 +179,12 @@
         if not balancer.reading.reader:
             return
         revision = balancer.reading.view_revision
-        delta = Delta(previous, revision, balancer.version, 0, 1, ())
+        delta = Delta(
+            balancer.reading.priority, previous, revision, balancer.version, 0, 1, ()
+        )
         for other in self.living():
             lost = other is balancer or other.name in self.lost
-            if not lost and other.reading.on_delta(delta):
+            if not lost and other.reading.on_delta(delta) is not None:
                 other.targets_revision = balancer.targets_revision
         self.lost.clear()
 
--- a/libs/flows/features/reading.feature
+++ b/libs/flows/features/reading.feature
@@ -60,6 +60,20 @@
     Then every balancer shows the targets
     And every balancer has the configuration
 
+  Scenario Outline: Parts of the changes of two readers
+    Given a balancer whose targets are those of revision 10
+    When part <first> of 2 of reader <one> for 20 arrives
+    And part <second> of 2 of reader <other> for 20 arrives
+    Then its targets are those of revision <known>
+    And <entries> are taken in
+
+    Examples:
+      | first | one | second | other | known | entries    |
+      | 0     | 1   | 1      | 1     | 20    | 1-0, 1-1   |
+      | 1     | 1   | 0      | 1     | 20    | 1-0, 1-1   |
+      | 0     | 1   | 1      | 2     | 10    | no entries |
+      | 0     | 1   | 0      | 1     | 10    | no entries |
+
   Scenario: A lost delta is made up for
     Given 12 balancers that have run for 5000 ms
     When the targets change and 3 balancers miss the delta
--- a/libs/flows/features/steps/reading_steps.py
+++ b/libs/flows/features/steps/reading_steps.py
@@ -5,6 +5,8 @@
 from behave import given, then, when
 from fleet import Balancer, Fleet
 
+from lagoontally_flows import Delta, Reading
+
 
 @given("{count:d} balancers that have run for {duration_ms:d} ms")
 def step_fleet(context, count, duration_ms):
@@ -163,3 +165,33 @@
         context.fleet.run(most_ms)
         step_all_show(context)
         step_all_have(context)
+
+
+@given("a balancer whose targets are those of revision {revision:d}")
+def step_reading(context, revision):
+    """A follower that has listed them."""
+    context.reading = Reading(priority=9, random=Random(1))
+    context.reading.on_listed(revision, 0, targets_changed=True)
+    context.applied = []
+
+
+@when("part {part:d} of {parts:d} of reader {reader:d} for {revision:d} arrives")
+def step_part(context, part, parts, reader, revision):
+    """Each reader splits its changes in its own way."""
+    previous = context.reading.view_revision
+    entry = (f"{reader}-{part}", None)
+    delta = Delta(reader, previous, revision, 0, part, parts, [entry])
+    context.applied += context.reading.on_delta(delta) or []
+
+
+@then("{entries} are taken in")
+def step_applied(context, entries):
+    """All parts at once, or none."""
+    expected = [] if entries == "no entries" else entries.split(", ")
+    assert [key for key, _ in context.applied] == expected, context.applied
+
+
+@then("its targets are those of revision {revision:d}")
+def step_revision(context, revision):
+    """It claims no more than it knows."""
+    assert context.reading.view_revision == revision, context.reading.view_revision
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -24,6 +24,7 @@
 SPREAD_ROUTE_MEMBER_MS = 0.3
 MOST_ROUTES_FROM_READER = 3_000  # times members; takes a second, see above
 FETCH_RETRY_MS = 300
+MOST_DELTAS_IN_PARTS = 16  # of a few readers; what is forgotten is fetched
 BEACON_INTERVAL_MS = 300
 
 
@@ -82,11 +83,12 @@
 
 class Delta(
     Record,
-    fields="previous revision configuration_version part parts entries",
+    fields="reader previous revision configuration_version part parts entries",
 ):
     """Entries that changed between two revisions of the store.
 
     Attributes:
+        reader: Priority of the reader, which tells readers apart.
         previous: Revision at which the reader's targets changed before.
         revision: Revision that they show now.
         configuration_version: Configuration that the reader knows by then.
@@ -145,7 +147,7 @@
         self._next_call_ms = 0
         self._take_over_ms = 0
         self._behind = False
-        self._parts = set()
+        self._parts = {}
         self._next_beacon_ms = 0
 
     def next_call(self, now_ms):
@@ -241,25 +243,33 @@
         return True
 
     def on_delta(self, delta):
-        """Note a part of a reader's changes of targets if it continues this view.
+        """Note a part of a reader's changes of targets.
 
         Args:
             delta: The ``Delta``.
 
         Returns:
-            True when the part continues this view.
+            All entries of the changes once every part is here, None before and
+            where they don't continue this view. Parts aren't taken in alone: those
+            of an older change might undo a newer one.
         """
         known = self.view_revision
         if self.revision is None or not delta.previous <= known < delta.revision:
-            return False
-        self._parts = {part for part in self._parts if part[0] == delta.revision}
-        self._parts.add((delta.revision, delta.part))
-        if len(self._parts) == delta.parts:
-            self.view_revision = delta.revision
-            # A watch must not begin behind a configuration that isn't known here.
-            if delta.configuration_version <= self.configuration_version:
-                self.revision = max(self.revision, delta.revision)
-        return True
+            return None
+        # Each reader splits its changes in its own way: parts of two don't add up.
+        whole = (delta.reader, delta.previous, delta.revision, delta.parts)
+        if len(self._parts) > MOST_DELTAS_IN_PARTS:
+            self._parts.clear()
+        parts = self._parts.setdefault(whole, {})
+        parts[delta.part] = delta.entries
+        if len(parts) < delta.parts:
+            return None
+        self._parts.clear()
+        self.view_revision = delta.revision
+        # A watch must not begin behind a configuration that isn't known here.
+        if delta.configuration_version <= self.configuration_version:
+            self.revision = max(self.revision, delta.revision)
+        return [entry for part in sorted(parts) for entry in parts[part]]
 
     def on_beacon(self, beacon, host, now_ms):
         """Take in the word of a reader of the own data centre."""
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -100,8 +100,9 @@
 
     def on_delta(self, delta, now_ms):
         """Take in changes that a reader tells."""
-        if self.reading.on_delta(delta):
-            self.balancer.on_entries(delta.entries, now_ms)
+        entries = self.reading.on_delta(delta)
+        if entries is not None:
+            self.balancer.on_entries(entries, now_ms)
 
     def _get_page(self, after):
         path = page_path(ENTRIES, after, may_be_old=self._may_be_old)
@@ -175,7 +176,7 @@
             return
         revision = self.reading.view_revision
         version = self.reading.configuration_version
-        delta = Delta(previous, revision, version, 0, 1, changes)
+        delta = Delta(self.reading.priority, previous, revision, version, 0, 1, changes)
         for part in split_delta(delta):
             self.peers.broadcast(part)
 
