Give the two suites of real balancers networks of their own

Cause: 'The store is away and comes back' failed once in a clean clone with 'address already in use': the suites of the forwarder and the soak run at the same time and drew their loopback networks from the same range. Ruled out: the scenario itself, which ended before its first step. Change: separate ranges.

--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -23,6 +23,8 @@
 )
 
 PROGRAM = "import sys; from lagoontally_forwarder import main; sys.exit(main())"
+# The soak has the networks above, since both suites run at the same time.
+FIRST_NETWORK, NETWORK_COUNT = 30, 100
 NETWORKS = itertools.count(os.getpid() * 13)
 ANSWER_S = 4.0
 LOCAL, OTHER = "tifton", "camilla"
@@ -44,7 +46,7 @@
     """Start a deployment that ends with the scenario."""
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
-    network = 2 + next(NETWORKS) % 250
+    network = FIRST_NETWORK + next(NETWORKS) % NETWORK_COUNT
     context.world = Deployment(
         Path(folder.name), network, data_centres=(LOCAL, OTHER), balancers=2, targets=2
     )
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -19,6 +19,8 @@
 )
 
 HOST = "127.0.0.1"
+# The features of the forwarder have the networks below.
+FIRST_NETWORK, NETWORK_COUNT = 140, 100
 NETWORKS = itertools.count(os.getpid() * 7)  # sockets of a run stay open
 CALL = b"GET /api/kv-range?prefix= HTTP/1.1\r\nHost: x\r\n\r\n"
 WAIT_S = 0.2
@@ -27,7 +29,7 @@
 @when("seed {seed:d} is run for {seconds:d} s")
 def step_soak(context, seed, seconds):
     """Faults in series and together, callers all the while."""
-    network = 2 + next(NETWORKS) % 250
+    network = FIRST_NETWORK + next(NETWORKS) % NETWORK_COUNT
     context.run = soak(seed=seed, seconds=seconds, network=network)
 
 
