Refuse numbers, hosts and lists that can't be, from the store and from peers

Cause, found by reading: an entry with a born of 10**30 raised OverflowError, routes or traffic-split that are no list TypeError, a port of other digits ValueError; each would have ended every balancer that read it. A peer's datagram could do the same with an infinite number, or list a target whose name of two bytes breaks the packet's buffer. Change: numbers fit 8 bytes, ports and hosts go through one check, a peer's target must carry the cookie of its name and start; the adapter's names of 8 bytes are one constant.

--- a/libs/forwarder/features/platform.feature
+++ b/libs/forwarder/features/platform.feature
@@ -116,3 +116,23 @@
       | {"items": [], "as-of": "1"}  |
       | {"items": [{}], "as-of": 1}  |
       | {"items": [5], "as-of": 1}   |
+
+  Scenario Outline: Numbers and texts at their limits
+    When an entry whose <field> is <value> is decoded
+    Then it names no target
+
+    Examples:
+      | field           | value                          |
+      | born            | 1000000000000000000000000000000 |
+      | warmup-left-ms  | 1000000000000000000000000000000 |
+      | max-concurrency | 1000000000000000000000000000000 |
+
+  Scenario Outline: Lists that are none
+    When a configuration whose <field> is <value> is decoded
+    Then there is no configuration and 1 fault
+
+    Examples:
+      | field  | value                                                                        |
+      | routes | 5                                                                            |
+      | routes | [{"name": "r", "host": "1.2.3.4", "prefix": "/1/", "traffic-split": 5}]      |
+      | routes | [{"name": "r", "host": "1.2.3.4", "prefix": "/\u00b2/", "service": "s"}]     |
--- /dev/null
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -0,0 +1,84 @@
+"""Steps for messages between balancers."""
+
+import json
+
+from behave import then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from lagoontally_flows import Beacon, Delta, Target, Verdict, target_cookie
+from lagoontally_forwarder._messages import (
+    Hello,
+    Members,
+    decode_message,
+    encode_message,
+)
+
+NAME = bytes.fromhex("000000007f3a91c2")
+TARGET = Target(
+    NAME, 5, target_cookie(NAME, 5), ("10.0.0.1", 80), "tifton", "desk", 2, False, 0
+)
+MESSAGES = (
+    Hello("tifton"),
+    Members(["10.0.0.1", "10.0.0.2"]),
+    Beacon(3, 10, 2, 13, 40, True),
+    Delta(3, 9, 10, 2, 0, 1, [("servers/i-1", TARGET), ("servers/i-2", None)]),
+    Verdict(TARGET.cookie, True, "silent"),
+)
+FIELDS = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=9),
+    max_leaves=12,
+)
+
+
+@then("each kind of message is read as it was written")
+def step_round_trip(context):
+    """Nothing is lost on the way."""
+    for message in MESSAGES:
+        assert decode_message(encode_message(message)) == message, message
+
+
+@when("a delta comes whose target has {field} {value}")
+def step_delta(context, field, value):
+    """One field of the target differs."""
+    document = json.loads(encode_message(MESSAGES[3]))
+    document[-1][0][1][Target._fields.index(field)] = json.loads(value)
+    context.decoded = decode_message(json.dumps(document).encode())
+
+
+@when("the message {text} comes")
+def step_message(context, text):
+    """As it crosses the network."""
+    context.decoded = decode_message(text.encode())
+
+
+@then("it is refused")
+def step_refused(context):
+    """Its receiver counts it and goes on."""
+    assert context.decoded is None, context.decoded
+
+
+@then("it names the hosts {hosts}")
+def step_hosts(context, hosts):
+    """Only addresses are kept."""
+    assert context.decoded == Members(hosts.split(", ")), context.decoded
+
+
+@when("hypothesis makes {count:d} messages of random fields")
+def step_fuzz(context, count):
+    """Names of messages, and anything behind them."""
+    context.run = settings(max_examples=count, deadline=None, derandomize=True)
+
+
+@then("each is read or refused")
+def step_fuzzed(context):
+    """Nothing is raised."""
+    names = st.sampled_from([type(message).__name__ for message in MESSAGES])
+    context.run(for_all(names, st.lists(FIELDS, max_size=9))(check_message))()
+
+
+def check_message(name, fields):
+    """One message."""
+    decode_message(json.dumps([name, *fields]).encode())
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -3,10 +3,13 @@
 A message that can't be read is None: a datagram may be anyone's.
 """
 
-from lagoontally_flows import Beacon, Delta, Target, Verdict
+from lagoontally_flows import Beacon, Delta, Target, Verdict, target_cookie
 from lagoontally_lean import Record, dumps, loads
+from lagoontally_platform import NAME_BYTES, parse_address, parse_host
 
 MAX_BYTES = 1_200  # stays below a link's usual packet size
+# What documents of strangers raise; numbers may be infinite or too big.
+UNREADABLE = (ValueError, TypeError, LookupError, AttributeError, OverflowError)
 ENTRIES_A_DELTA = 6  # an entry takes some 150 bytes
 
 
@@ -31,28 +34,24 @@
     """Return the target in a document of ``encode_target``.
 
     Raises:
-        ValueError, TypeError, IndexError: It holds no target.
+        ValueError, TypeError, OverflowError: It holds no target.
     """
     if document is None:
         return None
     name, born, cookie, address, data_centre, service, slots, leaving, warm = document
+    name = bytes.fromhex(name)
+    if len(name) != NAME_BYTES or cookie != target_cookie(name, born):
+        raise ValueError("a target's name or cookie is none")
     host, port = address
-    texts = (host, data_centre, service)
-    numbers = (born, cookie, port, slots, warm)
-    if not all(isinstance(text, str) for text in texts):
-        raise ValueError("a target's host, data centre or service is no text")
-    if not all(isinstance(number, int) for number in numbers) or slots < 1:
-        raise ValueError("a target's number is none")
+    address = parse_address(f"{host}:{port}")
+    if address is None:
+        raise ValueError("a target's address is none")
+    if not isinstance(data_centre, str) or not isinstance(service, str):
+        raise ValueError("a target's data centre or service is no text")
+    if not isinstance(slots, int) or not isinstance(warm, int) or slots < 1:
+        raise ValueError("a target's slots or warm-up is no number")
     return Target(
-        bytes.fromhex(name),
-        born,
-        cookie,
-        (host, port),
-        data_centre,
-        service,
-        slots,
-        bool(leaving),
-        warm,
+        name, born, cookie, address, data_centre, service, slots, bool(leaving), warm
     )
 
 
@@ -84,7 +83,7 @@
     try:
         name, *fields = loads(data)
         return _DECODERS[name](fields)
-    except (ValueError, TypeError, KeyError, IndexError, AttributeError):
+    except UNREADABLE:
         return None  # counted by its caller
 
 
@@ -95,7 +94,7 @@
 
 def _decode_members(fields):
     (hosts,) = fields
-    return Members([host for host in hosts if isinstance(host, str)])
+    return Members([host for host in hosts if parse_host(host) is not None])
 
 
 def _decode_beacon(fields):
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -3,7 +3,7 @@
 from lagoontally_flows import Configuration, Route
 from lagoontally_lean import Record, dumps, loads
 
-from ._messages import decode_target, encode_target
+from ._messages import UNREADABLE, decode_target, encode_target
 
 
 class TargetsCopy(Record, fields="revision entries"):
@@ -31,7 +31,7 @@
             key: decode_target(target) for key, target in document["targets"].items()
         }
         return TargetsCopy(int(document["revision"]), entries)
-    except (ValueError, TypeError, KeyError, AttributeError):
+    except UNREADABLE:
         return None  # counted by its caller
 
 
@@ -57,7 +57,7 @@
         }
         version, idle_ms = int(document["version"]), int(document["idle_timeout_ms"])
         return Configuration(version, routes, idle_ms)
-    except (ValueError, TypeError, KeyError):
+    except UNREADABLE:
         return None  # counted by its caller
 
 
