One way to compare a listing with the view; drop what nothing calls

Change: View.changes_to serves both, on_listing returns what changed; the records of reading stand in a module of their own; counting of flows and the encoder of packets stand once. The length of a bad packet in a test comes from a cut packet now.

--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -14,15 +14,14 @@
     Verdict,
 )
 from ._lifecycle import Lifecycle
-from ._reading import (
-    WEAK_LINK_MBPS,
+from ._reading import WEAK_LINK_MBPS, Reading
+from ._reading_records import (
     Beacon,
     Delta,
     FetchConfiguration,
     FetchTargets,
     List,
     ReadConfiguration,
-    Reading,
     Watch,
 )
 from ._records import (
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -134,10 +134,14 @@
             self._on_entry(key, target, now_ms)
 
     def on_listing(self, entries, now_ms):
-        """Take in the whole list of entries: ``Target`` by key."""
-        missing = [key for key in self.view.targets if key not in entries]
-        self.on_entries([(key, None) for key in missing], now_ms)
-        self.on_entries(entries.items(), now_ms)
+        """Take in the whole list of entries: ``Target`` by key.
+
+        Returns:
+            What has changed, as ``on_entries`` takes it.
+        """
+        changes = self.view.changes_to(entries)
+        self.on_entries(changes, now_ms)
+        return changes
 
     def on_trial(self, cookie, evidence, now_ms):
         """Take in how the trial of a target ended; see ``Health.on_trial``."""
--- a/libs/flows/src/lagoontally_flows/_flow_table.py
+++ b/libs/flows/src/lagoontally_flows/_flow_table.py
@@ -97,7 +97,7 @@
         """Remember a flow to a target and return it."""
         self.remove(key)
         flow = self.flows[key] = Flow(cookie, now_ms)
-        self.open_flows[cookie] = self.open_flows.get(cookie, 0) + 1
+        self._count(cookie)
         return flow
 
     def move(self, flow, cookie):
@@ -105,7 +105,7 @@
         self._release(flow)
         flow.cookie = cookie
         flow.tried.append(cookie)
-        self.open_flows[cookie] = self.open_flows.get(cookie, 0) + 1
+        self._count(cookie)
 
     def ask(self, key, flow, now_ms):
         """Note that a flow's caller has sent a request, unless one waits already."""
@@ -156,6 +156,9 @@
             if now_ms - flow.seen_ms > kept_ms:
                 self.remove(key)
 
+    def _count(self, cookie):
+        self.open_flows[cookie] = self.open_flows.get(cookie, 0) + 1
+
     def _release(self, flow):
         left = self.open_flows.get(flow.cookie, 0) - 1
         if left > 0:
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -6,7 +6,14 @@
 reader has lost the store. At the start each reads once, to serve at once.
 """
 
-from lagoontally_lean import Record
+from ._reading_records import (
+    Beacon,
+    FetchConfiguration,
+    FetchTargets,
+    List,
+    ReadConfiguration,
+    Watch,
+)
 
 WATCH_WAIT_MS = 800  # answers show that the store is reached; see FRESH_MS
 WATCH_PAUSE_MS = 150  # collects changes that come together into one call
@@ -28,78 +35,6 @@
 BEACON_INTERVAL_MS = 300
 
 
-class List(Record, fields="may_be_old"):
-    """Read all targets from the store.
-
-    Attributes:
-        may_be_old: Whether seconds of age do: a watch that follows at once brings
-            what has changed since.
-    """
-
-    __slots__ = ()
-
-
-class Watch(Record, fields="revision wait_ms"):
-    """Wait for changes in the store after a revision."""
-
-    __slots__ = ()
-
-
-class ReadConfiguration(Record, fields=""):
-    """Read the configuration from the store."""
-
-    __slots__ = ()
-
-
-class FetchTargets(Record, fields="host"):
-    """Take over the targets that a peer knows."""
-
-    __slots__ = ()
-
-
-class FetchConfiguration(Record, fields="host"):
-    """Take over the configuration that is in force at a peer."""
-
-    __slots__ = ()
-
-
-class Beacon(
-    Record,
-    fields="priority revision configuration_version routes contact_age_ms reachable",
-):
-    """What a reader tells the other balancers of its data centre.
-
-    Attributes:
-        priority: Orders readers; the lowest goes on where there are several.
-        revision: Revision of the store at which its view last changed.
-        configuration_version: Version of the newest configuration it knows.
-        routes: Number of routes in that configuration.
-        contact_age_ms: How long ago the store last answered it.
-        reachable: Whether its last call was answered.
-    """
-
-    __slots__ = ()
-
-
-class Delta(
-    Record,
-    fields="reader previous revision configuration_version part parts entries",
-):
-    """Entries that changed between two revisions of the store.
-
-    Attributes:
-        reader: Priority of the reader, which tells readers apart.
-        previous: Revision at which the reader's targets changed before.
-        revision: Revision that they show now.
-        configuration_version: Configuration that the reader knows by then.
-        part: Number of this part, from 0.
-        parts: Number of parts that the changes were split into.
-        entries: Pairs of a key and a ``Target`` or None.
-    """
-
-    __slots__ = ()
-
-
 class Reading:
     """Decides the next call to the store or to a peer.
 
--- a/libs/flows/src/lagoontally_flows/_view.py
+++ b/libs/flows/src/lagoontally_flows/_view.py
@@ -73,17 +73,19 @@
         self.changes += 1
         return before
 
-    def replace(self, entries, now_ms):
-        """Take in a whole listing.
+    def changes_to(self, entries):
+        """Return what a whole listing changes: pairs of a key and a target or None.
 
         Args:
             entries: ``Target`` by key.
-            now_ms: Time of the step.
         """
-        for key in [key for key in self.targets if key not in entries]:
-            self.put(key, None, now_ms)
-        for key, target in entries.items():
-            self.put(key, target, now_ms)
+        missing = [(key, None) for key in self.targets if key not in entries]
+        listed = [
+            (key, target)
+            for key, target in entries.items()
+            if self.targets.get(key) != target
+        ]
+        return missing + listed
 
     def superseded_by(self, target):
         """Return the target whose address another one has taken over, else None.
--- a/libs/forwarder/features/fixtures.py
+++ b/libs/forwarder/features/fixtures.py
@@ -2,9 +2,7 @@
 
 import base64
 import json
-import struct
 
-HEADER = struct.Struct(">IHBBIHHIIII")
 SETTINGS = {
     "instance": "edge-tifton-1",
     "data_centre": "tifton",
@@ -77,25 +75,3 @@
 def changes(events, revision=9):
     """Return the body of a watch."""
     return json.dumps({"events": events, "as-of": revision}).encode()
-
-
-def packet(flow, flags, *, cookie=0, sequence=0, ack=0, data=b"", length=None):
-    """Return a caller's packet as it crosses the network."""
-    address, port, to, to_port = flow
-    length = len(data) if length is None else length
-    return (
-        HEADER.pack(
-            0xA1B2C3D5,
-            length,
-            flags,
-            0,
-            to,
-            to_port,
-            port,
-            address,
-            cookie,
-            sequence,
-            ack,
-        )
-        + data
-    )
--- a/libs/forwarder/features/steps/platform_steps.py
+++ b/libs/forwarder/features/steps/platform_steps.py
@@ -3,7 +3,7 @@
 import json
 
 from behave import then, when
-from fixtures import CONFIGURATION, ENTRY, changes, item, packet, page
+from fixtures import CONFIGURATION, ENTRY, changes, item, page
 
 from lagoontally_flows import SYN, Packet, Target, target_cookie
 from lagoontally_platform import (
@@ -17,6 +17,7 @@
     encode_reset,
     format_flow,
 )
+from lagoontally_standins.packets import encode_packet
 
 PAGE_SYN = """
     a1 b2 c3 d5 00 00 02 00 c6 12 00 01 01 bb 9c 41 64 40 00 07 00 00 00 00
@@ -73,7 +74,7 @@
 @when("a packet is addressed to a target")
 def step_address(context):
     """A packet with data."""
-    context.before = packet(FLOW, 16, cookie=1, sequence=7, ack=9, data=b"hello")
+    context.before = encode_packet(FLOW, 16, cookie=1, sequence=7, ack=9, data=b"hello")
     name = bytes.fromhex("000000007f3a91c2")
     context.target = Target(
         name, 0, target_cookie(name, 0), ("10.0.0.1", 1), "z", "s", 2, False, 0
@@ -101,9 +102,9 @@
 def step_bad_datagram(context, datagram):
     """A datagram that no caller's stack would send."""
     if datagram == "with a wrong length":
-        data = packet(FLOW, SYN, length=5)
+        data = encode_packet(FLOW, SYN, data=b"hello")[:-1]
     elif datagram == "of more than 1200 bytes":
-        data = packet(FLOW, 16, data=bytes(1_201))
+        data = encode_packet(FLOW, 16, data=bytes(1_201))
     else:
         data = bytes(int(datagram.split()[1]))
     context.decoded = decode_packet(buffer_of(data), len(data))
--- a/libs/forwarder/src/lagoontally_forwarder/_http_server.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_server.py
@@ -26,13 +26,6 @@
         self.listener = listening_socket(address)
         loop.watch(self.listener, self._on_connection)
 
-    def close(self):
-        """Close the listener and every connection."""
-        self.loop.unwatch(self.listener)
-        self.listener.close()
-        for connection in list(self.connections.values()):
-            connection.close()
-
     def _on_connection(self, _events):
         sock = accept(self.listener)
         if sock is None:
--- a/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
@@ -18,7 +18,6 @@
 
 MOST_HELD = 256  # SYNs of a second or two, while a large configuration comes
 PACKETS_A_TURN = 128  # then other sockets have their turn
-USUAL = ("open_flow", "placed")
 REQUEST_ID_BYTES = 64
 
 
@@ -52,9 +51,8 @@
 
     def open(self):
         """Start to read packets."""
-        if not self.is_open:
-            self.is_open = True
-            self.loop.watch(self._sock, self._on_readable)
+        self.is_open = True
+        self.loop.watch(self._sock, self._on_readable)
 
     def release(self):
         """Decide on the packets that waited for a configuration."""
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -57,7 +57,7 @@
         self._pages = {}
         self._page_revision = None
         self._may_be_old = False
-        self._called_ms = 0
+        self._called_ms = loop.clock()
         self._reached = True
         # A balancer that starts reads targets and configuration at the same time:
         # open flows need only the targets, and a configuration may be large.
@@ -93,11 +93,6 @@
         elif isinstance(call, FetchConfiguration):
             self._fetch(call.host, CONFIGURATION_PATH, self._on_peer_configuration)
 
-    def close(self):
-        """Close the connections."""
-        self.store.close()
-        self._early.close()
-
     def on_delta(self, delta, now_ms):
         """Take in changes that a reader tells."""
         entries = self.reading.on_delta(delta)
@@ -154,14 +149,8 @@
             return
         now_ms = self.loop.clock()
         entries = {key: target for key, target in self._pages.items() if target}
-        known = self.balancer.view.targets
-        changes = [
-            (key, entries.get(key))
-            for key in known.keys() | entries.keys()
-            if known.get(key) != entries.get(key)
-        ]
         previous = self.reading.view_revision
-        self.balancer.on_entries(changes, now_ms)
+        changes = self.balancer.on_listing(entries, now_ms)
         self.reading.on_listed(
             self._page_revision,
             now_ms,
@@ -242,11 +231,11 @@
         if configuration is None:
             return
         if self.balancer.configure(configuration):
+            routes = len(configuration.routes)
             self.log.line(
                 "configuration_in_force",
                 version=configuration.version,
-                routes=len(configuration.routes),
+                routes=routes,
                 source=source,
             )
-            routes = len(configuration.routes)
             self.reading.on_configuration(configuration.version, routes)
--- a/libs/standins/src/lagoontally_standins/packets/__init__.py
+++ b/libs/standins/src/lagoontally_standins/packets/__init__.py
@@ -6,6 +6,7 @@
 from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT, Proxy
 from ._store import ANSWERING, BUSY, Store
 from ._target import Run, Target
+from ._wire import encode as encode_packet
 
 __all__ = [
     "ANSWERING",
@@ -26,4 +27,5 @@
     "Run",
     "Store",
     "Target",
+    "encode_packet",
 ]
