--- /dev/null
+++ b/libs/soak/features/soak.feature
@@ -0,0 +1,13 @@
+Feature: Real balancers keep their promises under faults
+
+  Scenario Outline: A short soak
+    When seed <seed> is run for <seconds> s
+    Then no promise is broken
+    And at least 1000 requests were answered
+
+    Examples: Seeds for every run
+      | seed | seconds |
+      | 1    | 8       |
+
+  Scenario: The proxy harms connections as it is told
+    Then a call through the proxy is answered, silenced, reset and delayed
--- /dev/null
+++ b/libs/soak/features/steps/soak_steps.py
@@ -0,0 +1,69 @@
+"""Steps for the soak of real balancers."""
+
+import os
+import socket
+
+from behave import then, when
+
+from lagoontally_soak import DELAYED, ONE_WAY, PASS, RESET, SILENT, Loop, Proxy, Store
+from lagoontally_soak._run import soak
+
+HOST = "127.0.0.1"
+NETWORK = 2 + os.getpid() % 250
+CALL = b"GET /api/kv-range?prefix= HTTP/1.1\r\nHost: x\r\n\r\n"
+WAIT_S = 0.2
+
+
+@when("seed {seed:d} is run for {seconds:d} s")
+def step_soak(context, seed, seconds):
+    """Faults in series and together, callers all the while."""
+    context.run = soak(seed=seed, seconds=seconds, network=NETWORK)
+
+
+@then("no promise is broken")
+def step_kept(context):
+    """Each violation says what was seen."""
+    assert not context.run.violations, context.run.violations
+
+
+@then("at least {count:d} requests were answered")
+def step_answered(context, count):
+    """The faults left room to serve."""
+    assert context.run.outcomes["answered"] >= count, context.run.outcomes
+
+
+@then("a call through the proxy is answered, silenced, reset and delayed")
+def step_proxy(context):
+    """One call in each mode."""
+    loop = Loop()
+    store = Store(loop, (HOST, 0))
+    proxy = Proxy(loop, (HOST, 0), store.address)
+    address = proxy.listener.getsockname()
+    assert call(loop, address) == "answered"
+    for mode in (SILENT, ONE_WAY, DELAYED):
+        proxy.set_mode(mode)
+        assert call(loop, address) == "silent", mode
+    proxy.set_mode(RESET)
+    assert call(loop, address) == "reset"
+    proxy.set_mode(PASS)
+    assert call(loop, address) == "answered"
+
+
+def call(loop, address):
+    """Make a call and tell how it ended within ``WAIT_S``."""
+    answers = []
+    sock = socket.create_connection(address)
+
+    def read():
+        try:
+            answers.append(sock.recv(65_536))
+        except OSError:
+            answers.append(b"")
+
+    sock.sendall(CALL)
+    loop.watch(sock, read)
+    loop.run_until(lambda: answers, WAIT_S)
+    loop.unwatch(sock)
+    if not answers:
+        return "silent"
+    return "answered" if answers[0].startswith(b"HTTP/1.1 200") else "reset"
--- /dev/null
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -0,0 +1,96 @@
+"""The promises that a soak checks, from what callers and targets saw."""
+
+from typing import NamedTuple
+
+from ._caller import Outcome
+
+DRAIN_S = 3.0
+CONFIGURATION_S = 3.0
+TOUCH_S = 4.0  # what was disturbed in this time is excused
+
+
+class Violation(NamedTuple):
+    """A broken promise."""
+
+    promise: str
+    detail: str
+
+
+class Checks:
+    """Checks a run.
+
+    Args:
+        deployment: The ``Deployment``.
+        faults: The ``Faults`` made on it.
+    """
+
+    def __init__(self, deployment, faults):
+        self.deployment = deployment
+        self.faults = faults
+        self.everything = ("store", *deployment.balancers)
+
+    def all_of(self, asked, targets):
+        """Return every ``Violation`` of a run.
+
+        Args:
+            asked: Service by request, of all requests sent.
+            targets: Every target that ever ran, by id.
+        """
+        return [
+            *self._runs(asked),
+            *self._openings(targets),
+        ]
+
+    def _runs(self, asked):
+        seen = set()
+        for run in self.deployment.ledger:
+            if run.request in seen:
+                yield Violation("a request runs once", f"{run.request} ran again")
+            seen.add(run.request)
+            if asked.get(run.request) != run.service:
+                detail = f"{run.request} for {asked.get(run.request)} ran at {run}"
+                yield Violation("a request reaches its own service", detail)
+
+    def _openings(self, targets):
+        for identity, left in self.faults.drained.items():
+            if left is None:
+                continue
+            for flow, opened in targets[identity].opening.items():
+                late = opened > left + DRAIN_S
+                if late and not self._calm_excused(opened):
+                    detail = f"{identity} got {flow} {opened - left:.2f} s after"
+                    yield Violation("a leaving target gets no new flow", detail)
+
+    def on_end(self, flow, asked_at):
+        """Return the violations that the end of one request shows.
+
+        Args:
+            flow: The ``CallerFlow``.
+            asked_at: When the request was sent.
+        """
+        if flow.outcome is Outcome.WRONG:
+            return [Violation("an answer is the request's own", flow.request)]
+        route = flow.flow[2:]
+        if flow.outcome is Outcome.RESET and self._target_is_fine(flow):
+            detail = f"{flow.flow} to {flow.target}, asked {flow.request}"
+            return [Violation("an open flow isn't reset", detail)]
+        published = self.faults.published[route]
+        refused = flow.outcome is Outcome.NOT_OPENED and route in self.deployment.routes
+        settled = asked_at > published + CONFIGURATION_S
+        if refused and settled and not self._calm_excused(asked_at):
+            detail = f"{flow.flow} asked {flow.request}"
+            return [Violation("a route in force takes flows", detail)]
+        return []
+
+    def _target_is_fine(self, flow):
+        """Tell whether the flow's target lived undisturbed and its route held."""
+        now = self.deployment.loop.now
+        known = flow.target in self.deployment.targets
+        if not known or flow.flow[2:] not in self.deployment.routes:
+            return False
+        return not self.faults.disturbed((flow.target,), now - TOUCH_S, now)
+
+    def _calm_excused(self, moment):
+        """Tell whether anything but targets was disturbed shortly before."""
+        subjects = (*self.everything, *self.deployment.targets)
+        return self.faults.disturbed(subjects, moment - TOUCH_S, moment)
--- /dev/null
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -0,0 +1,161 @@
+"""A seeded soak: real balancers, steady callers, faults in series and together."""
+
+import itertools
+import tempfile
+from pathlib import Path
+from random import Random
+
+from ._caller import Outcome
+from ._checks import Checks, Violation
+from ._deployment import Deployment
+from ._faults import Faults
+
+DATA_CENTRES = ("tifton", "camilla")
+ASK_INTERVAL_S = 0.02
+FLOWS_A_DATA_CENTRE = 30
+DEADLINE_S = 2.0
+FAULT_INTERVAL_S = (0.2, 2.5)
+CALM_S = 9.0  # a stopped balancer has ended and routers have noticed all
+FINAL_REQUESTS = 40
+
+
+class Soak:
+    """One run.
+
+    Args:
+        seed: Decides on the faults and their times.
+        network: Second octet of the addresses.
+        balancers: Balancers in each data centre.
+        folder: Folder for settings and logs.
+
+    Attributes:
+        violations: The ``Violation`` records found.
+        outcomes: Number of requests by how they ended.
+    """
+
+    def __init__(self, *, seed, network, balancers, folder):
+        self.random = Random(seed)
+        self.deployment = Deployment(
+            folder, network, data_centres=DATA_CENTRES, balancers=balancers, targets=2
+        )
+        self.loop = self.deployment.loop
+        self.faults = Faults(self.deployment, self.random)
+        self.checks = Checks(self.deployment, self.faults)
+        self.numbers = itertools.count()
+        self.asked = {}
+        self.running = {}
+        self.targets = {}
+        self.pools = {data_centre: [] for data_centre in DATA_CENTRES}
+        self.violations = []
+        self.outcomes = {}
+        self.making_faults = False
+
+    def run(self, seconds):
+        """Run for some seconds of faults and return the violations."""
+        try:
+            if not self.deployment.start():
+                return [Violation("balancers start", "not all got into rotation")]
+            self.making_faults = True
+            self._ask_on()
+            self._fault_on()
+            self.loop.run_for(seconds)
+            self.making_faults = False
+            self.loop.run_for(CALM_S)
+            self.faults.heal()
+            self.loop.run_for(CALM_S)
+            self._check_end()
+        finally:
+            self.deployment.stop()
+        self.violations += self.checks.all_of(self.asked, self.targets)
+        return self.violations
+
+    def _fault_on(self):
+        if self.making_faults:
+            self.faults.make_one()
+            self.loop.after(self.random.uniform(*FAULT_INTERVAL_S), self._fault_on)
+
+    def _ask_on(self):
+        for identity, (_, target) in self.deployment.targets.items():
+            self.targets.setdefault(identity, target)
+        self._collect()
+        for data_centre in DATA_CENTRES:
+            self._ask(data_centre)
+        self.loop.after(ASK_INTERVAL_S, self._ask_on)
+
+    def _ask(self, data_centre):
+        pool = self.pools[data_centre]
+        pool[:] = [flow for flow in pool if not flow.closed]
+        idle = [flow for flow in pool if flow not in self.running]
+        if len(pool) < FLOWS_A_DATA_CENTRE:
+            route = self.random.choice(sorted(self.deployment.routes))
+            flow = self.deployment.callers[data_centre].open(route, DEADLINE_S)
+            pool.append(flow)
+        elif idle:
+            flow = self.random.choice(idle)
+        else:
+            return
+        request = f"q{next(self.numbers)}"
+        self.asked[request] = self._service_of(flow)
+        self.running[flow] = self.loop.now
+        flow.ask(request)
+
+    def _service_of(self, flow):
+        return self.deployment.routes.get(flow.flow[2:], "dropped")
+
+    def _collect(self):
+        for flow, asked_at in list(self.running.items()):
+            if flow.outcome is Outcome.PENDING:
+                continue
+            del self.running[flow]
+            name = flow.outcome.value
+            self.outcomes[name] = self.outcomes.get(name, 0) + 1
+            if self._service_of(flow) != "dropped":
+                self.violations += self.checks.on_end(flow, asked_at)
+            if flow.outcome is not Outcome.ANSWERED:
+                flow.close()
+
+    def _check_end(self):
+        for name, balancer in self.deployment.balancers.items():
+            if not balancer.alive():
+                status = balancer.process.returncode
+                detail = f"{name} ended with {status}"
+                self.violations.append(Violation("no balancer ends by itself", detail))
+        callers = self.deployment.callers[DATA_CENTRES[0]]
+        flows = [
+            callers.open(route, DEADLINE_S)
+            for route in itertools.islice(
+                itertools.cycle(self.deployment.routes), FINAL_REQUESTS
+            )
+        ]
+        for flow in flows:
+            request = f"q{next(self.numbers)}"
+            self.asked[request] = self._service_of(flow)
+            flow.ask(request)
+        self.loop.run_until(
+            lambda: all(flow.outcome is not Outcome.PENDING for flow in flows), 4
+        )
+        failed = [flow.outcome for flow in flows if flow.outcome != Outcome.ANSWERED]
+        if failed:
+            detail = f"{len(failed)} of {FINAL_REQUESTS}: {failed[0]}"
+            self.violations.append(Violation("all is served after the faults", detail))
+
+
+def soak(*, seed, seconds, network, balancers=3, keep=None):
+    """Run a soak in a folder of its own.
+
+    Args:
+        seed: Decides on the faults.
+        seconds: How long faults are made.
+        network: Second octet of the addresses, 1 to 254.
+        balancers: Balancers in each data centre.
+        keep: Folder for settings and logs; None for one that is removed.
+
+    Returns:
+        The ``Soak`` after its run.
+    """
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = Path(keep or scratch)
+        folder.mkdir(parents=True, exist_ok=True)
+        run = Soak(seed=seed, network=network, balancers=balancers, folder=folder)
+        run.run(seconds)
+    return run
