--- a/deploy/build.py
+++ b/deploy/build.py
@@ -4,13 +4,13 @@
 code and would compile every module at each start.
 """
 
-import compileall
+import marshal
+import py_compile
 import shutil
-import sys
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-TARGET = ROOT / "target"
+APP = ROOT / "target/app"
 PACKAGES = (
     ROOT / "libs/lean/src/lagoontally_lean",
     ROOT / "libs/flows/src/lagoontally_flows",
@@ -18,22 +18,44 @@
     ROOT / "platform/lagoontally_platform",
 )
 ENTRY = ROOT / "deploy/balancer.py"
+PROGRAM = "program.bin"  # as deploy/balancer.py names it
+OPTIMIZE = 2  # neither docstrings nor assertions
 
 
-def compile_program():
-    """Copy the program's packages and leave byte code beside each module."""
-    app = TARGET / "app"
+def compile_program(app=APP):
+    """Write the entry script's byte code and one file with all modules' code.
+
+    Args:
+        app: Folder to write them to; what it holds is removed.
+    """
     shutil.rmtree(app, ignore_errors=True)
     app.mkdir(parents=True)
+    modules = {}
     for package in PACKAGES:
-        shutil.copytree(
-            package, app / package.name, ignore=shutil.ignore_patterns("__pycache__")
-        )
-    shutil.copy(ENTRY, app)
-    if not compileall.compile_dir(app, quiet=1, legacy=True, optimize=2, force=True):
-        sys.exit("the program doesn't compile")
-    for source in app.rglob("*.py"):
-        source.unlink()
+        for source in sorted(package.rglob("*.py")):
+            name, is_package = _module_name(source.relative_to(package.parent))
+            code = compile(
+                source.read_text(),
+                str(source.relative_to(ROOT)),
+                "exec",
+                optimize=OPTIMIZE,
+                dont_inherit=True,
+            )
+            modules[name] = (is_package, code)
+    (app / PROGRAM).write_bytes(marshal.dumps(modules))
+    py_compile.compile(
+        str(ENTRY),
+        cfile=str(app / f"{ENTRY.stem}.pyc"),
+        doraise=True,
+        optimize=OPTIMIZE,
+    )
+
+
+def _module_name(path):
+    """Return the dotted name of a source file, and whether it is a package."""
+    parts = path.with_suffix("").parts
+    is_package = parts[-1] == "__init__"
+    return ".".join(parts[:-1] if is_package else parts), is_package
 
 
 if __name__ == "__main__":
--- a/libs/forwarder/features/process.feature
+++ b/libs/forwarder/features/process.feature
@@ -12,6 +12,14 @@
     And a balancer is killed
     Then every flow gets an answer to its next request
 
+  Scenario: The program that is built for instances serves like its sources
+    Given a running deployment
+    When a balancer is started again from the built program
+    Then it is back in rotation within 6 s
+    When 20 flows ask for an answer
+    Then every request is answered
+    And every balancer still runs
+
   Scenario: A balancer that is told to stop serves until routers have noticed
     Given a running deployment
     When 20 flows ask for an answer
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import os
+import runpy
 import signal
 import socket
 import subprocess
@@ -22,6 +23,7 @@
     Outcome,
 )
 
+BUILD = Path(__file__).parents[4] / "deploy/build.py"
 PROGRAM = "import sys; from lagoontally_forwarder import main; sys.exit(main())"
 # The soak has the networks above, since both suites run at the same time.
 FIRST_NETWORK, NETWORK_COUNT = 30, 100
@@ -46,6 +48,7 @@
     """Start a deployment that ends with the scenario."""
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
     network = FIRST_NETWORK + next(NETWORKS) % NETWORK_COUNT
     context.world = Deployment(
         Path(folder.name), network, data_centres=(LOCAL, OTHER), balancers=2, targets=2
@@ -251,6 +254,16 @@
     first_balancer(context).start()
 
 
+@when("a balancer is started again from the built program")
+def step_built(context):
+    """As on an instance, but for the folder."""
+    app = Path(context.folder) / "app"
+    runpy.run_path(str(BUILD))["compile_program"](app)
+    entry = str(app / "balancer.pyc")
+    first_balancer(context).command = [sys.executable, "-I", "-S", entry]
+    step_restart(context)
+
+
 @then("it is back in rotation within {timeout_s:d} s")
 def step_back(context, timeout_s):
     """It has what it needs."""
--- a/libs/standins/src/lagoontally_standins/packets/_process.py
+++ b/libs/standins/src/lagoontally_standins/packets/_process.py
@@ -17,6 +17,7 @@
         folder: Folder for the settings file and the log.
 
     Attributes:
+        command: What is run, the program's sources unless it is changed.
         process: The running process, None before the first start.
         paused: Whether it is stopped by a signal.
     """
@@ -26,6 +27,7 @@
         self.settings = settings
         self.settings_path = folder / f"{self.name}.json"
         self.log_path = folder / f"{self.name}.log"
+        self.command = [sys.executable, "-c", PROGRAM]
         self.process = None
         self.paused = False
         self.write_settings()
@@ -45,7 +47,7 @@
         }
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-c", PROGRAM],
+                self.command,
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
