Give the open flows of a stuck target back as soon as it is certain

Change: requests that wait at three balancers count as proof unless a balancer objects within 100 ms that it has seen an answer since. Then the target's flows are reset at once, but for commands that wait there and flows whose answers this balancer hasn't seen; idle flows for commands too, so that the next command goes elsewhere. Not where more than half of a service seems stuck. A balancer that stood still forgets what it waits for. Tests: 13 scenarios. 'Peers that are only waiting prove nothing' stays as it was, for the time in which others can object; the new ones are as strict on what follows.

--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -8,6 +8,7 @@
     "target_dead",
     "target_alive",
     "target_stuck",
+    "target_answers",
     "target_lapsed",
 )
 INSTANCE_EVENTS = (
--- a/libs/flows/features/steps/stuck_steps.py
+++ b/libs/flows/features/steps/stuck_steps.py
@@ -3,7 +3,15 @@
 from behave import given, then, when
 from fixtures import IDLE_TIMEOUT_MS, ROUTE, SERVICE
 
-from lagoontally_flows import ACK, FIN, Configuration, Route, Verdict
+from lagoontally_flows import (
+    ACK,
+    ANSWERED,
+    FIN,
+    Configuration,
+    FlowReset,
+    Route,
+    Verdict,
+)
 
 REQUEST_BYTES = 169
 
@@ -28,6 +36,19 @@
     context.world.wait(duration_ms)
 
 
+@when("its caller asks")
+def step_ask(context):
+    """A request leaves for the target."""
+    ask(context, context.flow, context.target)
+
+
+@when("its caller asks and is answered after {duration_ms:d} ms")
+def step_ask_answered(context, duration_ms):
+    """The target works as it should."""
+    step_unanswered(context, duration_ms)
+    step_answered(context)
+
+
 @when("its caller gets the answer")
 def step_answered(context):
     """It acknowledges what came."""
@@ -56,11 +77,78 @@
         tell(context, target, "stuck")
 
 
-def tell(context, target, evidence, number=0):
+@when("the effects so far are forgotten")
+def step_forget_effects(context):
+    """Only what comes later matters."""
+    context.world.effects.clear()
+
+
+@when("a peer says that it answers")
+def step_peer_objects(context):
+    """A request elsewhere was answered."""
+    tell(context, context.target, ANSWERED, dead=False)
+
+
+@when(
+    "{peers:d} peers say of {count:d} targets, its own among them, that they are stuck"
+)
+def step_peers_many(context, peers, count):
+    """The network between may be the reason."""
+    others = [one for one in context.targets if one != context.target]
+    for target in [context.target, *others][:count]:
+        for number in range(peers):
+            tell(context, target, "stuck", number)
+
+
+@when("the first waits while the second was answered before")
+def step_one_idle(context):
+    """Both flows are for commands."""
+    (context.flow, context.target), *_, (context.idle, _) = context.opened
+    cookie = context.target.cookie
+    ask(context, context.idle, context.target)
+    context.world.wait(30)
+    context.world.send(context.idle, cookie=cookie, sequence=269, ack=6_000)
+    context.world.wait(400)
+    ask(context, context.flow, context.target)
+
+
+@when("the process stands still for {duration_ms:d} ms")
+def step_still(context, duration_ms):
+    """No tick comes meanwhile."""
+    context.world.now_ms += duration_ms
+
+
+@then("the open flow is given back")
+def step_given_back(context):
+    """Its caller is told without another packet of its own."""
+    assert [reset.flow for reset in context.world.taken(FlowReset)] == [context.flow]
+
+
+@then("only the second flow is given back")
+def step_idle_given_back(context):
+    """The first one's command may be at work."""
+    assert [reset.flow for reset in context.world.taken(FlowReset)] == [context.idle]
+
+
+@then("the peers are told nothing")
+def step_no_objection(context):
+    """A word to each of them has its price."""
+    assert not context.world.taken(Verdict)
+
+
+@then("the peers are told that the target answers")
+def step_objected(context):
+    """One word refutes all."""
+    verdicts = context.world.taken(Verdict)
+    assert Verdict(context.target.cookie, False, ANSWERED) in verdicts, verdicts
+
+
+def tell(context, target, evidence, number=0, *, dead=True):
     """Let a peer tell of a target."""
     world = context.world
-    verdict = Verdict(target.cookie, True, evidence)
+    verdict = Verdict(target.cookie, dead, evidence)
     world.balancer.on_verdict(verdict, f"peer-{number}", world.now_ms)
+    world.collect()
 
 
 def open_beside(context):
--- a/libs/flows/features/stuck.feature
+++ b/libs/flows/features/stuck.feature
@@ -27,12 +27,106 @@
     And 3 peers say that callers gave up on its target
     Then its packets still go to that target
 
-  Scenario: Peers that are only waiting prove nothing
+  Scenario: Peers that are only waiting prove nothing before others can object
     When a flow is opened
     And 5 peers say that its target is stuck
     Then its packets still go to that target
     And 30 new flows go to other targets
 
+  Scenario: Callers of three balancers wait and nobody objects
+    When a flow is opened
+    And 3 peers say that its target is stuck
+    And 200 ms pass
+    Then the open flow is given back
+
+  Scenario: Two balancers that wait aren't enough
+    When a flow is opened
+    And 2 peers say that its target is stuck
+    And 200 ms pass
+    Then its packets still go to that target
+    And the flow isn't reset
+
+  Scenario: A balancer that has seen an answer refutes all who wait
+    When a flow is opened
+    And 3 peers say that its target is stuck
+    And a peer says that it answers
+    And 200 ms pass
+    Then its packets still go to that target
+    And the flow isn't reset
+
+  Scenario: This balancer objects when it has just seen an answer
+    When a flow is opened
+    And its caller asks and is answered after 30 ms
+    And 3 peers say that its target is stuck
+    Then the peers are told that the target answers
+    When 200 ms pass
+    Then its packets still go to that target
+
+  Scenario: A request is told of once, whatever others answer
+    When a flow is opened
+    And its caller asks and gets no answer for 400 ms
+    And a peer says that it answers
+    And the effects so far are forgotten
+    And 400 ms pass
+    Then the peers are told nothing
+
+  Scenario: A target that answered before a request is waited for all the same
+    When a flow is opened
+    And its caller asks and gets no answer for 100 ms
+    And a peer says that it answers
+    And 400 ms pass
+    Then the peers are told that the target is dead
+
+  Scenario: Nobody objects while a single balancer waits
+    When a flow is opened
+    And its caller asks and is answered after 30 ms
+    And 1 peers say that its target is stuck
+    Then the peers are told nothing
+
+  Scenario: An answer that comes while others wait is told to them
+    When a flow is opened
+    And its caller asks and gets no answer for 100 ms
+    And 2 peers say that its target is stuck
+    And its caller gets the answer
+    Then the peers are told that the target answers
+
+  Scenario: An answer from before the requests that wait refutes nothing
+    When a flow is opened
+    And its caller asks and is answered after 30 ms
+    And 400 ms pass
+    And 3 peers say that its target is stuck
+    And 200 ms pass
+    Then the open flow is given back
+
+  Scenario: A waiting command stays with its target, an idle flow for commands doesn't
+    Given requests mustn't be repeated
+    When two flows are opened to one target
+    And the first waits while the second was answered before
+    And 3 peers say that its target is stuck
+    And 200 ms pass
+    Then only the second flow is given back
+
+  Scenario: A flow whose answers weren't seen here may have a command at its target
+    Given requests mustn't be repeated
+    When a flow is opened
+    And 3 peers say that its target is stuck
+    And 200 ms pass
+    Then the flow isn't reset
+
+  Scenario: Where most of a service seems stuck the trouble may be here
+    When a flow is opened
+    And 3 peers say of 2 targets, its own among them, that they are stuck
+    And 200 ms pass
+    Then its packets still go to that target
+    And the flow isn't reset
+
+  Scenario: A balancer that stood still suspects nobody
+    When a flow is opened
+    And its caller asks
+    And the process stands still for 3000 ms
+    And 100 ms pass
+    Then 30 new flows reach its target too
+
   Scenario: A caller that gives up with its answer in hand proves nothing
     When a flow is opened
     And 2 peers say that callers gave up on its target
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -7,8 +7,6 @@
     ACCEPTED,
     REFUSED,
     SILENT,
-    STUCK,
-    UNANSWERED,
     UNCLEAR,
     Trial,
     Verdict,
@@ -38,11 +36,12 @@
     Route,
     Target,
 )
-from ._stuck import OWN
+from ._stuck import ANSWERED, OWN, STUCK, UNANSWERED
 
 __all__ = [
     "ACCEPTED",
     "ACK",
+    "ANSWERED",
     "FIN",
     "NO_COOKIE",
     "REFUSED",
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -10,10 +10,11 @@
 from ._demand import Demand, is_cut_off
 from ._effects import FlowReset, Note
 from ._flow_table import FlowTable
-from ._health import STUCK, UNANSWERED, Health, Verdict
+from ._given_back import is_given_back, resets
+from ._health import Health
 from ._openings import Openings
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
-from ._stuck import OVERDUE_MS, OWN, Stuck, overdue
+from ._stuck import ANSWERED, STUCK, UNANSWERED, Stuck
 from ._view import View
 
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
@@ -49,7 +50,7 @@
         self.configuration = None
         self.flows = FlowTable()
         self.health = Health()
-        self.stuck = Stuck()
+        self.stuck = Stuck(self.flows)
         self.openings = Openings()
         self.chooser = Chooser(
             view=self.view,
@@ -116,7 +117,7 @@
             return self._on_unknown_cookie(packet, cookie, now_ms)
         if self.health.is_confirmed(cookie):
             return self._end(packet, "target_dead")
-        if packet.length and self._is_given_back(packet, cookie):
+        if packet.length and self._is_given_back(packet, cookie, now_ms):
             return self._end(packet, "target_stuck")
         self._note_packet(packet, flow, cookie, now_ms)
         if self.health.is_dead(cookie):
@@ -152,11 +153,8 @@
 
     def on_verdict(self, verdict, host, now_ms):
         """Take in what a peer at some host found out of a target."""
-        if verdict.evidence == STUCK:
-            self.stuck.suspect(verdict.cookie, now_ms)
-            return
-        if verdict.evidence == UNANSWERED:
-            self.stuck.prove(verdict.cookie, host, now_ms)
+        if verdict.evidence in (STUCK, UNANSWERED, ANSWERED):
+            self.effects.extend(self.stuck.on_verdict(verdict, host, now_ms))
             return
         is_new = self.health.on_verdict(verdict, now_ms)
         if is_new and self.flows.open_flows.get(verdict.cookie):
@@ -191,9 +189,7 @@
             self.stuck.forget(cookie)
         self._doubt_overdue(now_ms)
         self.effects.extend(self.health.due(now_ms))
-        self.stuck.on_tick(now_ms)
-        if self.configuration is not None:
-            self._on_overdue_requests(now_ms)
+        self._on_stuck_targets(now_ms)
         self.demand.on_tick(now_ms)
         age_ms = None
         if self.view_confirmed_ms is not None:
@@ -297,38 +293,46 @@
             self.health.on_life(cookie, now_ms)
             if flow.asked_ms is not None:
                 self.flows.answer(packet.flow, flow)
-                self.stuck.on_answer(cookie, now_ms)
+                self.effects.extend(self.stuck.on_answer(cookie, now_ms))
         if packet.flags & FIN:
             self.flows.answer(packet.flow, flow)
             self.flows.close(flow)
         elif packet.length:
             self.flows.ask(packet.flow, flow, now_ms)
 
-    def _on_overdue_requests(self, now_ms):
-        if not self.in_rotation:
-            self.flows.forget_waiting()  # answers are acknowledged elsewhere
-        for flow in overdue(self.flows, now_ms):
-            cookie = flow.cookie
-            if self.stuck.answered_since(cookie, flow.asked_ms):
-                continue  # it answers others; this request may just be long
-            if self.stuck.suspect(cookie, now_ms):
-                self.effects.append(Verdict(cookie, True, STUCK))
+    def _on_stuck_targets(self, now_ms):
+        """Tell peers of requests that wait, and give flows back where it is certain."""
+        verdicts = self.stuck.on_tick(now_ms, in_rotation=self.in_rotation)
+        self.effects.extend(verdicts)
+        if self.configuration is None:
+            return
+        for cookie in self.stuck.suspects:
+            if is_given_back(cookie, stuck=self.stuck, view=self.view, now_ms=now_ms):
+                self.effects.extend(
+                    resets(cookie, flows=self.flows, is_repeatable=self._is_repeatable)
+                )
 
     def _on_given_up(self, packet, flow, now_ms):
         """A caller ends a flow; take in if its request was never answered."""
         if flow is None or flow.asked_ms is None:
             return
-        waited_ms = now_ms - flow.asked_ms
-        unanswered = packet.acknowledgement == flow.acknowledged
-        if unanswered and waited_ms >= OVERDUE_MS:
-            self.stuck.prove(flow.cookie, OWN, now_ms)
-            self.effects.append(Verdict(flow.cookie, True, UNANSWERED))
+        if packet.acknowledgement == flow.acknowledged:
+            self.effects.extend(self.stuck.on_given_up(flow, now_ms))
 
-    def _is_given_back(self, packet, cookie):
+    def _is_given_back(self, packet, cookie, now_ms):
         """Tell whether a request is better served by another target."""
-        if not self.stuck.is_certain(cookie) or self.configuration is None:
+        return (
+            self.stuck.is_stuck(cookie)
+            and self._is_repeatable(packet.flow)
+            and is_given_back(cookie, stuck=self.stuck, view=self.view, now_ms=now_ms)
+        )
+
+    def _is_repeatable(self, flow):
+        """Tell whether the caller of a flow may repeat its requests."""
+        _, _, address, port = flow
+        if self.configuration is None:
             return False
-        route = self._route(packet)
+        route = self.configuration.routes.get((address, port))
         return route is not None and route.repeatable
 
     def _on_unknown_cookie(self, packet, cookie, now_ms):
--- a/libs/flows/src/lagoontally_flows/_flow_table.py
+++ b/libs/flows/src/lagoontally_flows/_flow_table.py
@@ -21,6 +21,7 @@
         data_end: Sequence number behind the newest data that its caller sent.
         acknowledged: What its caller last acknowledged.
         asked_ms: When the request that waits for an answer came, else None.
+        idle: Whether its last request was seen to be answered.
         opened: Whether its caller has answered the target's SYN.
         closing: Whether its caller has ended it.
     """
@@ -33,6 +34,7 @@
         "data_end",
         "acknowledged",
         "asked_ms",
+        "idle",
         "opened",
         "closing",
     )
@@ -45,6 +47,7 @@
         self.data_end = None
         self.acknowledged = 0
         self.asked_ms = None
+        self.idle = False
         self.opened = False
         self.closing = False
 
@@ -111,12 +114,14 @@
         """Note that a flow's caller has sent a request, unless one waits already."""
         if flow.asked_ms is None:
             flow.asked_ms = now_ms
+            flow.idle = False
             self.waiting[key] = flow
 
     def answer(self, key, flow):
         """Note that a flow's caller has got something."""
         if flow.asked_ms is not None:
             flow.asked_ms = None
+            flow.idle = True
             self.waiting.pop(key, None)
 
     def forget_waiting(self):
--- a/libs/flows/src/lagoontally_flows/_health.py
+++ b/libs/flows/src/lagoontally_flows/_health.py
@@ -23,8 +23,6 @@
 REFUSED = "refused"
 SILENT = "silent"
 UNCLEAR = "unclear"
-STUCK = "stuck"  # a request to it is overdue; see _stuck
-UNANSWERED = "unanswered"  # a caller gave up on it
 
 
 class Trial(Record, fields="cookie"):
@@ -39,8 +37,8 @@
     Attributes:
         cookie: Names the target.
         dead: False when it answers again.
-        evidence: What showed it: ``REFUSED``, ``SILENT``, ``ACCEPTED``,
-            ``STUCK`` or ``UNANSWERED``.
+        evidence: What showed it: ``REFUSED``, ``SILENT`` or ``ACCEPTED``, or what
+            ``Stuck`` goes by: ``STUCK``, ``UNANSWERED`` or ``ANSWERED``.
     """
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_stuck.py
+++ b/libs/flows/src/lagoontally_flows/_stuck.py
@@ -3,91 +3,194 @@
 Answers the faults of a target that hangs while connections to it succeed. A caller
 acknowledges an answer within some 50 ms, so a balancer sees how long each request
 waits. One that waits longer than a loaded target could need keeps new flows away
-from the target, here and at the peers. A caller that gives up without having got
-anything proves it; once several balancers have seen that, requests that may be
-repeated are given back to their callers while there is time to go elsewhere.
+from the target, here and at the peers.
+
+Open flows are given back to their callers once it is certain, while there is time
+to go elsewhere: when callers of several balancers wait and no balancer objects,
+since it has just seen an answer, or when callers of several gave up. One or two
+balancers prove nothing, as their own network may lose the packets.
 """
 
+from ._health import Verdict
+
+STUCK = "stuck"  # a request is overdue
+UNANSWERED = "unanswered"  # a caller gave up
+ANSWERED = "answered"  # another request was answered meanwhile
 OVERDUE_MS = 350  # ten waiting requests of two slots take less than 200 ms
 KEPT_MS = 4_000
+WAITING_KEPT_MS = 1_500  # callers give up after a second and more
+OBJECTION_MS = 100  # to a peer and back, where both are slow instances
+LATE_TICK_MS = 250  # ticks come each 50 ms; one so late means a frozen process
 WITNESSES = 3  # one or two balancers may have lost the packets themselves
+OBJECTED = 2  # waiting balancers; one fewer than make it certain
 OWN = "self"
 
 
 class Stuck:
     """Targets held for stuck.
 
+    Args:
+        flows: The ``FlowTable``.
+
     Attributes:
         suspects: When a request to each target was last overdue, by cookie.
+        waiting: When each balancer said so, by cookie and balancer. An answer that
+            any balancer sees refutes them.
         witnesses: When each balancer's callers last gave up on a target without an
             answer, by cookie and balancer.
         answered_ms: When each target last answered a request of this balancer's
             flows. That it opens flows doesn't count: a hanging target does.
+        refuted_ms: When each target answered at a peer at the earliest, by its word.
     """
 
-    def __init__(self):
+    def __init__(self, flows):
+        self.flows = flows
         self.suspects = {}
+        self.waiting = {}
         self.witnesses = {}
         self.answered_ms = {}
+        self.refuted_ms = {}
+        self._ticked_ms = None
 
-    def suspect(self, cookie, now_ms):
-        """Take in that a request to a target is overdue.
+    def on_answer(self, cookie, now_ms):
+        """Note that a target answered a request.
 
         Returns:
-            True when the target wasn't held for stuck before.
+            A list with the ``Verdict`` that refutes peers, empty without need.
         """
-        is_new = not self.is_stuck(cookie)
+        self.answered_ms[cookie] = now_ms
+        self.suspects.pop(cookie, None)
+        self.witnesses.pop(cookie, None)
+        return self._object(cookie)
+
+    def on_given_up(self, flow, now_ms):
+        """Take in that a caller ends a flow whose request was never answered.
+
+        Returns:
+            A list with the ``Verdict`` for the peers, empty if it was soon.
+        """
+        if now_ms - flow.asked_ms < OVERDUE_MS:
+            return []
+        self._witness(flow.cookie, OWN, now_ms)
+        return [Verdict(flow.cookie, True, UNANSWERED)]
+
+    def on_verdict(self, verdict, host, now_ms):
+        """Take in the ``Verdict`` of the peer at some host.
+
+        Returns:
+            A list with the ``Verdict`` that refutes it, empty if nothing does.
+        """
+        cookie = verdict.cookie
+        if verdict.evidence == ANSWERED:
+            self.waiting.pop(cookie, None)
+            self.refuted_ms[cookie] = now_ms - OVERDUE_MS
+            return []
+        if verdict.evidence == UNANSWERED:
+            self._witness(cookie, host, now_ms)
+            return []
         self.suspects[cookie] = now_ms
-        return is_new
+        self.waiting.setdefault(cookie, {})[host] = now_ms
+        if self.answered_since(cookie, now_ms - OVERDUE_MS):
+            return self._object(cookie)
+        return []
 
-    def prove(self, cookie, witness, now_ms):
-        """Take in that a caller gave up on a target without an answer.
+    def on_tick(self, now_ms, *, in_rotation):
+        """Let time pass.
 
         Args:
-            cookie: The target.
-            witness: The balancer that saw it: ``OWN`` or a peer's host.
             now_ms: Time of the step.
-        """
-        self.suspects[cookie] = now_ms
-        self.witnesses.setdefault(cookie, {})[witness] = now_ms
+            in_rotation: Whether routers send packets here. Otherwise answers are
+                acknowledged through other balancers.
 
-    def on_answer(self, cookie, now_ms):
-        """Note that a target answered a request."""
-        self.answered_ms[cookie] = now_ms
-        self.suspects.pop(cookie, None)
-        self.witnesses.pop(cookie, None)
+        Returns:
+            A list of the ``Verdict`` to tell peers.
+        """
+        late = self._ticked_ms is not None and now_ms - self._ticked_ms > LATE_TICK_MS
+        self._ticked_ms = now_ms
+        if late or not in_rotation:
+            self.flows.forget_waiting()
+        verdicts = []
+        for flow in _overdue(self.flows, now_ms):
+            # Where it answers others this request may just be long.
+            refuted = self.refuted_ms.get(flow.cookie, flow.asked_ms) > flow.asked_ms
+            if not refuted and not self.answered_since(flow.cookie, flow.asked_ms):
+                verdicts += self._suspect(flow.cookie, now_ms)
+        self._forget_old(now_ms)
+        return verdicts
 
     def answered_since(self, cookie, moment_ms):
         """Tell whether a target has answered a request since a moment."""
         answered_ms = self.answered_ms.get(cookie)
         return answered_ms is not None and answered_ms > moment_ms
 
+    def is_stuck(self, cookie):
+        """Tell whether a target gets no new flows."""
+        return cookie in self.suspects
+
+    def is_doubted(self, cookie):
+        """Tell whether any balancer waits for a target, as far as unrefuted."""
+        return cookie in self.waiting
+
+    def is_certain(self, cookie, now_ms):
+        """Tell whether requests are better taken away from a target."""
+        if len(self.witnesses.get(cookie, ())) >= WITNESSES:
+            return True
+        said = self.waiting.get(cookie, {}).values()
+        unrefuted = [said_ms for said_ms in said if now_ms - said_ms >= OBJECTION_MS]
+        return len(unrefuted) >= WITNESSES
+
     def forget(self, cookie):
         """Forget a target."""
         self.suspects.pop(cookie, None)
+        self.waiting.pop(cookie, None)
         self.witnesses.pop(cookie, None)
         self.answered_ms.pop(cookie, None)
+        self.refuted_ms.pop(cookie, None)
 
-    def is_stuck(self, cookie):
-        """Tell whether a target gets no new flows."""
-        return cookie in self.suspects
+    def _suspect(self, cookie, now_ms):
+        """Hold a target for stuck; returns the verdicts that are news."""
+        self.suspects[cookie] = now_ms
+        said = self.waiting.setdefault(cookie, {})
+        if OWN in said:
+            return []
+        said[OWN] = now_ms
+        return [Verdict(cookie, True, STUCK)]
 
-    def is_certain(self, cookie):
-        """Tell whether requests are better taken away from a target."""
-        return len(self.witnesses.get(cookie, ())) >= WITNESSES
+    def _witness(self, cookie, host, now_ms):
+        self.suspects[cookie] = now_ms
+        self.witnesses.setdefault(cookie, {})[host] = now_ms
+
+    def _object(self, cookie):
+        """Refute all who wait for a target.
 
-    def on_tick(self, now_ms):
-        """Forget what was said long ago."""
+        Returns:
+            A list with the ``Verdict`` that tells them, empty while they are so few
+            that nothing follows from it: one waits now and then for a healthy target.
+        """
+        if len(self.waiting.get(cookie, ())) < OBJECTED:
+            return []
+        del self.waiting[cookie]
+        return [Verdict(cookie, False, ANSWERED)]
+
+    def _forget_old(self, now_ms):
         for cookie, said_ms in list(self.suspects.items()):
             if now_ms - said_ms > KEPT_MS:
                 self.forget(cookie)
-        for seen in self.witnesses.values():
-            for witness, said_ms in list(seen.items()):
-                if now_ms - said_ms > KEPT_MS:
-                    del seen[witness]
+        _drop_old(self.witnesses, now_ms - KEPT_MS)
+        _drop_old(self.waiting, now_ms - WAITING_KEPT_MS)
+
+
+def _drop_old(said, since_ms):
+    """Drop what was said before a moment, in a table by cookie and balancer."""
+    for cookie, by_balancer in list(said.items()):
+        for balancer, said_ms in list(by_balancer.items()):
+            if said_ms < since_ms:
+                del by_balancer[balancer]
+        if not by_balancer:
+            del said[cookie]
 
 
-def overdue(flows, now_ms):
+def _overdue(flows, now_ms):
     """Return the flows whose request has waited for ``OVERDUE_MS`` or more.
 
     Args:
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -7,6 +7,7 @@
 from posix import environ, stat  # ``os`` adds a millisecond to the start
 
 from lagoontally_flows import (
+    ANSWERED,
     OWN,
     STUCK,
     UNANSWERED,
@@ -178,6 +179,9 @@
         if verdict.evidence in (STUCK, UNANSWERED):
             event = "target_stuck"
             known = balancer.stuck.is_stuck(verdict.cookie)
+        elif verdict.evidence == ANSWERED:
+            event = "target_answers"
+            known = not balancer.stuck.is_doubted(verdict.cookie)
         else:
             event = "target_dead" if verdict.dead else "target_alive"
             known = balancer.health.is_dead(verdict.cookie) == verdict.dead
