Don't take answers that come through other balancers for missing ones

Instances were added, routers dealt all flows anew, and requests that were at a target at that moment were acknowledged through other balancers. Three balancers of one data centre waited in vain for the same healthy target, and no objection came within 100 ms. Ruled out: a message lost (an objection is sent by every balancer that saw an answer); a slow target (it answered within 10 ms); more witnesses (waits in vain come in numbers). Change: an acknowledgement without data on a flow that a balancer doesn't know shows an answer, and that routers have dealt a moment ago; it tells its peers, which forget what they wait for. Words on waiting requests tell how long they have waited, and objections how old the answer is, so that only later answers refute.

--- /dev/null
+++ b/libs/flows/features/steps/dealt_anew_steps.py
@@ -0,0 +1,122 @@
+"""Steps for several balancers whose flows routers deal anew."""
+
+from behave import given, then, when
+from fixtures import World, make_target
+
+from lagoontally_flows import DealtAnew, FlowReset, Verdict
+
+REQUEST_BYTES = 169
+TICK_MS = 50
+
+
+@given("{count:d} balancers that share {targets:d} targets")
+def step_balancers(context, count, targets):
+    """They tell each other what they find out."""
+    context.targets = [make_target(number + 1) for number in range(targets)]
+    context.worlds = [World(seed=number + 1) for number in range(count)]
+    for number, world in enumerate(context.worlds):
+        world.next_port += 100 * number
+        world.list_targets(*context.targets)
+        world.effects.clear()
+    context.asked = []
+
+
+@when("callers of {count:d} balancers ask the same target")
+def step_ask_same(context, count):
+    """Each has a flow of its own to it, open for a while."""
+    context.target = context.targets[0]
+    for world in context.worlds:
+        target = None
+        while target != context.target:
+            flow, target = world.open_flow()
+        context.asked.append(flow)
+    pass_time(context, 1_000)
+    for world, flow in list(zip(context.worlds, context.asked, strict=True))[:count]:
+        cookie = context.target.cookie
+        world.send(flow, cookie=cookie, ack=5_000, length=REQUEST_BYTES)
+    del context.asked[count:]
+
+
+@when("routers deal all flows anew")
+def step_deal(context):
+    """Flows go on through balancers that nobody waits at."""
+    pass_time(context, TICK_MS)
+    others = context.worlds[len(context.asked) :]
+    context.reached = others * len(context.asked)
+
+
+@when("every request is answered")
+def step_all_answered(context):
+    """Callers acknowledge the answers, through other balancers."""
+    cookie = context.target.cookie
+    for world, flow in zip(context.reached, context.asked, strict=False):
+        world.send(flow, cookie=cookie, sequence=269, ack=6_000)
+
+
+@when("the request of one of them is answered")
+def step_one_answered(context):
+    """The other acknowledgements are lost."""
+    (flow, *_), cookie = context.asked, context.target.cookie
+    context.reached[0].send(flow, cookie=cookie, sequence=269, ack=6_000)
+
+
+@when("an idle flow asks another target through a balancer that doesn't know it")
+def step_idle_asks(context):
+    """It may have been dealt anew long ago."""
+    world = context.worlds[-1]
+    cookie = context.targets[1].cookie
+    world.send(world.new_flow(), cookie=cookie, ack=5_000, length=REQUEST_BYTES)
+
+
+@when("{duration_ms:d} ms pass at all balancers")
+def step_pass_all(context, duration_ms):
+    """Verdicts reach the peers meanwhile."""
+    pass_time(context, duration_ms)
+
+
+def pass_time(context, duration_ms):
+    """Let time pass at all balancers, and tell each what the others found out."""
+    spread_verdicts(context)
+    for _ in range(0, duration_ms, TICK_MS):
+        now_ms = max(world.now_ms for world in context.worlds)
+        for world in context.worlds:
+            world.now_ms = now_ms
+            world.wait(TICK_MS)
+        spread_verdicts(context)
+
+
+def spread_verdicts(context):
+    """Deliver verdicts until nobody has one to tell."""
+    told = True
+    while told:
+        told = False
+        for number, world in enumerate(context.worlds):
+            others = [other for other in context.worlds if other is not world]
+            for verdict in world.taken(Verdict):
+                told = True
+                for other in others:
+                    host = f"balancer-{number}"
+                    other.balancer.on_verdict(verdict, host, other.now_ms)
+                    other.collect()
+            if world.taken(DealtAnew):
+                for other in others:
+                    other.balancer.on_dealt_anew(other.now_ms)
+
+
+@then("no balancer resets a flow")
+def step_no_resets(context):
+    """The target lives and has answered."""
+    assert not any(world.taken(FlowReset) for world in context.worlds)
+
+
+@then("no balancer holds a target for stuck")
+def step_no_suspects(context):
+    """New flows go to all targets."""
+    assert not any(world.balancer.stuck.suspects for world in context.worlds)
+
+
+@then("all balancers give its flows back")
+def step_all_give_back(context):
+    """Each resets those that go through it."""
+    for world in context.worlds:
+        assert world.taken(FlowReset)
--- a/libs/flows/features/steps/health_steps.py
+++ b/libs/flows/features/steps/health_steps.py
@@ -63,7 +63,7 @@
 @when("a peer says that its target is dead")
 def step_verdict(context):
     """Another balancer found the target dead."""
-    verdict = Verdict(context.target.cookie, True, "silent")
+    verdict = Verdict(context.target.cookie, True, "silent", 0)
     context.world.balancer.on_verdict(verdict, "peer", context.world.now_ms)
     context.world.collect()
 
--- a/libs/flows/features/steps/stuck_steps.py
+++ b/libs/flows/features/steps/stuck_steps.py
@@ -7,6 +7,7 @@
     ACK,
     ANSWERED,
     FIN,
+    STUCK,
     Configuration,
     FlowReset,
     Route,
@@ -14,6 +15,7 @@
 )
 
 REQUEST_BYTES = 169
+WAITED_MS = 360  # of a request that a peer tells of
 
 
 @given("requests mustn't be repeated")
@@ -60,7 +62,7 @@
 def step_peers(context, count):
     """Requests to it are overdue elsewhere."""
     for number in range(count):
-        tell(context, context.target, "stuck", number)
+        tell(context, context.target, STUCK, number)
 
 
 @when("{count:d} peers say that callers gave up on its target")
@@ -74,7 +76,7 @@
 def step_all(context):
     """A peer has trouble with each."""
     for target in context.targets:
-        tell(context, target, "stuck")
+        tell(context, target, STUCK)
 
 
 @when("the effects so far are forgotten")
@@ -84,9 +86,11 @@
 
 
 @when("a peer says that it answers")
-def step_peer_objects(context):
+@when("a peer says that it answered {age_ms:d} ms ago")
+def step_peer_objects(context, age_ms=0):
     """A request elsewhere was answered."""
-    tell(context, context.target, ANSWERED, dead=False)
+    verdict = Verdict(context.target.cookie, False, ANSWERED, age_ms)
+    context.world.balancer.on_verdict(verdict, "peer-9", context.world.now_ms)
 
 
 @when(
@@ -97,7 +101,7 @@
     others = [one for one in context.targets if one != context.target]
     for target in [context.target, *others][:count]:
         for number in range(peers):
-            tell(context, target, "stuck", number)
+            tell(context, target, STUCK, number)
 
 
 @when("the first waits while the second was answered before")
@@ -108,7 +112,7 @@
     ask(context, context.idle, context.target)
     context.world.wait(30)
     context.world.send(context.idle, cookie=cookie, sequence=269, ack=6_000)
-    context.world.wait(400)
+    context.world.wait(450)
     ask(context, context.flow, context.target)
 
 
@@ -139,14 +143,15 @@
 @then("the peers are told that the target answers")
 def step_objected(context):
     """One word refutes all."""
-    verdicts = context.world.taken(Verdict)
-    assert Verdict(context.target.cookie, False, ANSWERED) in verdicts, verdicts
+    told = [(one.cookie, one.evidence) for one in context.world.taken(Verdict)]
+    assert (context.target.cookie, ANSWERED) in told, told
 
 
-def tell(context, target, evidence, number=0, *, dead=True):
-    """Let a peer tell of a target."""
+def tell(context, target, evidence, number=0):
+    """Let a peer tell of a target whose callers wait or have given up."""
     world = context.world
-    verdict = Verdict(target.cookie, dead, evidence)
+    age_ms = WAITED_MS if evidence == STUCK else 0
+    verdict = Verdict(target.cookie, True, evidence, age_ms)
     world.balancer.on_verdict(verdict, f"peer-{number}", world.now_ms)
     world.collect()
 
--- a/libs/flows/features/stuck.feature
+++ b/libs/flows/features/stuck.feature
@@ -73,7 +73,7 @@
   Scenario: A target that answered before a request is waited for all the same
     When a flow is opened
     And its caller asks and gets no answer for 100 ms
-    And a peer says that it answers
+    And a peer says that it answered 200 ms ago
     And 400 ms pass
     Then the peers are told that the target is dead
 
@@ -93,7 +93,7 @@
   Scenario: An answer from before the requests that wait refutes nothing
     When a flow is opened
     And its caller asks and is answered after 30 ms
-    And 400 ms pass
+    And 450 ms pass
     And 3 peers say that its target is stuck
     And 200 ms pass
     Then the open flow is given back
@@ -120,6 +120,36 @@
     Then its packets still go to that target
     And the flow isn't reset
 
+  Scenario: Routers deal all flows anew while requests are at a target
+    Given 5 balancers that share 4 targets
+    When callers of 3 balancers ask the same target
+    And routers deal all flows anew
+    And every request is answered
+    And 700 ms pass at all balancers
+    Then no balancer resets a flow
+
+  Scenario: Nobody suspects a target after the flows were dealt anew
+    Given 5 balancers that share 4 targets
+    When callers of 3 balancers ask the same target
+    And routers deal all flows anew
+    And the request of one of them is answered
+    And 700 ms pass at all balancers
+    Then no balancer holds a target for stuck
+
+  Scenario: Flows that were idle when they were dealt anew hide no target that hangs
+    Given 5 balancers that share 4 targets
+    When callers of 3 balancers ask the same target
+    And routers deal all flows anew
+    And an idle flow asks another target through a balancer that doesn't know it
+    And 700 ms pass at all balancers
+    Then all balancers give its flows back
+
+  Scenario: The same with a target that hangs
+    Given 5 balancers that share 4 targets
+    When callers of 3 balancers ask the same target
+    And 700 ms pass at all balancers
+    Then all balancers give its flows back
+
   Scenario: A balancer that stood still suspects nobody
     When a flow is opened
     And its caller asks
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -2,7 +2,7 @@
 
 from ._balancer import Balancer
 from ._cookie import NO_COOKIE, target_cookie
-from ._effects import FlowReset, Note
+from ._effects import DealtAnew, FlowReset, Note
 from ._health import (
     ACCEPTED,
     REFUSED,
@@ -56,6 +56,7 @@
     "Balancer",
     "Beacon",
     "Configuration",
+    "DealtAnew",
     "Delta",
     "Drop",
     "FetchConfiguration",
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -8,10 +8,10 @@
 from ._chooser import Chooser
 from ._cookie import NO_COOKIE
 from ._demand import Demand, is_cut_off
-from ._effects import FlowReset, Note
+from ._effects import DealtAnew, FlowReset, entry_note
 from ._flow_table import FlowTable
 from ._given_back import is_given_back, resets
-from ._health import Health
+from ._health import LONG_AGO_MS, Health
 from ._openings import Openings
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
 from ._stuck import ANSWERED, STUCK, UNANSWERED, Stuck
@@ -20,6 +20,7 @@
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 UNKNOWN_COOKIES_KEPT = 1_024
+DEALT_INTERVAL_MS = 200  # answers that are under way arrive meanwhile
 
 
 class Balancer:
@@ -66,6 +67,7 @@
         self.effects = []
         self.view_confirmed_ms = None
         self._unknown_since_ms = {}
+        self._dealt_ms = LONG_AGO_MS
 
     def configure(self, configuration):
         """Put a configuration in force unless a newer one is.
@@ -160,6 +162,11 @@
         if is_new and self.flows.open_flows.get(verdict.cookie):
             self.effects.extend(self.health.doubt(verdict.cookie, now_ms))
 
+    def on_dealt_anew(self, now_ms):
+        """Take in that a peer has noticed that routers dealt the flows anew."""
+        self._dealt_ms = now_ms
+        self.flows.forget_waiting()
+
     def control_of(self, cookie):
         """Return the target to try beside a doubtful one, None where there is none.
 
@@ -274,9 +281,7 @@
 
     def _note_packet(self, packet, flow, cookie, now_ms):
         if flow is None or flow.cookie != cookie:
-            # Routers have dealt the flows anew: answers may be acknowledged
-            # through other balancers now.
-            self.flows.forget_waiting()
+            self._on_dealt_flow(packet, cookie, now_ms)
             flow = self.flows.add(packet.flow, cookie, now_ms)
         stalled = (
             packet.length
@@ -300,6 +305,21 @@
         elif packet.length:
             self.flows.ask(packet.flow, flow, now_ms)
 
+    def _on_dealt_flow(self, packet, cookie, now_ms):
+        """Routers have dealt the flows anew, so answers may be acknowledged elsewhere.
+
+        A caller that only acknowledges has just got an answer, which it asked for
+        through another balancer: routers did it a moment ago. A flow that was idle
+        may have been dealt anew long ago.
+        """
+        self.flows.forget_waiting()
+        if packet.length or packet.flags & FIN:
+            return
+        self.effects.extend(self.stuck.on_answer(cookie, now_ms))
+        if now_ms - self._dealt_ms >= DEALT_INTERVAL_MS:
+            self._dealt_ms = now_ms
+            self.effects.append(DealtAnew())
+
     def _on_stuck_targets(self, now_ms):
         """Tell peers of requests that wait, and give flows back where it is certain."""
         verdicts = self.stuck.on_tick(now_ms, in_rotation=self.in_rotation)
@@ -363,18 +383,7 @@
     def _note_entry(self, shown, *, listed):
         if self.view_confirmed_ms is None:
             return  # the first listing is one line, not one for each target
-        self.effects.append(
-            Note(
-                "target_listed" if listed else "target_lapsed",
-                (
-                    ("target", shown.name.hex()),
-                    ("service", shown.service),
-                    ("address", f"{shown.address[0]}:{shown.address[1]}"),
-                    ("leaving", shown.leaving),
-                    ("data_centre", shown.data_centre),
-                ),
-            )
-        )
+        self.effects.append(entry_note(shown, listed=listed))
 
     def _try_lapsed(self, target, now_ms):
         """Find out whether a target that is no longer listed still runs."""
--- a/libs/flows/src/lagoontally_flows/_effects.py
+++ b/libs/flows/src/lagoontally_flows/_effects.py
@@ -16,6 +16,16 @@
     __slots__ = ()
 
 
+class DealtAnew(Record, fields=""):
+    """Tell the peers that routers have just dealt the flows anew.
+
+    Answers to requests that are under way are acknowledged through other balancers
+    from now on, so nobody may wait for them.
+    """
+
+    __slots__ = ()
+
+
 class Note(Record, fields="event fields"):
     """A decision for the log.
 
@@ -25,3 +35,15 @@
     """
 
     __slots__ = ()
+
+
+def entry_note(target, *, listed):
+    """Return the ``Note`` that the platform lists a target, or no longer does."""
+    fields = (
+        ("target", target.name.hex()),
+        ("service", target.service),
+        ("address", f"{target.address[0]}:{target.address[1]}"),
+        ("leaving", target.leaving),
+        ("data_centre", target.data_centre),
+    )
+    return Note("target_listed" if listed else "target_lapsed", fields)
--- a/libs/flows/src/lagoontally_flows/_health.py
+++ b/libs/flows/src/lagoontally_flows/_health.py
@@ -31,7 +31,7 @@
     __slots__ = ()
 
 
-class Verdict(Record, fields="cookie dead evidence"):
+class Verdict(Record, fields="cookie dead evidence age_ms"):
     """What this balancer has found out of a target, for its peers.
 
     Attributes:
@@ -39,6 +39,8 @@
         dead: False when it answers again.
         evidence: What showed it: ``REFUSED``, ``SILENT`` or ``ACCEPTED``, or what
             ``Stuck`` goes by: ``STUCK``, ``UNANSWERED`` or ``ANSWERED``.
+        age_ms: With ``STUCK`` how long the request has waited, with ``ANSWERED``
+            how long ago the answer was seen, else 0.
     """
 
     __slots__ = ()
@@ -146,13 +148,13 @@
             self.any_alive_ms = now_ms
             if self.marks.pop(cookie, None) is None:
                 return []
-            return [Verdict(cookie, False, evidence)]
+            return [Verdict(cookie, False, evidence, 0)]
         if evidence == UNCLEAR:
             return []
         mark = self.marks.setdefault(cookie, Mark())
         mark.confirmed = True
         mark.trial_ms = now_ms + DEAD_TRIAL_INTERVAL_MS
-        return [Verdict(cookie, True, evidence)]
+        return [Verdict(cookie, True, evidence, 0)]
 
     def on_verdict(self, verdict, now_ms):
         """Take in what a peer found out.
--- a/libs/flows/src/lagoontally_flows/_stuck.py
+++ b/libs/flows/src/lagoontally_flows/_stuck.py
@@ -11,6 +11,8 @@
 balancers prove nothing, as their own network may lose the packets.
 """
 
+from lagoontally_lean import Record
+
 from ._health import Verdict
 
 STUCK = "stuck"  # a request is overdue
@@ -20,12 +22,24 @@
 KEPT_MS = 4_000
 WAITING_KEPT_MS = 1_500  # callers give up after a second and more
 OBJECTION_MS = 100  # to a peer and back, where both are slow instances
+WORD_MS = 50  # half of it: ages that peers tell are so much older by now
 LATE_TICK_MS = 250  # ticks come each 50 ms; one so late means a frozen process
 WITNESSES = 3  # one or two balancers may have lost the packets themselves
 OBJECTED = 2  # waiting balancers; one fewer than make it certain
 OWN = "self"
 
 
+class Wait(Record, fields="asked_ms said_ms"):
+    """Word that a request is overdue.
+
+    Attributes:
+        asked_ms: When the request came, as far as its age in the word tells.
+        said_ms: When the word came.
+    """
+
+    __slots__ = ()
+
+
 class Stuck:
     """Targets held for stuck.
 
@@ -34,8 +48,8 @@
 
     Attributes:
         suspects: When a request to each target was last overdue, by cookie.
-        waiting: When each balancer said so, by cookie and balancer. An answer that
-            any balancer sees refutes them.
+        waiting: ``Wait`` of each balancer that said so, by cookie and balancer. A
+            later answer that any balancer sees refutes it.
         witnesses: When each balancer's callers last gave up on a target without an
             answer, by cookie and balancer.
         answered_ms: When each target last answered a request of this balancer's
@@ -61,7 +75,7 @@
         self.answered_ms[cookie] = now_ms
         self.suspects.pop(cookie, None)
         self.witnesses.pop(cookie, None)
-        return self._object(cookie)
+        return self._object(cookie, now_ms)
 
     def on_given_up(self, flow, now_ms):
         """Take in that a caller ends a flow whose request was never answered.
@@ -72,7 +86,7 @@
         if now_ms - flow.asked_ms < OVERDUE_MS:
             return []
         self._witness(flow.cookie, OWN, now_ms)
-        return [Verdict(flow.cookie, True, UNANSWERED)]
+        return [Verdict(flow.cookie, True, UNANSWERED, 0)]
 
     def on_verdict(self, verdict, host, now_ms):
         """Take in the ``Verdict`` of the peer at some host.
@@ -82,17 +96,16 @@
         """
         cookie = verdict.cookie
         if verdict.evidence == ANSWERED:
-            self.waiting.pop(cookie, None)
-            self.refuted_ms[cookie] = now_ms - OVERDUE_MS
+            self.refuted_ms[cookie] = now_ms - verdict.age_ms
+            self._refute(cookie, now_ms - verdict.age_ms)
             return []
         if verdict.evidence == UNANSWERED:
             self._witness(cookie, host, now_ms)
             return []
         self.suspects[cookie] = now_ms
-        self.waiting.setdefault(cookie, {})[host] = now_ms
-        if self.answered_since(cookie, now_ms - OVERDUE_MS):
-            return self._object(cookie)
-        return []
+        wait = Wait(now_ms - verdict.age_ms, now_ms)
+        self.waiting.setdefault(cookie, {})[host] = wait
+        return self._object(cookie, now_ms)
 
     def on_tick(self, now_ms, *, in_rotation):
         """Let time pass.
@@ -114,7 +127,7 @@
             # Where it answers others this request may just be long.
             refuted = self.refuted_ms.get(flow.cookie, flow.asked_ms) > flow.asked_ms
             if not refuted and not self.answered_since(flow.cookie, flow.asked_ms):
-                verdicts += self._suspect(flow.cookie, now_ms)
+                verdicts += self._suspect(flow, now_ms)
         self._forget_old(now_ms)
         return verdicts
 
@@ -135,8 +148,8 @@
         """Tell whether requests are better taken away from a target."""
         if len(self.witnesses.get(cookie, ())) >= WITNESSES:
             return True
-        said = self.waiting.get(cookie, {}).values()
-        unrefuted = [said_ms for said_ms in said if now_ms - said_ms >= OBJECTION_MS]
+        waits = self.waiting.get(cookie, {}).values()
+        unrefuted = [wait for wait in waits if now_ms - wait.said_ms >= OBJECTION_MS]
         return len(unrefuted) >= WITNESSES
 
     def forget(self, cookie):
@@ -147,47 +160,71 @@
         self.answered_ms.pop(cookie, None)
         self.refuted_ms.pop(cookie, None)
 
-    def _suspect(self, cookie, now_ms):
-        """Hold a target for stuck; returns the verdicts that are news."""
+    def _suspect(self, flow, now_ms):
+        """Hold a flow's target for stuck; returns the verdicts that are news."""
+        cookie = flow.cookie
         self.suspects[cookie] = now_ms
-        said = self.waiting.setdefault(cookie, {})
-        if OWN in said:
+        waits = self.waiting.setdefault(cookie, {})
+        if OWN in waits:
             return []
-        said[OWN] = now_ms
-        return [Verdict(cookie, True, STUCK)]
+        waits[OWN] = Wait(flow.asked_ms, now_ms)
+        return [Verdict(cookie, True, STUCK, round(now_ms - flow.asked_ms))]
 
     def _witness(self, cookie, host, now_ms):
         self.suspects[cookie] = now_ms
         self.witnesses.setdefault(cookie, {})[host] = now_ms
 
-    def _object(self, cookie):
-        """Refute all who wait for a target.
+    def _object(self, cookie, now_ms):
+        """Refute those who wait for a target that has answered here meanwhile.
 
         Returns:
             A list with the ``Verdict`` that tells them, empty while they are so few
             that nothing follows from it: one waits now and then for a healthy target.
         """
-        if len(self.waiting.get(cookie, ())) < OBJECTED:
+        answered_ms = self.answered_ms.get(cookie)
+        waits = len(self.waiting.get(cookie, ()))
+        if answered_ms is None or waits < OBJECTED:
             return []
-        del self.waiting[cookie]
-        return [Verdict(cookie, False, ANSWERED)]
+        if not self._refute(cookie, answered_ms):
+            return []
+        return [Verdict(cookie, False, ANSWERED, round(now_ms - answered_ms))]
+
+    def _refute(self, cookie, answered_ms):
+        """Drop the words on requests from before an answer; returns their number."""
+        waits = self.waiting.get(cookie, {})
+        refuted = [
+            balancer
+            for balancer, wait in waits.items()
+            if wait.asked_ms < answered_ms + WORD_MS
+        ]
+        for balancer in refuted:
+            del waits[balancer]
+        if not waits:
+            self.waiting.pop(cookie, None)
+        return len(refuted)
 
     def _forget_old(self, now_ms):
         for cookie, said_ms in list(self.suspects.items()):
             if now_ms - said_ms > KEPT_MS:
                 self.forget(cookie)
-        _drop_old(self.witnesses, now_ms - KEPT_MS)
-        _drop_old(self.waiting, now_ms - WAITING_KEPT_MS)
-
-
-def _drop_old(said, since_ms):
-    """Drop what was said before a moment, in a table by cookie and balancer."""
-    for cookie, by_balancer in list(said.items()):
-        for balancer, said_ms in list(by_balancer.items()):
-            if said_ms < since_ms:
-                del by_balancer[balancer]
-        if not by_balancer:
-            del said[cookie]
+        for cookie, seen in list(self.witnesses.items()):
+            _keep(self.witnesses, cookie, seen, lambda ms: now_ms - ms <= KEPT_MS)
+        for cookie, waits in list(self.waiting.items()):
+            _keep(
+                self.waiting,
+                cookie,
+                waits,
+                lambda wait: now_ms - wait.said_ms <= WAITING_KEPT_MS,
+            )
+
+
+def _keep(table, cookie, by_balancer, is_kept):
+    """Drop what balancers said of a target unless it is kept."""
+    kept = {name: word for name, word in by_balancer.items() if is_kept(word)}
+    if kept:
+        table[cookie] = kept
+    else:
+        del table[cookie]
 
 
 def _overdue(flows, now_ms):
--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -32,7 +32,11 @@
       | 5                                  |
       | []                                 |
       | ["Nothing"]                        |
-      | ["Verdict", 1e999, true, "silent"] |
+      | ["Verdict", 1e999, true, "silent", 0] |
+      | ["Verdict", 5, true, "silent"] |
+      | ["Verdict", 5, true, "stuck", 1e999] |
+      | ["Verdict", 5, true, "stuck", -1] |
+      | ["Verdict", 5, true, "stuck", "long"] |
       | ["Delta", 1e999, 1, 1, 1, 0, 1, []] |
       | ["Members", 5]                     |
       | ["Beacon", 1, 2]                   |
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -7,7 +7,14 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from lagoontally_flows import Beacon, Delta, Target, Verdict, target_cookie
+from lagoontally_flows import (
+    Beacon,
+    DealtAnew,
+    Delta,
+    Target,
+    Verdict,
+    target_cookie,
+)
 from lagoontally_forwarder._messages import (
     Hello,
     Members,
@@ -24,7 +31,9 @@
     Members(["10.0.0.1", "10.0.0.2"]),
     Beacon(3, 10, 2, 13, 40, True),
     Delta(3, 9, 10, 2, 0, 1, [("servers/i-1", TARGET), ("servers/i-2", None)]),
-    Verdict(TARGET.cookie, True, "silent"),
+    Verdict(TARGET.cookie, True, "silent", 0),
+    Verdict(TARGET.cookie, False, "answered", 40),
+    DealtAnew(),
 )
 FIELDS = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -3,13 +3,21 @@
 A message that can't be read is None: a datagram may be anyone's.
 """
 
-from lagoontally_flows import Beacon, Delta, Target, Verdict, target_cookie
+from lagoontally_flows import (
+    Beacon,
+    DealtAnew,
+    Delta,
+    Target,
+    Verdict,
+    target_cookie,
+)
 from lagoontally_lean import Record, dumps, loads
 from lagoontally_platform import NAME_BYTES, parse_address, parse_host
 
 MAX_BYTES = 1_200  # stays below a link's usual packet size
 # What documents of strangers raise; numbers may be infinite or too big.
 UNREADABLE = (ValueError, TypeError, LookupError, AttributeError, OverflowError)
+MOST_AGE_MS = 60_000  # longest life of a flow that the platform promises
 ENTRIES_A_DELTA = 6  # an entry takes some 150 bytes
 
 
@@ -110,8 +118,10 @@
 
 
 def _decode_verdict(fields):
-    cookie, dead, evidence = fields
-    return Verdict(int(cookie), bool(dead), str(evidence))
+    cookie, dead, evidence, age_ms = fields
+    if not 0 <= age_ms <= MOST_AGE_MS:
+        raise ValueError("a verdict's age is none")
+    return Verdict(int(cookie), bool(dead), str(evidence), int(age_ms))
 
 
 _DECODERS = {
@@ -120,4 +130,5 @@
     "Beacon": _decode_beacon,
     "Delta": _decode_delta,
     "Verdict": _decode_verdict,
+    "DealtAnew": lambda _fields: DealtAnew(),
 }
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -1,6 +1,6 @@
 """Datagrams between the balancers of a data centre, and who they are."""
 
-from lagoontally_flows import Beacon, Verdict
+from lagoontally_flows import Beacon, DealtAnew, Verdict
 
 from ._messages import Delta, Hello, Members, decode_message, encode_message
 from ._sockets import datagram_socket
@@ -23,8 +23,8 @@
         loop: The ``Loop`` that serves the socket.
         settings: The ``Settings``.
         counters: The ``Counters``.
-        on_message: Called with a ``Beacon``, ``Delta`` or ``Verdict`` and the
-            sender's host.
+        on_message: Called with a ``Beacon``, ``DealtAnew``, ``Delta`` or ``Verdict``
+            and the sender's host.
 
     Attributes:
         members: When each other balancer of the data centre was last heard of,
@@ -101,7 +101,7 @@
             for member in message.hosts:
                 if member != self.settings.host:
                     self.members[member] = now_ms
-        elif isinstance(message, Beacon | Delta | Verdict):
+        elif isinstance(message, Beacon | DealtAnew | Delta | Verdict):
             self.members[host] = now_ms
             self.on_message(message, host)
 
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -14,6 +14,7 @@
     WEAK_LINK_MBPS,
     Balancer,
     Beacon,
+    DealtAnew,
     Delta,
     FlowReset,
     Lifecycle,
@@ -148,6 +149,8 @@
             elif isinstance(effect, Verdict):
                 self._note_verdict(effect, OWN)
                 self.peers.broadcast(effect)
+            elif isinstance(effect, DealtAnew):
+                self.peers.broadcast(effect)
             elif isinstance(effect, Note):
                 self.log.line(effect.event, **dict(effect.fields))
 
@@ -169,6 +172,8 @@
             self.reading.on_beacon(message, host, time_ms)
         elif isinstance(message, Delta):
             self.reader.on_delta(message, time_ms)
+        elif isinstance(message, DealtAnew):
+            self.balancer.on_dealt_anew(time_ms)
         elif isinstance(message, Verdict):
             self._note_verdict(message, host)
             self.balancer.on_verdict(message, host, time_ms)
