Trace what no line mentions, and a caller's second try; explain failures in the soak

Found beside it: a soak whose balancers don't start reported no broken promise. Change: trace --at tells which balancers were serving at a time, and trace names how the caller's former flow ended. Tests: nine scenarios of trace.feature; 'A soak in which nothing can be asked keeps no promise' failed first.

--- a/libs/cli/features/steps/trace_steps.py
+++ b/libs/cli/features/steps/trace_steps.py
@@ -57,6 +57,16 @@
     "dropped route": ended("route_removed"),
     "killed balancer": [line(2.5, "start")],
     "paused balancer": [line(2.5, "resumed", stood_still_ms=4000)],
+    "second try": [
+        line(
+            0.1,
+            "reset",
+            "tifton-2",
+            flow="100.64.0.7:40000>198.18.0.1:443",
+            target="cc",
+            reason="target_silent",
+        ),
+    ],
     "served request": [],
 }
 
@@ -64,13 +74,17 @@
 @given("the logs of a {failure}")
 def step_logs(context, failure):
     """Two processes, their lines not in the order of time."""
+    lines = opening() + FAILURES[failure]
+    other = [line(1.25, "trial", "camilla-1", target="cc", outcome="accepted")]
+    write_logs(context, [*reversed(lines), *other])
+
+
+def write_logs(context, lines):
+    """Write lines into one file that ends with the scenario."""
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.path = Path(folder.name) / "tifton.log"
-    lines = opening() + FAILURES[failure]
-    other = [line(1.25, "trial", "camilla-1", target="cc", outcome="accepted")]
-    text = "\n".join(json.dumps(one) for one in [*reversed(lines), *other])
-    context.path.write_text(text + "\n")
+    context.path.write_text("".join(f"{json.dumps(one)}\n" for one in lines))
 
 
 @given("the logs hold a cut line and a line of another program")
@@ -80,12 +94,39 @@
         log.write('hello\n{"time": 1790000001, "inst')
 
 
-def trace(context, subject):
+EVENTS = {
+    "is killed": [line(3, "start"), line(4, "serving"), line(4, "ready")],
+    "is told to stop": [line(1, "stopping"), line(2, "stop"), line(3, "start")],
+    "leaves": [line(1, "unready"), line(2, "ready")],
+}
+
+
+@given("the logs of two balancers of which one {event}")
+def step_two_balancers(context, event):
+    """Both serve at first; the other one goes on."""
+    lines = [
+        line(-1, "start"),
+        line(-1, "start", "tifton-2"),
+        line(0, "ready"),
+        line(0, "ready", "tifton-2"),
+        *EVENTS[event],
+        line(9, "configuration_in_force", "tifton-2"),
+    ]
+    write_logs(context, lines)
+
+
+@when("an unknown request is traced at {at_s:g} s")
+def step_unknown_at(context, at_s):
+    """Only its time is known."""
+    trace(context, "ffff", "--at", str(1_790_000_000 + at_s))
+
+
+def trace(context, subject, *options):
     """Run the command."""
-    path = str(context.path)
-    result = CliRunner().invoke(main, ["trace", subject, path])
+    words = ["trace", subject, str(context.path), *options]
+    result = CliRunner().invoke(main, words)
     context.output, context.status = result.output, result.exit_code
-    result = CliRunner().invoke(main, ["trace", subject, path, "--json"])
+    result = CliRunner().invoke(main, [*words, "--json"])
     context.events = [one["event"] for one in json.loads(result.output)["lines"]]
 
 
--- a/libs/cli/features/trace.feature
+++ b/libs/cli/features/trace.feature
@@ -13,6 +13,7 @@
       | dropped route     | a configuration removed the route                  |
       | killed balancer   | its balancer tifton-1 ended and started again      |
       | paused balancer   | its balancer tifton-1 stood still, 4000 ms        |
+      | second try        | its caller tried again, 900 ms after flow 100.64.0.7:40000>198.18.0.1:443 had ended: the flow's target was found dead: it answers nothing |
       | served request    | sent to target 00000000000000aa, which was believed alive |
 
   Scenario: Lines of other flows are left out and those of the target are in
@@ -42,3 +43,19 @@
     When an unknown request is traced
     Then the cause is "no line mentions"
     And the exit status is 1
+
+  Scenario Outline: Who was serving when a request got lost
+    Given the logs of two balancers of which one <event>
+    When an unknown request is traced at <at> s
+    Then the cause is "<cause>"
+
+    Examples:
+      | event             | at  | cause                                             |
+      | is killed         | 2.5 | 1 of 2 balancers were serving then; lost: tifton-1 (the first started again at 1790000003.000) |
+      | is killed         | 1.5 | 1 of 2 balancers were serving then; lost: tifton-1 |
+      | is killed         | 3.2 | 1 of 2 balancers were serving then; starting: tifton-1 |
+      | is killed         | 4.5 | 2 of 2 balancers were serving then                |
+      | is told to stop   | 1.5 | 1 of 2 balancers were serving then; stopping: tifton-1 |
+      | is told to stop   | 2.5 | 1 of 2 balancers were serving then; ended: tifton-1 |
+      | leaves            | 1.5 | 1 of 2 balancers were serving then; out of the rotation: tifton-1 |
+      | is killed         | -9  | no balancer had written a line by then            |
--- a/libs/cli/src/lagoontally/_trace.py
+++ b/libs/cli/src/lagoontally/_trace.py
@@ -8,6 +8,7 @@
 from ._command import Command
 from ._options import json_option
 from ._trace_log import follow, read_logs, verdict_of
+from ._trace_state import states_at, summary
 
 DEFAULT_WINDOW_S = 5.0
 HIDDEN = ("time", "at_ms", "instance", "event", "dropped_lines")
@@ -19,6 +20,7 @@
         "lagoontally trace 5f3a9c01be77 logs/*.log",
         "lagoontally trace '100.64.0.7:40001>198.18.0.1:443' tifton-1.log",
         "lagoontally trace 000000007f3a91c2 logs/*.log --window 20",
+        "lagoontally trace 5f3a9c01be77 logs/*.log --at 1790000001.5",
     ),
 )
 @click.argument("subject")
@@ -32,21 +34,29 @@
     show_default=True,
     help="Seconds before and after in which beliefs and restarts count.",
 )
+@click.option(
+    "--at",
+    "moment",
+    type=float,
+    help="Unix time of the failure: tells who was serving then.",
+)
 @json_option
 @click.pass_context
-def trace(ctx, subject, logs, window_s, as_json):
+def trace(ctx, subject, logs, window_s, moment, as_json):
     """Follow SUBJECT through the LOGS of balancers on the platform.
 
     SUBJECT is a request's id, a flow as logs show it, a caller's address (with or
     without its port) or a target's id. A request whose flow never opened is in no
-    line; follow its caller. The lines
-    that mention it come in the order of time, with those on the targets that were
-    used and on what the balancers concerned were doing, and then the cause that
-    they show. Lines that can't be read are skipped and counted.
+    line; follow its caller. The lines that mention it come in the order of time,
+    with those on the targets that were used and on what the balancers concerned
+    were doing, and then the cause that they show. Lines that can't be read are
+    skipped and counted. Where no line mentions it, its time leads on.
     """
     log = read_logs(logs)
     lines = follow(log, subject, window_s=window_s)
     verdict = verdict_of(lines, subject)
+    if moment is not None:
+        verdict += "; " + summary(states_at(log.lines, moment))
     if as_json:
         document = {"lines": lines, "verdict": verdict, "unreadable": log.unreadable}
         click.echo(json.dumps(document))
--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -23,6 +23,7 @@
     "store_regained",
     "configuration_in_force",
 )
+ENDS = ("reset", "drop")
 BELIEFS = {
     "target_dead": "was found dead",
     "target_stuck": "took requests and answered none",
@@ -98,6 +99,7 @@
         return []
     targets = {line.get("target") for line in own} - {None}
     instances = {line["instance"] for line in own}
+    callers = {_caller(line) for line in own} - {""}
     first, last = own[0]["time"] - window_s, own[-1]["time"] + window_s
     return [
         line
@@ -105,7 +107,7 @@
         if line in own
         or (
             first <= line["time"] <= last
-            and _is_context(line, targets=targets, instances=instances)
+            and _is_context(line, targets=targets, instances=instances, callers=callers)
         )
     ]
 
@@ -114,13 +116,20 @@
     if subject in (line.get("request"), line.get("flow"), line.get("target")):
         return True
     # A caller: its address, with or without its port.
-    caller = (line.get("flow") or "").partition(">")[0]
-    return subject in (caller, caller.partition(":")[0])
+    port = (line.get("flow") or "").partition(">")[0]
+    return subject in (port, _caller(line))
 
 
-def _is_context(line, *, targets, instances):
+def _caller(line):
+    """Return the address of the caller whose flow a line is on, "" without one."""
+    return (line.get("flow") or "").partition(":")[0]
+
+
+def _is_context(line, *, targets, instances, callers):
     if line["event"] in TARGET_EVENTS:
         return line.get("target") in targets
+    if line["event"] in ENDS:  # of other flows: a caller tries again on a new one
+        return _caller(line) in callers
     return line["event"] in INSTANCE_EVENTS and line["instance"] in instances
 
 
@@ -128,22 +137,37 @@
     """Return in words what the lines show of the cause."""
     if not lines:
         return f"no line mentions {subject}; was its balancer's log lost?"
+    flows = {line.get("flow") for line in lines if _mentions(line, subject)} - {None}
     for line in reversed(lines):
-        if line["event"] in ("reset", "drop"):
-            reason = VERDICTS.get(line["reason"], line["reason"])
-            return f"{reason} ({_inputs(line)})"
-    return _without_reset(lines)
+        if line["event"] in ENDS and line["flow"] in flows:
+            return f"{_reason(line)} ({_inputs(line)})"
+    return _without_reset(lines, flows)
+
+
+def _reason(line):
+    return VERDICTS.get(line["reason"], line["reason"])
 
 
-def _without_reset(lines):
-    """Return the cause where no balancer has ended the flow."""
-    flow_lines = [line for line in lines if line.get("flow")]
+def _without_reset(lines, flows):
+    """Return the cause where no balancer has ended any of the flows."""
+    flow_lines = [line for line in lines if line.get("flow") in flows]
     if not flow_lines:
         return "only beliefs on the target are logged; follow one of its flows"
     last = flow_lines[-1]
-    after = [line for line in lines if line["time"] >= last["time"]]
+    found = _after(last, lines) or _before(flow_lines[0], lines)
+    if found is not None:
+        return found
+    if last["event"] == "silent_target":
+        return "the first target didn't answer; a copy of the SYN went to another"
+    return f"sent to target {last.get('target')}, which was believed alive"
+
+
+def _after(last, lines):
+    """Return what ended a flow's target or balancer after its last line."""
     instance = last["instance"]
-    for line in after:
+    for line in lines:
+        if line["time"] < last["time"]:
+            continue
         believed = BELIEFS.get(line["event"])
         if believed and line["target"] == last.get("target"):
             return f"its target {line['target']} {believed} ({line['evidence']})"
@@ -153,9 +177,19 @@
             return f"its balancer {instance} ended and started again after the request"
         if line["event"] == "resumed":
             return f"its balancer {instance} stood still, {line['stood_still_ms']} ms"
-    if last["event"] == "silent_target":
-        return "the first target didn't answer; a copy of the SYN went to another"
-    return f"sent to target {last.get('target')}, which was believed alive"
+    return None
+
+
+def _before(first, lines):
+    """Return how the caller's former flow ended: this one may have come too late."""
+    for line in reversed(lines):
+        if line["event"] in ENDS and line["time"] <= first["time"]:
+            ago_ms = round(1_000 * (first["time"] - line["time"]))
+            return (
+                f"its caller tried again, {ago_ms} ms after flow {line['flow']} had "
+                f"ended: {_reason(line)} ({_inputs(line)})"
+            )
+    return None
 
 
 def _inputs(line):
--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -13,5 +13,9 @@
       | seed | seconds |
       | 106  | 12      |
 
+  Scenario: A soak in which nothing can be asked keeps no promise
+    When a soak is run whose balancers end at their start
+    Then the broken promise is "balancers start"
+
   Scenario: The proxy harms connections as it is told
     Then a call through the proxy is answered, silenced, reset and delayed
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -3,10 +3,13 @@
 import itertools
 import os
 import socket
+import sys
+import tempfile
+from pathlib import Path
 
 from behave import then, when
 
-from lagoontally_soak import soak
+from lagoontally_soak import Soak, soak
 from lagoontally_standins.packets import (
     DELAYED,
     ONE_WAY,
@@ -33,6 +36,23 @@
     context.run = soak(seed=seed, seconds=seconds, network=network)
 
 
+@when("a soak is run whose balancers end at their start")
+def step_no_start(context):
+    """As with a library that can't be imported."""
+    network = FIRST_NETWORK + next(NETWORKS) % NETWORK_COUNT
+    with tempfile.TemporaryDirectory() as folder:
+        context.run = Soak(seed=1, network=network, balancers=1, folder=Path(folder))
+        for balancer in context.run.deployment.balancers.values():
+            balancer.command = [sys.executable, "-c", "raise SystemExit(1)"]
+        context.run.run(1)
+
+
+@then('the broken promise is "{promise}"')
+def step_broken(context, promise):
+    """It is in the report like any other."""
+    assert [one.promise for one in context.run.violations] == [promise]
+
+
 @then("no promise is broken")
 def step_kept(context):
     """Each violation says what was seen."""
--- a/libs/soak/src/lagoontally_soak/__main__.py
+++ b/libs/soak/src/lagoontally_soak/__main__.py
@@ -7,25 +7,31 @@
 
 import click
 
+from ._explain import unexplained
 from ._run import soak
 
 FIRST_NETWORK, NETWORKS = 2, 250
 
 
-def run_seed(seed, seconds, balancers, keep):
+def run_seed(seed, seconds, balancers, keep, explain):
     """Run one seed and return its report."""
     network = FIRST_NETWORK + seed % NETWORKS
     folder = keep and Path(keep) / f"seed-{seed}"
     run = soak(
         seed=seed, seconds=seconds, network=network, balancers=balancers, keep=folder
     )
-    return {
+    report = {
         "seed": seed,
         "requests": len(run.asked),
         "outcomes": run.outcomes,
         "faults": run.faults.made,
         "violations": run.violations,
     }
+    if explain:
+        processes = len(run.deployment.balancers)
+        report["failures"] = len(run.failures)
+        report["unexplained"] = unexplained(run.failures, folder, processes)
+    return report
 
 
 @click.command()
@@ -35,12 +41,17 @@
 @click.option("--balancers", default=3, show_default=True, help="In a data centre.")
 @click.option("--jobs", default=2, show_default=True, help="Seeds at the same time.")
 @click.option("--keep", type=click.Path(), help="Keep settings and logs here.")
-def main(seed, count, seconds, balancers, jobs, keep):
+@click.option(
+    "--explain", is_flag=True, help="Trace each failed request; needs --keep."
+)
+def main(seed, count, seconds, balancers, jobs, keep, explain):
     """Run balancers under faults and check what callers and targets see."""
+    if explain and not keep:
+        raise click.UsageError("--explain needs --keep, for the logs")
     broken = 0
     with ProcessPoolExecutor(jobs) as pool:
         runs = [
-            pool.submit(run_seed, one, seconds, balancers, keep)
+            pool.submit(run_seed, one, seconds, balancers, keep, explain)
             for one in range(seed, seed + count)
         ]
         for run in runs:
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -2,12 +2,14 @@
 
 import itertools
 import tempfile
+import time
 from pathlib import Path
 from random import Random
 
 from lagoontally_standins.packets import Deployment, Outcome
 
 from ._checks import Checks, Violation
+from ._explain import Failure
 from ._faults import Faults
 
 DATA_CENTRES = ("tifton", "camilla")
@@ -33,6 +35,7 @@
         services: Service of every route that was ever published; a dropped one may
             still be served by balancers that haven't heard of it.
         outcomes: Number of requests by how they ended.
+        failures: ``Failure`` of each request that wasn't answered.
     """
 
     def __init__(self, *, seed, network, balancers, folder):
@@ -51,13 +54,17 @@
         self.pools = {data_centre: [] for data_centre in DATA_CENTRES}
         self.violations = []
         self.outcomes = {}
+        self.failures = []
         self.making_faults = False
 
     def run(self, seconds):
         """Run for some seconds of faults and return the violations."""
         try:
             if not self.deployment.start():
-                return [Violation("balancers start", "not all got into rotation")]
+                self.violations.append(
+                    Violation("balancers start", "not all got into rotation")
+                )
+                return self.violations
             self.making_faults = True
             self._ask_on()
             self._fault_on()
@@ -112,6 +119,9 @@
             self.outcomes[name] = self.outcomes.get(name, 0) + 1
             self.violations += self.checks.on_end(flow, asked_at)
             if flow.outcome is not Outcome.ANSWERED:
+                asked_s = time.time() - (self.loop.now - asked_at)
+                failure = Failure(flow.request, flow.flow[:2], asked_s, name)
+                self.failures.append(failure)
                 flow.close()
 
     def _check_end(self):
--- a/libs/standins/src/lagoontally_standins/packets/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/packets/_deployment.py
@@ -113,10 +113,20 @@
         self.store.put(f"servers/{identity}", None)
 
     def start(self):
-        """Start every balancer and wait until all are in rotation."""
+        """Start every balancer and wait until all are in rotation.
+
+        Returns:
+            False where one ends, or isn't in rotation in time.
+        """
         for balancer in self.balancers.values():
             balancer.start()
-        return self.loop.run_until(self.all_ready, START_TIMEOUT_S)
+        self.loop.run_until(
+            lambda: self.all_ready() or not self._all_alive(), START_TIMEOUT_S
+        )
+        return self.all_ready() and self._all_alive()
+
+    def _all_alive(self):
+        return all(balancer.alive() for balancer in self.balancers.values())
 
     def all_ready(self):
         """Tell whether every balancer answers that it takes packets."""
