Tell in a trace which balancers stood still at a moment

Change: a balancer that says later that it was suspended counts as standing still. Test: two rows of 'Who was serving when a request got lost'; the first failed.

--- a/libs/cli/features/steps/trace_steps.py
+++ b/libs/cli/features/steps/trace_steps.py
@@ -97,6 +97,7 @@
 EVENTS = {
     "is killed": [line(3, "start"), line(4, "serving"), line(4, "ready")],
     "is told to stop": [line(1, "stopping"), line(2, "stop"), line(3, "start")],
+    "is paused": [line(3, "resumed", stood_still_ms=2_000)],
     "leaves": [line(1, "unready"), line(2, "ready")],
 }
 
--- a/libs/cli/features/trace.feature
+++ b/libs/cli/features/trace.feature
@@ -58,4 +58,6 @@
       | is told to stop   | 1.5 | 1 of 2 balancers were serving then; stopping: tifton-1 |
       | is told to stop   | 2.5 | 1 of 2 balancers were serving then; ended: tifton-1 |
       | leaves            | 1.5 | 1 of 2 balancers were serving then; out of the rotation: tifton-1 |
+      | is paused         | 1.5 | 1 of 2 balancers were serving then; standing still: tifton-1 |
+      | is paused         | 0.5 | 2 of 2 balancers were serving then                |
       | is killed         | -9  | no balancer had written a line by then            |
--- a/libs/cli/src/lagoontally/_trace_state.py
+++ b/libs/cli/src/lagoontally/_trace_state.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+MS_PER_S = 1_000
 NAMES_SHOWN = 3
 # What a balancer does from each of these lines on.
 STATES = {
@@ -18,8 +19,9 @@
     """What one balancer was doing.
 
     Attributes:
-        name: One of the words in ``STATES``, or ``lost`` where it ended without
-            a word and started again later.
+        name: One of the words in ``STATES``, ``lost`` where it ended without a
+            word and started again later, or ``standing still`` where it says later
+            that it was suspended.
         since: Unix time of the line that shows it.
     """
 
@@ -48,6 +50,10 @@
         if instance in settled or instance not in states:
             continue
         settled.add(instance)
+        if event == "resumed":
+            since = line["time"] - line["stood_still_ms"] / MS_PER_S
+            if since <= moment:
+                states[instance] = State("standing still", since)
         if event == "start" and states[instance].name != "ended":
             states[instance] = State("lost", line["time"])
     return states
