Soak: excuse less, open fresh flows, and run broken builds

Callers kept their flows, so hardly any was opened after a target had left, and every opening was excused when anything at all had been disturbed in the four seconds before. Callers and faults shared one source of random numbers, so a seed's faults depended on the machine. A balancer that ended by itself was seen only if it was still down at the end. Change: three in ten requests open a flow, some to dropped routes; an opening is excused by the store or by the balancer that took it, a request by the store or the balancers of its data centre. Faults have random numbers of their own.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -13,6 +13,16 @@
       | seed | seconds |
       | 106  | 12      |
 
+  Scenario Outline: A broken build is noticed
+    When seed <seed> is run with "<mutation>"
+    Then the promise that it breaks is seen to be broken
+
+    Examples:
+      | seed | mutation                                    |
+      | 1    | flows go to any service             |
+      | 1    | balancers name a target differently |
+      | 1    | new routes are ignored              |
+
   Scenario: A soak in which nothing can be asked keeps no promise
     When a soak is run whose balancers end at their start
     Then the broken promise is "balancers start"
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -27,6 +27,7 @@
 NETWORKS = itertools.count(os.getpid() * 7)  # sockets of a run stay open
 CALL = b"GET /api/kv-range?prefix= HTTP/1.1\r\nHost: x\r\n\r\n"
 WAIT_S = 0.2
+MUTATION_S = 30.0  # most; a run ends as soon as the build is noticed
 
 
 @when("seed {seed:d} is run for {seconds:d} s")
@@ -36,6 +37,22 @@
     context.run = soak(seed=seed, seconds=seconds, network=network)
 
 
+@when('seed {seed:d} is run with "{mutation}"')
+def step_mutation(context, seed, mutation):
+    """All balancers run the broken build."""
+    network = FIRST_NETWORK + next(NETWORKS) % NETWORK_COUNT
+    context.run = soak(
+        seed=seed, seconds=MUTATION_S, network=network, mutation=mutation
+    )
+
+
+@then("the promise that it breaks is seen to be broken")
+def step_noticed(context):
+    """Others may be broken too."""
+    promises = {one.promise for one in context.run.violations}
+    assert context.run.mutation.promise in promises, promises
+
+
 @when("a soak is run whose balancers end at their start")
 def step_no_start(context):
     """As with a library that can't be imported."""
--- a/libs/soak/src/lagoontally_soak/__main__.py
+++ b/libs/soak/src/lagoontally_soak/__main__.py
@@ -8,17 +8,23 @@
 import click
 
 from ._explain import unexplained
+from ._mutations import MUTATIONS
 from ._run import soak
 
 FIRST_NETWORK, NETWORKS = 2, 250
 
 
-def run_seed(seed, seconds, balancers, keep, explain):
+def run_seed(seed, seconds, balancers, keep, explain, mutation):
     """Run one seed and return its report."""
     network = FIRST_NETWORK + seed % NETWORKS
     folder = keep and Path(keep) / f"seed-{seed}"
     run = soak(
-        seed=seed, seconds=seconds, network=network, balancers=balancers, keep=folder
+        seed=seed,
+        seconds=seconds,
+        network=network,
+        balancers=balancers,
+        keep=folder,
+        mutation=mutation,
     )
     report = {
         "seed": seed,
@@ -44,14 +50,19 @@
 @click.option(
     "--explain", is_flag=True, help="Trace each failed request; needs --keep."
 )
-def main(seed, count, seconds, balancers, jobs, keep, explain):
+@click.option(
+    "--mutation",
+    type=click.Choice(list(MUTATIONS)),
+    help="Run a broken build; it should be noticed.",
+)
+def main(seed, count, seconds, balancers, jobs, keep, explain, mutation):
     """Run balancers under faults and check what callers and targets see."""
     if explain and not keep:
         raise click.UsageError("--explain needs --keep, for the logs")
     broken = 0
     with ProcessPoolExecutor(jobs) as pool:
         runs = [
-            pool.submit(run_seed, one, seconds, balancers, keep, explain)
+            pool.submit(run_seed, one, seconds, balancers, keep, explain, mutation)
             for one in range(seed, seed + count)
         ]
         for run in runs:
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -27,7 +27,6 @@
     def __init__(self, deployment, faults):
         self.deployment = deployment
         self.faults = faults
-        self.everything = ("store", *deployment.balancers)
 
     def all_of(self, asked, targets):
         """Return every ``Violation`` of a run.
@@ -55,12 +54,31 @@
         for identity, left in self.faults.drained.items():
             if left is None:
                 continue
-            for flow, opened in targets[identity].opening.items():
-                late = opened > left + DRAIN_S
-                if late and not self._calm_excused(opened):
-                    detail = f"{identity} got {flow} {opened - left:.2f} s after"
+            for flow, opening in targets[identity].opening.items():
+                late = opening.at > left + DRAIN_S
+                if late and not self._opening_excused(opening):
+                    after_s = opening.at - left
+                    detail = f"{identity} got {flow} from {opening.host} {after_s:.2f}"
                     yield Violation("a leaving target gets no new flow", detail)
 
+    def _opening_excused(self, opening):
+        """Tell whether the store or the balancer that took a flow was disturbed."""
+        names = [
+            name
+            for name, balancer in self.deployment.balancers.items()
+            if balancer.settings["host"] == opening.host
+        ]
+        subjects = ("store", *names)
+        return self.faults.disturbed(subjects, opening.at - TOUCH_S, opening.at)
+
+    def on_ends(self):
+        """Return a violation for each balancer that has ended without being told."""
+        return [
+            Violation("no balancer ends by itself", name)
+            for name, balancer in self.deployment.balancers.items()
+            if not balancer.alive() and name not in self.faults.resting
+        ]
+
     def on_end(self, flow, asked_at):
         """Return the violations that the end of one request shows.
 
@@ -79,7 +97,7 @@
         published = self.faults.published[route]
         refused = flow.outcome is Outcome.NOT_OPENED and route in self.deployment.routes
         settled = asked_at > published + CONFIGURATION_S
-        if refused and settled and not self._calm_excused(asked_at):
+        if refused and settled and not self._excused(flow, asked_at):
             detail = f"{flow.flow} asked {flow.request}"
             return [Violation("a route in force takes flows", detail)]
         return []
@@ -88,7 +106,7 @@
         dropped = self.faults.dropped[flow.flow[2:]]
         late = asked_at > dropped + CONFIGURATION_S
         answered = flow.outcome is Outcome.ANSWERED
-        if not answered or not late or self._calm_excused(asked_at):
+        if not answered or not late or self._excused(flow, asked_at):
             return []
         detail = f"{flow.flow} asked {flow.request} {asked_at - dropped:.2f} s after"
         return [Violation("a dropped route takes no request", detail)]
@@ -101,7 +119,17 @@
             return False
         return not self.faults.disturbed((flow.target,), now - TOUCH_S, now)
 
-    def _calm_excused(self, moment):
-        """Tell whether anything but targets was disturbed shortly before."""
-        subjects = (*self.everything, *self.deployment.targets)
+    def _excused(self, flow, moment):
+        """Tell whether the store or a balancer that may have a flow was disturbed."""
+        data_centre = next(
+            name
+            for name, callers in self.deployment.callers.items()
+            if callers is flow.callers
+        )
+        balancers = [
+            name
+            for name, balancer in self.deployment.balancers.items()
+            if balancer.settings["data_centre"] == data_centre
+        ]
+        subjects = ("store", *balancers)
         return self.faults.disturbed(subjects, moment - TOUCH_S, moment)
--- /dev/null
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -0,0 +1,90 @@
+"""Broken builds that a soak has to notice, one for each promise.
+
+Each is a few lines that run in a balancer's process before its program does.
+"""
+
+from typing import NamedTuple
+
+START = "import sys; from lagoontally_forwarder import main; sys.exit(main())"
+
+
+class Mutation(NamedTuple):
+    """A broken build.
+
+    Attributes:
+        promise: The promise that it breaks.
+        source: What it changes in the program.
+    """
+
+    promise: str
+    source: str
+
+    def command(self, python):
+        """Return the command that runs a balancer of this build."""
+        return [python, "-c", f"{self.source}\n{START}"]
+
+
+MUTATIONS = {
+    "leaving targets get new flows": Mutation(
+        "a leaving target gets no new flow",
+        """
+from lagoontally_flows._view import View
+put = View.put
+View.put = lambda view, key, target, now_ms: put(
+    view, key, target and target._replace(leaving=False), now_ms)
+""",
+    ),
+    "flows go to any service": Mutation(
+        "a request reaches its own service",
+        """
+from lagoontally_flows._view import View
+View.candidates = lambda view, _service, _now_ms: list(view.targets.values())
+""",
+    ),
+    "dropped routes stay": Mutation(
+        "a dropped route takes no request",
+        """
+from lagoontally_flows import Balancer
+configure = Balancer.configure
+def keep_routes(balancer, configuration):
+    if balancer.configuration is not None:
+        routes = {**balancer.configuration.routes, **configuration.routes}
+        configuration = configuration._replace(routes=routes)
+    return configure(balancer, configuration)
+Balancer.configure = keep_routes
+""",
+    ),
+    "balancers name a target differently": Mutation(
+        "an open flow isn't reset",
+        """
+from posix import getpid
+from lagoontally_platform import _documents
+cookie = _documents.target_cookie
+_documents.target_cookie = lambda name, born: cookie(name, born) ^ getpid()
+""",
+    ),
+    "new routes are ignored": Mutation(
+        "a route in force takes flows",
+        """
+from lagoontally_flows import Balancer
+configure = Balancer.configure
+Balancer.configure = lambda balancer, configuration: (
+    balancer.configuration is None and configure(balancer, configuration))
+""",
+    ),
+    "an entry that can't be read ends a balancer": Mutation(
+        "no balancer ends by itself",
+        """
+from lagoontally_platform import _store
+loads = _store.loads
+def loads_or_end(text):
+    try:
+        return loads(text)
+    except ValueError:
+        if text:
+            raise SystemError from None
+        raise
+_store.loads = loads_or_end
+""",
+    ),
+}
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -1,6 +1,7 @@
 """A seeded soak: real balancers, steady callers, faults in series and together."""
 
 import itertools
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -11,14 +12,18 @@
 from ._checks import Checks, Violation
 from ._explain import Failure
 from ._faults import Faults
+from ._mutations import MUTATIONS
 
 DATA_CENTRES = ("tifton", "camilla")
 ASK_INTERVAL_S = 0.02
 FLOWS_A_DATA_CENTRE = 30
+DROPPED_SHARE = 0.05  # of new flows, to routes that were dropped
+FRESH_SHARE = 0.3  # of requests that open a flow, as downloads do
 DEADLINE_S = 2.0
 FAULT_INTERVAL_S = (0.2, 2.5)
 CALM_S = 9.0  # a stopped balancer has ended and routers have noticed all
 FINAL_REQUESTS = 40
+LOOK_S = 0.5  # between looks at what a broken build has done
 
 
 class Soak:
@@ -29,6 +34,8 @@
         network: Second octet of the addresses.
         balancers: Balancers in each data centre.
         folder: Folder for settings and logs.
+        mutation: Name of a broken build to run, None for the program. Its run ends
+            as soon as the promise that it breaks is seen to be broken.
 
     Attributes:
         violations: The ``Violation`` records found.
@@ -38,13 +45,18 @@
         failures: ``Failure`` of each request that wasn't answered.
     """
 
-    def __init__(self, *, seed, network, balancers, folder):
-        self.random = Random(seed)
+    def __init__(self, *, seed, network, balancers, folder, mutation=None):
+        # Callers draw as often as time lets them, faults in the same order always.
+        self.random = Random(f"callers {seed}")
+        self.mutation = MUTATIONS[mutation] if mutation else None
         self.deployment = Deployment(
             folder, network, data_centres=DATA_CENTRES, balancers=balancers, targets=2
         )
         self.loop = self.deployment.loop
-        self.faults = Faults(self.deployment, self.random)
+        if self.mutation is not None:
+            for balancer in self.deployment.balancers.values():
+                balancer.command = self.mutation.command(sys.executable)
+        self.faults = Faults(self.deployment, Random(seed))
         self.checks = Checks(self.deployment, self.faults)
         self.numbers = itertools.count()
         self.asked = {}
@@ -68,27 +80,46 @@
             self.making_faults = True
             self._ask_on()
             self._fault_on()
-            self.loop.run_for(seconds)
+            if self._run_for(seconds):
+                return self.violations
             self.making_faults = False
-            self.loop.run_for(CALM_S)
+            if self._run_for(CALM_S):
+                return self.violations
             self.faults.heal()
-            self.loop.run_for(CALM_S)
+            if self._run_for(CALM_S):
+                return self.violations
             self._check_end()
         finally:
             self.deployment.stop()
         self.violations += self.checks.all_of(self.asked, self.targets)
         return self.violations
 
+    def _run_for(self, seconds):
+        """Run on; returns True as soon as a broken build is noticed."""
+        if self.mutation is None:
+            self.loop.run_for(seconds)
+            return False
+        end = self.loop.now + seconds
+        while self.loop.now < end:
+            self.loop.run_for(LOOK_S)
+            seen = self.violations + self.checks.all_of(self.asked, self.targets)
+            if any(one.promise == self.mutation.promise for one in seen):
+                self.violations = seen
+                return True
+        return False
+
     def _fault_on(self):
         if self.making_faults:
             self.faults.make_one()
-            self.loop.after(self.random.uniform(*FAULT_INTERVAL_S), self._fault_on)
+            pause_s = self.faults.random.uniform(*FAULT_INTERVAL_S)
+            self.loop.after(pause_s, self._fault_on)
 
     def _ask_on(self):
         self.services.update(self.deployment.routes)
         for identity, (_, target) in self.deployment.targets.items():
             self.targets.setdefault(identity, target)
         self._collect()
+        self._note_ends()
         for data_centre in DATA_CENTRES:
             self._ask(data_centre)
         self.loop.after(ASK_INTERVAL_S, self._ask_on)
@@ -97,9 +128,12 @@
         pool = self.pools[data_centre]
         pool[:] = [flow for flow in pool if not flow.closed]
         idle = [flow for flow in pool if flow not in self.running]
+        if idle and self.random.random() < FRESH_SHARE:
+            leaving = self.random.choice(idle)
+            leaving.close()
+            pool.remove(leaving)
         if len(pool) < FLOWS_A_DATA_CENTRE:
-            route = self.random.choice(sorted(self.deployment.routes))
-            flow = self.deployment.callers[data_centre].open(route, DEADLINE_S)
+            flow = self.deployment.callers[data_centre].open(self._route(), DEADLINE_S)
             pool.append(flow)
         elif idle:
             flow = self.random.choice(idle)
@@ -110,6 +144,13 @@
         self.running[flow] = self.loop.now
         flow.ask(request)
 
+    def _route(self):
+        """Draw a route, now and then one that was dropped."""
+        dropped = sorted(self.faults.dropped)
+        if dropped and self.random.random() < DROPPED_SHARE:
+            return self.random.choice(dropped)
+        return self.random.choice(sorted(self.deployment.routes))
+
     def _collect(self):
         for flow, asked_at in list(self.running.items()):
             if flow.outcome is Outcome.PENDING:
@@ -124,12 +165,13 @@
                 self.failures.append(failure)
                 flow.close()
 
+    def _note_ends(self):
+        for violation in self.checks.on_ends():
+            if violation not in self.violations:
+                self.violations.append(violation)
+
     def _check_end(self):
-        for name, balancer in self.deployment.balancers.items():
-            if not balancer.alive():
-                status = balancer.process.returncode
-                detail = f"{name} ended with {status}"
-                self.violations.append(Violation("no balancer ends by itself", detail))
+        self._note_ends()
         callers = self.deployment.callers[DATA_CENTRES[0]]
         flows = [
             callers.open(route, DEADLINE_S)
@@ -150,7 +192,7 @@
             self.violations.append(Violation("all is served after the faults", detail))
 
 
-def soak(*, seed, seconds, network, balancers=3, keep=None):
+def soak(*, seed, seconds, network, balancers=3, keep=None, mutation=None):
     """Run a soak in a folder of its own.
 
     Args:
@@ -159,6 +201,7 @@
         network: Second octet of the addresses, 1 to 254.
         balancers: Balancers in each data centre.
         keep: Folder for settings and logs; None for one that is removed.
+        mutation: Name of a broken build to run, None for the program.
 
     Returns:
         The ``Soak`` after its run.
@@ -166,6 +209,12 @@
     with tempfile.TemporaryDirectory() as scratch:
         folder = Path(keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        run = Soak(seed=seed, network=network, balancers=balancers, folder=folder)
+        run = Soak(
+            seed=seed,
+            network=network,
+            balancers=balancers,
+            folder=folder,
+            mutation=mutation,
+        )
         run.run(seconds)
     return run
--- a/libs/standins/src/lagoontally_standins/packets/_target.py
+++ b/libs/standins/src/lagoontally_standins/packets/_target.py
@@ -15,6 +15,18 @@
     at: float
 
 
+class Opening(NamedTuple):
+    """A flow's first SYN at a target.
+
+    Attributes:
+        at: When it came.
+        host: Address of the balancer that sent it on.
+    """
+
+    at: float
+    host: str
+
+
 class TargetFlow:
     """A flow that a target holds."""
 
@@ -36,7 +48,7 @@
         ledger: List to which it appends each ``Run``.
 
     Attributes:
-        opening: When and from where each flow's first SYN came, by flow.
+        opening: ``Opening`` of each flow.
         silent: Whether it drops everything that it gets.
     """
 
@@ -88,18 +100,18 @@
     def _on_readable(self):
         while self.sock is not None:
             try:
-                datagram, _ = self.sock.recvfrom(2_048)
+                datagram, (host, _) = self.sock.recvfrom(2_048)
             except OSError:
                 return  # nothing left to read
             if not self.silent and datagram[:NAME_BYTES] == self.name:
-                self._on_packet(datagram[NAME_BYTES:])
+                self._on_packet(datagram[NAME_BYTES:], host)
 
-    def _on_packet(self, packet):
+    def _on_packet(self, packet, host):
         header, data = decode(packet)
         flow = (header.address, header.port, header.to, header.to_port)
         held = self.flows.get(flow)
         if header.flags & SYN:
-            self.opening.setdefault(flow, self.loop.now)
+            self.opening.setdefault(flow, Opening(self.loop.now, host))
             if held is None:
                 held = self.flows[flow] = TargetFlow(
                     (hash(flow) ^ int.from_bytes(self.name, "big")) & 0xFFFFFF,
