Soak: excuse flows that the host of an ended target refused

Its trace shows that the flow's target had crashed 40 ms before; its host refused the SYN, which ends the caller's try without a run, and the trial that followed found it dead. Change: it is excused when a target began to be disturbed in the last 7.6 s (an entry's lapse and the time to be in touch).

--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -4,6 +4,8 @@
 
 from lagoontally_standins.packets import Outcome
 
+from ._faults import LAPSE_S
+
 DRAIN_S = 3.0
 CONFIGURATION_S = 3.0
 TOUCH_S = 4.0  # what was disturbed in this time is excused
@@ -97,7 +99,8 @@
         published = self.faults.published[route]
         refused = flow.outcome is Outcome.NOT_OPENED and route in self.deployment.routes
         settled = asked_at > published + CONFIGURATION_S
-        if refused and settled and not self._excused(flow, asked_at):
+        excused = self._excused(flow, asked_at) or self._target_ended(asked_at)
+        if refused and settled and not excused:
             detail = f"{flow.flow} asked {flow.request}"
             return [Violation("a route in force takes flows", detail)]
         return []
@@ -133,3 +136,11 @@
         ]
         subjects = ("store", *balancers)
         return self.faults.disturbed(subjects, moment - TOUCH_S, moment)
+
+    def _target_ended(self, moment):
+        """Tell whether a target's host may have refused a flow at a moment.
+
+        That of a target that ended refuses flows until its entry lapses.
+        """
+        targets = self.deployment.targets.keys() | self.faults.drained.keys()
+        return self.faults.began(targets, moment - LAPSE_S - TOUCH_S, moment)
--- a/libs/soak/src/lagoontally_soak/_faults.py
+++ b/libs/soak/src/lagoontally_soak/_faults.py
@@ -89,6 +89,13 @@
             for one in self.disturbances
         )
 
+    def began(self, subjects, start, end):
+        """Tell whether the disturbance of a subject began between two times."""
+        return any(
+            one.subject in subjects and start <= one.start <= end
+            for one in self.disturbances
+        )
+
     def heal(self):
         """End whatever goes on."""
         deployment = self.deployment
