Leave SYNs that waited in a balancer that stood still to their copies

A caller's SYN waited in its socket, a copy went through another balancer and the flow opened at target 4. On waking the paused one sent the old SYN to target 3, which answered; the caller took over that target's cookie, and its request reached nobody until the deadline. On the platform, where callers send back the last cookie they got, that may lead an open flow's packets to a wrong target. Ruled out: the kernel's time of receipt (ancillary data need the socket module, 9.7 ms at the start); dropping after shorter stops (copies wait in the same socket until routers leave the balancer out, after two misses). Change: the packet port knows since when packets may have waited (the last tick, the start, or the time a SYN is held), and the balancer drops SYNs that may have waited for a second. After 512 packets what waited has been read.

--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -39,6 +39,7 @@
     "target_ended": "the flow's target has ended: its address has another target",
     "target_stuck": "the flow's target takes requests and answers none",
     "target_silent": "the flow's target was found dead: it answers nothing",
+    "stale_syn": "its balancer had stood still, and left the flow to the SYN's copies",
     "unknown_cookie": "the balancer didn't know the flow's target yet",
 }
 
--- a/libs/flows/features/flows.feature
+++ b/libs/flows/features/flows.feature
@@ -77,3 +77,13 @@
     When a SYN and its copy come at the same moment
     Then both go to the same target
     And no trial is made
+
+  Scenario Outline: A SYN that waited here while its copies may have gone elsewhere
+    Given a balancer with 3 targets
+    When a SYN comes that has waited for <waited> ms
+    Then it is <outcome>
+
+    Examples:
+      | waited | outcome                |
+      | 300    | placed                 |
+      | 2000   | dropped as "stale_syn" |
--- a/libs/flows/features/steps/world_steps.py
+++ b/libs/flows/features/steps/world_steps.py
@@ -14,7 +14,7 @@
     set_up,
 )
 
-from lagoontally_flows import ACK, FIN, RST, SYN, Drop, Reset
+from lagoontally_flows import ACK, FIN, RST, SYN, Drop, Packet, Reset
 
 UNKNOWN_COOKIE = 77
 
@@ -100,6 +100,20 @@
     context.action = context.world.syn(context.world.new_flow())
 
 
+@when("a SYN comes that has waited for {waited_ms:d} ms")
+def step_late_syn(context, waited_ms):
+    """The process stood still meanwhile."""
+    world = context.world
+    packet = Packet(world.new_flow(), SYN, 0, 99, 0, 0)
+    context.action = world.balancer.on_packet(packet, world.now_ms, waited_ms=waited_ms)
+
+
+@then("it is placed")
+def step_placed(context):
+    """It goes to a target."""
+    assert context.action.target in context.targets, context.action
+
+
 @when("a SYN to an unknown route comes")
 def step_unknown_route(context):
     """A caller opens a flow to a route that isn't configured."""
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -20,6 +20,7 @@
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 UNKNOWN_COOKIES_KEPT = 1_024
+STALE_SYN_MS = 1_000  # routers leave a silent balancer out after two misses
 DEALT_INTERVAL_MS = 200  # answers that are under way arrive meanwhile
 
 
@@ -43,6 +44,7 @@
         in_rotation: Whether routers are told to send packets here.
         effects: What steps asked for and the caller of the step has to do.
         view_confirmed_ms: When the view was last known to be current.
+        ticked_ms: Time of the last tick, None before the first.
     """
 
     def __init__(self, *, data_centre, random):
@@ -68,6 +70,7 @@
         self.view_confirmed_ms = None
         self._unknown_since_ms = {}
         self._dealt_ms = LONG_AGO_MS
+        self.ticked_ms = None
 
     def configure(self, configuration):
         """Put a configuration in force unless a newer one is.
@@ -81,12 +84,15 @@
         self.configuration = configuration
         return True
 
-    def on_packet(self, packet, now_ms):
+    def on_packet(self, packet, now_ms, *, waited_ms=0):
         """Decide what happens to a packet.
 
         Args:
             packet: The ``Packet``.
             now_ms: Time of the step.
+            waited_ms: How long it may have waited here. A copy of a SYN that waited
+                for long has gone another way, and its flow may be open: a second
+                target's answer would lead the caller there.
 
         Returns:
             A ``Forward``, ``Reset`` or ``Drop``, or a ``Hold`` until there is a
@@ -95,6 +101,8 @@
         if packet.flags & SYN:
             if packet.flags & ~SYN:
                 return Drop("forged_handshake")
+            if waited_ms >= STALE_SYN_MS:
+                return Drop("stale_syn")
             if self.configuration is None:
                 return Hold()
             return self._on_syn(packet, now_ms)
@@ -167,28 +175,9 @@
         self._dealt_ms = now_ms
         self.flows.forget_waiting()
 
-    def control_of(self, cookie):
-        """Return the target to try beside a doubtful one, None where there is none.
-
-        A target of the own data centre that answered lately is best: where it
-        doesn't answer either, this balancer's own network is at fault.
-        """
-        others = [
-            target
-            for target in self.view.targets.values()
-            if target.cookie != cookie and not self.health.is_dead(target.cookie)
-        ]
-        return max(
-            others,
-            key=lambda target: (
-                target.data_centre == self.data_centre,
-                self.health.alive_ms.get(target.cookie, 0),
-            ),
-            default=None,
-        )
-
     def on_tick(self, now_ms):
         """Let time pass: trials, memory that runs out."""
+        self.ticked_ms = now_ms
         if self.configuration is not None:
             self.flows.sweep(now_ms, self.configuration.idle_timeout_ms)
         for cookie in self.view.forget_lapsed(now_ms):
--- a/libs/flows/src/lagoontally_flows/_chooser.py
+++ b/libs/flows/src/lagoontally_flows/_chooser.py
@@ -50,6 +50,26 @@
             tie=self._tie,
         )
 
+    def control_of(self, cookie):
+        """Return the target to try beside a doubtful one, None where there is none.
+
+        A target of the own data centre that answered lately is best: where it
+        doesn't answer either, this balancer's own network is at fault.
+        """
+        others = [
+            target
+            for target in self.view.targets.values()
+            if target.cookie != cookie and not self.health.is_dead(target.cookie)
+        ]
+        return max(
+            others,
+            key=lambda target: (
+                target.data_centre == self.data_centre,
+                self.health.alive_ms.get(target.cookie, 0),
+            ),
+            default=None,
+        )
+
     def _healthy(self, service, now_ms, avoid):
         healthy = [
             target
--- a/libs/forwarder/features/process.feature
+++ b/libs/forwarder/features/process.feature
@@ -107,3 +107,10 @@
     And a balancer is paused for 2 s
     Then every flow gets an answer to its next request
     And its log says that it stood still
+
+  Scenario: SYNs that waited in a paused balancer don't lead callers astray
+    Given a running deployment
+    When 20 flows are opened just before routers leave a paused balancer out
+    And it goes on
+    Then no target but its own got a SYN of any flow
+    And every flow gets an answer to its next request
--- /dev/null
+++ b/libs/forwarder/features/steps/pause_steps.py
@@ -0,0 +1,55 @@
+"""Steps for a balancer that stands still while callers try."""
+
+import itertools
+
+from behave import then, when
+
+from lagoontally_standins.packets import Outcome
+
+DATA_CENTRE = "tifton"
+DEADLINE_S = 2.5
+
+
+@when("{count:d} flows are opened just before routers leave a paused balancer out")
+def step_open_while_paused(context, count):
+    """Their SYNs wait in it, copies open them through the other balancer."""
+    world = context.world
+    context.paused = world.balancers[f"{DATA_CENTRE}-1"]
+    context.paused.pause()
+    misses = world.routers[DATA_CENTRE].misses
+    assert world.loop.run_until(lambda: any(misses.values()), DEADLINE_S)
+    routes = itertools.cycle(world.routes)
+    callers = world.callers[DATA_CENTRE]
+    context.flows = [callers.open(next(routes), DEADLINE_S) for _ in range(count)]
+    for number, flow in enumerate(context.flows):
+        flow.ask(f"p{number}")
+    opened = world.loop.run_until(
+        lambda: all(flow.opened for flow in context.flows), DEADLINE_S
+    )
+    assert opened, [flow.outcome for flow in context.flows]
+
+
+@when("it goes on")
+def step_resume(context):
+    """It reads what waited in its socket."""
+    context.paused.resume()
+    assert context.world.loop.run_until(context.world.all_ready, 5)
+
+
+@then("no target but its own got a SYN of any flow")
+def step_one_target(context):
+    """A second target's answer would lead the caller there."""
+    context.world.loop.run_until(
+        lambda: all(flow.outcome is not Outcome.PENDING for flow in context.flows),
+        DEADLINE_S,
+    )
+    flows = {flow.flow for flow in context.flows}
+    reached = [
+        flow
+        for _, target in context.world.targets.values()
+        for flow in target.opening
+        if flow in flows
+    ]
+    assert len(reached) == len(set(reached)), len(reached) - len(set(reached))
+    outcomes = {flow.outcome for flow in context.flows}
+    assert outcomes == {Outcome.ANSWERED}, outcomes
--- a/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
@@ -17,6 +17,7 @@
 from ._sockets import datagram_socket
 
 MOST_HELD = 256  # SYNs of a second or two, while a large configuration comes
+MOST_WAITING = 512  # packets; a socket holds some 280 small ones by default
 PACKETS_A_TURN = 128  # then other sockets have their turn
 REQUEST_ID_BYTES = 64
 
@@ -43,6 +44,9 @@
         self.packet_ms = 0
         self.is_open = False
         self._held = []
+        # Since when a packet may have waited in the socket, None for a moment.
+        self._waiting_since_ms = loop.clock()
+        self._read = 0  # since then
         self._reset_port = address[1]
         self._sock = datagram_socket(address)
         # One byte more than a packet shows datagrams that are too long.
@@ -58,9 +62,9 @@
         """Decide on the packets that waited for a configuration."""
         held, self._held = self._held, []
         now_ms = self.loop.clock()
-        for datagram in held:
+        for held_ms, datagram in held:
             self._space[: len(datagram)] = datagram
-            self._on_packet(len(datagram), now_ms)
+            self._on_packet(len(datagram), now_ms, now_ms - held_ms)
 
     def reset(self, flow, sequence, reason, cookie, **inputs):
         """Reset a flow, which is open to the target that the cookie names."""
@@ -79,27 +83,37 @@
     def _on_readable(self, _events):
         now_ms = self.loop.clock()
         self.packet_ms = now_ms
+        if self._waiting_since_ms is None:
+            self._waiting_since_ms = self.balancer.ticked_ms or now_ms
+            self._read = 0
+        elif self._read >= MOST_WAITING:
+            self._waiting_since_ms = now_ms  # what was there has been read
+            self._read = 0
+        waited_ms = now_ms - self._waiting_since_ms
         for _ in range(PACKETS_A_TURN):
             try:
                 size = self._sock.recv_into(self._space)
             except BlockingIOError:
+                self._waiting_since_ms = None
                 return
             except OSError as error:
                 self.log.line("packets_unreadable", error=str(error))
                 return
-            self._on_packet(size, now_ms)
+            self._read += 1
+            self._on_packet(size, now_ms, waited_ms)
 
-    def _on_packet(self, size, now_ms):
+    def _on_packet(self, size, now_ms, waited_ms):
         packet = decode_packet(self._buffer, size)
         if isinstance(packet, BadPacket):
             self.counters.add("dropped", packet.reason)
             return
-        action = self.balancer.on_packet(packet, now_ms)
+        action = self.balancer.on_packet(packet, now_ms, waited_ms=waited_ms)
         if isinstance(action, Forward):
             self._forward(packet, action, size)
         elif isinstance(action, Hold):
             if len(self._held) < MOST_HELD:
-                self._held.append(bytes(self._space[:size]))
+                since_ms = now_ms - waited_ms
+                self._held.append((since_ms, bytes(self._space[:size])))
             else:
                 self.counters.add("dropped", "too_many_held")
         elif isinstance(action, Drop):
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -159,7 +159,7 @@
         if target is None:
             self.balancer.health.forget(cookie)
         else:
-            self.trials.start(target, self.balancer.control_of(cookie))
+            self.trials.start(target, self.balancer.chooser.control_of(cookie))
 
     def _on_trial(self, cookie, evidence):
         self.counters.add("trials", evidence)
--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -13,6 +13,10 @@
       | seed | seconds |
       | 106  | 12      |
 
+    Examples: Seeds that failed: a check that excused no target that had just ended
+      | seed | seconds |
+      | 601  | 12      |
+
   Scenario Outline: A broken build is noticed
     When seed <seed> is run with "<mutation>"
     Then the promise that it breaks is seen to be broken
