Refuse numbers of thousands of digits in answers; forget what peers said

Cause: found by reading. An answer whose status or Content-Length has more than 4,300 digits raises in int() and would have ended a balancer, whichever the host that sent it. Change: a status has three digits, a length twelve at most; words are forgotten after 4 s. Tests: http.feature, the first two rows failed (ValueError) before; stuck.feature 'What peers say of targets that nobody knows is forgotten'.

--- a/libs/flows/features/steps/stuck_steps.py
+++ b/libs/flows/features/steps/stuck_steps.py
@@ -225,3 +225,24 @@
 def step_out(context):
     """It was told to stop."""
     context.world.balancer.in_rotation = False
+
+
+@when(
+    "peers say of {count:d} unknown targets that they are stuck, and that they answer"
+)
+def step_unknown_targets(context, count):
+    """Anyone may send such words."""
+    balancer, now_ms = context.world.balancer, context.world.now_ms
+    for cookie in range(1, count + 1):
+        for evidence in (STUCK, ANSWERED):
+            verdict = Verdict(cookie, evidence == STUCK, evidence, WAITED_MS)
+            balancer.on_verdict(verdict, "peer", now_ms)
+
+
+@then("nothing is remembered of any target")
+def step_nothing_remembered(context):
+    """Memory doesn't grow with words."""
+    stuck = context.world.balancer.stuck
+    assert not stuck.suspects
+    assert not stuck.waiting
+    assert not stuck.refuted_ms
--- a/libs/flows/features/stuck.feature
+++ b/libs/flows/features/stuck.feature
@@ -196,3 +196,8 @@
   Scenario: Where all are stuck the callers aren't refused
     When every target is said to be stuck
     Then 30 new flows reach 3 targets
+
+  Scenario: What peers say of targets that nobody knows is forgotten
+    When peers say of 500 unknown targets that they are stuck, and that they answer
+    And 5000 ms pass
+    Then nothing is remembered of any target
--- a/libs/flows/src/lagoontally_flows/_stuck.py
+++ b/libs/flows/src/lagoontally_flows/_stuck.py
@@ -207,6 +207,9 @@
         for cookie, said_ms in list(self.suspects.items()):
             if now_ms - said_ms > KEPT_MS:
                 self.forget(cookie)
+        for cookie, answered_ms in list(self.refuted_ms.items()):
+            if now_ms - answered_ms > KEPT_MS:
+                del self.refuted_ms[cookie]
         for cookie, seen in list(self.witnesses.items()):
             _keep(self.witnesses, cookie, seen, lambda ms: now_ms - ms <= KEPT_MS)
         for cookie, waits in list(self.waiting.items()):
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -11,6 +11,8 @@
 from ._sockets import connect, connect_error
 
 RECEIVE_BYTES = 65_536
+STATUS_DIGITS = 3
+MOST_LENGTH_DIGITS = 12  # ``int`` raises for thousands
 MAX_BODY_BYTES = 8 << 20  # a page holds at most 1 MB, encoded; views are smaller
 
 
@@ -160,7 +162,11 @@
         return CallFailure("the answer's head is too long") if too_long else None
     lines = bytes(received[:end]).split(b"\r\n")
     words = lines[0].split(b" ")
-    if len(words) < 2 or not words[0].startswith(b"HTTP/1.") or not words[1].isdigit():
+    if (
+        len(words) < 2
+        or not words[0].startswith(b"HTTP/1.")
+        or not _is_status(words[1])
+    ):
         return CallFailure("the answer has no status line")
     length = _content_length(lines[1:])
     if length is None or length > MAX_BODY_BYTES:
@@ -171,9 +177,15 @@
     return Answer(int(words[1]), bytes(received[start : start + length]))
 
 
+def _is_status(word):
+    return len(word) == STATUS_DIGITS and word.isdigit()
+
+
 def _content_length(lines):
     for line in lines:
         name, _, value = line.partition(b":")
-        if name.strip().lower() == b"content-length" and value.strip().isdigit():
-            return int(value)
+        if name.strip().lower() == b"content-length":
+            value = value.strip()
+            usable = value.isdigit() and len(value) <= MOST_LENGTH_DIGITS
+            return int(value) if usable else None
     return None
