Never let followers take a listing for knowledge of the configuration

The store forgot its history; the reader listed the targets at revision 18 and told the members, before it had read the configuration, published at revision 17. A delta said that its sender's configuration was known up to the revision of the targets, so a member that became reader watched on from 18 and never saw version 20. The reader was killed. The virtual store hid it: a watch there told of the configuration whatever its revision. Change: beacons and deltas tell up to which revision their sender knows both. A lost history forgets up to where the configuration was known (it caused a second 410). The virtual store now tells of changes after a revision only, which showed that a reader that the store turns away stayed behind for up to 3.6 s of 2.9: it now gives its hanging call up when it hears another reader, and asks that one first. Ruled out: the cheap reads of the first configuration (no reader polls after it has one).

--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -25,6 +25,7 @@
         revision: Rises with each change.
         targets_revision: Revision of the last change of targets.
         version: Version of the newest configuration.
+        version_revision: Revision of its change.
         away_from: Names of the balancers that it doesn't answer.
         stale_revision: Revision that answers show which may be old, None for the
             newest.
@@ -37,6 +38,7 @@
         self.revision = 10
         self.targets_revision = 10
         self.version = 1
+        self.version_revision = 10
         self.away_from = set()
         self.forgotten = 0
         self.stale_revision = None
@@ -103,10 +105,13 @@
         """Let the operator publish a configuration."""
         self.store.revision += 1
         self.store.version += 1
+        self.store.version_revision = self.store.revision
 
     def _tick(self, balancer):
         reading = balancer.reading
         reading.members = len(self.living())
+        if reading.abandoned:
+            reading.abandoned, balancer.pending = False, None
         if balancer.pending is not None:
             call, due_ms, early = balancer.pending
             if self.now_ms >= due_ms or (early and self._has_news(call)):
@@ -172,7 +177,8 @@
         reading, store = balancer.reading, self.store
         previous = reading.view_revision
         changed = store.targets_revision > call.revision
-        self._configure(balancer, store.version)
+        if store.version_revision > call.revision:
+            self._configure(balancer, store.version)
         reading.on_changes(store.revision, self.now_ms, targets_changed=changed)
         if not changed:
             return
@@ -182,9 +188,16 @@
     def _tell(self, balancer, previous):
         if not balancer.reading.reader:
             return
-        revision = balancer.reading.view_revision
+        reading = balancer.reading
         delta = Delta(
-            balancer.reading.priority, previous, revision, balancer.version, 0, 1, ()
+            reader=reading.priority,
+            previous=previous,
+            revision=reading.view_revision,
+            known_revision=reading.known_revision,
+            configuration_version=balancer.version,
+            part=0,
+            parts=1,
+            entries=(),
         )
         for other in self.living():
             lost = other is balancer or other.name in self.lost
--- a/libs/flows/features/reading.feature
+++ b/libs/flows/features/reading.feature
@@ -135,3 +135,18 @@
     And 3000 ms pass for the fleet
     Then every balancer shows the targets
     And every balancer has the configuration
+
+  Scenario: The reader dies between the two calls that make up for a lost history
+    Given 12 balancers that have run for 5000 ms
+    When the store hides its changes until its history is lost, and both change
+    And the reader dies as soon as the others know the targets
+    And 3500 ms pass for the fleet
+    Then every balancer shows the targets
+    And every balancer has the configuration
+
+  Scenario: A lost history costs a reader two calls
+    Given 12 balancers that have run for 5000 ms
+    When the store hides its changes until its history is lost, and both change
+    And 1000 ms pass for the fleet
+    Then every balancer has the configuration
+    And the change has cost at most 5 calls to the store
--- a/libs/flows/features/steps/reading_steps.py
+++ b/libs/flows/features/steps/reading_steps.py
@@ -193,7 +193,7 @@
     """Each reader splits its changes in its own way."""
     previous = context.reading.view_revision
     entry = (f"{reader}-{part}", None)
-    delta = Delta(reader, previous, revision, 0, part, parts, [entry])
+    delta = Delta(reader, previous, revision, revision, 0, part, parts, [entry])
     context.applied += context.reading.on_delta(delta) or []
 
 
@@ -208,3 +208,25 @@
 def step_revision(context, revision):
     """It claims no more than it knows."""
     assert context.reading.view_revision == revision, context.reading.view_revision
+
+
+@when("the store hides its changes until its history is lost, and both change")
+def step_hidden_changes(context):
+    """Watches are cut with the history, a moment after the changes."""
+    fleet = context.fleet
+    fleet.change_configuration()
+    fleet.change_targets()
+    fleet.store.forgotten = fleet.store.revision
+    context.calls_before = fleet.store.calls
+
+
+@when("the reader dies as soon as the others know the targets")
+def step_reader_dies_early(context):
+    """It has no time to read the configuration."""
+    fleet = context.fleet
+    (reader,) = fleet.readers()
+    others = [one for one in fleet.living() if one is not reader]
+    while any(one.targets_revision < fleet.store.revision for one in others):
+        fleet.run(20)
+    assert reader.version < fleet.store.version, "the reader was too fast"
+    reader.alive = False
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -55,6 +55,8 @@
         returned_ms: When the store last came back, as far as noticed; else None.
         members: Balancers of this data centre, this one included.
         routes: Routes of the configuration in force here.
+        abandoned: Whether the running call to the store is to be given up: another
+            reader is heard, which reaches the store. Whoever makes the calls clears it.
     """
 
     def __init__(self, *, priority, random, weak=False):
@@ -73,6 +75,7 @@
         self._reader_in_vain = False
         self.members = 1
         self.routes = 0
+        self.abandoned = False
         self._ask_reader = True
         self._reader_host = None
         self._listed = False
@@ -153,6 +156,7 @@
     def on_history_gone(self, now_ms):
         """Note that the store no longer has the changes that were asked for."""
         self._listed = self._configured = False
+        self._configuration_revision = None
         self._on_answer(now_ms)
 
     def on_failure(self, now_ms):
@@ -203,7 +207,8 @@
         self.view_revision = delta.revision
         # A watch must not begin behind a configuration that isn't known here.
         if delta.configuration_version <= self.configuration_version:
-            self.revision = max(self.revision, delta.revision)
+            known_revision = min(delta.revision, delta.known_revision)
+            self.revision = max(self.revision, known_revision)
         return [entry for part in sorted(parts) for entry in parts[part]]
 
     def on_beacon(self, beacon, host, now_ms):
@@ -217,12 +222,14 @@
             self._reader_in_vain = True
             self._on_vain_reader(beacon, now_ms)
             return
+        if self.failures:
+            self._ask_reader = True  # it reaches the store, which fails here
         if self._reader_in_vain:
             self._reader_in_vain = False
             self.returned_ms = now_ms
         if beacon.configuration_version <= self.configuration_version:
             known = self._configuration_revision or 0
-            self._configuration_revision = max(known, beacon.revision)
+            self._configuration_revision = max(known, beacon.known_revision)
         if self.revision is None or beacon.revision > self.view_revision:
             self._on_behind(now_ms)
         else:
@@ -230,10 +237,17 @@
             confirmed_ms = now_ms - beacon.contact_age_ms
             self.confirmed_ms = max(self.confirmed_ms or 0, confirmed_ms)
         self._take_over_ms = now_ms + FRESH_MS - beacon.contact_age_ms + self._spread()
-        if self.reader and (
-            beacon.priority < self.priority or not self._in_contact(now_ms)
-        ):
+        in_contact = self._in_contact(now_ms)
+        if self.reader and (beacon.priority < self.priority or not in_contact):
             self.reader = False
+            if not in_contact:
+                self.abandoned = True
+                self._next_call_ms = now_ms
+
+    @property
+    def known_revision(self):
+        """Revision up to which both targets and configuration are known here."""
+        return self.revision if self._configured and self.revision else 0
 
     def beacon(self, now_ms):
         """Return the ``Beacon`` to send now, None where none is due."""
@@ -244,6 +258,7 @@
         return Beacon(
             self.priority,
             self.view_revision,
+            self.known_revision,
             self.configuration_version,
             self.routes,
             round(age_ms),
--- a/libs/flows/src/lagoontally_flows/_reading_records.py
+++ b/libs/flows/src/lagoontally_flows/_reading_records.py
@@ -44,13 +44,15 @@
 
 class Beacon(
     Record,
-    fields="priority revision configuration_version routes contact_age_ms reachable",
+    fields="priority revision known_revision configuration_version routes"
+    " contact_age_ms reachable",
 ):
     """What a reader tells the other balancers of its data centre.
 
     Attributes:
         priority: Orders readers; the lowest goes on where there are several.
         revision: Revision of the store at which its view last changed.
+        known_revision: Revision up to which it knows both targets and configuration.
         configuration_version: Version of the newest configuration it knows.
         routes: Number of routes in that configuration.
         contact_age_ms: How long ago the store last answered it.
@@ -62,7 +64,8 @@
 
 class Delta(
     Record,
-    fields="reader previous revision configuration_version part parts entries",
+    fields="reader previous revision known_revision configuration_version"
+    " part parts entries",
 ):
     """Entries that changed between two revisions of the store.
 
@@ -70,6 +73,8 @@
         reader: Priority of the reader, which tells readers apart.
         previous: Revision at which the reader's targets changed before.
         revision: Revision that they show now.
+        known_revision: Revision up to which the reader knows the configuration too;
+            a listing shows targets alone.
         configuration_version: Configuration that the reader knows by then.
         part: Number of this part, from 0.
         parts: Number of parts that the changes were split into.
--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -37,7 +37,7 @@
       | ["Verdict", 5, true, "stuck", 1e999] |
       | ["Verdict", 5, true, "stuck", -1] |
       | ["Verdict", 5, true, "stuck", "long"] |
-      | ["Delta", 1e999, 1, 1, 1, 0, 1, []] |
+      | ["Delta", 1e999, 1, 1, 1, 1, 0, 1, []] |
       | ["Members", 5]                     |
       | ["Beacon", 1, 2]                   |
 
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -29,8 +29,8 @@
 MESSAGES = (
     Hello("tifton"),
     Members(["10.0.0.1", "10.0.0.2"]),
-    Beacon(3, 10, 2, 13, 40, True),
-    Delta(3, 9, 10, 2, 0, 1, [("servers/i-1", TARGET), ("servers/i-2", None)]),
+    Beacon(3, 10, 9, 2, 13, 40, True),
+    Delta(3, 9, 10, 9, 2, 0, 1, [("servers/i-1", TARGET), ("servers/i-2", None)]),
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
     DealtAnew(),
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -73,6 +73,11 @@
         if self.busy and now_ms >= self._deadline_ms:
             self._fail("timeout")
 
+    def abandon(self):
+        """Forget the running call, if there is one; nobody hears of its end."""
+        self._done = None
+        self.close()
+
     def close(self):
         """Close the connection."""
         if self._sock is not None:
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -72,6 +72,9 @@
         """Make the call that is due, and give up those that take too long."""
         self.store.on_tick(now_ms)
         self._early.on_tick(now_ms)
+        if self.reading.abandoned:
+            self.reading.abandoned = False
+            self.store.abandon()
         if self._peer is not None:
             self._peer.on_tick(now_ms)
         if self.store.busy or (self._peer is not None and self._peer.busy):
@@ -163,9 +166,17 @@
         """Tell the members what has changed, if this balancer reads for them."""
         if not changes or not self.reading.reader:
             return
-        revision = self.reading.view_revision
-        version = self.reading.configuration_version
-        delta = Delta(self.reading.priority, previous, revision, version, 0, 1, changes)
+        reading = self.reading
+        delta = Delta(
+            reader=reading.priority,
+            previous=previous,
+            revision=reading.view_revision,
+            known_revision=reading.known_revision,
+            configuration_version=reading.configuration_version,
+            part=0,
+            parts=1,
+            entries=changes,
+        )
         for part in split_delta(delta):
             self.peers.broadcast(part)
 
