Don't hold the time before the first packet against it

A packet port took every packet read first for one that had waited since the start, seconds before, and dropped the SYNs; their callers came again after 200 ms. Change: the socket is read when the port opens; what comes later hasn't waited. Test: 'The first callers of a balancer that has run for long are served at once' failed first (stale_syn on each balancer).

--- a/libs/forwarder/features/process.feature
+++ b/libs/forwarder/features/process.feature
@@ -114,3 +114,10 @@
     And it goes on
     Then no target but its own got a SYN of any flow
     And every flow gets an answer to its next request
+
+  Scenario: The first callers of a balancer that has run for long are served at once
+    Given a running deployment
+    When nobody asks anything for 1500 ms
+    And 20 flows ask for an answer
+    Then every request is answered
+    And no SYN was dropped
--- a/libs/forwarder/features/steps/pause_steps.py
+++ b/libs/forwarder/features/steps/pause_steps.py
@@ -53,3 +53,17 @@
     assert len(reached) == len(set(reached)), len(reached) - len(set(reached))
     outcomes = {flow.outcome for flow in context.flows}
     assert outcomes == {Outcome.ANSWERED}, outcomes
+
+
+@when("nobody asks anything for {duration_ms:d} ms")
+def step_nobody(context, duration_ms):
+    """Balancers only watch the store."""
+    context.world.loop.run_for(duration_ms / 1_000)
+
+
+@then("no SYN was dropped")
+def step_no_drops(context):
+    """No caller had to wait for a copy."""
+    for balancer in context.world.balancers.values():
+        drops = [line for line in balancer.log() if line["event"] == "drop"]
+        assert not drops, drops
--- a/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
@@ -54,9 +54,10 @@
         self._space = memoryview(self._buffer)[NAME_BYTES:]
 
     def open(self):
-        """Start to read packets."""
+        """Start to read packets, with those that have waited since the start."""
         self.is_open = True
         self.loop.watch(self._sock, self._on_readable)
+        self._on_readable(None)
 
     def release(self):
         """Decide on the packets that waited for a configuration."""
