--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -21,13 +21,13 @@
     PEER_PORT,
     Deployment,
     Outcome,
+    free_network,
 )
 
 BUILD = Path(__file__).parents[4] / "deploy/build.py"
 PROGRAM = "import sys; from lagoontally_forwarder import main; sys.exit(main())"
 # The soak has the networks above, since both suites run at the same time.
-FIRST_NETWORK, NETWORK_COUNT = 30, 100
-NETWORKS = itertools.count(os.getpid() * 13)
+NETWORKS = (30 + (os.getpid() * 13 + n) % 100 for n in itertools.count())
 ANSWER_S = 4.0
 LOCAL, OTHER = "tifton", "camilla"
 
@@ -49,7 +49,7 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.folder = folder.name
-    network = FIRST_NETWORK + next(NETWORKS) % NETWORK_COUNT
+    network = free_network(NETWORKS)
     context.world = Deployment(
         Path(folder.name), network, data_centres=(LOCAL, OTHER), balancers=2, targets=2
     )
--- a/libs/standins/src/lagoontally_standins/packets/__init__.py
+++ b/libs/standins/src/lagoontally_standins/packets/__init__.py
@@ -3,6 +3,7 @@
 from ._caller import Callers, Outcome
 from ._deployment import GRACE_S, PEER_PORT, SERVICES, Deployment
 from ._loop import Loop
+from ._network import free_network
 from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT, Proxy
 from ._store import ANSWERING, BUSY, Store
 from ._target import Run, Target
@@ -28,4 +29,5 @@
     "Store",
     "Target",
     "encode_packet",
+    "free_network",
 ]
