Read what waited before the tick that follows a stand-still

A process that is stopped inside epoll's wait comes back without events when the wait's time has run out; it then ticks, and only then reads. The port goes by the last tick how long a packet may have waited, so the old SYNs passed for new ones. Change: a turn that comes late by STALE_SYN_MS reads the socket before it ticks.

--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -1,6 +1,6 @@
 """Decisions of a packet balancer, free of I/O, clocks and wire formats."""
 
-from ._balancer import Balancer
+from ._balancer import STALE_SYN_MS, Balancer
 from ._cookie import NO_COOKIE, target_cookie
 from ._effects import DealtAnew, FlowReset, Note
 from ._health import (
@@ -48,6 +48,7 @@
     "RST",
     "OWN",
     "SILENT",
+    "STALE_SYN_MS",
     "STUCK",
     "SYN",
     "UNANSWERED",
--- a/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_packet_port.py
@@ -57,7 +57,16 @@
         """Start to read packets, with those that have waited since the start."""
         self.is_open = True
         self.loop.watch(self._sock, self._on_readable)
-        self._on_readable(None)
+        self.read()
+
+    def read(self):
+        """Read what waits in the socket, if the port is open.
+
+        To be called before the balancer's tick: it goes by the last one how long a
+        packet may have waited, and a loop that was stopped may tick first.
+        """
+        if self.is_open:
+            self._on_readable(None)
 
     def release(self):
         """Decide on the packets that waited for a configuration."""
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -9,6 +9,7 @@
 from lagoontally_flows import (
     ANSWERED,
     OWN,
+    STALE_SYN_MS,
     STUCK,
     UNANSWERED,
     WEAK_LINK_MBPS,
@@ -117,6 +118,8 @@
         if time_ms - self._turned_ms > SUSPENDED_MS:
             self.log.line("resumed", stood_still_ms=time_ms - self._turned_ms)
             self.counters.add("resumed", "late_tick")
+        if time_ms - self._turned_ms >= STALE_SYN_MS:
+            self.port.read()
         self._turned_ms = time_ms
         self.reading.members = len(self.peers.members) + 1
         self.reader.on_tick(time_ms)
