One place each for a delta, a route's look-up, the last tick and the program's text

Found at a last reading of the change; behaviour stays as it is. - Reading.delta stands beside Reading.beacon; the store reader and the virtual fleet each built a Delta from the same fields. - Balancer._is_repeatable looks routes up by _route, and is_given_back alone asks whether a target is held for stuck. - The balancer's last tick was kept by the balancer and by Stuck; a late one is noticed in Balancer.on_tick. - FlowTable.of_target looks at every flow only where the target has any: for a stuck target it was asked with each tick. - The text that starts a balancer and the size of a request stood three times and twice.

--- a/libs/flows/features/fixtures.py
+++ b/libs/flows/features/fixtures.py
@@ -21,6 +21,7 @@
 UNKNOWN_ROUTE = (0xC61200FF, 443)
 CALLER = 0x64400007
 IDLE_TIMEOUT_MS = 15_000
+REQUEST_BYTES = 169
 
 
 def make_target(number, *, service=SERVICE, data_centre=LOCAL, **fields):
--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -3,7 +3,6 @@
 from random import Random
 
 from lagoontally_flows import (
-    Delta,
     FetchConfiguration,
     FetchTargets,
     List,
@@ -188,17 +187,7 @@
     def _tell(self, balancer, previous):
         if not balancer.reading.reader:
             return
-        reading = balancer.reading
-        delta = Delta(
-            reader=reading.priority,
-            previous=previous,
-            revision=reading.view_revision,
-            known_revision=reading.known_revision,
-            configuration_version=balancer.version,
-            part=0,
-            parts=1,
-            entries=(),
-        )
+        delta = balancer.reading.delta(previous, ())
         for other in self.living():
             lost = other is balancer or other.name in self.lost
             if not lost and other.reading.on_delta(delta) is not None:
--- a/libs/flows/features/steps/dealt_anew_steps.py
+++ b/libs/flows/features/steps/dealt_anew_steps.py
@@ -1,11 +1,10 @@
 """Steps for several balancers whose flows routers deal anew."""
 
 from behave import given, then, when
-from fixtures import World, make_target
+from fixtures import REQUEST_BYTES, World, make_target
 
 from lagoontally_flows import DealtAnew, FlowReset, Verdict
 
-REQUEST_BYTES = 169
 TICK_MS = 50
 
 
--- a/libs/flows/features/steps/stuck_steps.py
+++ b/libs/flows/features/steps/stuck_steps.py
@@ -1,7 +1,7 @@
 """Steps for targets that take requests and answer none."""
 
 from behave import given, then, when
-from fixtures import IDLE_TIMEOUT_MS, ROUTE, SERVICE
+from fixtures import IDLE_TIMEOUT_MS, REQUEST_BYTES, ROUTE, SERVICE
 
 from lagoontally_flows import (
     ACK,
@@ -14,7 +14,6 @@
     Verdict,
 )
 
-REQUEST_BYTES = 169
 WAITED_MS = 360  # of a request that a peer tells of
 
 
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -21,6 +21,7 @@
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 UNKNOWN_COOKIES_KEPT = 1_024
 STALE_SYN_MS = 500  # two missed probes, half a second apart, turn routers away
+LATE_TICK_MS = 250  # ticks come each 50 ms; one so late means a frozen process
 DEALT_INTERVAL_MS = 200  # answers that are under way arrive meanwhile
 
 
@@ -120,7 +121,7 @@
         return self._on_open_flow(packet, flow, cookie, now_ms)
 
     def _on_open_flow(self, packet, flow, cookie, now_ms):
-        if self.configuration is not None and self._route(packet) is None:
+        if self.configuration is not None and self._route(packet.flow) is None:
             return self._end(packet, "route_removed")
         target = self.view.by_cookie.get(cookie)
         if target is None:
@@ -177,7 +178,11 @@
 
     def on_tick(self, now_ms):
         """Let time pass: trials, memory that runs out."""
+        late = self.ticked_ms is not None and now_ms - self.ticked_ms > LATE_TICK_MS
         self.ticked_ms = now_ms
+        if late or not self.in_rotation:
+            # Answers were acknowledged meanwhile, or are through other balancers.
+            self.flows.forget_waiting()
         if self.configuration is not None:
             self.flows.sweep(now_ms, self.configuration.idle_timeout_ms)
         for cookie in self.view.forget_lapsed(now_ms):
@@ -216,12 +221,12 @@
         effects, self.effects = self.effects, []
         return effects
 
-    def _route(self, packet):
-        _, _, address, port = packet.flow
+    def _route(self, flow):
+        _, _, address, port = flow
         return self.configuration.routes.get((address, port))
 
     def _on_syn(self, packet, now_ms):
-        route = self._route(packet)
+        route = self._route(packet.flow)
         if route is None:
             return Reset("no_route", packet.acknowledgement)
         flow = self.flows.flows.get(packet.flow)
@@ -311,8 +316,7 @@
 
     def _on_stuck_targets(self, now_ms):
         """Tell peers of requests that wait, and give flows back where it is certain."""
-        verdicts = self.stuck.on_tick(now_ms, in_rotation=self.in_rotation)
-        self.effects.extend(verdicts)
+        self.effects.extend(self.stuck.on_tick(now_ms))
         if self.configuration is None:
             return
         for cookie in self.stuck.suspects:
@@ -330,18 +334,14 @@
 
     def _is_given_back(self, packet, cookie, now_ms):
         """Tell whether a request is better served by another target."""
-        return (
-            self.stuck.is_stuck(cookie)
-            and self._is_repeatable(packet.flow)
-            and is_given_back(cookie, stuck=self.stuck, view=self.view, now_ms=now_ms)
+        given_back = is_given_back(
+            cookie, stuck=self.stuck, view=self.view, now_ms=now_ms
         )
+        return given_back and self._is_repeatable(packet.flow)
 
     def _is_repeatable(self, flow):
         """Tell whether the caller of a flow may repeat its requests."""
-        _, _, address, port = flow
-        if self.configuration is None:
-            return False
-        route = self.configuration.routes.get((address, port))
+        route = self._route(flow) if self.configuration is not None else None
         return route is not None and route.repeatable
 
     def _on_unknown_cookie(self, packet, cookie, now_ms):
--- a/libs/flows/src/lagoontally_flows/_flow_table.py
+++ b/libs/flows/src/lagoontally_flows/_flow_table.py
@@ -145,6 +145,8 @@
 
     def of_target(self, cookie):
         """Return the keys and flows of a target that aren't closing."""
+        if cookie not in self.open_flows:
+            return []  # without a look at every flow
         return [
             (key, flow)
             for key, flow in self.flows.items()
--- a/libs/flows/src/lagoontally_flows/_reading.py
+++ b/libs/flows/src/lagoontally_flows/_reading.py
@@ -8,6 +8,7 @@
 
 from ._reading_records import (
     Beacon,
+    Delta,
     FetchConfiguration,
     FetchTargets,
     List,
@@ -265,6 +266,24 @@
             self.failures == 0,
         )
 
+    def delta(self, previous, entries):
+        """Return the ``Delta`` that tells the members of changed entries.
+
+        Args:
+            previous: Revision at which the targets had changed before.
+            entries: Pairs of a key and a ``Target`` or None.
+        """
+        return Delta(
+            reader=self.priority,
+            previous=previous,
+            revision=self.view_revision,
+            known_revision=self.known_revision,
+            configuration_version=self.configuration_version,
+            part=0,
+            parts=1,
+            entries=entries,
+        )
+
     def _on_new_configuration(self, beacon, now_ms):
         self.announced_version = beacon.configuration_version
         if self.reader or self.announced_version <= self.configuration_version:
--- a/libs/flows/src/lagoontally_flows/_stuck.py
+++ b/libs/flows/src/lagoontally_flows/_stuck.py
@@ -23,7 +23,6 @@
 WAITING_KEPT_MS = 1_500  # callers give up after a second and more
 OBJECTION_MS = 100  # to a peer and back, where both are slow instances
 WORD_MS = 50  # half of it: ages that peers tell are so much older by now
-LATE_TICK_MS = 250  # ticks come each 50 ms; one so late means a frozen process
 WITNESSES = 3  # one or two balancers may have lost the packets themselves
 OBJECTED = 2  # waiting balancers; one fewer than make it certain
 OWN = "self"
@@ -64,7 +63,6 @@
         self.witnesses = {}
         self.answered_ms = {}
         self.refuted_ms = {}
-        self._ticked_ms = None
 
     def on_answer(self, cookie, now_ms):
         """Note that a target answered a request.
@@ -107,21 +105,12 @@
         self.waiting.setdefault(cookie, {})[host] = wait
         return self._object(cookie, now_ms)
 
-    def on_tick(self, now_ms, *, in_rotation):
+    def on_tick(self, now_ms):
         """Let time pass.
 
-        Args:
-            now_ms: Time of the step.
-            in_rotation: Whether routers send packets here. Otherwise answers are
-                acknowledged through other balancers.
-
         Returns:
             A list of the ``Verdict`` to tell peers.
         """
-        late = self._ticked_ms is not None and now_ms - self._ticked_ms > LATE_TICK_MS
-        self._ticked_ms = now_ms
-        if late or not in_rotation:
-            self.flows.forget_waiting()
         verdicts = []
         for flow in _overdue(self.flows, now_ms):
             # Where it answers others this request may just be long.
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -19,13 +19,13 @@
     BUSY,
     PASS,
     PEER_PORT,
+    PROGRAM,
     Deployment,
     Outcome,
     free_network,
 )
 
 BUILD = Path(__file__).parents[4] / "deploy/build.py"
-PROGRAM = "import sys; from lagoontally_forwarder import main; sys.exit(main())"
 # The soak has the networks above, since both suites run at the same time.
 NETWORKS = (30 + (os.getpid() * 13 + n) % 100 for n in itertools.count())
 ANSWER_S = 4.0
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -1,7 +1,6 @@
 """Makes the calls that ``Reading`` decides on and takes in their answers."""
 
 from lagoontally_flows import (
-    Delta,
     FetchConfiguration,
     FetchTargets,
     List,
@@ -166,18 +165,7 @@
         """Tell the members what has changed, if this balancer reads for them."""
         if not changes or not self.reading.reader:
             return
-        reading = self.reading
-        delta = Delta(
-            reader=reading.priority,
-            previous=previous,
-            revision=reading.view_revision,
-            known_revision=reading.known_revision,
-            configuration_version=reading.configuration_version,
-            part=0,
-            parts=1,
-            entries=changes,
-        )
-        for part in split_delta(delta):
+        for part in split_delta(self.reading.delta(previous, changes)):
             self.peers.broadcast(part)
 
     def _on_changes(self, result):
--- a/libs/standins/src/lagoontally_standins/packets/__init__.py
+++ b/libs/standins/src/lagoontally_standins/packets/__init__.py
@@ -4,6 +4,7 @@
 from ._deployment import GRACE_S, PEER_PORT, SERVICES, Deployment
 from ._loop import Loop
 from ._network import free_network
+from ._process import PROGRAM
 from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT, Proxy
 from ._store import ANSWERING, BUSY, Store
 from ._target import Run, Target
@@ -17,6 +18,7 @@
     "ONE_WAY",
     "PASS",
     "PEER_PORT",
+    "PROGRAM",
     "RESET",
     "SERVICES",
     "SILENT",
