Membership: seeds reply with changes, and only as often as they can bear

Cause: each balancer sent its hellos every 2 s, and each seed replied with up to 70 hosts. Hosts with the longest addresses made the reply too long for a datagram, and sending None raised a TypeError.

Change: lists have generations, a hello names the one known, a reply holds the changes since or the whole list in parts. The interval grows with the senders of a seed (50 ms each). Starting balancers announce themselves to members with Joined. Members are kept while no seed answers.

--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -12,6 +12,7 @@
     Verdict,
 )
 from ._lifecycle import Lifecycle
+from ._membership import Hello, Joined, Members, Membership
 from ._records import (
     ACK,
     FIN,
@@ -64,10 +65,14 @@
     "FetchTargets",
     "FlowReset",
     "Forward",
+    "Hello",
     "Hold",
+    "Joined",
     "Lifecycle",
     "ListTargets",
     "LogEvent",
+    "Members",
+    "Membership",
     "Packet",
     "Probe",
     "ReadConfiguration",
--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -39,10 +39,19 @@
       | ["Verdict", 5, true, "stuck", "long"] |
       | ["Delta", 1e999, 1, 1, 1, 1, 0, 1, []] |
       | ["Members", 5]                     |
+      | ["Members", 1, 1, true, 0, 1, 2000, 5, []] |
+      | ["Members", 1, 1, true, 1, 1, 2000, [], []] |
+      | ["Members", 1, 1, true, 0, 1, 0, [], []] |
+      | ["Hello", "tifton"] |
+      | ["Hello", 5, 1, 1] |
+      | ["Joined", 5] |
       | ["Beacon", 1, 2]                   |
 
+  Scenario: Every reply to a hello fits into a datagram
+    Then the longest parts of a list of 200 members are encoded
+
   Scenario: Hosts that are not IP addresses are ignored
-    When the message ["Members", ["10.0.0.1", "a..b", "localhost", 5]] arrives
+    When the message ["Members", 1, 1, true, 0, 1, 2000, ["10.0.0.1", "a..b", "localhost", 5], ["b.c"]] arrives
     Then it lists the hosts 10.0.0.1
 
   Scenario: Decoding random messages raises no error
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -11,26 +11,27 @@
     Beacon,
     DealtAnew,
     Delta,
+    Hello,
+    Joined,
+    Members,
+    Membership,
     Target,
     Verdict,
     target_cookie,
 )
-from lagoontally_forwarder._messages import (
-    Hello,
-    Members,
-    decode_message,
-    encode_message,
-)
+from lagoontally_forwarder._messages import decode_message, encode_message
 
 NAME = bytes.fromhex("000000007f3a91c2")
 TARGET = Target(
     NAME, 5, target_cookie(NAME, 5), ("10.0.0.1", 80), "tifton", "desk", 2, False, 0
 )
+DELTA = Delta(3, 9, 10, 9, 2, 0, 1, [("servers/i-1", TARGET), ("servers/i-2", None)])
 MESSAGES = (
-    Hello("tifton"),
-    Members(["10.0.0.1", "10.0.0.2"]),
+    Hello("tifton", 7, 2),
+    Joined("tifton"),
+    Members(7, 3, False, 0, 1, 2_000, ["10.0.0.1", "10.0.0.2"], ["10.0.0.3"]),
     Beacon(3, 10, 9, 2, 13, 40, True),
-    Delta(3, 9, 10, 9, 2, 0, 1, [("servers/i-1", TARGET), ("servers/i-2", None)]),
+    DELTA,
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
     DealtAnew(),
@@ -50,7 +51,7 @@
 
 @when("a delta arrives whose target has {field} {value}")
 def step_delta(context, field, value):
-    document = json.loads(encode_message(MESSAGES[3]))
+    document = json.loads(encode_message(DELTA))
     document[-1][0][1][Target._fields.index(field)] = json.loads(value)
     context.decoded = decode_message(json.dumps(document).encode())
 
@@ -67,7 +68,22 @@
 
 @then("it lists the hosts {hosts}")
 def step_hosts(context, hosts):
-    assert context.decoded == Members(hosts.split(", ")), context.decoded
+    assert context.decoded.hosts == hosts.split(", "), context.decoded
+    assert context.decoded.removed == [], context.decoded
+
+
+@then("the longest parts of a list of {count:d} members are encoded")
+def step_long_list(context, count):
+    """Hosts with the longest addresses."""
+    seed = Membership(host="100.100.100.100", data_centre="tifton", epoch=(1 << 31) - 1)
+    hosts = [f"200.200.{100 + n // 100}.{100 + n % 100}" for n in range(count)]
+    for host in hosts:
+        replies = seed.on_hello(Hello("tifton", 0, 0), host, 0)
+    encoded = [encode_message(reply) for reply in replies]
+    assert all(encoded), [len(reply.hosts) for reply in replies]
+    decoded = [decode_message(data).hosts for data in encoded]
+    listed = {host for hosts in decoded for host in hosts}
+    assert set(hosts) <= listed, set(hosts) - listed
 
 
 @when("hypothesis generates {count:d} messages of random fields")
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -7,11 +7,14 @@
     Beacon,
     DealtAnew,
     Delta,
+    Hello,
+    Joined,
+    Members,
     Target,
     Verdict,
     target_cookie,
 )
-from lagoontally_lean import Record, dumps, loads
+from lagoontally_lean import dumps, loads
 from lagoontally_platform import NAME_BYTES, parse_address, parse_host
 
 MAX_MESSAGE_BYTES = 1_200  # below the usual MTU
@@ -20,18 +23,7 @@
 DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError, OverflowError)
 MAX_VERDICT_AGE_MS = 60_000  # longest flow lifetime that the platform guarantees
 MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
-
-
-class Hello(Record, fields="data_centre"):
-    """Announces the sender to a seed and requests its data centre's balancers."""
-
-    __slots__ = ()
-
-
-class Members(Record, fields="hosts"):
-    """The reply to ``Hello``: hosts of the balancers in the data centre it names."""
-
-    __slots__ = ()
+MAX_PARTS = 256  # of a list of members
 
 
 def encode_target(target):
@@ -107,13 +99,35 @@
 
 
 def _decode_hello(fields):
-    (data_centre,) = fields
-    return Hello(data_centre) if isinstance(data_centre, str) else None
+    data_centre, epoch, generation = fields
+    if not isinstance(data_centre, str):
+        raise ValueError("a data centre is not a string")
+    return Hello(data_centre, int(epoch), int(generation))
 
 
 def _decode_members(fields):
-    (hosts,) = fields
-    return Members([host for host in hosts if parse_host(host) is not None])
+    epoch, generation, complete, part, parts, interval_ms, hosts, removed = fields
+    if not 0 <= part < parts <= MAX_PARTS or interval_ms <= 0:
+        raise ValueError("a part or an interval is out of range")
+    return Members(
+        int(epoch),
+        int(generation),
+        bool(complete),
+        int(part),
+        int(parts),
+        int(interval_ms),
+        _decode_hosts(hosts),
+        _decode_hosts(removed),
+    )
+
+
+def _decode_hosts(hosts):
+    return [host for host in hosts if parse_host(host) is not None]
+
+
+def _decode_joined(fields):
+    (data_centre,) = fields
+    return Joined(data_centre) if isinstance(data_centre, str) else None
 
 
 def _decode_beacon(fields):
@@ -137,6 +151,7 @@
 
 _DECODERS = {
     "Hello": _decode_hello,
+    "Joined": _decode_joined,
     "Members": _decode_members,
     "Beacon": _decode_beacon,
     "Delta": _decode_delta,
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -1,68 +1,63 @@
-"""Membership of, and messages between, the balancers of a data centre."""
-
-from lagoontally_flows import Beacon, DealtAnew, Verdict
-
-from ._messages import Delta, Hello, Members, decode_message, encode_message
+"""The socket for messages between the balancers."""
+
+from lagoontally_flows import (
+    Beacon,
+    DealtAnew,
+    Delta,
+    Hello,
+    Joined,
+    Members,
+    Membership,
+    Verdict,
+)
+
+from ._messages import decode_message, encode_message
 from ._sockets import datagram_socket
 
-HELLO_INTERVAL_MS = 2_000
-# Until a seed has answered; it may be starting too.
-FIRST_HELLO_INTERVAL_MS = 250
-MEMBER_TTL_MS = 12_000  # several intervals: some hellos may be lost
-MAX_MEMBERS_PER_MESSAGE = 70  # hosts that fit into one datagram
 MAX_MESSAGES_PER_READ = 64
 RECEIVE_BYTES = 2_048
+EPOCH_BITS = 31
 
 
 class Peers:
     """The other balancers.
 
-    Each balancer regularly sends ``Hello`` to the seeds, which reply with the
-    balancers of its data centre that recently did the same.
-
     Args:
         loop: The ``Loop`` that watches the socket.
         settings: The ``Settings``.
+        random: Random number generator.
         metrics: The ``Metrics``.
         on_message: Called with a ``Beacon``, ``DealtAnew``, ``Delta`` or ``Verdict``
             and the sender's host.
 
     Attributes:
-        members: Time at which each other balancer of the data centre last sent a
-            message or was listed by a seed, by host.
-        hello_senders: Data centre and time of the last ``Hello``, by host.
+        membership: The ``Membership``.
     """
 
-    def __init__(self, loop, settings, *, metrics, on_message):
+    def __init__(self, loop, settings, *, random, metrics, on_message):
         self.loop = loop
         self.settings = settings
         self.metrics = metrics
         self.on_message = on_message
-        self.members = {}
-        self.hello_senders = {}
+        self.membership = Membership(
+            host=settings.host,
+            data_centre=settings.data_centre,
+            epoch=random.getrandbits(EPOCH_BITS) + 1,  # 0 stands for no list
+        )
         self._port = settings.peer_address[1]
-        self._next_hello_ms = 0
         self._sock = datagram_socket(settings.peer_address)
         loop.watch(self._sock, self._on_readable)
 
+    @property
+    def members(self):
+        """The hosts of the other balancers in this data centre."""
+        return self.membership.members
+
     def on_tick(self, now_ms):
         """Send ``Hello`` to the seeds when it is due and remove expired members."""
-        if now_ms < self._next_hello_ms:
-            return
-        alone = not self.members
-        interval_ms = FIRST_HELLO_INTERVAL_MS if alone else HELLO_INTERVAL_MS
-        self._next_hello_ms = now_ms + interval_ms
-        hello = encode_message(Hello(self.settings.data_centre))
-        for seed in self.settings.seeds:
-            if seed[0] != self.settings.host:
-                self._send(hello, seed)
-        for table in (self.members, self.hello_senders):
-            for host, received in list(table.items()):
-                last_received_ms = (
-                    received[1] if table is self.hello_senders else received
-                )
-                if now_ms - last_received_ms > MEMBER_TTL_MS:
-                    del table[host]
+        addresses = dict(self.settings.seeds)
+        for seed, hello in self.membership.on_tick(addresses, now_ms):
+            self._send(encode_message(hello), (seed, addresses[seed]))
 
     def broadcast(self, message):
         """Send a message to every member.
@@ -99,25 +94,13 @@
     def _on_message(self, message, host):
         now_ms = self.loop.clock()
         if isinstance(message, Hello):
-            self._on_hello(message, host, now_ms)
+            for reply in self.membership.on_hello(message, host, now_ms):
+                self._send(encode_message(reply), (host, self._port))
         elif isinstance(message, Members):
-            for member in message.hosts:
-                if member != self.settings.host:
-                    self.members[member] = now_ms
+            for member, joined in self.membership.on_members(message, host, now_ms):
+                self._send(encode_message(joined), (member, self._port))
+        elif isinstance(message, Joined):
+            self.membership.on_joined(message, host, now_ms)
         elif isinstance(message, Beacon | DealtAnew | Delta | Verdict):
-            self.members[host] = now_ms
+            self.membership.on_message(host, now_ms)
             self.on_message(message, host)
-
-    def _on_hello(self, hello, host, now_ms):
-        self.hello_senders[host] = (hello.data_centre, now_ms)
-        if hello.data_centre == self.settings.data_centre:
-            self.members[host] = now_ms
-        hosts = [
-            sender
-            for sender, (data_centre, _) in self.hello_senders.items()
-            if data_centre == hello.data_centre and sender != host
-        ]
-        if hello.data_centre == self.settings.data_centre:
-            hosts.append(self.settings.host)
-        data = encode_message(Members(hosts[-MAX_MEMBERS_PER_MESSAGE:]))
-        self._send(data, (host, self._port))
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -81,7 +81,11 @@
             random=random,
         )
         self.peers = Peers(
-            self.loop, settings, metrics=self.metrics, on_message=self._on_message
+            self.loop,
+            settings,
+            random=random,
+            metrics=self.metrics,
+            on_message=self._on_message,
         )
         self.store_reader = StoreReader(
             self.loop,
