Configuration: readers send changes to the members in datagrams

Cause: after a change each member waits for a beacon (up to 300 ms) and a jitter that grows with the members (250 ms and 8 ms each) before it fetches the whole configuration, so that a reader on a small link isn't overrun.

Change: the reader sends the changed routes, in parts, as soon as it has them; members apply them to the version that they follow. Larger changes, and what was lost, are fetched as before. Parts of all messages are put together in one place.

--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -1,6 +1,11 @@
 """Decisions of a packet balancer, free of I/O, clocks and wire formats."""
 
 from ._balancer import STALE_SYN_MS, Balancer
+from ._configuration_delta import (
+    ConfigurationDelta,
+    ConfigurationDeltas,
+    configuration_delta,
+)
 from ._cookie import NO_COOKIE, target_cookie
 from ._effects import DealtAnew, FlowReset, LogEvent
 from ._health import (
@@ -58,6 +63,8 @@
     "Balancer",
     "Beacon",
     "Configuration",
+    "ConfigurationDelta",
+    "ConfigurationDeltas",
     "DealtAnew",
     "Delta",
     "Drop",
@@ -82,5 +89,6 @@
     "Target",
     "Verdict",
     "Watch",
+    "configuration_delta",
     "target_cookie",
 ]
--- a/libs/flows/src/lagoontally_flows/_membership.py
+++ b/libs/flows/src/lagoontally_flows/_membership.py
@@ -9,6 +9,8 @@
 
 from lagoontally_lean import Record
 
+from ._parts import PartCollector
+
 HELLO_INTERVAL_MS = 2_000
 HELLO_INTERVAL_PER_SENDER_MS = 50  # a seed answers at most 20 a second
 MAX_HELLO_INTERVAL_MS = 60_000  # bounds what a faulty reply can set
@@ -124,7 +126,7 @@
         self.epoch = 0
         self.generation = UNKNOWN_GENERATION
         self.hosts = set()
-        self._parts = {}
+        self._parts = PartCollector()
 
     def apply(self, message):
         """Apply a ``Members`` message."""
@@ -134,16 +136,16 @@
                 self.hosts.update(message.hosts)
                 self.generation = message.generation
             return
-        reply = (message.epoch, message.generation, message.parts)
-        if reply not in self._parts:
-            self._parts = {reply: {}}
-        parts = self._parts[reply]
-        parts[message.part] = message.hosts
         self.hosts.update(message.hosts)
-        if len(parts) == message.parts:
-            self.hosts = {host for hosts in parts.values() for host in hosts}
+        hosts = self._parts.add(
+            (message.epoch, message.generation, message.parts),
+            part=message.part,
+            parts=message.parts,
+            items=message.hosts,
+        )
+        if hosts is not None:
+            self.hosts = set(hosts)
             self.epoch, self.generation = message.epoch, message.generation
-            self._parts = {}
 
 
 class Membership:
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -6,6 +6,7 @@
 reader has lost the store. Each balancer reads once at its start, to serve at once.
 """
 
+from ._parts import PartCollector
 from ._store_sync_records import (
     Beacon,
     Delta,
@@ -32,7 +33,6 @@
 FETCH_JITTER_PER_ROUTE_MEMBER_MS = 0.3
 MAX_ROUTES_FROM_READER = 3_000  # times members; takes a second, see above
 FETCH_RETRY_MS = 300
-MAX_PARTIAL_DELTAS = 16  # from a few readers; dropped changes are fetched later
 BEACON_INTERVAL_MS = 300
 
 
@@ -87,7 +87,7 @@
         self._next_call_ms = 0
         self._takeover_ms = 0
         self._targets_outdated = False
-        self._parts = {}
+        self._parts = PartCollector()
         self._next_beacon_ms = 0
 
     def next_call(self, now_ms):
@@ -199,11 +199,10 @@
             return None
         # Each reader splits changes in its own way, so parts of two don't combine.
         delta_id = (delta.reader, delta.previous, delta.revision, delta.parts)
-        if len(self._parts) > MAX_PARTIAL_DELTAS:
-            self._parts.clear()
-        parts = self._parts.setdefault(delta_id, {})
-        parts[delta.part] = delta.entries
-        if len(parts) < delta.parts:
+        entries = self._parts.add(
+            delta_id, part=delta.part, parts=delta.parts, items=delta.entries
+        )
+        if entries is None:
             return None
         self._parts.clear()
         self.view_revision = delta.revision
@@ -211,7 +210,7 @@
         if delta.configuration_version <= self.configuration_version:
             known_revision = min(delta.revision, delta.known_revision)
             self.revision = max(self.revision, known_revision)
-        return [entry for part in sorted(parts) for entry in parts[part]]
+        return entries
 
     def on_beacon(self, beacon, host, now_ms):
         """Handle the beacon of a reader in this data centre."""
--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -45,11 +45,25 @@
       | ["Hello", "tifton"] |
       | ["Hello", 5, 1, 1] |
       | ["Joined", 5] |
+      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, ["r", [], true]]]] |
+      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, ["r", [["a", "x"]], true]]]] |
+      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, 5]]] |
+      | ["ConfigurationDelta", 1, 2, 0, 0, 1, []] |
+      | ["ConfigurationDelta", 1, 2, 5000, 3, 2, []] |
       | ["Beacon", 1, 2]                   |
 
   Scenario: Every reply to a hello fits into a datagram
     Then the longest parts of a list of 200 members are encoded
 
+  Scenario Outline: Every part of a change of the configuration fits into a datagram
+    Then each part of a change of <count> routes is encoded
+
+    Examples:
+      | count |
+      | 0     |
+      | 1     |
+      | 64    |
+
   Scenario: Hosts that are not IP addresses are ignored
     When the message ["Members", 1, 1, true, 0, 1, 2000, ["10.0.0.1", "a..b", "localhost", 5], ["b.c"]] arrives
     Then it lists the hosts 10.0.0.1
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -9,17 +9,23 @@
 
 from lagoontally_flows import (
     Beacon,
+    ConfigurationDelta,
     DealtAnew,
     Delta,
     Hello,
     Joined,
     Members,
     Membership,
+    Route,
     Target,
     Verdict,
     target_cookie,
 )
-from lagoontally_forwarder._messages import decode_message, encode_message
+from lagoontally_forwarder._messages import (
+    decode_message,
+    encode_message,
+    split_configuration_delta,
+)
 
 NAME = bytes.fromhex("000000007f3a91c2")
 TARGET = Target(
@@ -32,6 +38,17 @@
     Members(7, 3, False, 0, 1, 2_000, ["10.0.0.1", "10.0.0.2"], ["10.0.0.3"]),
     Beacon(3, 10, 9, 2, 13, 40, True),
     DELTA,
+    ConfigurationDelta(
+        4,
+        7,
+        15_000,
+        0,
+        1,
+        [
+            ((3_323_068_417, 8_443), Route("r-1", (("desk", 9), ("vault", 1)), True)),
+            ((3_323_068_417, 8_080), None),
+        ],
+    ),
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
     DealtAnew(),
@@ -86,6 +103,20 @@
     assert set(hosts) <= listed, set(hosts) - listed
 
 
+@then("each part of a change of {count:d} routes is encoded")
+def step_long_change(context, count):
+    """Routes with long names and two services each."""
+    shares = (("a-service-with-a-name", 90), ("another-long-service", 10))
+    routes = [
+        ((4_294_967_295, n), Route(f"route-{n:06}", shares, True)) for n in range(count)
+    ]
+    delta = ConfigurationDelta(2**31, 2**31 + 1, 600_000, 0, 1, routes)
+    parts = split_configuration_delta(delta)
+    decoded = [decode_message(encode_message(part)) for part in parts]
+    assert decoded == parts
+    assert [route for part in parts for route in part.routes] == routes
+
+
 @when("hypothesis generates {count:d} messages of random fields")
 def step_fuzz(context, count):
     """Generate a message type and arbitrary fields."""
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -5,11 +5,13 @@
 
 from lagoontally_flows import (
     Beacon,
+    ConfigurationDelta,
     DealtAnew,
     Delta,
     Hello,
     Joined,
     Members,
+    Route,
     Target,
     Verdict,
     target_cookie,
@@ -23,6 +25,7 @@
 DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError, OverflowError)
 MAX_VERDICT_AGE_MS = 60_000  # longest flow lifetime that the platform guarantees
 MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
+MAX_ROUTES_PER_DELTA = 8  # a route takes about 70 bytes, with two services 100
 MAX_PARTS = 256  # of a list of members
 
 
@@ -67,24 +70,55 @@
 
 
 def split_delta(delta):
-    """Split a delta into parts that fit into datagrams."""
-    starts = range(0, len(delta.entries), MAX_ENTRIES_PER_DELTA)
+    """Split a ``Delta`` into parts that fit into datagrams."""
+    return _split(delta, "entries", MAX_ENTRIES_PER_DELTA)
+
+
+def split_configuration_delta(delta):
+    """Split a ``ConfigurationDelta`` into parts that fit into datagrams."""
+    return _split(delta, "routes", MAX_ROUTES_PER_DELTA)
+
+
+def _split(delta, field, size):
+    items = getattr(delta, field)
+    starts = range(0, max(len(items), 1), size)
     return [
         delta._replace(
-            part=part,
-            parts=len(starts),
-            entries=delta.entries[start : start + MAX_ENTRIES_PER_DELTA],
+            part=part, parts=len(starts), **{field: items[start : start + size]}
         )
         for part, start in enumerate(starts)
     ]
 
 
+def encode_route(route):
+    """Return a route as a JSON array, or None for None."""
+    return route and list(route)
+
+
+def decode_route(document):
+    """Return the route in a document that ``encode_route`` made.
+
+    Raises:
+        ValueError, TypeError, OverflowError: It isn't a valid route.
+    """
+    if document is None:
+        return None
+    name, shares, repeatable = document
+    decoded = tuple((str(service), int(weight)) for service, weight in shares)
+    if not decoded:
+        raise ValueError("a route has no service")
+    return Route(str(name), decoded, bool(repeatable))
+
+
 def encode_message(message):
     """Return a message as a datagram, None if it is too long for one."""
     name = type(message).__name__
     if isinstance(message, Delta):
         entries = [[key, encode_target(target)] for key, target in message.entries]
         message = message._replace(entries=entries)
+    elif isinstance(message, ConfigurationDelta):
+        routes = [[*key, encode_route(route)] for key, route in message.routes]
+        message = message._replace(routes=routes)
     data = dumps([name, *message]).encode()
     return data if len(data) <= MAX_MESSAGE_BYTES else None
 
@@ -142,6 +176,19 @@
     return Delta(*map(int, numbers), decoded)
 
 
+def _decode_configuration_delta(fields):
+    previous, version, idle_timeout_ms, part, parts, routes = fields
+    if not 0 <= part < parts <= MAX_PARTS or idle_timeout_ms <= 0:
+        raise ValueError("a part or a time-out is out of range")
+    decoded = [
+        ((int(address), int(port)), decode_route(route))
+        for address, port, route in routes
+    ]
+    return ConfigurationDelta(
+        int(previous), int(version), int(idle_timeout_ms), part, parts, decoded
+    )
+
+
 def _decode_verdict(fields):
     cookie, dead, evidence, age_ms = fields
     if not 0 <= age_ms <= MAX_VERDICT_AGE_MS:
@@ -154,6 +201,7 @@
     "Joined": _decode_joined,
     "Members": _decode_members,
     "Beacon": _decode_beacon,
+    "ConfigurationDelta": _decode_configuration_delta,
     "Delta": _decode_delta,
     "Verdict": _decode_verdict,
     "DealtAnew": lambda _fields: DealtAnew(),
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -2,6 +2,7 @@
 
 from lagoontally_flows import (
     Beacon,
+    ConfigurationDelta,
     DealtAnew,
     Delta,
     Hello,
@@ -16,6 +17,7 @@
 
 MAX_MESSAGES_PER_READ = 64
 RECEIVE_BYTES = 2_048
+STATE_MESSAGES = (Beacon, ConfigurationDelta, DealtAnew, Delta, Verdict)
 EPOCH_BITS = 31
 
 
@@ -27,8 +29,7 @@
         settings: The ``Settings``.
         random: Random number generator.
         metrics: The ``Metrics``.
-        on_message: Called with a ``Beacon``, ``DealtAnew``, ``Delta`` or ``Verdict``
-            and the sender's host.
+        on_message: Called with one of ``STATE_MESSAGES`` and the sender's host.
 
     Attributes:
         membership: The ``Membership``.
@@ -101,6 +102,6 @@
                 self._send(encode_message(joined), (member, self._port))
         elif isinstance(message, Joined):
             self.membership.on_joined(message, host, now_ms)
-        elif isinstance(message, Beacon | DealtAnew | Delta | Verdict):
+        elif isinstance(message, STATE_MESSAGES):
             self.membership.on_message(host, now_ms)
             self.on_message(message, host)
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -15,6 +15,7 @@
     UNANSWERED,
     Balancer,
     Beacon,
+    ConfigurationDelta,
     DealtAnew,
     Delta,
     FlowReset,
@@ -185,6 +186,8 @@
             self.store_sync.on_beacon(message, host, time_ms)
         elif isinstance(message, Delta):
             self.store_reader.on_delta(message, time_ms)
+        elif isinstance(message, ConfigurationDelta):
+            self.store_reader.on_configuration_delta(message)
         elif isinstance(message, DealtAnew):
             self.balancer.on_flows_rehashed(time_ms)
         elif isinstance(message, Verdict):
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -1,11 +1,13 @@
 """Makes the calls that ``StoreSync`` decides on and handles their responses."""
 
 from lagoontally_flows import (
+    ConfigurationDeltas,
     FetchConfiguration,
     FetchTargets,
     ListTargets,
     ReadConfiguration,
     Watch,
+    configuration_delta,
 )
 from lagoontally_platform import (
     ALL_KEYS_PREFIX,
@@ -21,7 +23,7 @@
 )
 
 from ._http_client import HttpClient, HttpFailure
-from ._messages import split_delta
+from ._messages import split_configuration_delta, split_delta
 from ._view_document import decode_configuration, decode_targets
 
 CALL_TIMEOUT_MS = 1_200  # a slow store takes 250 ms
@@ -53,6 +55,7 @@
         self.store = HttpClient(loop, settings.store_address)
         self._peer_port = settings.peer_address[1]
         self._peer_client = None
+        self._configuration_deltas = ConfigurationDeltas()
         self._pages = {}
         self._page_revision = None
         self._may_be_old = False
@@ -105,6 +108,12 @@
         if entries is not None:
             self.balancer.on_entries(entries, now_ms)
 
+    def on_configuration_delta(self, delta):
+        """Handle a change of the configuration that a reader sent."""
+        current = self.balancer.configuration
+        configuration = self._configuration_deltas.apply(current, delta)
+        self._apply_configuration(configuration, "delta")
+
     def _get_page(self, after):
         path = page_path(ENTRY_PREFIX, after, may_be_old=self._may_be_old)
         self._get(path, CALL_TIMEOUT_MS, self._on_page)
@@ -174,6 +183,15 @@
         for part in split_delta(self.store_sync.delta(previous, changes)):
             self.peers.broadcast(part)
 
+    def _announce_configuration(self, previous, configuration):
+        """Send a change to the members if this balancer is the reader."""
+        if not self.store_sync.reader:
+            return
+        delta = configuration_delta(previous, configuration)
+        if delta is not None:
+            for part in split_configuration_delta(delta):
+                self.peers.broadcast(part)
+
     def _on_changes(self, result):
         now_ms = self.loop.clock()
         if not isinstance(result, HttpFailure) and result.status == HISTORY_GONE:
@@ -235,7 +253,10 @@
     def _apply_configuration(self, configuration, source):
         if configuration is None:
             return
+        previous = self.balancer.configuration
         if self.balancer.configure(configuration):
+            if source == "store":
+                self._announce_configuration(previous, configuration)
             routes = len(configuration.routes)
             self.log.line(
                 "configuration_in_force",
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -1,9 +1,15 @@
 """JSON documents of targets and configuration, for peers that missed updates."""
 
-from lagoontally_flows import Configuration, Route
+from lagoontally_flows import Configuration
 from lagoontally_lean import Record, dumps, loads
 
-from ._messages import DECODE_ERRORS, decode_target, encode_target
+from ._messages import (
+    DECODE_ERRORS,
+    decode_route,
+    decode_target,
+    encode_route,
+    encode_target,
+)
 
 
 class TargetsCopy(Record, fields="revision entries"):
@@ -38,7 +44,8 @@
 def encode_configuration(configuration):
     """Return the document of a configuration as bytes."""
     routes = [
-        [*destination, *route] for destination, route in configuration.routes.items()
+        [*destination, *encode_route(route)]
+        for destination, route in configuration.routes.items()
     ]
     return _encode(
         {
@@ -54,8 +61,8 @@
     try:
         document = loads(body)
         routes = {
-            (address, port): Route(name, _decode_shares(shares), bool(repeatable))
-            for address, port, name, shares, repeatable in document["routes"]
+            (address, port): decode_route(route)
+            for address, port, *route in document["routes"]
         }
         version, idle_ms = int(document["version"]), int(document["idle_timeout_ms"])
         return Configuration(version, routes, idle_ms)
@@ -65,7 +72,3 @@
 
 def _encode(document):
     return dumps(document).encode()
-
-
-def _decode_shares(shares):
-    return tuple((str(service), int(weight)) for service, weight in shares)
