Store eras: follow a store that comes back from an older copy

Cause: positions in the store's history were bare revisions. When the store comes back from a copy, revisions fall and are given out again: followers at a higher revision ignored the reader's deltas and beacons, and a reader whose revision had been given out again went on in the middle of the new history.

Change: a position is an era and a revision, compared in that order, in calls, answers, beacons, deltas and peers' copies. Each response of the store names its era; responses of an older era, and to calls made before an era ended, are void. The reader lists the new history once, and its delta leads the members from one era to the other. Versions of the configuration never fall. The waits and the election of the reader are modules of their own.

Responses may take as long as their bytes keep arriving, 10 s at most: a listing of thousands of targets on a link that all balancers use at once began again and again.

Stand-in store, soak and soak mutations know restores.

--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -3,6 +3,8 @@
 from random import Random
 
 from lagoontally_flows import (
+    BEGAN,
+    CURRENT,
     FetchConfiguration,
     FetchTargets,
     ListTargets,
@@ -17,11 +19,17 @@
 TIMEOUT_MS = 1_200
 
 
+# Attributes of a store that a restore brings back.
+COPIED = ("revision", "targets", "targets_revision", "version", "version_revision")
+
+
 class Store:
     """The platform's store.
 
     Attributes:
         revision: Increases with each change.
+        era: Incremented by each restore.
+        targets: Identifies the state of the targets.
         targets_revision: Revision of the last change of targets.
         version: Version of the newest configuration.
         version_revision: Revision of its change.
@@ -34,7 +42,10 @@
     """
 
     def __init__(self):
+        self.era = 1
         self.revision = 10
+        self.targets = 0
+        self.last_targets = 0
         self.targets_revision = 10
         self.version = 1
         self.version_revision = 10
@@ -44,6 +55,29 @@
         self.calls = 0
         self.billed_calls = 0.0
 
+    def change_targets(self):
+        """Change the listed targets to a state that never was before."""
+        self.revision += 1
+        self.last_targets += 1
+        self.targets = self.last_targets
+        self.targets_revision = self.revision
+
+    def change_configuration(self, version):
+        """Write a configuration."""
+        self.revision += 1
+        self.version = version
+        self.version_revision = self.revision
+
+    def copy(self):
+        """Return a copy of what a restore brings back."""
+        return {name: getattr(self, name) for name in COPIED}
+
+    def restore(self, copy):
+        """Return to a copy and begin a new era."""
+        for name, value in copy.items():
+            setattr(self, name, value)
+        self.era += 1
+
 
 class Balancer:
     """One balancer: its ``StoreSync`` and its running call.
@@ -51,7 +85,8 @@
     Attributes:
         store_sync: The ``StoreSync``.
         pending: The running call and when it ends, None without one.
-        targets_revision: Revision of its targets, None before the first.
+        targets: The state of the targets that it knows, None before the first.
+        calls: Number of calls to the store.
         version: The configuration in force.
         alive: Whether its process runs.
     """
@@ -60,7 +95,9 @@
         self.name = name
         self.store_sync = StoreSync(priority=priority, random=Random(seed))
         self.pending = None
-        self.targets_revision = None
+        self.targets = None
+        self.calls = 0
+        self.endings = 0
         self.version = 0
         self.alive = True
 
@@ -97,14 +134,11 @@
 
     def change_targets(self):
         """Change the listed targets."""
-        self.store.revision += 1
-        self.store.targets_revision = self.store.revision
+        self.store.change_targets()
 
     def change_configuration(self):
         """Publish a new configuration."""
-        self.store.revision += 1
-        self.store.version += 1
-        self.store.version_revision = self.store.revision
+        self.store.change_configuration(self.store.version + 1)
 
     def _tick(self, balancer):
         store_sync = balancer.store_sync
@@ -125,7 +159,7 @@
                     other.store_sync.on_beacon(beacon, balancer.name, self.now_ms)
 
     def _has_changes(self, call):
-        return isinstance(call, Watch) and self.store.revision > call.revision
+        return isinstance(call, Watch) and self.store.revision != call.revision
 
     def _begin(self, balancer):
         call = balancer.store_sync.next_call(self.now_ms)
@@ -135,6 +169,8 @@
             balancer.pending = (call, self.now_ms + PEER_LATENCY_MS, False)
             return
         self.store.calls += 1
+        balancer.calls += 1
+        balancer.endings = balancer.store_sync.history.endings
         self.store.billed_calls += 0.1 if getattr(call, "may_be_old", False) else 1.0
         wait_ms = call.wait_ms if isinstance(call, Watch) else 0
         answered = balancer.name not in self.store.unreachable_from
@@ -149,55 +185,70 @@
             self._configure(balancer, self._named(call.host).version)
         elif balancer.name in store.unreachable_from:
             store_sync.on_failure(self.now_ms)
+        elif self._is_void(balancer, call):
+            return
         elif isinstance(call, ListTargets):
             old = call.may_be_old and store.stale_revision is not None
             revision = store.stale_revision if old else store.revision
-            known, previous = balancer.targets_revision, store_sync.view_revision
-            changed = store.targets_revision
-            balancer.targets_revision = None if changed > revision else changed
+            known, previous = balancer.targets, store_sync.history.view
+            hidden = store.targets_revision > revision
+            balancer.targets = None if hidden else store.targets
             store_sync.on_listed(
                 revision,
                 self.now_ms,
-                targets_changed=balancer.targets_revision != known,
+                targets_changed=balancer.targets != known,
                 may_be_old=call.may_be_old,
             )
-            if balancer.targets_revision != known:
-                self._send_delta(balancer, previous)
+            self._send_delta(balancer, previous)
         elif isinstance(call, ReadConfiguration):
             self._configure(balancer, store.version)
             found = store.version > 0
             store_sync.on_configuration_read(store.revision, self.now_ms, found=found)
-        elif call.revision < store.forgotten:
+        elif not store.forgotten <= call.revision <= store.revision:
             store_sync.on_history_gone(self.now_ms)
         else:
             self._on_changes(balancer, call)
 
     def _on_changes(self, balancer, call):
         store_sync, store = balancer.store_sync, self.store
-        previous = store_sync.view_revision
+        previous = store_sync.history.view
         changed = store.targets_revision > call.revision
         if store.version_revision > call.revision:
             self._configure(balancer, store.version)
         store_sync.on_changes(store.revision, self.now_ms, targets_changed=changed)
         if not changed:
             return
-        balancer.targets_revision = store.targets_revision
+        balancer.targets = store.targets
         self._send_delta(balancer, previous)
 
     def _send_delta(self, balancer, previous):
-        if not balancer.store_sync.reader:
+        store_sync = balancer.store_sync
+        if not store_sync.reader or store_sync.history.view == previous:
             return
-        delta = balancer.store_sync.delta(previous, ())
+        delta = store_sync.delta(previous, ())
         for other in self.living():
-            lost = other is balancer or other.name in self.lost
-            if not lost and other.store_sync.on_delta(delta) is not None:
-                other.targets_revision = balancer.targets_revision
+            if other is not balancer and other.name not in self.lost:
+                self._deliver_delta(other, delta, balancer.targets)
         self.lost.clear()
 
+    def _deliver_delta(self, balancer, delta, targets):
+        if balancer.store_sync.on_delta(delta, self.now_ms) is not None:
+            balancer.targets = targets
+
+    def _is_void(self, balancer, call):
+        """Note the era of a response as the process does."""
+        history = balancer.store_sync.history
+        requested_before = balancer.endings != history.endings
+        found = balancer.store_sync.on_era(self.store.era, self.now_ms)
+        may_begin_era = not isinstance(call, Watch)
+        valid = found == CURRENT or (found == BEGAN and may_begin_era)
+        return requested_before or not valid
+
     def _on_targets(self, balancer, host):
         peer = self._named(host)
-        if peer.alive and balancer.store_sync.on_targets(peer.store_sync.view_revision):
-            balancer.targets_revision = peer.targets_revision
+        position = peer.store_sync.history.view
+        if peer.alive and balancer.store_sync.on_targets(position, self.now_ms):
+            balancer.targets = peer.targets
 
     def _configure(self, balancer, version):
         if version > balancer.version:
--- a/libs/flows/features/steps/store_sync_steps.py
+++ b/libs/flows/features/steps/store_sync_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from fleet import Balancer, Fleet
 
-from lagoontally_flows import Delta, StoreSync
+from lagoontally_flows import Delta, Position, StoreSync
 
 
 @given("{count:d} balancers that have run for {duration_ms:d} ms")
@@ -151,8 +151,8 @@
 @then("every balancer knows the targets")
 def step_all_show(context):
     """No view is outdated."""
-    newest = context.fleet.store.targets_revision
-    old = [one.name for one in context.fleet.living() if one.targets_revision != newest]
+    newest = context.fleet.store.targets
+    old = [one.name for one in context.fleet.living() if one.targets != newest]
     assert not old, old
 
 
@@ -184,6 +184,7 @@
 def step_follower(context, revision):
     """A follower that has listed them."""
     context.store_sync = StoreSync(priority=9, random=Random(1))
+    context.store_sync.on_era(1, 0)
     context.store_sync.on_listed(revision, 0, targets_changed=True)
     context.applied = []
 
@@ -191,10 +192,11 @@
 @when("part {part:d} of {parts:d} of reader {reader:d} for {revision:d} arrives")
 def step_part(context, part, parts, reader, revision):
     """Each reader splits its changes in its own way."""
-    previous = context.store_sync.view_revision
+    previous = context.store_sync.history.view
+    position = Position(1, revision, 0)
     entry = (f"{reader}-{part}", None)
-    delta = Delta(reader, previous, revision, revision, 0, part, parts, [entry])
-    context.applied += context.store_sync.on_delta(delta) or []
+    delta = Delta(reader, previous, position, position, 0, part, parts, [entry])
+    context.applied += context.store_sync.on_delta(delta, 0) or []
 
 
 @then("{entries} are applied")
@@ -207,9 +209,8 @@
 @then("its targets are those of revision {revision:d}")
 def step_revision(context, revision):
     """The revision covers only applied changes."""
-    assert context.store_sync.view_revision == revision, (
-        context.store_sync.view_revision
-    )
+    view = context.store_sync.history.view
+    assert view == Position(1, revision, 0), view
 
 
 @when("both change and the store loses its history before it reports that")
@@ -228,7 +229,7 @@
     fleet = context.fleet
     (reader,) = fleet.readers()
     others = [one for one in fleet.living() if one is not reader]
-    while any(one.targets_revision < fleet.store.revision for one in others):
+    while any(one.targets != fleet.store.targets for one in others):
         fleet.run(20)
     assert reader.version < fleet.store.version, "the reader was too fast"
     reader.alive = False
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -1,6 +1,7 @@
 """Decisions of a packet balancer, free of I/O, clocks and wire formats."""
 
 from ._balancer import STALE_SYN_MS, Balancer
+from ._call_timing import SLOW_LINK_MBPS
 from ._configuration_delta import (
     ConfigurationDelta,
     ConfigurationDeltas,
@@ -32,7 +33,15 @@
     Route,
     Target,
 )
-from ._store_sync import SLOW_LINK_MBPS, StoreSync
+from ._store_history import (
+    ALL_CHANGES,
+    BEGAN,
+    CURRENT,
+    ENDED,
+    ListingRules,
+    Position,
+)
+from ._store_sync import StoreSync
 from ._store_sync_records import (
     Beacon,
     Delta,
@@ -45,6 +54,12 @@
 from ._stuck_targets import ANSWERED, STUCK, THIS_BALANCER, UNANSWERED
 
 __all__ = [
+    "Position",
+    "ListingRules",
+    "ENDED",
+    "CURRENT",
+    "BEGAN",
+    "ALL_CHANGES",
     "ACCEPTED",
     "ACK",
     "ANSWERED",
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -12,6 +12,7 @@
 from ._half_open_flows import HalfOpenFlows
 from ._health import LONG_AGO_MS, Health
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
+from ._store_history import ALL_CHANGES
 from ._stuck_flow_resets import reset_flows, should_reset_flows
 from ._stuck_targets import ANSWERED, STUCK, UNANSWERED, StuckTargets
 from ._target_selector import TargetSelector
@@ -146,13 +147,13 @@
         for key, target in changes:
             self._on_entry(key, target, now_ms)
 
-    def on_listing(self, entries, now_ms):
-        """Handle a complete listing: ``Target`` by key.
+    def on_listing(self, entries, now_ms, rules=ALL_CHANGES):
+        """Handle a complete listing: ``Target`` by key, and its ``ListingRules``.
 
         Returns:
             The changes, in the form that ``on_entries`` accepts.
         """
-        changes = self.view.changes_to(entries)
+        changes = self.view.changes_to(entries, rules)
         self.on_entries(changes, now_ms)
         return changes
 
--- a/libs/flows/src/lagoontally_flows/_store_sync_records.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync_records.py
@@ -45,19 +45,21 @@
 
 class Beacon(
     Record,
-    fields="priority revision known_revision configuration_version routes"
-    " contact_age_ms reachable",
+    fields="priority view known configuration_version routes contact_age_ms"
+    " reachable settling",
 ):
     """State that a reader announces to the other balancers of its data centre.
 
     Attributes:
         priority: Priority of the reader; of several readers the lowest continues.
-        revision: Revision of the store at which its view last changed.
-        known_revision: Revision up to which it knows both targets and configuration.
+        view: ``Position`` of the store at which its view last changed.
+        known: ``Position`` up to which it knows both targets and configuration.
         configuration_version: Version of the newest configuration it knows.
         routes: Number of routes in that configuration.
         contact_age_ms: How long ago the store last answered it.
         reachable: Whether its last call was answered.
+        settling: Whether the store came back from a copy that may still list targets
+            as they were before.
     """
 
     __slots__ = ()
@@ -65,17 +67,16 @@
 
 class Delta(
     Record,
-    fields="reader previous revision known_revision configuration_version"
-    " part parts entries",
+    fields="reader previous position known configuration_version part parts entries",
 ):
-    """Entries that changed between two revisions of the store.
+    """Entries that changed between two positions of the store.
 
     Attributes:
         reader: Priority of the reader, which identifies it.
-        previous: Revision of the previous change of the reader's targets.
-        revision: Revision of this change.
-        known_revision: Revision up to which the reader knows the configuration too;
-            a listing contains only targets.
+        previous: ``Position`` of the previous change of the reader's targets.
+        position: ``Position`` of this change.
+        known: ``Position`` up to which the reader knows the configuration too; a
+            listing contains only targets.
         configuration_version: Newest configuration known to the reader.
         part: Index of this part, from 0.
         parts: Number of parts that the changes are split into.
--- a/libs/flows/src/lagoontally_flows/_view.py
+++ b/libs/flows/src/lagoontally_flows/_view.py
@@ -2,6 +2,8 @@
 
 from lagoontally_lean import Record
 
+from ._store_history import ALL_CHANGES
+
 DELISTED_RETENTION_MS = 60_000  # longest life of a flow that the platform promises
 RECOVERY_MS = 2_000  # live targets are listed again this soon after an outage
 RECOVERY_NOTICE_MS = 500  # a listing may precede the notice of the recovery
@@ -73,21 +75,48 @@
         self.generation += 1
         return before
 
-    def changes_to(self, entries):
+    def changes_to(self, entries, rules=ALL_CHANGES):
         """Return the changes that lead to a listing: pairs of a key and a target.
 
-        The target is None where the entry is removed.
+        The target is None where the entry is removed. A target that is leaving stays
+        so: it never takes that back, and a listing may be older than its word.
 
         Args:
             entries: ``Target`` by key.
+            rules: The ``ListingRules``.
         """
-        missing = [(key, None) for key in self.targets if key not in entries]
+        missing = []
+        if not rules.keep_missing:
+            missing = [(key, None) for key in self.targets if key not in entries]
         listed = [
-            (key, target)
+            (key, self._with_known_state(target))
             for key, target in entries.items()
-            if self.targets.get(key) != target
+            if not (rules.refuse_delisted and target.cookie in self.delisted)
+        ]
+        return missing + [
+            (key, target) for key, target in listed if self.targets.get(key) != target
+        ]
+
+    def leaving_changes(self, entries):
+        """Return the changes for listed targets that a peer knows to be leaving.
+
+        Args:
+            entries: The peer's ``Target`` by key, which may be older than this view.
+        """
+        return [
+            (key, target._replace(leaving=True))
+            for key, target in self.targets.items()
+            if key in entries
+            and entries[key].cookie == target.cookie
+            and entries[key].leaving
+            and not target.leaving
         ]
-        return missing + listed
+
+    def _with_known_state(self, target):
+        known = self.by_cookie.get(target.cookie)
+        if known is None or not known.leaving or target.leaving:
+            return target
+        return target._replace(leaving=True)
 
     def superseded_by(self, target):
         """Return the earlier target at the address of ``target``, None if none.
--- a/libs/forwarder/features/http.feature
+++ b/libs/forwarder/features/http.feature
@@ -15,3 +15,14 @@
   Scenario: A response is complete with its last byte
     When a response arrives byte by byte
     Then it is complete with its last byte
+
+  Scenario Outline: A response may take as long as its bytes keep arriving
+    When <size> bytes of a response arrive each <interval> ms
+    Then the request ends after <duration> ms with <result>
+
+    Examples:
+      | size    | interval | duration | result       |
+      | 100100  | 100      | 50       | the response |
+      | 25000   | 1000     | 4050     | the response |
+      | 25000   | 1500     | 1200     | timeout      |
+      | 500     | 100      | 10000    | timeout      |
--- a/libs/forwarder/features/process.feature
+++ b/libs/forwarder/features/process.feature
@@ -72,6 +72,37 @@
     When the store loses its history while a target is added
     Then new flows reach the added target within 4 s
 
+  Scenario Outline: Targets are followed after the store came back from an older copy
+    Given a running deployment
+    When the store comes back from a copy, 5 s old, after <lost>
+    And <writes> other items are written at once
+    And 6 s pass
+    Then new flows <result> within 1 s
+    When a target is added
+    Then new flows reach the added target within 4 s
+    And every balancer knows the targets and configuration within 3 s
+    And no flow of another target was reset
+
+    Examples:
+      | lost                      | writes | result                 |
+      | a target started to drain | 0      | avoid it               |
+      | a target started to drain | 200    | avoid it               |
+      | a target was added        | 0      | reach the added target |
+      | a target was added        | 200    | reach the added target |
+      | a target ended            | 0      | avoid it               |
+      | a target ended            | 200    | avoid it               |
+
+  Scenario: A configuration stays in force when the store comes back without it
+    Given a running deployment
+    When the store comes back from a copy, 5 s old, after a route was added
+    And a balancer is killed and restarted
+    Then flows to it are answered through every balancer within 3 s
+
+  Scenario: A leaving target gets no flows while the store's copy says that it is ready
+    Given a running deployment
+    When the store comes back from a copy, 5 s old, after a target started to drain
+    Then no flow reaches it in the next 4 s
+
   Scenario: Entries are read from several pages of the store
     Given a running deployment with 120 invalid entries
     When 20 flows send a request
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -16,6 +16,7 @@
     Joined,
     Members,
     Membership,
+    Position,
     Route,
     Target,
     Verdict,
@@ -31,12 +32,14 @@
 TARGET = Target(
     NAME, 5, target_cookie(NAME, 5), ("10.0.0.1", 80), "tifton", "desk", 2, False, 0
 )
-DELTA = Delta(3, 9, 10, 9, 2, 0, 1, [("servers/i-1", TARGET), ("servers/i-2", None)])
+VIEW, KNOWN = Position(2, 10, 1), Position(2, 9, 0)
+ENTRIES = [("servers/i-1", TARGET), ("servers/i-2", None)]
+DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES)
 MESSAGES = (
     Hello("tifton", 7, 2),
     Joined("tifton"),
     Members(7, 3, False, 0, 1, 2_000, ["10.0.0.1", "10.0.0.2"], ["10.0.0.3"]),
-    Beacon(3, 10, 9, 2, 13, 40, True),
+    Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False),
     DELTA,
     ConfigurationDelta(
         4,
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -10,10 +10,12 @@
 import sys
 import tempfile
 from pathlib import Path
+from random import Random
 
 from behave import given, then, when
 from fixtures import SETTINGS
 
+from lagoontally_flows import Target
 from lagoontally_standins.packets import (
     ANSWERING,
     BALANCER_PROGRAM,
@@ -29,6 +31,7 @@
 # The soak uses the networks above these, since both suites run at the same time.
 NETWORKS = (30 + (os.getpid() * 13 + n) % 100 for n in itertools.count())
 ANSWER_S = 4.0
+LOST_WRITES = 150
 LOCAL, OTHER = "tifton", "camilla"
 
 
@@ -208,7 +211,8 @@
 
 def add_target(context):
     """Add a target in the callers' data centre."""
-    context.added = context.deployment.add_target(0, "pivot-link", 10).identity
+    number = 10 + next(context.numbers) % 100
+    context.added = context.deployment.add_target(0, "pivot-link", number).identity
 
 
 @when("a route is added")
@@ -279,6 +283,109 @@
     context.deployment.store.forget_history()
 
 
+@when("the store comes back from a copy, {age_s:d} s old, after {lost}")
+def step_restored(context, age_s, lost):
+    """What happened since the copy was made is written again by its writers."""
+    deployment = context.deployment
+    deployment.loop.run_for(age_s)
+    context.flows = open_flows(context, 20)
+    request_all(context, context.flows)
+    if lost == "a target was added":
+        add_target(context)
+    elif lost == "a route was added":
+        step_route(context)
+    else:
+        context.leaving = context.flows[0].target
+        deployment.register(context.leaving, "draining")
+        if lost == "a target ended":
+            deployment.loop.run_for(3)
+            deployment.remove_target(context.leaving)
+    for number in range(LOST_WRITES):
+        deployment.store.put("other/key", {"number": number})
+    deployment.loop.run_for(1.2)
+    deployment.restore_store(Random(1), age_s=age_s - 0.5, away_s=0.5)
+    deployment.loop.run_for(0.5)
+
+
+@when("{count:d} other items are written at once")
+def step_other_items(context, count):
+    """Revisions that the store has given out before are given out again."""
+    for number in range(count):
+        context.deployment.store.put("other/key", {"number": number})
+
+
+@when("{duration_s:d} s pass")
+def step_pass(context, duration_s):
+    """Time passes."""
+    context.deployment.loop.run_for(duration_s)
+
+
+@then("no flow of another target was reset")
+def step_no_other_reset(context):
+    """A target that has ended may lose its flows."""
+    ended = getattr(context, "leaving", None)
+    resets = [flow for flow in context.flows if flow.resets and flow.target != ended]
+    assert not resets, resets
+
+
+@when("a target is added")
+def step_added(context):
+    """Its entry is written to the store."""
+    add_target(context)
+
+
+@then("no flow reaches it in the next {duration_s:d} s")
+def step_never(context, duration_s):
+    """New flows all the time."""
+    end = context.deployment.loop.now + duration_s
+    while context.deployment.loop.now < end:
+        flows = open_flows(context, 8)
+        request_all(context, flows)
+        assert context.leaving not in {flow.target for flow in flows}
+        context.deployment.loop.run_for(0.05)
+
+
+def fetch_targets(balancer):
+    """Return the entries that a balancer knows."""
+    with socket.create_connection((balancer.settings["host"], PEER_PORT), 3) as sock:
+        sock.sendall(b"GET /targets HTTP/1.1\r\nHost: x\r\n\r\n")
+        text = b""
+        while b"\r\n\r\n" not in text or not text.endswith(b"}"):
+            text += sock.recv(65_536)
+    return json.loads(text.partition(b"\r\n\r\n")[2])["targets"]
+
+
+@then("every balancer knows the targets and configuration within {timeout_s:d} s")
+def step_all_agree(context, timeout_s):
+    """Compare keys and states with the store's items."""
+    expected = {
+        (key, item.document["state"] == "draining")
+        for key, item in context.deployment.store.items.items()
+        if key.startswith("servers/")
+    }
+    leaving = Target._fields.index("leaving")
+
+    def differences():
+        found = {}
+        for name, balancer in context.deployment.balancers.items():
+            entries = fetch_targets(balancer)
+            known = {(key, entry[leaving]) for key, entry in entries.items()}
+            found[name] = known ^ expected
+        return found
+
+    agreed = context.deployment.loop.run_until(
+        lambda: not any(differences().values()), timeout_s
+    )
+    assert agreed, differences()
+    versions = {
+        line["version"]
+        for balancer in context.deployment.balancers.values()
+        for line in balancer.read_log()
+        if line["event"] == "configuration_in_force"
+    }
+    assert max(versions) == context.deployment.published["version"], versions
+
+
 @when("invalid data is written to the store and sent to every port")
 def step_invalid_data(context):
     store = context.deployment.store
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -13,11 +13,18 @@
 RECEIVE_BYTES = 65_536
 STATUS_DIGITS = 3
 MAX_LENGTH_DIGITS = 12  # ``int`` raises ValueError for thousands of digits
+MAX_TRANSFER_MS = 10_000  # of a response of which some bytes keep arriving
 MAX_BODY_BYTES = 8 << 20  # a store page is at most 1 MB encoded; peer views are smaller
 
 
-class HttpResponse(Record, fields="status body"):
-    """The response to a request."""
+class HttpResponse(Record, fields="status head body"):
+    """The response to a request.
+
+    Attributes:
+        status: Its status.
+        head: Its header lines as bytes, without the status line.
+        body: Its body as bytes.
+    """
 
     __slots__ = ()
 
@@ -43,7 +50,9 @@
         self._request = b""
         self._unsent = b""
         self._received = bytearray()
+        self._timeout_ms = None
         self._deadline_ms = None
+        self._transfer_end_ms = None
         self._on_done = None
         self._reused = False
 
@@ -57,13 +66,17 @@
 
         Args:
             path: Path and query.
-            timeout_ms: Time after which the request fails.
+            timeout_ms: Time without any byte of the response after which the request
+                fails. Many balancers that start at once share the store's link, and
+                to begin again would take longer.
             on_done: Called with the ``HttpResponse`` or ``HttpFailure``.
         """
         host, port = self.address
         head = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
         self._request = head.encode()
+        self._timeout_ms = timeout_ms
         self._deadline_ms = self.loop.clock() + timeout_ms
+        self._transfer_end_ms = None
         self._on_done = on_done
         self._reused = self._sock is not None
         self._start_request()
@@ -127,12 +140,21 @@
         if not self.busy:
             self.close()  # data without a request
             return
+        self._extend_deadline()
         response = parse_response(self._received)
         if isinstance(response, HttpFailure):
             self._fail(response.reason)
         elif response is not None:
             self._finish(response)
 
+    def _extend_deadline(self):
+        """Allow more time for a response that is arriving."""
+        now_ms = self.loop.clock()
+        if self._transfer_end_ms is None:
+            self._transfer_end_ms = now_ms + MAX_TRANSFER_MS
+        extended_ms = min(now_ms + self._timeout_ms, self._transfer_end_ms)
+        self._deadline_ms = max(self._deadline_ms, extended_ms)
+
     def _on_connection_lost(self, reason):
         """Fail the request, or retry it once if it reused an idle connection.
 
@@ -166,32 +188,44 @@
     if end < 0:
         too_long = len(received) > RECEIVE_BYTES
         return HttpFailure("the answer's head is too long") if too_long else None
-    lines = bytes(received[:end]).split(b"\r\n")
-    words = lines[0].split(b" ")
+    first_line, _, head = bytes(received[:end]).partition(b"\r\n")
+    words = first_line.split(b" ")
     if (
         len(words) < 2
         or not words[0].startswith(b"HTTP/1.")
         or not _is_status(words[1])
     ):
         return HttpFailure("the answer has no status line")
-    length = _content_length(lines[1:])
+    length = _content_length(head)
     if length is None or length > MAX_BODY_BYTES:
         return HttpFailure("the answer has no usable length")
     start = end + 4
     if len(received) < start + length:
         return None
-    return HttpResponse(int(words[1]), bytes(received[start : start + length]))
+    return HttpResponse(int(words[1]), head, bytes(received[start : start + length]))
 
 
 def _is_status(word):
     return len(word) == STATUS_DIGITS and word.isdigit()
 
 
-def _content_length(lines):
-    for line in lines:
-        name, _, value = line.partition(b":")
-        if name.strip().lower() == b"content-length":
-            value = value.strip()
-            usable = value.isdigit() and len(value) <= MAX_LENGTH_DIGITS
-            return int(value) if usable else None
+def header_value(head, name):
+    """Return the value of a header, None if it is missing.
+
+    Args:
+        head: Header lines as bytes.
+        name: Name of the header in lower case, as bytes.
+    """
+    for line in head.split(b"\r\n"):
+        found, _, value = line.partition(b":")
+        if found.strip().lower() == name:
+            return value.strip()
     return None
+
+
+def _content_length(head):
+    value = header_value(head, b"content-length")
+    if value is None:
+        return None
+    usable = value.isdigit() and len(value) <= MAX_LENGTH_DIGITS
+    return int(value) if usable else None
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -11,6 +11,7 @@
     Hello,
     Joined,
     Members,
+    Position,
     Route,
     Target,
     Verdict,
@@ -69,6 +70,18 @@
     )
 
 
+def decode_position(document):
+    """Return the ``Position`` in a JSON array.
+
+    Raises:
+        ValueError, TypeError, OverflowError: It isn't a valid position.
+    """
+    position = Position(*map(int, document))
+    if min(position) < 0:
+        raise ValueError("a position is negative")
+    return position
+
+
 def split_delta(delta):
     """Split a ``Delta`` into parts that fit into datagrams."""
     return _split(delta, "entries", MAX_ENTRIES_PER_DELTA)
@@ -166,14 +179,27 @@
 
 def _decode_beacon(fields):
     beacon = Beacon(*fields)
-    valid = all(isinstance(value, int) for value in beacon)
-    return beacon if valid else None
+    beacon = beacon._replace(
+        view=decode_position(beacon.view), known=decode_position(beacon.known)
+    )
+    numbers = (value for value in beacon if not isinstance(value, Position))
+    return beacon if all(isinstance(value, int) for value in numbers) else None
 
 
 def _decode_delta(fields):
-    *numbers, entries = fields
-    decoded = [(str(key), decode_target(target)) for key, target in entries]
-    return Delta(*map(int, numbers), decoded)
+    reader, previous, position, known, version, part, parts, entries = fields
+    if not 0 <= part < parts:
+        raise ValueError("a part is out of range")
+    return Delta(
+        int(reader),
+        decode_position(previous),
+        decode_position(position),
+        decode_position(known),
+        int(version),
+        int(part),
+        int(parts),
+        [(str(key), decode_target(target)) for key, target in entries],
+    )
 
 
 def _decode_configuration_delta(fields):
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -215,7 +215,7 @@
             )
 
     def _update_readiness(self, time_ms):
-        has_view = self.store_sync.revision is not None
+        has_view = self.store_sync.history.position is not None
         if has_view and not self.port.is_open:
             self.port.open()
             self.metrics.observe_ms("start", time_ms - self.started_ms)
@@ -255,9 +255,9 @@
         if path == METRICS_PATH:
             return 200, self.metrics.render(self._gauges()).encode()
         configuration = self.balancer.configuration
-        if path == TARGETS_PATH.encode() and self.store_sync.revision is not None:
-            targets = self.balancer.view.targets
-            return 200, encode_targets(self.store_sync.view_revision, targets)
+        history = self.store_sync.history
+        if path == TARGETS_PATH.encode() and history.position is not None:
+            return 200, encode_targets(history.view, self.balancer.view.targets)
         if path == CONFIGURATION_PATH.encode() and configuration is not None:
             return 200, self._configuration_document(configuration)
         return 404, b""
@@ -272,11 +272,13 @@
 
     def _gauges(self):
         gauges = self.balancer.state_summary(now_ms())
+        position = self.store_sync.history.position
         return gauges | {
             "flows": len(self.balancer.flows.flows),
             "members": self.store_sync.members,
             "reader": self.store_sync.reader,
-            "revision": self.store_sync.revision,
+            "era": self.store_sync.history.era,
+            "revision": position.revision if position else None,
             "loop_lag_most_ms": self.loop.max_lag_ms,
         }
 
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -1,6 +1,8 @@
 """Makes the calls that ``StoreSync`` decides on and handles their responses."""
 
 from lagoontally_flows import (
+    BEGAN,
+    CURRENT,
     ConfigurationDeltas,
     FetchConfiguration,
     FetchTargets,
@@ -13,16 +15,18 @@
     ALL_KEYS_PREFIX,
     CONFIGURATION_KEY,
     ENTRY_PREFIX,
+    ERA_HEADER,
     HISTORY_GONE,
     OK,
     InvalidResponse,
     changes_path,
     decode_changes,
+    decode_era,
     decode_page,
     page_path,
 )
 
-from ._http_client import HttpClient, HttpFailure
+from ._http_client import HttpClient, HttpFailure, header_value
 from ._messages import split_configuration_delta, split_delta
 from ._view_document import decode_configuration, decode_targets
 
@@ -60,6 +64,7 @@
         self._page_revision = None
         self._may_be_old = False
         self._call_started_ms = loop.clock()
+        self._call_endings = 0
         self._store_reachable = True
         # At startup, targets and configuration are read at the same time: open
         # flows need only the targets, and a configuration may be large.
@@ -104,9 +109,11 @@
 
     def on_delta(self, delta, now_ms):
         """Handle changes that a reader sent."""
-        entries = self.store_sync.on_delta(delta)
+        previous = self.store_sync.history.view
+        entries = self.store_sync.on_delta(delta, now_ms)
         if entries is not None:
             self.balancer.on_entries(entries, now_ms)
+            self._log_era(previous, changed=len(entries), kept=0, source="peer")
 
     def on_configuration_delta(self, delta):
         """Handle a change of the configuration that a reader sent."""
@@ -120,8 +127,34 @@
 
     def _get(self, path, timeout_ms, on_done):
         self._call_started_ms = self.loop.clock()
+        self._call_endings = self.store_sync.history.endings
         self.store.get(path, timeout_ms, on_done)
 
+    def _is_void(self, result, *, endings, may_begin_era):
+        """Return whether a response is of a history of the store that has ended.
+
+        Args:
+            result: The ``HttpResponse`` or ``HttpFailure``.
+            endings: Number of histories that had ended when the call was made.
+            may_begin_era: Whether the response is valid as the first of a new era:
+                the call doesn't continue from an earlier one.
+        """
+        if isinstance(result, HttpFailure):
+            return False
+        history = self.store_sync.history
+        requested_before = endings != history.endings
+        previous = history.era
+        era = decode_era(header_value(result.head, ERA_HEADER))
+        found = self.store_sync.on_era(era, self.loop.clock())
+        if found == BEGAN:
+            self.metrics.add("store_eras", "store")
+            self.log.line("store_era", era=history.era, previous=previous)
+        valid = found == CURRENT or (found == BEGAN and may_begin_era)
+        if valid and not requested_before:
+            return False
+        self.metrics.add("store_calls", "history_ended")
+        return True
+
     def _decode_result(self, result, decode):
         """Return the listing in a response, or record a failure and return None."""
         now_ms = self.loop.clock()
@@ -155,6 +188,9 @@
             self.log.line("document_refused", key=key, reason=reason)
 
     def _on_page(self, result):
+        is_first = self._page_revision is None
+        if self._is_void(result, endings=self._call_endings, may_begin_era=is_first):
+            return
         listing = self._decode_result(result, decode_page)
         if listing is None:
             return
@@ -166,19 +202,45 @@
             return
         now_ms = self.loop.clock()
         entries = {key: target for key, target in self._pages.items() if target}
-        previous = self.store_sync.view_revision
-        changes = self.balancer.on_listing(entries, now_ms)
+        history, rules = self.store_sync.history, self.store_sync.listing_rules()
+        previous, missing = history.view, self.balancer.view.targets.keys() - entries
+        changes = self.balancer.on_listing(entries, now_ms, rules)
         self.store_sync.on_listed(
             self._page_revision,
             now_ms,
             targets_changed=bool(changes),
             may_be_old=self._may_be_old,
         )
+        kept = len(missing) if rules.keep_missing else 0
+        self._log_era(previous, changed=len(changes), kept=kept, source="store")
         self._announce(previous, changes)
 
+    def _log_era(self, previous, *, changed, kept, source):
+        """Log a view that was taken over from a restored copy of the store.
+
+        Args:
+            previous: ``Position`` of the view before.
+            changed: Number of entries that have changed.
+            kept: Number of listed targets that the copy lacks.
+            source: ``store`` or ``peer``.
+        """
+        position = self.store_sync.history.view
+        if previous.era and (position.era, position.step) != (
+            previous.era,
+            previous.step,
+        ):
+            self.log.line(
+                "store_restored",
+                position=position,
+                previous=previous,
+                changed=changed,
+                kept=kept,
+                source=source,
+            )
+
     def _announce(self, previous, changes):
         """Send changes of the targets to the members if this balancer is the reader."""
-        if not changes or not self.store_sync.reader:
+        if not self.store_sync.reader or self.store_sync.history.view == previous:
             return
         for part in split_delta(self.store_sync.delta(previous, changes)):
             self.peers.broadcast(part)
@@ -193,16 +255,19 @@
                 self.peers.broadcast(part)
 
     def _on_changes(self, result):
+        if self._is_void(result, endings=self._call_endings, may_begin_era=False):
+            return
         now_ms = self.loop.clock()
         if not isinstance(result, HttpFailure) and result.status == HISTORY_GONE:
             self.metrics.add("store_calls", "history_gone")
-            self.log.line("store_history_gone", revision=self.store_sync.revision)
+            position = self.store_sync.history.position
+            self.log.line("store_history_gone", position=position)
             self.store_sync.on_history_gone(now_ms)
             return
         listing = self._decode_result(result, decode_changes)
         if listing is None:
             return
-        previous = self.store_sync.view_revision
+        previous = self.store_sync.history.view
         self._apply_configuration(listing.configuration, "store")
         self.balancer.on_entries(listing.entries, now_ms)
         self.store_sync.on_changes(
@@ -211,6 +276,10 @@
         self._announce(previous, listing.entries)
 
     def _on_configuration(self, result):
+        if not self._is_void(result, endings=self._call_endings, may_begin_era=True):
+            self._take_configuration(result)
+
+    def _take_configuration(self, result):
         listing = self._decode_result(result, decode_page)
         if listing is not None:
             self._apply_configuration(listing.configuration, "store")
@@ -222,7 +291,8 @@
 
     def _on_startup_configuration(self, result):
         self._startup_client.close()
-        self._on_configuration(result)
+        if not self._is_void(result, endings=0, may_begin_era=True):
+            self._take_configuration(result)
 
     def _fetch_from_peer(self, host, path, on_done):
         self._peer_client = HttpClient(self.loop, (host, self._peer_port))
@@ -230,8 +300,15 @@
 
     def _on_peer_targets(self, result):
         copy = self._decode_peer_copy(result, TARGETS_PATH, decode_targets)
-        if copy is not None and self.store_sync.on_targets(copy.revision):
-            self.balancer.on_listing(copy.entries, self.loop.clock())
+        if copy is None:
+            return
+        now_ms, previous = self.loop.clock(), self.store_sync.history.view
+        if self.store_sync.on_targets(copy.position, now_ms):
+            changes = self.balancer.on_listing(copy.entries, now_ms)
+            self._log_era(previous, changed=len(changes), kept=0, source="peer")
+        else:
+            leaving = self.balancer.view.leaving_changes(copy.entries)
+            self.balancer.on_entries(leaving, now_ms)
 
     def _on_peer_configuration(self, result):
         copy = self._decode_peer_copy(result, CONFIGURATION_PATH, decode_configuration)
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -5,6 +5,7 @@
 
 from ._messages import (
     DECODE_ERRORS,
+    decode_position,
     decode_route,
     decode_target,
     encode_route,
@@ -12,21 +13,21 @@
 )
 
 
-class TargetsCopy(Record, fields="revision entries"):
+class TargetsCopy(Record, fields="position entries"):
     """The targets that a peer knows.
 
     Attributes:
-        revision: Store revision at which they last changed.
+        position: ``Position`` of the store at which they last changed.
         entries: ``Target`` by key.
     """
 
     __slots__ = ()
 
 
-def encode_targets(revision, entries):
+def encode_targets(position, entries):
     """Return the document of targets as bytes."""
     targets = {key: encode_target(target) for key, target in entries.items()}
-    return _encode({"revision": revision, "targets": targets})
+    return _encode({"position": position, "targets": targets})
 
 
 def decode_targets(body):
@@ -36,7 +37,7 @@
         entries = {
             key: decode_target(target) for key, target in document["targets"].items()
         }
-        return TargetsCopy(int(document["revision"]), entries)
+        return TargetsCopy(decode_position(document["position"]), entries)
     except DECODE_ERRORS:
         return None  # the caller counts it
 
--- a/libs/soak/src/lagoontally_soak/_faults.py
+++ b/libs/soak/src/lagoontally_soak/_faults.py
@@ -1,6 +1,7 @@
 """Faults that a soak test injects and ends."""
 
 import signal
+from random import Random
 from typing import NamedTuple
 
 from lagoontally_standins.packets import (
@@ -17,6 +18,9 @@
 ENTRY_EXPIRY_S = 3.6  # a dead target's entry expires after three heartbeats
 DRAIN_S = 3.0
 ADDRESS_REUSE_DELAY_S = 2.0
+RESTORE_SHARE = 0.12  # of the faults that come with a restored store
+MAX_COPY_AGE_S = 3.0
+MAX_AWAY_S = 1.0
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
 
 
@@ -62,9 +66,13 @@
         self.injected_counts = {}
         self.last_target_number = 40
         self.faulted_balancers = set()
+        # Its own generator leaves the other faults of recorded seeds as they were.
+        self.restore_random = Random(deployment.network)
 
     def inject_one(self):
-        """Inject a random fault."""
+        """Inject a random fault, at times together with a restored store."""
+        if self.restore_random.random() < RESTORE_SHARE:
+            self.restore_store()
         kinds = (
             self.kill,
             self.terminate,
@@ -205,6 +213,16 @@
         self.deployment.store.mode = ANSWERING
         self.deployment.store.delay_s = 0.0
 
+    def restore_store(self):
+        """Take the store away and bring it back from an older copy."""
+        random = self.restore_random
+        away_s = random.uniform(0.0, MAX_AWAY_S)
+        age_s = random.uniform(0.0, MAX_COPY_AGE_S)
+        self.deployment.restore_store(random, age_s=age_s, away_s=away_s)
+        self._record_disturbance("store", away_s)
+        count = self.injected_counts.get("restore_store", 0)
+        self.injected_counts["restore_store"] = count + 1
+
     def forget_history(self):
         """Drop the store's history."""
         self.deployment.store.forget_history()
--- a/libs/soak/src/lagoontally_soak/_mutations.py
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -85,6 +85,30 @@
             raise SystemError from None
         raise
 _store.loads = loads_or_end
+""",
+    ),
+    "a restored store isn't noticed": Mutation(
+        "a leaving target gets no new flow",
+        """
+from lagoontally_flows._store_history import CURRENT, StoreHistory
+StoreHistory.compare_era = lambda history, era, now_ms: CURRENT
+""",
+    ),
+    "a restored copy takes back that a target leaves": Mutation(
+        "a leaving target gets no new flow",
+        """
+from lagoontally_flows._view import View
+View._with_known_state = lambda view, target: target
+""",
+    ),
+    "a restored copy brings back an older configuration": Mutation(
+        "a route in force takes flows",
+        """
+from lagoontally_flows import Balancer
+def configure(balancer, configuration):
+    balancer.configuration = configuration
+    return True
+Balancer.configure = configure
 """,
     ),
 }
--- a/libs/standins/src/lagoontally_standins/packets/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/packets/_deployment.py
@@ -7,7 +7,7 @@
 from ._process import BalancerProcess
 from ._proxy import Proxy
 from ._router import Router
-from ._store import Store
+from ._store import ANSWERING, RESETTING, Store
 from ._target import Target
 from ._wire import parse_host
 
@@ -19,6 +19,8 @@
 ROUTE_PORTS = {"pivot-link": 443, "usage-ledger": 8443}
 IDLE_TIMEOUT_MS = 15_000
 START_TIMEOUT_S = 20
+HEARTBEAT_S = 1.2
+ENTRY_EXPIRY_S = 3 * HEARTBEAT_S
 
 
 class Deployment:
@@ -36,6 +38,8 @@
         ledger: Every ``Run`` of every target.
         routes: Services by route (address and port) in the latest configuration.
         targets: Index of the data centre and ``Target`` by target id.
+        states: State that each target last wrote, by target id.
+        published: The newest configuration's document.
     """
 
     def __init__(self, folder, network, *, data_centres, balancers, targets):
@@ -45,6 +49,8 @@
         self.ledger = []
         self.version = 0
         self.identities = itertools.count(1)
+        self.states = {}
+        self.published = None
         self.store = Store(self.loop, (self.host(0, 1), STORE_PORT))
         self.routes = {
             (parse_host(ROUTE_HOST), port): service
@@ -89,7 +95,8 @@
             "services": [{"name": service} for service in SERVICES],
             "limits": {"idle-timeout-ms": IDLE_TIMEOUT_MS},
         }
-        self.store.put("op/config", document | changes)
+        self.published = document | changes
+        self.store.put("op/config", self.published)
 
     def add_target(self, centre_index, service, number):
         """Start a target, write its entry and return it."""
@@ -109,6 +116,7 @@
 
     def register(self, identity, state="ready"):
         """Write a target's entry to the store."""
+        self.states[identity] = state
         centre_index, target = self.targets[identity]
         entry = target.entry(self.data_centres[centre_index], state)
         self.store.put(f"servers/{identity}", entry)
@@ -119,6 +127,46 @@
         target.close()
         self.store.put(f"servers/{identity}", None)
 
+    def restore_store(self, random, *, age_s, away_s):
+        """Take the store away and bring it back from an older copy.
+
+        Whoever wrote to it writes again after a random part of a heartbeat. Entries
+        of targets that have ended expire.
+
+        Args:
+            random: Random number generator.
+            age_s: Age of the copy when the store is taken away.
+            away_s: How long the store is away.
+        """
+        self.store.mode = RESETTING
+        self.loop.after(away_s, lambda: self._restore(random, age_s + away_s))
+
+    def _restore(self, random, age_s):
+        self.store.mode = ANSWERING
+        if not self.store.restore(age_s):
+            return
+        for key in list(self.store.items):
+            if key.startswith("servers/"):
+                self.loop.after(ENTRY_EXPIRY_S, lambda key=key: self._expire(key))
+        for identity in list(self.targets):
+            delay_s = random.random() * HEARTBEAT_S
+            self.loop.after(delay_s, lambda identity=identity: self._renew(identity))
+        self.loop.after(random.random() * HEARTBEAT_S, self._publish_again)
+
+    def _expire(self, key):
+        if key.removeprefix("servers/") not in self.targets and key in self.store.items:
+            self.store.put(key, None)
+
+    def _renew(self, identity):
+        if identity in self.targets and self.targets[identity][1].sock is not None:
+            self.register(identity, self.states[identity])
+
+    def _publish_again(self):
+        """Write the newest configuration unless the store has it."""
+        stored = self.store.items.get("op/config")
+        if stored is None or stored.document != self.published:
+            self.store.put("op/config", self.published)
+
     def start(self):
         """Start every balancer and wait until all are in rotation.
 
--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -12,6 +12,7 @@
 BUSY = "busy"
 SILENT = "silent"
 RESETTING = "resetting"
+MAX_COPIES = 400
 
 
 class Event(NamedTuple):
@@ -22,6 +23,15 @@
     document: object
 
 
+class Copy(NamedTuple):
+    """The store's state at some time."""
+
+    at: float
+    revision: int
+    items: dict
+    events: list
+
+
 class Store:
     """Items by key with their history, served over HTTP.
 
@@ -32,6 +42,8 @@
         delay_s: Delay of each response.
         calls: Number of requests by client host.
         compacted_revision: Watches from before this revision get 410.
+        era: Incremented by each restore.
+        copies: The latest ``Copy`` records, one for each change.
     """
 
     def __init__(self, loop, address):
@@ -40,6 +52,8 @@
         self.events = []
         self.revision = 10
         self.compacted_revision = 0
+        self.era = 1
+        self.copies = []
         self.mode = ANSWERING
         self.modes = {}
         self.delay_s = 0.0
@@ -57,6 +71,8 @@
         else:
             self.items[key] = Event(self.revision, key, document)
         self.events = [*self.events, Event(self.revision, key, document)][-MAX_EVENTS:]
+        copy = Copy(self.loop.now, self.revision, dict(self.items), self.events)
+        self.copies = [*self.copies, copy][-MAX_COPIES:]
         watches, self.pending_watches = self.pending_watches, []
         for connection, query in watches:
             self._answer_watch(connection, query)
@@ -66,6 +82,26 @@
         self.events = []
         self.compacted_revision = self.revision
 
+    def restore(self, age_s):
+        """Return to the state of some seconds ago and begin a new era.
+
+        Returns:
+            False if there is no copy of that age.
+        """
+        found = [copy for copy in self.copies if copy.at <= self.loop.now - age_s]
+        if not found:
+            return False
+        copy = found[-1]
+        self.revision, self.items = copy.revision, dict(copy.items)
+        self.events = copy.events
+        self.copies = found
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.era += 1
+        watches, self.pending_watches = self.pending_watches, []
+        for connection, _ in watches:
+            connection.close()
+        return True
+
     def _on_connection(self):
         sock, (host, _) = self.listener.accept()
         _StoreConnection(self, sock, host)
@@ -105,7 +141,7 @@
 
     def _answer_watch(self, connection, query):
         after = int(query["after"])
-        if after < self.compacted_revision:
+        if not self.compacted_revision <= after <= self.revision:
             connection.send(410, {})
             return
         found = [
@@ -162,7 +198,9 @@
         if not self.is_open:
             return
         body = json.dumps(document).encode()
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        era = self.store.era
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+        head += f"Store-Era: {era}\r\n\r\n"
         self.sock.setblocking(True)
         try:
             self.sock.sendall(head.encode() + body)
