--- a/libs/cli/features/steps/trace_steps.py
+++ b/libs/cli/features/steps/trace_steps.py
@@ -69,6 +69,15 @@
             reason="target_silent",
         ),
     ],
+    "restored store": [
+        line(0.5, "store_era", era=2, previous=1),
+        line(0.6, "store_restored", changed=2, kept=3),
+        *flow_reset("target_gone"),
+    ],
+    "restore unseen": [
+        line(1.0, "store_era", era=2, previous=1),
+        *flow_reset("no_route"),
+    ],
     "served request": [],
 }
 
--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -21,6 +21,9 @@
     "resumed",
     "store_lost",
     "store_regained",
+    "store_history_gone",
+    "store_era",
+    "store_restored",
     "configuration_in_force",
 )
 END_EVENTS = ("reset", "drop")
@@ -144,10 +147,27 @@
     flows = {line.get("flow") for line in lines if _mentions(line, subject)} - {None}
     for line in reversed(lines):
         if line["event"] in END_EVENTS and line["flow"] in flows:
-            return f"{_reason_text(line)} ({_decision_inputs(line)})"
+            cause = f"{_reason_text(line)} ({_decision_inputs(line)})"
+            return cause + _restore_before(line, lines)
     return _cause_without_end(lines, flows)
 
 
+def _restore_before(end, lines):
+    """Return as text whether the store had come back from a copy before a line."""
+    for line in reversed(lines):
+        if line["instance"] != end["instance"] or line["time"] > end["time"]:
+            continue
+        ago_ms = round(1_000 * (end["time"] - line["time"]))
+        if line["event"] == "store_restored":
+            return (
+                f"; its balancer had followed a restored store for {ago_ms} ms: "
+                f"{line['changed']} entries changed, {line['kept']} kept"
+            )
+        if line["event"] == "store_era":
+            return f"; the store had come back from a copy {ago_ms} ms before"
+    return ""
+
+
 def _reason_text(line):
     return REASON_TEXTS.get(line["reason"], line["reason"])
 
