--- a/libs/flows/features/steps/store_era_steps.py
+++ b/libs/flows/features/steps/store_era_steps.py
@@ -1,12 +1,14 @@
 """Steps for a store that comes back from an older copy."""
 
 from random import Random
+from unittest.mock import patch
 
 from behave import given, then, when
 from fleet import Balancer, Fleet
 
 from lagoontally_flows import (
     ALL_CHANGES,
+    CURRENT,
     Delta,
     ListingRules,
     Position,
@@ -14,6 +16,7 @@
     Target,
     target_cookie,
 )
+from lagoontally_flows._store_history import StoreHistory
 from lagoontally_flows._view import View
 
 RULES = (ListingRules(True, True), ListingRules(False, True), ALL_CHANGES)
@@ -78,14 +81,32 @@
     for seed in range(seeds):
         fleet = play(Random(seed))
         fleet.run(most_ms)
-        wrong = behind(fleet) + [
-            one.name
-            for one in fleet.living()
-            if one.targets != fleet.store.targets or one.version != fleet.store.version
-        ]
+        wrong = behind(fleet) + outdated(fleet)
         assert not wrong, (seed, wrong)
 
 
+def outdated(fleet):
+    """Return the names of balancers that lack a change."""
+    store = fleet.store
+    return [
+        one.name
+        for one in fleet.living()
+        if one.targets != store.targets or one.version != store.version
+    ]
+
+
+@then(
+    "with {seeds:d} seeds a history that ignores eras ends with lost changes at times"
+)
+def step_ignored(context, seeds):
+    """Break the comparison of eras on purpose."""
+    with patch.object(StoreHistory, "compare_era", lambda *_arguments: CURRENT):
+        fleets = [play(Random(seed)) for seed in range(seeds)]
+        for fleet in fleets:
+            fleet.run(6_000)
+    assert any(outdated(fleet) for fleet in fleets)
+
+
 def play(random):
     """Run a fleet through random events and end all faults."""
     fleet = Fleet(random.randint(3, 6))
--- a/libs/flows/features/store_era.feature
+++ b/libs/flows/features/store_era.feature
@@ -76,6 +76,9 @@
   Scenario: Any order of restores, changes, losses, cuts, restarts and deaths
     Then with 400 seeds every balancer follows the newest era after 6000 ms
 
+  Scenario: The search notices a history that ignores eras
+    Then with 40 seeds a history that ignores eras ends with lost changes at times
+
   Scenario Outline: A listing of a restored copy changes only what it can know
     Given a view with targets a and b, a leaving target c and a delisted target d
     When the store lists <listed> from its copy, settled <step> times
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -15,7 +15,6 @@
 from behave import given, then, when
 from fixtures import SETTINGS
 
-from lagoontally_flows import Target
 from lagoontally_standins.packets import (
     ANSWERING,
     BALANCER_PROGRAM,
@@ -345,35 +344,18 @@
         context.deployment.loop.run_for(0.05)
 
 
-def fetch_targets(balancer):
-    """Return the entries that a balancer knows."""
-    with socket.create_connection((balancer.settings["host"], PEER_PORT), 3) as sock:
-        sock.sendall(b"GET /targets HTTP/1.1\r\nHost: x\r\n\r\n")
-        text = b""
-        while b"\r\n\r\n" not in text or not text.endswith(b"}"):
-            text += sock.recv(65_536)
-    return json.loads(text.partition(b"\r\n\r\n")[2])["targets"]
-
-
 @then("every balancer knows the targets and configuration within {timeout_s:d} s")
 def step_all_agree(context, timeout_s):
     """Compare keys and states with the store's items."""
-    expected = {
-        (key, item.document["state"] == "draining")
-        for key, item in context.deployment.store.items.items()
-        if key.startswith("servers/")
-    }
-    leaving = Target._fields.index("leaving")
+    deployment = context.deployment
 
     def differences():
-        found = {}
-        for name, balancer in context.deployment.balancers.items():
-            entries = fetch_targets(balancer)
-            known = {(key, entry[leaving]) for key, entry in entries.items()}
-            found[name] = known ^ expected
-        return found
-
-    agreed = context.deployment.loop.run_until(
+        return {
+            name: (balancer.fetch_targets() or set()) ^ deployment.listed_targets()
+            for name, balancer in deployment.balancers.items()
+        }
+
+    agreed = deployment.loop.run_until(
         lambda: not any(differences().values()), timeout_s
     )
     assert agreed, differences()
--- a/libs/soak/src/lagoontally_soak/_faults.py
+++ b/libs/soak/src/lagoontally_soak/_faults.py
@@ -20,6 +20,7 @@
 RESTORE_SHARE = 0.12  # of the faults that come with a restored store
 MAX_COPY_AGE_S = 3.0
 MAX_AWAY_S = 1.0
+MAX_LOST_WRITES = 400  # of items that balancers don't use
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
 
 
@@ -218,6 +219,8 @@
         random = self.restore_random
         away_s = random.uniform(0.0, MAX_AWAY_S)
         age_s = random.uniform(0.0, MAX_COPY_AGE_S)
+        for number in range(random.randrange(MAX_LOST_WRITES)):
+            self.deployment.store.put("other/key", {"number": number})
         self.deployment.restore_store(random, age_s=age_s, away_s=away_s)
         self._record_disturbance("store", away_s)
         count = self.injected_counts.get("restore_store", 0)
--- a/libs/soak/src/lagoontally_soak/_mutations.py
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -88,7 +88,7 @@
 """,
     ),
     "a restored store isn't noticed": Mutation(
-        "a leaving target gets no new flow",
+        "all balancers follow the store",
         """
 from lagoontally_flows._store_history import CURRENT, StoreHistory
 StoreHistory.compare_era = lambda history, era, now_ms: CURRENT
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -23,6 +23,7 @@
 FAULT_INTERVAL_S = (0.2, 2.5)
 RECOVERY_S = 9.0  # stopped balancers exit and routers detect all changes in this time
 FINAL_REQUESTS = 40
+VIEWS_S = 4.0  # the platform's bound for following the store
 CHECK_INTERVAL_S = 0.5  # between checks of a broken build
 
 
@@ -91,6 +92,7 @@
             if self._run_for(RECOVERY_S):
                 return self.violations
             self._check_recovery()
+            self._check_views()
         finally:
             self.deployment.stop()
         self.violations += self.checks.violations_of_run(
@@ -199,6 +201,24 @@
             detail = f"{len(failed)} of {FINAL_REQUESTS}: {failed[0]}"
             self.violations.append(Violation("all is served after the faults", detail))
 
+    def _check_views(self):
+        """Compare the targets that balancers know with the store's."""
+
+        def differences():
+            listed = self.deployment.listed_targets()
+            return {
+                name: sorted((balancer.fetch_targets() or set()) ^ listed)
+                for name, balancer in self.deployment.balancers.items()
+            }
+
+        self.loop.run_until(lambda: not any(differences().values()), VIEWS_S)
+        for name, wrong in differences().items():
+            if wrong:
+                detail = f"{name}: {wrong[:3]}"
+                self.violations.append(
+                    Violation("all balancers follow the store", detail)
+                )
+
 
 def soak(*, seed, seconds, network, balancers=3, keep=None, mutation=None):
     """Run a soak test in a folder of its own.
--- a/libs/standins/src/lagoontally_standins/packets/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/packets/_deployment.py
@@ -167,6 +167,14 @@
         if stored is None or stored.document != self.published:
             self.store.put("op/config", self.published)
 
+    def listed_targets(self):
+        """Return what balancers should know, in the form of ``fetch_targets``."""
+        return {
+            (key, item.document["state"] == "draining")
+            for key, item in self.store.items.items()
+            if key.removeprefix("servers/") in self.states
+        }
+
     def start(self):
         """Start every balancer and wait until all are in rotation.
 
--- a/libs/standins/src/lagoontally_standins/packets/_process.py
+++ b/libs/standins/src/lagoontally_standins/packets/_process.py
@@ -5,7 +5,10 @@
 import signal
 import subprocess
 import sys
+from http.client import HTTPConnection, HTTPException
 
+FETCH_TIMEOUT_S = 3
+LEAVING_FIELD = 7  # of a target's array in the document that peers fetch
 BALANCER_PROGRAM = (
     "import sys; from lagoontally_forwarder import main; sys.exit(main())"
 )
@@ -81,6 +84,25 @@
             self.process.wait()
         self.paused = False
 
+    def fetch_targets(self):
+        """Return the targets that the balancer knows, None if it doesn't answer.
+
+        Returns:
+            A set of pairs of an entry's key and whether the target is leaving.
+        """
+        host, _, port = self.settings["peer_address"].rpartition(":")
+        connection = HTTPConnection(host, int(port), timeout=FETCH_TIMEOUT_S)
+        try:
+            connection.request("GET", "/targets")
+            document = json.loads(connection.getresponse().read())
+        except (OSError, HTTPException, ValueError):
+            return None
+        finally:
+            connection.close()
+        return {
+            (key, target[LEAVING_FIELD]) for key, target in document["targets"].items()
+        }
+
     def read_log(self):
         """Return the log's records; invalid lines become an "unreadable" event."""
         lines = []
@@ -88,5 +110,7 @@
             try:
                 lines.append(json.loads(line))
             except ValueError:
-                lines.append({"event": "unreadable", "text": line.decode("replace")})
+                lines.append(
+                    {"event": "unreadable", "text": line.decode(errors="replace")}
+                )
         return lines
--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -12,7 +12,7 @@
 BUSY = "busy"
 SILENT = "silent"
 RESETTING = "resetting"
-MAX_COPIES = 400
+MAX_COPIES = 4_000
 
 
 class Event(NamedTuple):
