--- /dev/null
+++ b/libs/forwarder/features/deployments.py
@@ -0,0 +1,77 @@
+"""A deployment, its callers and its changes, for the steps of several files."""
+
+import itertools
+import os
+import tempfile
+from pathlib import Path
+
+from lagoontally_standins.packets import Deployment, Outcome, find_free_network
+
+# The soak uses the networks above these, since both suites run at the same time.
+NETWORKS = (30 + (os.getpid() * 13 + n) % 100 for n in itertools.count())
+ANSWER_S = 4.0
+LOCAL, OTHER = "tifton", "camilla"
+
+
+def start(context, invalid_entries=0):
+    """Start a deployment that is stopped after the scenario."""
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+    network = find_free_network(NETWORKS)
+    context.deployment = Deployment(
+        Path(folder.name), network, data_centres=(LOCAL, OTHER), balancers=2, targets=2
+    )
+    context.add_cleanup(context.deployment.stop)
+    for number in range(invalid_entries):
+        context.deployment.store.put(f"servers/i-{number:04x}ffff", {"service": 5})
+    assert context.deployment.start(), "the balancers didn't get into rotation"
+    context.flows = []
+    context.numbers = itertools.count()
+
+
+def request_all(context, flows):
+    """Send a request on each flow and wait until all have ended."""
+    for flow in flows:
+        flow.send_request(f"q{next(context.numbers)}")
+    context.deployment.loop.run_until(
+        lambda: all(flow.outcome is not Outcome.PENDING for flow in flows), ANSWER_S
+    )
+
+
+def open_flows(context, count):
+    """Open flows, alternating between the routes."""
+    callers = context.deployment.callers[LOCAL]
+    routes = itertools.cycle(context.deployment.routes)
+    return [callers.open(next(routes)) for _ in range(count)]
+
+
+def first_balancer(context):
+    """Return one of the callers' balancers."""
+    return context.deployment.balancers[f"{LOCAL}-1"]
+
+
+def eventually(context, condition, timeout_s):
+    """Open flows until a condition holds for the targets that answered."""
+    loop = context.deployment.loop
+    end = loop.now + timeout_s
+    while loop.now < end:
+        flows = open_flows(context, 8)
+        request_all(context, flows)
+        if condition({flow.target for flow in flows}):
+            return True
+        loop.run_for(0.1)
+    return False
+
+
+def add_target(context):
+    """Add a target in the callers' data centre."""
+    number = 10 + next(context.numbers) % 100
+    context.added = context.deployment.add_target(0, "pivot-link", number).identity
+
+
+def add_route(context):
+    """Publish a configuration with an additional route."""
+    context.route = (next(iter(context.deployment.routes))[0], 9_443)
+    context.deployment.routes[context.route] = "usage-ledger"
+    context.deployment.publish()
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -12,9 +12,20 @@
 import time
 from collections import Counter
 from pathlib import Path
-from random import Random
 
 from behave import given, then, when
+from deployments import (
+    ANSWER_S,
+    LOCAL,
+    OTHER,
+    add_route,
+    add_target,
+    eventually,
+    first_balancer,
+    open_flows,
+    request_all,
+    start,
+)
 from fixtures import SETTINGS
 
 from lagoontally_standins.packets import (
@@ -23,20 +34,13 @@
     BUSY,
     PASS,
     PEER_PORT,
-    Deployment,
     Outcome,
-    find_free_network,
 )
 
 BUILD = Path(__file__).parents[4] / "deploy/build.py"
-# The soak uses the networks above these, since both suites run at the same time.
-NETWORKS = (30 + (os.getpid() * 13 + n) % 100 for n in itertools.count())
-ANSWER_S = 4.0
 BATCH = 10
 FIRST_PAUSE_S = 0.24  # a retransmission is due before the answers are read
 PAUSES = 3
-LOST_WRITES = 150
-LOCAL, OTHER = "tifton", "camilla"
 
 
 @given("a running deployment")
@@ -51,39 +55,6 @@
     start(context, invalid_entries=count)
 
 
-def start(context, invalid_entries=0):
-    """Start a deployment that is stopped after the scenario."""
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
-    context.folder = folder.name
-    network = find_free_network(NETWORKS)
-    context.deployment = Deployment(
-        Path(folder.name), network, data_centres=(LOCAL, OTHER), balancers=2, targets=2
-    )
-    context.add_cleanup(context.deployment.stop)
-    for number in range(invalid_entries):
-        context.deployment.store.put(f"servers/i-{number:04x}ffff", {"service": 5})
-    assert context.deployment.start(), "the balancers didn't get into rotation"
-    context.flows = []
-    context.numbers = itertools.count()
-
-
-def request_all(context, flows):
-    """Send a request on each flow and wait until all have ended."""
-    for flow in flows:
-        flow.send_request(f"q{next(context.numbers)}")
-    context.deployment.loop.run_until(
-        lambda: all(flow.outcome is not Outcome.PENDING for flow in flows), ANSWER_S
-    )
-
-
-def open_flows(context, count):
-    """Open flows, alternating between the routes."""
-    callers = context.deployment.callers[LOCAL]
-    routes = itertools.cycle(context.deployment.routes)
-    return [callers.open(next(routes)) for _ in range(count)]
-
-
 @when("{count:d} flows send a request")
 def step_request(context, count):
     context.flows = open_flows(context, count)
@@ -135,11 +106,6 @@
     assert not any(flow.resets for flow in context.flows)
 
 
-def first_balancer(context):
-    """Return one of the callers' balancers."""
-    return context.deployment.balancers[f"{LOCAL}-1"]
-
-
 @when("a balancer is killed")
 def step_kill(context):
     """Send SIGKILL and wait until the routers notice."""
@@ -190,19 +156,6 @@
     context.deployment.register(context.leaving, "draining")
 
 
-def eventually(context, condition, timeout_s):
-    """Open flows until a condition holds for the targets that answered."""
-    loop = context.deployment.loop
-    end = loop.now + timeout_s
-    while loop.now < end:
-        flows = open_flows(context, 8)
-        request_all(context, flows)
-        if condition({flow.target for flow in flows}):
-            return True
-        loop.run_for(0.1)
-    return False
-
-
 @then("new flows avoid it within {timeout_s:d} s")
 def step_avoid(context, timeout_s):
     assert eventually(context, lambda found: context.leaving not in found, timeout_s)
@@ -213,18 +166,10 @@
     assert eventually(context, lambda found: context.added in found, timeout_s)
 
 
-def add_target(context):
-    """Add a target in the callers' data centre."""
-    number = 10 + next(context.numbers) % 100
-    context.added = context.deployment.add_target(0, "pivot-link", number).identity
-
-
 @when("a route is added")
 def step_route(context):
     """Publish a configuration with an additional route."""
-    context.route = (next(iter(context.deployment.routes))[0], 9_443)
-    context.deployment.routes[context.route] = "usage-ledger"
-    context.deployment.publish()
+    add_route(context)
 
 
 @then("flows to it are answered through every balancer within {timeout_s:d} s")
@@ -287,51 +232,6 @@
     context.deployment.store.forget_history()
 
 
-@when("the store comes back from a copy, {age_s:d} s old, after {lost}")
-def step_restored(context, age_s, lost):
-    """What happened since the copy was made is written again by its writers."""
-    deployment = context.deployment
-    deployment.loop.run_for(age_s)
-    context.flows = open_flows(context, 20)
-    request_all(context, context.flows)
-    if lost == "a target was added":
-        add_target(context)
-    elif lost == "a route was added":
-        step_route(context)
-    else:
-        context.leaving = context.flows[0].target
-        deployment.register(context.leaving, "draining")
-        if lost == "a target ended":
-            deployment.loop.run_for(3)
-            deployment.remove_target(context.leaving)
-    for number in range(LOST_WRITES):
-        deployment.store.put("other/key", {"number": number})
-    deployment.loop.run_for(1.2)
-    deployment.restore_store(Random(1), age_s=age_s - 0.5, away_s=0.5)
-    deployment.loop.run_for(0.5)
-
-
-@when("{count:d} other items are written at once")
-def step_other_items(context, count):
-    """Revisions that the store has given out before are given out again."""
-    for number in range(count):
-        context.deployment.store.put("other/key", {"number": number})
-
-
-@when("{duration_s:d} s pass")
-def step_pass(context, duration_s):
-    """Time passes."""
-    context.deployment.loop.run_for(duration_s)
-
-
-@then("no flow of another target was reset")
-def step_no_other_reset(context):
-    """A target that has ended may lose its flows."""
-    ended = getattr(context, "leaving", None)
-    resets = [flow for flow in context.flows if flow.resets and flow.target != ended]
-    assert not resets, resets
-
-
 @when(
     "{count:d} flows are opened while callers and targets pause for {pause_ms:d} ms"
     " at a time"
@@ -362,47 +262,6 @@
     assert not twice, (len(twice), len(runs))
 
 
-@when("a target is added")
-def step_added(context):
-    """Its entry is written to the store."""
-    add_target(context)
-
-
-@then("no flow reaches it in the next {duration_s:d} s")
-def step_never(context, duration_s):
-    """New flows all the time."""
-    end = context.deployment.loop.now + duration_s
-    while context.deployment.loop.now < end:
-        flows = open_flows(context, 8)
-        request_all(context, flows)
-        assert context.leaving not in {flow.target for flow in flows}
-        context.deployment.loop.run_for(0.05)
-
-
-@then("every balancer knows the targets and configuration within {timeout_s:d} s")
-def step_all_agree(context, timeout_s):
-    """Compare keys and states with the store's items."""
-    deployment = context.deployment
-
-    def differences():
-        return {
-            name: (balancer.fetch_targets() or set()) ^ deployment.listed_targets()
-            for name, balancer in deployment.balancers.items()
-        }
-
-    agreed = deployment.loop.run_until(
-        lambda: not any(differences().values()), timeout_s
-    )
-    assert agreed, differences()
-    versions = {
-        line["version"]
-        for balancer in context.deployment.balancers.values()
-        for line in balancer.read_log()
-        if line["event"] == "configuration_in_force"
-    }
-    assert max(versions) == context.deployment.published["version"], versions
-
-
 @when("invalid data is written to the store and sent to every port")
 def step_invalid_data(context):
     store = context.deployment.store
