--- a/libs/flows/src/lagoontally_flows/_call_timing.py
+++ b/libs/flows/src/lagoontally_flows/_call_timing.py
@@ -6,7 +6,7 @@
 
 FRESH_MS = 1_400  # a watch and an answer of a slow store (250 ms), and some slack
 TAKEOVER_JITTER_MS = 250  # limits simultaneous takeovers
-TAKEOVER_JITTER_PER_MEMBER_MS = 8  # the same in large fleets
+TAKEOVER_JITTER_PER_MEMBER_MS = 8  # added for each member
 RETRY_JITTER_PER_MEMBER_MS = 120  # of takeovers while a reader's calls fail
 RETRY_INITIAL_MS = 150
 RETRY_MAX_MS = 1_200  # a reader without the store retries about once a second
--- a/libs/flows/src/lagoontally_flows/_membership.py
+++ b/libs/flows/src/lagoontally_flows/_membership.py
@@ -16,7 +16,7 @@
 MAX_HELLO_INTERVAL_MS = 60_000  # bounds what a faulty reply can set
 # Until a seed has answered; it may be starting too.
 FIRST_HELLO_INTERVAL_MS = 250
-MISSED_HELLOS = 6  # datagrams may be lost
+MISSED_HELLOS = 6  # that remove a sender; datagrams may be lost
 MAX_HOSTS_PER_MESSAGE = 60  # an address takes up to 18 bytes of a datagram of 1,200
 MAX_RECORDED_CHANGES = 256
 UNKNOWN_GENERATION = 0
@@ -302,7 +302,7 @@
                 del self._senders[host]
         ttl_ms = self._interval_ms * MISSED_HELLOS
         if self._replied_ms is None or now_ms - self._replied_ms > ttl_ms:
-            return  # no seed could have confirmed the members
+            return  # without replies of seeds, silence of a member shows nothing
         for host, confirmed_ms in list(self.members.items()):
             if now_ms - confirmed_ms > ttl_ms:
                 del self.members[host]
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -13,7 +13,7 @@
 RECEIVE_BYTES = 65_536
 STATUS_DIGITS = 3
 MAX_LENGTH_DIGITS = 12  # ``int`` raises ValueError for thousands of digits
-MAX_TRANSFER_MS = 10_000  # of a response of which some bytes keep arriving
+MAX_TRANSFER_MS = 10_000  # ends a response whose bytes arrive slowly
 MAX_BODY_BYTES = 8 << 20  # a store page is at most 1 MB encoded; peer views are smaller
 
 
--- a/libs/standins/src/lagoontally_standins/packets/_process.py
+++ b/libs/standins/src/lagoontally_standins/packets/_process.py
@@ -8,7 +8,7 @@
 from http.client import HTTPConnection, HTTPException
 
 FETCH_TIMEOUT_S = 3
-LEAVING_FIELD = 7  # of a target's array in the document that peers fetch
+LEAVING_FIELD = 7  # index in the array of a target that peers fetch
 BALANCER_PROGRAM = (
     "import sys; from lagoontally_forwarder import main; sys.exit(main())"
 )
