--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -40,6 +40,9 @@
             ``RESETTING``.
         modes: Modes by client host; these take precedence over ``mode``.
         delay_s: Delay of each response.
+        stale_s: How old the copy is that answers reads with ``stale-ok``.
+        stale_as_of_present: Whether such a read names the store's present revision
+            instead of the copy's.
         calls: Number of requests by client host.
         compacted_revision: Watches from before this revision get 410.
         era: Incremented by each restore.
@@ -57,6 +60,8 @@
         self.mode = ANSWERING
         self.modes = {}
         self.delay_s = 0.0
+        self.stale_s = 0.0
+        self.stale_as_of_present = False
         self.calls = {}
         self.pending_watches = []
         self.listener = socket.create_server(address, backlog=128)
@@ -132,12 +137,20 @@
 
     def _answer_range(self, connection, query):
         prefix, after = query.get("prefix", ""), query.get("after", "")
-        keys = sorted(
-            key for key in self.items if key.startswith(prefix) and key > after
-        )
-        items = [_item(self.items[key]) for key in keys[:PAGE_ITEMS]]
+        stored, as_of = self.items, self.revision
+        if query.get("stale-ok") == "1" and self.stale_s:
+            copy = self._copy_from(self.loop.now - self.stale_s)
+            stored = copy.items
+            as_of = self.revision if self.stale_as_of_present else copy.revision
+        keys = sorted(key for key in stored if key.startswith(prefix) and key > after)
+        items = [_item(stored[key]) for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
-        connection.send(200, {"items": items, "has-more": more, "as-of": self.revision})
+        connection.send(200, {"items": items, "has-more": more, "as-of": as_of})
+
+    def _copy_from(self, at):
+        """Return the state at a time, the first one if that was before it."""
+        found = [copy for copy in self.copies if copy.at <= at]
+        return found[-1] if found else self.copies[0]
 
     def _answer_watch(self, connection, query):
         after = int(query["after"])
