Logs: tell what was read from the store, how new it was and what was missed

store_read names the revision in a response, that of the newest item in it and whether it may be old; configuration_in_force the revision at which the store wrote the version, and a digest of its routes; store_change_missed a change that counted as known before. With these the hypotheses of the incident differ: a position newer than its data shows as revision > newest in an old read with a later version of the same or an older revision; mixed parts as one version with two digests; a refused document as document_refused. What the store and peers answered is logged in a module of its own.

--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -24,6 +24,8 @@
     "store_history_gone",
     "store_era",
     "store_restored",
+    "store_read",
+    "store_change_missed",
     "configuration_in_force",
 )
 END_EVENTS = ("reset", "drop")
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -28,6 +28,7 @@
 
 from ._http_client import HttpClient, HttpFailure, header_value
 from ._messages import split_configuration_delta, split_delta
+from ._store_log import StoreLog
 from ._view_document import decode_configuration, decode_targets
 
 CALL_TIMEOUT_MS = 1_200  # a slow store takes 250 ms
@@ -54,18 +55,21 @@
         self.store_sync = store_sync
         self.balancer = balancer
         self.peers = peers
-        self.log = log
         self.metrics = metrics
+        self.store_log = StoreLog(
+            log=log, metrics=metrics, history=store_sync.history, balancer=balancer
+        )
         self.store = HttpClient(loop, settings.store_address)
         self._peer_port = settings.peer_address[1]
         self._peer_client = None
         self._configuration_deltas = ConfigurationDeltas()
         self._pages = {}
         self._page_revision = None
+        self._newest_revision = 0
         self._may_be_old = False
         self._call_started_ms = loop.clock()
         self._call_endings = 0
-        self._store_reachable = True
+        self._known_before = None
         # At startup, targets and configuration are read at the same time: open
         # flows need only the targets, and a configuration may be large.
         self._startup_client = HttpClient(loop, settings.store_address)
@@ -92,12 +96,14 @@
         if isinstance(call, ListTargets):
             self._pages.clear()
             self._page_revision = None
+            self._newest_revision = 0
             self._may_be_old = call.may_be_old
             self._get_page(None)
         elif isinstance(call, Watch):
             path = changes_path(ALL_KEYS_PREFIX, call.revision, call.wait_ms)
             self._get(path, call.wait_ms + WATCH_MARGIN_MS, self._on_changes)
         elif isinstance(call, ReadConfiguration):
+            self._may_be_old = call.may_be_old
             path = page_path(CONFIGURATION_KEY, may_be_old=call.may_be_old)
             self._get(path, CALL_TIMEOUT_MS, self._on_configuration)
         elif isinstance(call, FetchTargets):
@@ -113,7 +119,9 @@
         entries = self.store_sync.on_delta(delta, now_ms)
         if entries is not None:
             self.balancer.on_entries(entries, now_ms)
-            self._log_era(previous, changed=len(entries), kept=0, source="peer")
+            self.store_log.restored(
+                previous, changed=len(entries), kept=0, source="peer"
+            )
 
     def on_configuration_delta(self, delta):
         """Handle a change of the configuration that a reader sent."""
@@ -147,8 +155,7 @@
         era = decode_era(header_value(result.head, ERA_HEADER))
         found = self.store_sync.on_era(era, self.loop.clock())
         if found == BEGAN:
-            self.metrics.add("store_eras", "store")
-            self.log.line("store_era", era=history.era, previous=previous)
+            self.store_log.era_began(previous)
         valid = found == CURRENT or (found == BEGAN and may_begin_era)
         if valid and not requested_before:
             return False
@@ -161,32 +168,17 @@
         if not isinstance(result, HttpFailure) and result.status == OK:
             listing = decode(result.body)
             if not isinstance(listing, InvalidResponse):
-                self._record_response(listing, now_ms)
+                self.store_log.answered(listing, now_ms - self._call_started_ms)
                 return listing
             reason = listing.reason
         elif isinstance(result, HttpFailure):
             reason = result.reason
         else:
             reason = f"status {result.status}"
-        self.metrics.add("store_calls", reason)
         self.store_sync.on_failure(now_ms)
-        if self._store_reachable:
-            self._store_reachable = False
-            self.log.line(
-                "store_lost", reason=reason, **self.balancer.state_summary(now_ms)
-            )
+        self.store_log.failed(reason, now_ms)
         return None
 
-    def _record_response(self, listing, now_ms):
-        self.metrics.add("store_calls", "answered")
-        self.metrics.observe_ms("store_call", now_ms - self._call_started_ms)
-        if not self._store_reachable:
-            self._store_reachable = True
-            self.log.line("store_regained", revision=listing.revision)
-        for key, reason in listing.faults:
-            self.metrics.add("documents_refused", reason.partition(" ")[0])
-            self.log.line("document_refused", key=key, reason=reason)
-
     def _on_page(self, result):
         is_first = self._page_revision is None
         if self._is_void(result, endings=self._call_endings, may_begin_era=is_first):
@@ -195,6 +187,7 @@
         if listing is None:
             return
         self._pages.update(listing.entries)
+        self._newest_revision = max(self._newest_revision, listing.newest)
         if self._page_revision is None:
             self._page_revision = listing.revision
         if listing.next_key is not None:
@@ -205,6 +198,14 @@
         history, rules = self.store_sync.history, self.store_sync.listing_rules()
         previous, missing = history.view, self.balancer.view.targets.keys() - entries
         changes = self.balancer.on_listing(entries, now_ms, rules)
+        self.store_log.read(
+            ENTRY_PREFIX,
+            may_be_old=self._may_be_old,
+            revision=self._page_revision,
+            newest=self._newest_revision,
+        )
+        if any(target for _, target in changes):
+            self._check_known(ENTRY_PREFIX, self._newest_revision, history.position)
         self.store_sync.on_listed(
             self._page_revision,
             now_ms,
@@ -212,31 +213,16 @@
             may_be_old=self._may_be_old,
         )
         kept = len(missing) if rules.keep_missing else 0
-        self._log_era(previous, changed=len(changes), kept=kept, source="store")
+        self.store_log.restored(
+            previous, changed=len(changes), kept=kept, source="store"
+        )
         self._announce(previous, changes)
 
-    def _log_era(self, previous, *, changed, kept, source):
-        """Log a view that was taken over from a restored copy of the store.
-
-        Args:
-            previous: ``Position`` of the view before.
-            changed: Number of entries that have changed.
-            kept: Number of listed targets that the copy lacks.
-            source: ``store`` or ``peer``.
-        """
-        position = self.store_sync.history.view
-        if previous.era and (position.era, position.step) != (
-            previous.era,
-            previous.step,
-        ):
-            self.log.line(
-                "store_restored",
-                position=position,
-                previous=previous,
-                changed=changed,
-                kept=kept,
-                source=source,
-            )
+    def _check_known(self, prefix, written, known):
+        """Report a change of the store that should have been known before."""
+        same_era = known is not None and known.era == self.store_sync.history.era
+        if same_era and 0 < written <= known.revision:
+            self.store_log.change_missed(prefix, written=written, known=known)
 
     def _announce(self, previous, changes):
         """Send changes of the targets to the members if this balancer is the reader."""
@@ -259,16 +245,17 @@
             return
         now_ms = self.loop.clock()
         if not isinstance(result, HttpFailure) and result.status == HISTORY_GONE:
-            self.metrics.add("store_calls", "history_gone")
-            position = self.store_sync.history.position
-            self.log.line("store_history_gone", position=position)
+            self.store_log.history_gone()
+            self._known_before = self.store_sync.history.position
             self.store_sync.on_history_gone(now_ms)
             return
         listing = self._decode_result(result, decode_changes)
         if listing is None:
             return
         previous = self.store_sync.history.view
-        self._apply_configuration(listing.configuration, "store")
+        self._apply_configuration(
+            listing.configuration, "store", written=listing.configuration_revision
+        )
         self.balancer.on_entries(listing.entries, now_ms)
         self.store_sync.on_changes(
             listing.revision, now_ms, targets_changed=bool(listing.entries)
@@ -277,22 +264,39 @@
 
     def _on_configuration(self, result):
         if not self._is_void(result, endings=self._call_endings, may_begin_era=True):
-            self._take_configuration(result)
+            self._take_configuration(result, may_be_old=self._may_be_old)
 
-    def _take_configuration(self, result):
+    def _take_configuration(self, result, *, may_be_old):
         listing = self._decode_result(result, decode_page)
         if listing is not None:
-            self._apply_configuration(listing.configuration, "store")
+            self._record_configuration_read(listing, may_be_old=may_be_old)
+            self._apply_configuration(
+                listing.configuration, "store", written=listing.configuration_revision
+            )
             self.store_sync.on_configuration_read(
                 listing.revision,
                 self.loop.clock(),
                 found=listing.configuration is not None,
             )
 
+    def _record_configuration_read(self, listing, *, may_be_old):
+        if listing.configuration is None:
+            return  # polls before the operator publishes one aren't logged
+        self.store_log.read(
+            CONFIGURATION_KEY,
+            may_be_old=may_be_old,
+            revision=listing.revision,
+            newest=listing.newest,
+        )
+        if listing.configuration.version > self.store_sync.configuration_version:
+            written = listing.configuration_revision
+            known = self.store_sync.history.configuration or self._known_before
+            self._check_known(CONFIGURATION_KEY, written, known)
+
     def _on_startup_configuration(self, result):
         self._startup_client.close()
         if not self._is_void(result, endings=0, may_begin_era=True):
-            self._take_configuration(result)
+            self._take_configuration(result, may_be_old=True)
 
     def _fetch_from_peer(self, host, path, on_done):
         self._peer_client = HttpClient(self.loop, (host, self._peer_port))
@@ -305,7 +309,9 @@
         now_ms, previous = self.loop.clock(), self.store_sync.history.view
         if self.store_sync.on_targets(copy.position, now_ms):
             changes = self.balancer.on_listing(copy.entries, now_ms)
-            self._log_era(previous, changed=len(changes), kept=0, source="peer")
+            self.store_log.restored(
+                previous, changed=len(changes), kept=0, source="peer"
+            )
         else:
             leaving = self.balancer.view.leaving_changes(copy.entries)
             self.balancer.on_entries(leaving, now_ms)
@@ -320,25 +326,18 @@
         self._peer_client.close()
         succeeded = not isinstance(result, HttpFailure) and result.status == OK
         copy = decode(result.body) if succeeded else None
-        outcome = "taken" if copy else "failed"
-        self.metrics.add("peer_fetches", outcome)
-        self.log.line(
-            "peer_fetch", peer=self._peer_client.address[0], path=path, outcome=outcome
+        self.store_log.peer_fetched(
+            self._peer_client.address[0], path, succeeded=copy is not None
         )
         return copy
 
-    def _apply_configuration(self, configuration, source):
+    def _apply_configuration(self, configuration, source, *, written=None):
         if configuration is None:
             return
         previous = self.balancer.configuration
         if self.balancer.configure(configuration):
             if source == "store":
                 self._announce_configuration(previous, configuration)
+            self.store_log.configured(configuration, source=source, written=written)
             routes = len(configuration.routes)
-            self.log.line(
-                "configuration_in_force",
-                version=configuration.version,
-                routes=routes,
-                source=source,
-            )
             self.store_sync.on_configuration(configuration.version, routes)
