Configuration deltas: name their reader, and lead to its routes or aren't applied

The version stood for routes that it didn't contain.

Evidence: with parts of two readers that remove 20 routes in different orders the former code puts version 2 in force with 8 routes left.

Change: the parts name their reader, and the digest of all routes after the change; a member whose routes would differ fetches the configuration instead. "Parts of two readers aren't put together" failed before.

--- a/libs/flows/features/configuration_delta.feature
+++ b/libs/flows/features/configuration_delta.feature
@@ -40,3 +40,13 @@
 
   Scenario: A large change is fetched
     Then a change of 400 routes yields no delta
+
+  Scenario: Parts of two readers aren't put together
+    Given a member with 20 routes
+    When two readers send parts of a change that removes them in different orders
+    Then the routes are whole, before or after the change
+
+  Scenario: A change that doesn't lead to the reader's routes isn't applied
+    Given a member with 20 routes, one of which is another one's
+    When a reader sends a change that adds a route
+    Then the change isn't applied
--- a/libs/flows/features/steps/configuration_delta_steps.py
+++ b/libs/flows/features/steps/configuration_delta_steps.py
@@ -11,6 +11,7 @@
     ConfigurationDeltas,
     Route,
     configuration_delta,
+    digest,
 )
 
 SHARES = st.lists(st.tuples(st.sampled_from("abc"), st.integers(0, 9)), min_size=1)
@@ -44,9 +45,11 @@
 )
 def step_parts(context, order, previous, version):
     """Each part adds one route."""
+    additions = {(2, part): Route("r", (("a", 1),), True) for part in range(3)}
+    result = digest(routes(1) | additions)
     for part in map(int, order.split(", ")):
-        added = [((2, part), Route("r", (("a", 1),), True))]
-        delta = ConfigurationDelta(previous, version, 9_000, part, 3, added)
+        added = [((2, part), additions[2, part])]
+        delta = ConfigurationDelta(5, previous, version, 9_000, part, 3, added, result)
         changed = context.deltas.apply(context.configuration, delta)
         context.configuration = changed or context.configuration
 
@@ -72,8 +75,8 @@
         Configuration(1, routes(1), 5_000),
         Configuration(2, routes(count), 5_000),
     )
-    assert configuration_delta(small, large) is None
-    assert configuration_delta(large, small._replace(version=3)) is None
+    assert configuration_delta(small, large, reader=5) is None
+    assert configuration_delta(large, small._replace(version=3), reader=5) is None
 
 
 @then("for {count:d} pairs of configurations the delta leads from one to the other")
@@ -84,7 +87,69 @@
     @for_all(ROUTES, ROUTES, st.integers(1, 9_000))
     def check(before, after, idle_ms):
         one, other = Configuration(1, before, 5_000), Configuration(2, after, idle_ms)
-        delta = configuration_delta(one, other)
+        delta = configuration_delta(one, other, reader=5)
         assert ConfigurationDeltas().apply(one, delta) == other
 
     check()
+
+
+@given("a member with {count:d} routes")
+def step_routes(context, count):
+    """Its version is 1."""
+    context.configuration = Configuration(1, routes(count), 5_000)
+    context.deltas = ConfigurationDeltas()
+
+
+@given("a member with {count:d} routes, one of which is another one's")
+def step_other_routes(context, count):
+    """A version stands for its routes only if they are those of the store."""
+    step_routes(context, count)
+    context.expected = context.configuration
+    changed = context.configuration.routes | {(1, 3): Route("x", (("b", 1),), True)}
+    context.configuration = context.configuration._replace(routes=changed)
+
+
+@when("two readers send parts of a change that removes them in different orders")
+def step_two_readers(context):
+    """Part 0 of one arrives with parts 1 and 2 of the other."""
+    before, empty = context.configuration, Configuration(2, {}, 5_000)
+    turned = before._replace(routes=dict(reversed(before.routes.items())))
+    one = _split(configuration_delta(before, empty, reader=3))
+    other = _split(configuration_delta(turned, empty, reader=4))
+    for part in (one[0], other[1], other[2]):
+        changed = context.deltas.apply(context.configuration, part)
+        context.configuration = changed or context.configuration
+
+
+def _split(delta, parts=3):
+    """Return a delta in a number of parts."""
+    size = -(-len(delta.routes) // parts)
+    return [
+        delta._replace(
+            part=part, parts=parts, routes=delta.routes[size * part : size * (part + 1)]
+        )
+        for part in range(parts)
+    ]
+
+
+@when("a reader sends a change that adds a route")
+def step_one_more(context):
+    """The reader has all routes right."""
+    routes_after = context.expected.routes | {(5, 5): Route("r", (("a", 1),), True)}
+    delta = configuration_delta(
+        context.expected, Configuration(2, routes_after, 5_000), reader=3
+    )
+    context.result = context.deltas.apply(context.configuration, delta)
+
+
+@then("the routes are whole, before or after the change")
+def step_whole(context):
+    """No route is left under the new version."""
+    found = (context.configuration.version, len(context.configuration.routes))
+    assert found in ((1, 20), (2, 0)), found
+
+
+@then("the change isn't applied")
+def step_not_applied(context):
+    """The member fetches the configuration when it hears of the version."""
+    assert context.result is None, context.result
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -8,6 +8,7 @@
     configuration_delta,
 )
 from ._cookie import NO_COOKIE, target_cookie
+from ._digest import digest
 from ._effects import DealtAnew, FlowReset, LogEvent
 from ._health import (
     ACCEPTED,
@@ -105,5 +106,6 @@
     "Verdict",
     "Watch",
     "configuration_delta",
+    "digest",
     "target_cookie",
 ]
--- a/libs/flows/src/lagoontally_flows/_configuration_delta.py
+++ b/libs/flows/src/lagoontally_flows/_configuration_delta.py
@@ -6,6 +6,7 @@
 
 from lagoontally_lean import Record
 
+from ._digest import digest
 from ._parts import PartCollector
 from ._records import Configuration
 
@@ -13,28 +14,31 @@
 
 
 class ConfigurationDelta(
-    Record, fields="previous version idle_timeout_ms part parts routes"
+    Record, fields="reader previous version idle_timeout_ms part parts routes digest"
 ):
     """Routes that changed between two versions of the configuration.
 
     Attributes:
+        reader: Priority of the reader, which identifies it.
         previous: Version that the change applies to.
         version: Version that it results in.
         idle_timeout_ms: How long a flow may be idle before it is forgotten.
         part: Index of this part, from 0.
         parts: Number of parts that the change is split into.
         routes: Pairs of a destination and its ``Route``, None if it was removed.
+        digest: Digest of all routes after the change.
     """
 
     __slots__ = ()
 
 
-def configuration_delta(previous, current):
+def configuration_delta(previous, current, *, reader):
     """Return the ``ConfigurationDelta`` between two configurations.
 
     Args:
         previous: The ``Configuration`` in force before, or None.
         current: The newer ``Configuration``.
+        reader: Priority of the reader that sends it.
 
     Returns:
         The delta in one part, or None if the members should fetch the configuration.
@@ -55,7 +59,14 @@
     if len(routes) > MAX_CHANGED_ROUTES:
         return None
     return ConfigurationDelta(
-        previous.version, current.version, current.idle_timeout_ms, 0, 1, routes
+        reader=reader,
+        previous=previous.version,
+        version=current.version,
+        idle_timeout_ms=current.idle_timeout_ms,
+        part=0,
+        parts=1,
+        routes=routes,
+        digest=digest(current.routes),
     )
 
 
@@ -74,14 +85,15 @@
 
         Returns:
             The new ``Configuration`` once all parts have arrived; None before, and if
-            the delta doesn't apply to the version in force.
+            the delta doesn't apply to the version in force or doesn't lead to the
+            reader's routes.
         """
         if current is None or current.version != delta.previous:
             return None
         if delta.version <= delta.previous:
             return None
         changes = self._parts.add(
-            (delta.previous, delta.version, delta.parts),
+            (delta.reader, delta.previous, delta.version, delta.parts),
             part=delta.part,
             parts=delta.parts,
             items=delta.routes,
@@ -94,4 +106,6 @@
                 routes.pop(destination, None)
             else:
                 routes[destination] = route
+        if digest(routes) != delta.digest:
+            return None
         return Configuration(delta.version, routes, delta.idle_timeout_ms)
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_digest.py
@@ -0,0 +1,37 @@
+"""Checksums by which balancers compare what they know without sending it."""
+
+from binascii import crc32
+
+EMPTY = 0
+_MASK = 0xFFFFFFFF
+
+
+def digest(items):
+    """Return the digest of a mapping; it doesn't depend on the order of its items.
+
+    Args:
+        items: Dictionary whose values are records of numbers, text and tuples.
+
+    Returns:
+        32 bits. ``replace`` updates them item by item.
+    """
+    return sum(_checksum(key, value) for key, value in items.items()) & _MASK
+
+
+def replace(current, key, before, after):
+    """Return the digest after one item has changed.
+
+    Args:
+        current: Digest before.
+        key: Key of the item.
+        before: Value before, None if the item is new.
+        after: Value after, None if the item is removed.
+    """
+    removed = 0 if before is None else _checksum(key, before)
+    added = 0 if after is None else _checksum(key, after)
+    return (current - removed + added) & _MASK
+
+
+def _checksum(key, value):
+    # Plain tuples: the representation of records takes ten times as long.
+    return crc32(repr((key, tuple(value))).encode())
--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -51,11 +51,11 @@
       | ["Hello", "tifton"] |
       | ["Hello", 5, 1, 1] |
       | ["Joined", 5] |
-      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, ["r", [], true]]]] |
-      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, ["r", [["a", "x"]], true]]]] |
-      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, 5]]] |
-      | ["ConfigurationDelta", 1, 2, 0, 0, 1, []] |
-      | ["ConfigurationDelta", 1, 2, 5000, 3, 2, []] |
+      | ["ConfigurationDelta", 3, 1, 2, 5000, 0, 1, [[1, 80, ["r", [], true]]], 7] |
+      | ["ConfigurationDelta", 3, 1, 2, 5000, 0, 1, [[1, 80, ["r", [["a", "x"]], true]]], 7] |
+      | ["ConfigurationDelta", 3, 1, 2, 5000, 0, 1, [[1, 80, 5]], 7] |
+      | ["ConfigurationDelta", 3, 1, 2, 0, 0, 1, [], 7] |
+      | ["ConfigurationDelta", 3, 1, 2, 5000, 3, 2, [], 7] |
       | ["Beacon", 1, 2]                   |
 
   Scenario: Every reply to a hello fits into a datagram
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -42,6 +42,7 @@
     Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False),
     DELTA,
     ConfigurationDelta(
+        3,
         4,
         7,
         15_000,
@@ -51,6 +52,7 @@
             ((3_323_068_417, 8_443), Route("r-1", (("desk", 9), ("vault", 1)), True)),
             ((3_323_068_417, 8_080), None),
         ],
+        77,
     ),
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
@@ -113,7 +115,7 @@
     routes = [
         ((4_294_967_295, n), Route(f"route-{n:06}", shares, True)) for n in range(count)
     ]
-    delta = ConfigurationDelta(2**31, 2**31 + 1, 600_000, 0, 1, routes)
+    delta = ConfigurationDelta(2**33, 2**31, 2**31 + 1, 600_000, 0, 1, routes, 2**32)
     parts = split_configuration_delta(delta)
     decoded = [decode_message(encode_message(part)) for part in parts]
     assert decoded == parts
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -203,7 +203,7 @@
 
 
 def _decode_configuration_delta(fields):
-    previous, version, idle_timeout_ms, part, parts, routes = fields
+    reader, previous, version, idle_timeout_ms, part, parts, routes, digest = fields
     if not 0 <= part < parts <= MAX_PARTS or idle_timeout_ms <= 0:
         raise ValueError("a part or a time-out is out of range")
     decoded = [
@@ -211,7 +211,14 @@
         for address, port, route in routes
     ]
     return ConfigurationDelta(
-        int(previous), int(version), int(idle_timeout_ms), part, parts, decoded
+        int(reader),
+        int(previous),
+        int(version),
+        int(idle_timeout_ms),
+        part,
+        parts,
+        decoded,
+        int(digest),
     )
 
 
--- a/libs/forwarder/src/lagoontally_forwarder/_store_log.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_log.py
@@ -1,6 +1,6 @@
 """Logs and counts what a balancer learned from the store and from peers."""
 
-from binascii import crc32
+from lagoontally_flows import digest
 
 
 class StoreLog:
@@ -123,14 +123,5 @@
             routes=len(configuration.routes),
             source=source,
             written=written,
-            digest=routes_digest(configuration.routes),
+            digest=f"{digest(configuration.routes):08x}",
         )
-
-
-def routes_digest(routes):
-    """Return a checksum of routes that doesn't depend on their order, as text."""
-    return f"{sum(map(_checksum, routes.items())) & 0xFFFFFFFF:08x}"
-
-
-def _checksum(item):
-    return crc32(repr(item).encode())
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -235,7 +235,8 @@
         """Send a change to the members if this balancer is the reader."""
         if not self.store_sync.reader:
             return
-        delta = configuration_delta(previous, configuration)
+        reader = self.store_sync.priority
+        delta = configuration_delta(previous, configuration, reader=reader)
         if delta is not None:
             for part in split_configuration_delta(delta):
                 self.peers.broadcast(part)
