Positions: targets and configuration have one each, and only what proves it sets it

What callers saw: requests run by a route's old service, or on a dropped route, long after the new version was acknowledged, through every balancer of a data centre, until the operator's next change.

Cause: one position stood for targets and configuration, and for data that didn't reach up to it. A reader whose history was lost (410) listed the targets at the newest revision and took the configuration from a peer that had read it moments before; what was written in between was before the position and never delivered. Likewise with reads that may be old at the start: the revision that such a read names may be newer than its items (both readings of the pages), its pages and the two calls may come from copies of different age, and the answer to a watch that began at one moved the position of both. The reader then told its data centre that all was known.

Change: targets and configuration each have a position, a watch begins at the lower one, and its answer moves only positions that it continues. A read that may be old and a peer's configuration give none; a reader without a position reads again, consistently, before it watches. Followers take over a reader's position if their targets have its digest, so that a start stays as cheap as it was; the same digest decides on changes found by a listing, which lack what came and went since another balancer's view. A former era's position is none in the next.

--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -152,11 +152,13 @@
                 self._finish(balancer, call)
         if balancer.pending is None:
             self._begin(balancer)
-        beacon = store_sync.beacon(self.now_ms)
+        beacon = store_sync.beacon(self.now_ms, digest=balancer.targets)
         if beacon is not None:
             for other in self.living():
                 if other is not balancer:
-                    other.store_sync.on_beacon(beacon, balancer.name, self.now_ms)
+                    other.store_sync.on_beacon(
+                        beacon, balancer.name, self.now_ms, digest=other.targets
+                    )
 
     def _has_changes(self, call):
         return isinstance(call, Watch) and self.store.revision != call.revision
@@ -199,11 +201,13 @@
                 targets_changed=balancer.targets != known,
                 may_be_old=call.may_be_old,
             )
-            self._send_delta(balancer, previous)
+            self._send_delta(balancer, previous, None, known)
         elif isinstance(call, ReadConfiguration):
             self._configure(balancer, store.version)
             found = store.version > 0
-            store_sync.on_configuration_read(store.revision, self.now_ms, found=found)
+            store_sync.on_configuration_read(
+                store.revision, self.now_ms, found=found, may_be_old=call.may_be_old
+            )
         elif not store.forgotten <= call.revision <= store.revision:
             store_sync.on_history_gone(self.now_ms)
         else:
@@ -215,24 +219,31 @@
         changed = store.targets_revision > call.revision
         if store.version_revision > call.revision:
             self._configure(balancer, store.version)
-        store_sync.on_changes(store.revision, self.now_ms, targets_changed=changed)
+        store_sync.on_changes(
+            store.revision, self.now_ms, after=call.revision, targets_changed=changed
+        )
         if not changed:
             return
-        balancer.targets = store.targets
-        self._send_delta(balancer, previous)
+        known, balancer.targets = balancer.targets, store.targets
+        self._send_delta(balancer, previous, previous, known)
 
-    def _send_delta(self, balancer, previous):
+    def _send_delta(self, balancer, previous, since, known):
+        """Send a delta that leads from the targets that the reader knew before."""
         store_sync = balancer.store_sync
         if not store_sync.reader or store_sync.history.view == previous:
             return
-        delta = store_sync.delta(previous, ())
+        delta = store_sync.delta(since, (), digest=balancer.targets)
         for other in self.living():
             if other is not balancer and other.name not in self.lost:
-                self._deliver_delta(other, delta, balancer.targets)
+                self._deliver_delta(other, delta, balancer.targets, known)
         self.lost.clear()
 
-    def _deliver_delta(self, balancer, delta, targets):
-        if balancer.store_sync.on_delta(delta, self.now_ms) is not None:
+    def _deliver_delta(self, balancer, delta, targets, known):
+        after = targets if balancer.targets == known else balancer.targets
+        found = balancer.store_sync.on_delta(
+            delta, self.now_ms, digest_after=lambda _entries: after
+        )
+        if found is not None:
             balancer.targets = targets
 
     def _is_void(self, balancer, call):
--- /dev/null
+++ b/libs/flows/features/steps/positions_steps.py
@@ -0,0 +1,258 @@
+"""Steps for positions in the store's history."""
+
+from random import Random
+
+from behave import given, then, when
+
+from lagoontally_flows import (
+    Beacon,
+    Delta,
+    FetchTargets,
+    ListTargets,
+    Position,
+    ReadConfiguration,
+    StoreSync,
+    Watch,
+)
+
+OWN, OTHER = 7, 8  # digests of targets
+STEP_MS = 600  # longer than the delays of calls, shorter than a takeover
+
+
+def position(revision):
+    """Return a position in the first era."""
+    return Position(1, revision, 0)
+
+
+def next_call(context):
+    """Return the next call, after all delays."""
+    context.now_ms += STEP_MS
+    return context.store_sync.next_call(context.now_ms)
+
+
+def assert_next_call(context, expected):
+    """Compare the next call; records of two types may be equal as tuples."""
+    call = next_call(context)
+    assert type(call) is type(expected) and call == expected, call
+
+
+def beacon(revision, digest, version=5):
+    """Return the beacon of a reader in contact with the store."""
+    view = position(revision)
+    return Beacon(3, view, view, version, 9, 0, True, False, digest)
+
+
+@given("a balancer without a position")
+def step_new(context):
+    """It has just started, and has a configuration."""
+    context.now_ms = 0
+    context.store_sync = StoreSync(priority=9, random=Random(1))
+    context.store_sync.on_era(1, 0)
+
+
+@given("a reader that knows targets and configuration up to revision {revision:d}")
+def step_reader(context, revision):
+    """Both were read consistently."""
+    step_reader_positions(context, revision, revision)
+
+
+@given(
+    "a reader that knows targets up to revision {targets:d}"
+    " and configuration up to {configuration:d}"
+)
+def step_reader_positions(context, targets, configuration):
+    """The configuration was read first."""
+    step_new(context)
+    store_sync = context.store_sync
+    store_sync.on_configuration(4, 9)
+    store_sync.on_configuration_read(configuration, 0, found=True)
+    store_sync.on_listed(targets, 0, targets_changed=True)
+    store_sync.reader = True
+
+
+@given("a follower that knows targets up to revision {revision:d}")
+def step_follower(context, revision):
+    """It has the newest configuration."""
+    step_reader_positions(context, revision, revision)
+    context.store_sync.reader = False
+    context.store_sync.on_configuration(5, 9)
+
+
+@when("it hears the beacon of a reader with version {version:d}")
+def step_beacon(context, version):
+    """That reader yields to this one."""
+    message = beacon(10, OWN, version)
+    context.store_sync.on_beacon(message, "10.0.0.2", context.now_ms, digest=OWN)
+    context.store_sync.reader = True
+
+
+@when("the store has lost its history")
+def step_history(context):
+    """A watch gets 410."""
+    context.store_sync.on_history_gone(context.now_ms)
+
+
+@when("a consistent listing at revision {revision:d} arrives")
+def step_listing(context, revision):
+    """The targets haven't changed."""
+    assert isinstance(next_call(context), ListTargets | FetchTargets)
+    context.store_sync.on_listed(revision, context.now_ms, targets_changed=False)
+
+
+@when("version {version:d} arrives from a peer")
+def step_peer_configuration(context, version):
+    """The answer to a fetch."""
+    context.store_sync.on_configuration(version, 9)
+
+
+@then("its next call reads the configuration, not from an old copy")
+def step_reads(context):
+    """A watch from the listing would miss what was written before it."""
+    assert_next_call(context, ReadConfiguration(may_be_old=False))
+
+
+@when("a listing that may be old and names revision {revision:d} arrives")
+def step_old_listing(context, revision):
+    """The first call of a balancer."""
+    assert_next_call(context, ListTargets(may_be_old=True))
+    context.store_sync.on_listed(
+        revision, context.now_ms, targets_changed=True, may_be_old=True
+    )
+
+
+@when("a configuration that may be old and names revision {revision:d} arrives")
+def step_old_configuration(context, revision):
+    """The other call of a balancer that starts."""
+    context.store_sync.on_configuration(4, 9)
+    context.store_sync.on_configuration_read(
+        revision, context.now_ms, found=True, may_be_old=True
+    )
+
+
+@when("it becomes the reader")
+def step_become_reader(context):
+    """No reader was heard."""
+    context.store_sync.reader = True
+
+
+@then(
+    "its next calls are a catch-up from {revision:d}, a consistent listing, a"
+    " consistent read"
+)
+def step_calls(context, revision):
+    """The catch-up is answered although the store has other changes as well."""
+    store_sync = context.store_sync
+    assert_next_call(context, Watch(revision, 1))
+    store_sync.on_changes(30, context.now_ms, after=revision, targets_changed=False)
+    assert_next_call(context, ListTargets(may_be_old=False))
+    store_sync.on_listed(32, context.now_ms, targets_changed=True)
+    assert_next_call(context, ReadConfiguration(may_be_old=False))
+    store_sync.on_configuration_read(31, context.now_ms, found=True)
+
+
+@then("it watches from revision {revision:d}")
+def step_watches(context, revision):
+    """All changes up to there are known."""
+    call = next_call(context)
+    assert isinstance(call, Watch) and call.revision == revision, call
+
+
+@when("a watch from revision {after:d} is answered up to revision {revision:d}")
+def step_answered(context, after, revision):
+    """It contains no change of targets."""
+    context.store_sync.on_changes(
+        revision, context.now_ms, after=after, targets_changed=False
+    )
+
+
+@when("the store is in era {era:d} and lists its targets at revision {revision:d}")
+def step_era(context, era, revision):
+    """The store has come back from an older copy."""
+    context.store_sync.on_era(era, context.now_ms)
+    context.store_sync.on_listed(revision, context.now_ms, targets_changed=False)
+
+
+@then("its beacon names no position")
+def step_no_claim(context):
+    """Its targets may be old."""
+    context.beacon = context.store_sync.beacon(context.now_ms, digest=OWN)
+    assert context.beacon.view == position(0), context.beacon
+    assert not context.beacon.known.revision, context.beacon
+
+
+@when(
+    "a listing that may be old and names revision {revision:d} arrives at another"
+    " balancer"
+)
+def step_other_listing(context, revision):
+    """It has just started, too."""
+    step_new(context)
+    step_old_listing(context, revision)
+
+
+@when("that balancer hears the beacon")
+def step_hear(context):
+    """Both have the same targets."""
+    context.store_sync.on_beacon(context.beacon, "10.0.0.2", 0, digest=OWN)
+
+
+@when("no listing has arrived")
+def step_no_listing(_context):
+    """The store answers nothing."""
+
+
+@when("targets without a position arrive from a peer")
+def step_copy_without_position(context):
+    """The peer has read them from an old copy."""
+    context.result = context.store_sync.on_targets(position(0), context.now_ms)
+
+
+@then("they are {outcome}")
+def step_taken(context, outcome):
+    """Old targets are better than none."""
+    assert context.result == (outcome == "taken"), context.result
+
+
+@when("the beacon of a reader at revision {revision:d} with {content} targets arrives")
+def step_reader_beacon(context, revision, content):
+    """The reader's digest is that of the targets here, or another one."""
+    digest = OWN if content == "equal" else OTHER
+    context.store_sync.on_configuration(5, 9)
+    context.store_sync.on_beacon(
+        beacon(revision, digest), "10.0.0.2", context.now_ms, digest=OWN
+    )
+
+
+@when(
+    "a reader's change from an unknown position to {revision:d} arrives that leads to"
+    " {content} targets"
+)
+def step_change(context, revision, content):
+    """The reader's own targets were old before this change."""
+    view = position(revision)
+    digest = OWN if content == "equal" else OTHER
+    change = Delta(3, view, view, view, 5, 0, 1, [("a", None)], digest)
+    found = context.store_sync.on_delta(
+        change, context.now_ms, digest_after=lambda _entries: OWN
+    )
+    assert (found is not None) == (content == "equal"), found
+
+
+@then("it knows targets up to {revision:d}")
+def step_knows(context, revision):
+    """As the reader does."""
+    history = context.store_sync.history
+    assert history.targets == history.view == position(revision), history.targets
+
+
+@then("it knows no position")
+def step_knows_none(context):
+    """What it has may be old still."""
+    assert context.store_sync.history.targets is None
+
+
+@then("it fetches the reader's")
+def step_fetches(context):
+    """After the catch-up, if that is still due."""
+    calls = [next_call(context), next_call(context)]
+    assert FetchTargets("10.0.0.2") in calls, calls
--- a/libs/flows/features/steps/store_era_steps.py
+++ b/libs/flows/features/steps/store_era_steps.py
@@ -211,10 +211,11 @@
 
 @given("a reader at revision {revision:d} of era {era:d}")
 def step_reader(context, revision, era):
-    """A reader that has listed the targets."""
+    """A reader that has listed the targets and read the configuration."""
     context.store_sync = StoreSync(priority=1, random=Random(1))
     context.store_sync.on_era(era, 0)
     context.store_sync.on_listed(revision, 0, targets_changed=True)
+    context.store_sync.on_configuration_read(revision, 0, found=True)
     context.store_sync.reader = True
 
 
@@ -225,12 +226,18 @@
     context.store_sync.reader = False
 
 
-@when("a delta from revision 100 of era 3 to revision 60 of era 4 arrives")
-def step_delta(context):
+@when(
+    "a delta to revision {revision:d} of era {era:d} arrives that leads to {content}"
+    " targets"
+)
+def step_delta(context, revision, era, content):
     """The reader has listed the restored store."""
-    before, after = Position(3, 100, 0), Position(4, 60, 0)
-    delta = Delta(7, before, after, after, 0, 0, 1, [("a", None)])
-    context.applied = context.store_sync.on_delta(delta, 50)
+    after = Position(era, revision, 0)
+    delta = Delta(7, after, after, after, 0, 0, 1, [("a", None)], 1)
+    digest = 1 if content == "equal" else 0
+    context.applied = context.store_sync.on_delta(
+        delta, 50, digest_after=lambda _entries: digest
+    )
 
 
 @then("it is {outcome}")
@@ -248,7 +255,9 @@
 
 @then("the response is {result}, the reader at revision {revision:d} of era {era:d}")
 def step_result(context, result, revision, era):
-    """Only a listing moves the position."""
+    """Only reads move the positions."""
     assert context.result == result, context.result
-    position = context.store_sync.history.position
-    assert position == Position(era, revision, 0), position
+    history = context.store_sync.history
+    assert history.targets == Position(era, revision, 0), history.targets
+    known = None if result == "began" else history.targets
+    assert history.position == known, history.position
--- a/libs/flows/features/steps/store_sync_steps.py
+++ b/libs/flows/features/steps/store_sync_steps.py
@@ -195,8 +195,9 @@
     previous = context.store_sync.history.view
     position = Position(1, revision, 0)
     entry = (f"{reader}-{part}", None)
-    delta = Delta(reader, previous, position, position, 0, part, parts, [entry])
-    context.applied += context.store_sync.on_delta(delta, 0) or []
+    delta = Delta(reader, previous, position, position, 0, part, parts, [entry], 1)
+    found = context.store_sync.on_delta(delta, 0, digest_after=lambda _entries: 0)
+    context.applied += found or []
 
 
 @then("{entries} are applied")
--- a/libs/flows/features/store_era.feature
+++ b/libs/flows/features/store_era.feature
@@ -117,16 +117,19 @@
       | 2    | ended   | 3     |
       | 4    | began   | 3     |
 
-  Scenario Outline: A delta between eras continues exactly one view
+  Scenario Outline: A delta between eras leads only to the reader's targets
     Given a follower whose view is at revision <known> of era <era>
-    When a delta from revision 100 of era 3 to revision 60 of era 4 arrives
+    When a delta to revision 60 of era 4 arrives that leads to <content> targets
     Then it is <outcome>
 
     Examples:
-      | known | era | outcome     |
-      | 100   | 3   | applied     |
-      | 99    | 3   | not applied |
-      | 101   | 3   | not applied |
-      | 55    | 4   | not applied |
-      | 60    | 4   | not applied |
-      | 10    | 5   | not applied |
+      | known | era | content | outcome     |
+      | 100   | 3   | equal   | applied     |
+      | 100   | 3   | other   | not applied |
+      | 99    | 3   | other   | not applied |
+      | 101   | 3   | other   | not applied |
+      | 55    | 4   | other   | not applied |
+      | 55    | 4   | equal   | applied     |
+      | 61    | 4   | equal   | not applied |
+      | 60    | 4   | equal   | not applied |
+      | 10    | 5   | equal   | not applied |
--- a/libs/flows/src/lagoontally_flows/_store_history.py
+++ b/libs/flows/src/lagoontally_flows/_store_history.py
@@ -52,11 +52,17 @@
 class StoreHistory:
     """How far a balancer has followed the store's history.
 
+    Targets and configuration are read in separate calls, so each has a position of
+    its own. Only consistent reads, watches that continue from a position, and peers
+    with a position set one: a read that may be old shows what the store contained
+    once, and not up to which change.
+
     Attributes:
         era: The newest era known, 0 before the first.
-        position: Position to watch from, None before the first listing.
-        view: Position of the last known change of targets.
-        configuration: Position up to which the configuration is known, or None.
+        targets: Position up to which all changes of targets are known, or None.
+        configuration: The same for changes of the configuration.
+        view: Position of the last known change of targets, ``START`` while
+            ``targets`` is None.
         began_ms: When the present era was found to have ended another one, or None.
         step: Number of listings taken over after ``SETTLE_AFTER_MS`` in this era.
         endings: Number of histories that ended while this balancer followed them;
@@ -68,19 +74,44 @@
 
     def __init__(self):
         self.era = 0
-        self.position = None
-        self.view = START
+        self.targets = None
         self.configuration = None
+        self.view = START
         self.began_ms = None
         self.step = 0
         self.endings = 0
         self.stale_refused = False
         self.informed_era = 0
 
+    @property
+    def knows_targets(self):
+        """Whether the targets are known up to a position in the present era."""
+        return self.targets is not None and self.targets.era == self.era
+
+    @property
+    def knows_configuration(self):
+        """Whether the same holds for the configuration."""
+        return self.configuration is not None and self.configuration.era == self.era
+
+    @property
+    def announced_view(self):
+        """The view as peers are told; revision 0 while the targets may be old."""
+        return self.view if self.targets is not None else Position(self.era, 0, 0)
+
+    @property
+    def position(self):
+        """Position up to which all changes are known, None if there is none.
+
+        A watch starts there.
+        """
+        if not self.knows_targets or not self.knows_configuration:
+            return None
+        return min(self.targets, self.configuration)
+
     @property
     def has_ended(self):
-        """Whether the position is in a history that has ended."""
-        return self.position is not None and self.position.era < self.era
+        """Whether the targets are known up to a position in an era that has ended."""
+        return self.targets is not None and self.targets.era < self.era
 
     @property
     def is_settling(self):
@@ -104,9 +135,8 @@
             self.stale_refused = True
             return ENDED
         self.era = era
-        if self.position is None:
+        if self.targets is None:
             return CURRENT
-        self.configuration = None
         self.began_ms = now_ms
         self.step = 0
         self.endings += 1
@@ -128,46 +158,52 @@
         return _RULES_BY_STEP[self.step + settling]
 
     def on_listed(self, revision, *, targets_changed, settling):
-        """Record a complete listing of targets from the store."""
+        """Record a complete, consistent listing of targets from the store."""
         if settling and self.is_settling:
             self.step += 1
-        self.position = Position(self.era, revision, 0)
-        if targets_changed or settling or self.view.era < self.era:
+        first = not self.knows_targets
+        self.targets = Position(self.era, revision, 0)
+        if targets_changed or settling or first:
             step = self.step if settling else 0
             self.view = max(self.view, Position(self.era, revision, step))
-        self.limit_watch()
 
-    def on_changes(self, revision, *, targets_changed):
-        """Record the changes up to a revision."""
-        self.position = max(self.position, Position(self.era, revision, 0))
-        if targets_changed:
-            self.view = max(self.view, self.position)
+    def on_changes(self, revision, *, after, targets_changed):
+        """Record all changes between two revisions.
+
+        Args:
+            revision: The later one.
+            after: The earlier one. Positions before it keep their place, since the
+                changes up to it are missing.
+            targets_changed: Whether there are changes of targets.
+        """
+        reached = Position(self.era, revision, 0)
+        if self.knows_targets and after <= self.targets.revision:
+            self.targets = max(self.targets, reached)
+            if targets_changed:
+                self.view = max(self.view, reached)
+        if self.knows_configuration and after <= self.configuration.revision:
+            self.configuration = max(self.configuration, reached)
 
     def on_configuration_read(self, revision):
-        """Record that the configuration is known up to a revision."""
-        self.configuration = Position(self.era, revision, 0)
-        self.limit_watch()
+        """Record a consistent read of the configuration."""
+        self.on_configuration_known(Position(self.era, revision, 0))
+
+    def on_configuration_known(self, position):
+        """Record that the newest configuration up to a position is in force here."""
+        position = position._replace(step=0)
+        if position > (self.configuration or START):
+            self.configuration = position
+
+    def on_targets_known(self, position):
+        """Record that the targets are known up to a position."""
+        self.targets = max(self.targets or START, position._replace(step=0))
 
     def on_copy(self, position):
-        """Record the targets that a peer sent."""
+        """Record targets that a peer sent, as they were at the position of its view."""
         self.view = position
-        if self.position is None:
-            self.position = position
-
-    def limit_watch(self):
-        """Start watches where both targets and configuration are known."""
-        known = self.configuration
-        if known is None or self.position is None or known.era != self.position.era:
-            return
-        self.position = min(self.position, known)
+        self.on_targets_known(position)
 
     def follows(self, delta):
-        """Return whether a ``Delta`` continues this view.
-
-        Between eras it must continue exactly this view: the changes of a balancer
-        that had got further, or had listed the copy itself, aren't known.
-        """
-        if self.position is None or not delta.previous <= self.view < delta.position:
-            return False
-        same_era = delta.previous.era == delta.position.era
-        return same_era or self.view == delta.previous
+        """Return whether a ``Delta`` contains all changes after this view."""
+        known = self.targets is not None
+        return known and delta.previous <= self.view < delta.position
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -3,7 +3,10 @@
 Each call to the store is billed, and all balancers share one rate limit. So one
 balancer per data centre, the reader, watches the store and updates the others by
 beacons and deltas. A follower takes over when the beacons stop or show that the
-reader has lost the store. Each balancer reads once at its start, to serve at once.
+reader has lost the store.
+
+Each balancer reads once at its start, to serve at once. These reads may be old, so it
+then compares its targets with those of a reader, or becomes one and reads again.
 """
 
 from ._call_timing import (
@@ -14,34 +17,30 @@
     retry_pause_ms,
 )
 from ._parts import PartCollector
-from ._reader_election import ReaderElection
-from ._store_history import BEGAN, ENDED, START, StoreHistory
+from ._reader_messages import ReaderMessages
+from ._store_history import BEGAN, ENDED
 from ._store_sync_records import (
-    Beacon,
-    Delta,
     FetchConfiguration,
     FetchTargets,
     ListTargets,
     ReadConfiguration,
     Watch,
 )
+from ._target_comparison import TargetComparison
 
 WATCH_WAIT_MS = 800  # each answer proves that the store is reachable; see FRESH_MS
 WATCH_PAUSE_MS = 150  # batches changes that occur together into one call
 MAX_ROUTES_FROM_READER = 3_000  # times members; a reader's link needs a second
 FETCH_RETRY_MS = 300
-BEACON_INTERVAL_MS = 300
 
 
-class StoreSync(ReaderElection):
+class StoreSync(ReaderMessages):
     """Decides the next call to the store or to a peer.
 
     Attributes:
-        history: The ``StoreHistory``.
-        configuration_version: Version in force here; 0 before the first.
+        has_targets: Whether any targets were read, from the store or a peer.
         announced_version: Newest version announced in a beacon.
         confirmed_ms: When the view was last known to be current.
-        routes: Number of routes in the configuration in force here.
         call_cancelled: Whether to cancel the running call to the store, since
             another reader reaches the store or the history that it asks about has
             ended. Cleared by the caller of ``next_call``.
@@ -49,23 +48,21 @@
 
     def __init__(self, *, priority, random, slow_link=False):
         super().__init__(priority=priority, random=random, slow_link=slow_link)
-        self.history = StoreHistory()
-        self.configuration_version = 0
+        self.has_targets = False
         self.announced_version = 0
         self.confirmed_ms = None
-        self.routes = 0
         self.call_cancelled = False
         self._reader_is_next = True
         self._reader_host = None
         self._listed = False
-        self._listing_may_be_old = False
-        self._configured = False
+        self._first_listing = True
+        self._catch_up_revision = None
         self._settling = False
         self._uninformed = False
         self._next_call_ms = 0
         self._targets_outdated = False
         self._parts = PartCollector()
-        self._next_beacon_ms = 0
+        self._comparison = TargetComparison(self.history)
 
     def next_call(self, now_ms):
         """Return the call to make now, None if none is due.
@@ -76,10 +73,9 @@
             return None
         if not self._listed:
             return self._first_call(now_ms)
-        if self._listing_may_be_old:
-            self._listing_may_be_old = False  # one try; then rely on beacons
-            if not self.history.has_ended:
-                return Watch(self.history.position.revision, 1)
+        if self._catch_up_revision is not None:
+            revision, self._catch_up_revision = self._catch_up_revision, None
+            return Watch(revision, 1)
         self.take_over_if_due(now_ms)
         if self.reader and self.history.has_ended:
             self._list_again()
@@ -92,9 +88,11 @@
         return self._follower_call(now_ms)
 
     def _follower_call(self, now_ms):
-        """Fetch what this follower missed, if anything."""
         if self._targets_outdated:
-            return self._targets_call(now_ms)
+            reader_turn = self._take_reader_turn(now_ms)
+            return (
+                FetchTargets(self._reader_host) if reader_turn else ListTargets(False)
+            )
         if self._uninformed and self._reader_host is not None:
             self._next_call_ms = now_ms + FETCH_RETRY_MS
             return FetchTargets(self._reader_host)
@@ -125,20 +123,40 @@
         return self.history.rules(settling=self._settling)
 
     def on_listed(self, revision, now_ms, *, targets_changed, may_be_old=False):
-        """Handle a complete listing of targets from the store."""
-        self._listed = True
-        self._listing_may_be_old = may_be_old
+        """Handle a complete listing of targets from the store.
+
+        Args:
+            revision: Revision of the store in the response.
+            now_ms: Current time.
+            targets_changed: Whether it changed the targets here.
+            may_be_old: Whether the call was for a result that may be old: no position.
+        """
+        self._listed = self.has_targets = True
         self._targets_outdated = False
+        if may_be_old:
+            self._catch_up_revision = revision
+            self.record_answer(now_ms)
+            return
         self.history.on_listed(
             revision, targets_changed=targets_changed, settling=self._settling
         )
         self._settling = False
-        self._on_answer(now_ms)
+        self.record_answer(now_ms)
+        self.confirmed_ms = now_ms
+
+    def on_changes(self, revision, now_ms, *, after, targets_changed):
+        """Handle the answer to a watch.
 
-    def on_changes(self, revision, now_ms, *, targets_changed):
-        """Handle the answer to a watch."""
-        self.history.on_changes(revision, targets_changed=targets_changed)
-        self._on_answer(now_ms)
+        Args:
+            revision: Revision up to which it contains the changes.
+            now_ms: Current time.
+            after: Revision from which the watch was made.
+            targets_changed: Whether it contains changes of targets.
+        """
+        self.history.on_changes(revision, after=after, targets_changed=targets_changed)
+        self.record_answer(now_ms)
+        if self.history.knows_targets:
+            self.confirmed_ms = now_ms
         self._next_call_ms = now_ms + WATCH_PAUSE_MS
 
     def on_configuration(self, version, routes):
@@ -147,24 +165,30 @@
         self.configuration_version = version
         self.routes = routes
 
-    def on_configuration_read(self, revision, now_ms, *, found):
+    def on_configuration_fetched(self):
+        """Handle a peer's configuration, which gives no position."""
+        self._configured = True
+
+    def on_configuration_read(self, revision, now_ms, *, found, may_be_old=False):
         """Handle the store's answer to a read of the configuration.
 
         Args:
             revision: Revision of the store in the answer.
             now_ms: Current time.
             found: Whether it contained a usable configuration.
+            may_be_old: Whether the call was for a result that may be old.
         """
         self._configured = self._configured or found
-        self.history.on_configuration_read(revision)
-        self._on_answer(now_ms)
+        if not may_be_old:
+            self.history.on_configuration_read(revision)
+        self.record_answer(now_ms)
         if not found:
             self._next_call_ms = now_ms + FETCH_RETRY_MS
 
     def on_history_gone(self, now_ms):
         """Handle a watch whose changes the store no longer has."""
         self._list_again()
-        self._on_answer(now_ms)
+        self.record_answer(now_ms)
 
     def on_failure(self, now_ms):
         """Handle a failed call to the store."""
@@ -176,7 +200,7 @@
         """Handle targets fetched from a peer.
 
         Args:
-            position: ``Position`` of the peer's targets.
+            position: ``Position`` of the peer's targets, revision 0 if unknown.
             now_ms: Current time.
 
         Returns:
@@ -184,7 +208,12 @@
         """
         if self._compare_peer_era(position.era, now_ms) == ENDED:
             return False
-        self._listed = True
+        if not position.revision and self.has_targets:
+            return False
+        self._listed = self.has_targets = True
+        if not position.revision:
+            self._reader_is_next = True  # it has just answered
+            return True  # better than none, but they may be old
         self._uninformed = False
         self.history.informed_era = self.history.era
         if position < self.history.view:
@@ -194,20 +223,22 @@
         self.history.on_copy(position)
         return True
 
-    def on_delta(self, delta, now_ms):
+    def on_delta(self, delta, now_ms, *, digest_after):
         """Handle one part of a reader's changes of targets.
 
         Args:
             delta: The ``Delta``.
             now_ms: Current time.
+            digest_after: Function that returns the digest of the targets here after
+                the entries given to it.
 
         Returns:
-            All entries of the changes once every part has arrived; None before, and
-            if the changes don't continue this view. Single parts aren't applied:
-            those of an older change might undo a newer one.
+            All entries once every part has arrived; None before, and if they lead
+            neither from this view nor to the reader's targets. Single parts aren't
+            applied: those of an older change might undo a newer one.
         """
         era = self._compare_peer_era(delta.position.era, now_ms)
-        if era == ENDED or not self.history.follows(delta):
+        if era == ENDED or not self._listed or delta.position <= self.history.view:
             return None
         # Each reader splits changes in its own way, so parts of two don't combine.
         delta_id = (delta.reader, delta.previous, delta.position, delta.parts)
@@ -216,18 +247,24 @@
         )
         if entries is None:
             return None
+        if not self.history.follows(delta) and digest_after(entries) != delta.digest:
+            return None
         self._parts.clear()
         self._targets_outdated = False
-        history = self.history
-        history.view = delta.position
-        # A watch must not start after a configuration that isn't known here.
+        self.history.on_copy(delta.position)
         if delta.configuration_version <= self.configuration_version:
-            known = min(delta.position, delta.known)
-            history.position = max(history.position, known._replace(step=0))
+            self.history.on_configuration_known(delta.known)
         return entries
 
-    def on_beacon(self, beacon, host, now_ms):
-        """Handle the beacon of a reader in this data centre."""
+    def on_beacon(self, beacon, host, now_ms, *, digest):
+        """Handle the beacon of a reader in this data centre.
+
+        Args:
+            beacon: The ``Beacon``.
+            host: Its sender.
+            now_ms: Current time.
+            digest: Digest of the targets here.
+        """
         if self._compare_peer_era(beacon.view.era, now_ms) == ENDED:
             self._on_ended_history(beacon, now_ms)
             return
@@ -239,7 +276,7 @@
         if not fresh:
             self.record_failing_reader(beacon, now_ms)
             return
-        self._on_fresh_beacon(beacon, now_ms)
+        self._on_fresh_beacon(beacon, now_ms, digest)
         self.postpone_takeover(beacon, now_ms)
         if self.yields_to(beacon, now_ms):
             self.reader = False
@@ -247,66 +284,30 @@
                 self.call_cancelled = True
                 self._next_call_ms = now_ms
 
-    def _on_fresh_beacon(self, beacon, now_ms):
+    def _on_fresh_beacon(self, beacon, now_ms, digest):
         """Handle the beacon of a reader that is in contact with the store."""
         if self.failures:
             self._reader_is_next = True  # it reaches the store, this balancer doesn't
         self.record_working_reader(now_ms)
         if beacon.configuration_version <= self.configuration_version:
-            known = self.history.configuration or START
-            if beacon.known > known:
-                self.history.configuration = beacon.known
+            self.history.on_configuration_known(beacon.known)
         informed = self.history.informed_era == self.history.era
         self._uninformed = beacon.settling and not informed
-        if self.history.position is None or beacon.view > self.history.view:
-            self._on_outdated_targets(now_ms)
-        else:
+        if not beacon.view.revision:
+            return  # its targets may be old as well
+        if self._comparison.has_targets_of(beacon, digest if self._listed else None):
             self._targets_outdated = False
             confirmed_ms = now_ms - beacon.contact_age_ms
             self.confirmed_ms = max(self.confirmed_ms or 0, confirmed_ms)
-
-    @property
-    def known(self):
-        """Position up to which both targets and configuration are known here."""
-        return (self._configured and self.history.position) or START
-
-    def beacon(self, now_ms):
-        """Return the ``Beacon`` to send now, None if none is due."""
-        if not self.reader or now_ms < self._next_beacon_ms:
-            return None
-        self._next_beacon_ms = now_ms + BEACON_INTERVAL_MS
-        age_ms = now_ms - (self.contact_ms or 0)
-        return Beacon(
-            self.priority,
-            self.history.view,
-            self.known,
-            self.configuration_version,
-            self.routes,
-            round(age_ms),
-            self.failures == 0,
-            self.history.is_settling,
-        )
-
-    def delta(self, previous, entries):
-        """Return the ``Delta`` of changed entries for the members.
-
-        Args:
-            previous: ``Position`` of the previous change of targets.
-            entries: Pairs of a key and a ``Target`` or None.
-        """
-        return Delta(
-            reader=self.priority,
-            previous=previous,
-            position=self.history.view,
-            known=self.known,
-            configuration_version=self.configuration_version,
-            part=0,
-            parts=1,
-            entries=entries,
-        )
+        else:
+            self._on_outdated_targets(now_ms)
 
     def _reader_call(self, now_ms):
-        """Settle a restored listing when that is due, else watch."""
+        """Read what has no position, settle a restored listing, else watch."""
+        if not self.history.knows_targets:
+            return ListTargets(may_be_old=False)
+        if not self.history.knows_configuration:
+            return ReadConfiguration(may_be_old=False)
         if self.history.is_settling_due(now_ms):
             self._settling = True
             return ListTargets(may_be_old=False)
@@ -316,7 +317,7 @@
 
     def _list_again(self):
         """Read targets and configuration from the store once more."""
-        self._listed = self._configured = False
+        self._listed = self._configured = self._first_listing = False
         self.history.configuration = None
 
     def _compare_peer_era(self, era, now_ms):
@@ -367,34 +368,23 @@
 
     def _configuration_call(self, now_ms):
         """Alternate between the reader and the store until one has it."""
-        if self._take_reader_turn(now_ms):
+        if not self.reader and self._take_reader_turn(now_ms):
             return FetchConfiguration(self._reader_host)
         # All balancers poll until the operator publishes the first configuration.
         # Beacons correct an outdated one, as they do for the first listing.
         nothing_known = self.announced_version == self.configuration_version == 0
         return ReadConfiguration(nothing_known and not self.history.stale_refused)
 
-    def _targets_call(self, now_ms):
-        """Alternate between the reader and the store until one has them."""
-        if self._take_reader_turn(now_ms):
-            return FetchTargets(self._reader_host)
-        return ListTargets(may_be_old=False)
-
     def _first_call(self, now_ms):
         """Try the store first; while it fails, alternate with a known reader."""
         if self.failures and self._take_reader_turn(now_ms):
             return FetchTargets(self._reader_host)
-        nothing_known = self.history.position is None
+        nothing_known = self._first_listing and self.history.targets is None
         return ListTargets(nothing_known and not self.history.stale_refused)
 
     def _take_reader_turn(self, now_ms):
-        reader_is_next = self._reader_is_next
-        self._reader_is_next = not reader_is_next
-        if not reader_is_next or self._reader_host is None:
+        self._reader_is_next = not self._reader_is_next
+        if self._reader_is_next or self._reader_host is None:
             return False
         self._next_call_ms = now_ms + FETCH_RETRY_MS
         return True
-
-    def _on_answer(self, now_ms):
-        self.record_answer(now_ms)
-        self.confirmed_ms = now_ms
--- a/libs/flows/src/lagoontally_flows/_store_sync_records.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync_records.py
@@ -7,8 +7,8 @@
     """Read all targets from the store.
 
     Attributes:
-        may_be_old: Whether a result that is seconds old will do; an immediate watch
-            then returns the changes since.
+        may_be_old: Whether a result that is seconds old will do, at a tenth of the
+            price.
     """
 
     __slots__ = ()
@@ -46,13 +46,14 @@
 class Beacon(
     Record,
     fields="priority view known configuration_version routes contact_age_ms"
-    " reachable settling",
+    " reachable settling digest",
 ):
     """State that a reader announces to the other balancers of its data centre.
 
     Attributes:
         priority: Priority of the reader; of several readers the lowest continues.
-        view: ``Position`` of the store at which its view last changed.
+        view: ``Position`` of the store at which its view last changed; revision 0
+            while its targets may be old.
         known: ``Position`` up to which it knows both targets and configuration.
         configuration_version: Version of the newest configuration it knows.
         routes: Number of routes in that configuration.
@@ -60,6 +61,7 @@
         reachable: Whether its last call was answered.
         settling: Whether the store came back from a copy that may still list targets
             as they were before.
+        digest: Digest of the targets it knows.
     """
 
     __slots__ = ()
@@ -67,13 +69,16 @@
 
 class Delta(
     Record,
-    fields="reader previous position known configuration_version part parts entries",
+    fields="reader previous position known configuration_version part parts entries"
+    " digest",
 ):
     """Entries that changed between two positions of the store.
 
     Attributes:
         reader: Priority of the reader, which identifies it.
-        previous: ``Position`` of the previous change of the reader's targets.
+        previous: ``Position`` of the previous change of the reader's targets if the
+            entries are all changes since. Those found by a listing lack what came and
+            went in between, so this is ``position`` then.
         position: ``Position`` of this change.
         known: ``Position`` up to which the reader knows the configuration too; a
             listing contains only targets.
@@ -81,6 +86,7 @@
         part: Index of this part, from 0.
         parts: Number of parts that the changes are split into.
         entries: Pairs of a key and a ``Target`` or None.
+        digest: Digest of the reader's targets after these changes.
     """
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_view.py
+++ b/libs/flows/src/lagoontally_flows/_view.py
@@ -2,6 +2,7 @@
 
 from lagoontally_lean import Record
 
+from . import _digest
 from ._store_history import ALL_CHANGES
 
 DELISTED_RETENTION_MS = 60_000  # longest life of a flow that the platform promises
@@ -36,6 +37,7 @@
         delisted: ``DelistedTarget`` by cookie.
         store_recovered_ms: When the store last recovered from an outage, or None.
         generation: Incremented whenever a target is added, removed or changed.
+        digest: Digest of ``targets``.
     """
 
     def __init__(self):
@@ -45,6 +47,7 @@
         self.delisted = {}
         self.store_recovered_ms = None
         self.generation = 0
+        self.digest = _digest.EMPTY
         self._services = {}
         self._data_centres = set()
         self._services_generation = -1
@@ -63,6 +66,7 @@
         before = self.targets.get(key)
         if before == target:
             return before
+        self.digest = _digest.replace(self.digest, key, before, target)
         if target is None:
             del self.targets[key]
         else:
@@ -75,6 +79,18 @@
         self.generation += 1
         return before
 
+    def digest_after(self, changes):
+        """Return the digest that ``targets`` would have after some changes.
+
+        Args:
+            changes: Pairs of a key and a ``Target`` or None.
+        """
+        latest = dict(changes)
+        result = self.digest
+        for key, target in latest.items():
+            result = _digest.replace(result, key, self.targets.get(key), target)
+        return result
+
     def changes_to(self, entries, rules=ALL_CHANGES):
         """Return the changes that lead to a listing: pairs of a key and a target.
 
--- a/libs/forwarder/features/stale_reads.feature
+++ b/libs/forwarder/features/stale_reads.feature
@@ -32,7 +32,8 @@
 
   Scenario: A change that should have been known is reported
     Given a running deployment
-    When the store gives out revisions a second time in one era
+    When 3 s pass
+    And the store gives out revisions a second time in one era
     And a route is moved to another service
     Then the new service answers through every balancer within 4 s
     And a balancer reports a missed change
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -34,12 +34,12 @@
 )
 VIEW, KNOWN = Position(2, 10, 1), Position(2, 9, 0)
 ENTRIES = [("servers/i-1", TARGET), ("servers/i-2", None)]
-DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES)
+DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES, 77)
 MESSAGES = (
     Hello("tifton", 7, 2),
     Joined("tifton"),
     Members(7, 3, False, 0, 1, 2_000, ["10.0.0.1", "10.0.0.2"], ["10.0.0.3"]),
-    Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False),
+    Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False, 77),
     DELTA,
     ConfigurationDelta(
         3,
@@ -74,7 +74,9 @@
 @when("a delta arrives whose target has {field} {value}")
 def step_delta(context, field, value):
     document = json.loads(encode_message(DELTA))
-    document[-1][0][1][Target._fields.index(field)] = json.loads(value)
+    document[1 + Delta._fields.index("entries")][0][1][Target._fields.index(field)] = (
+        json.loads(value)
+    )
     context.decoded = decode_message(json.dumps(document).encode())
 
 
--- a/libs/forwarder/features/steps/stale_read_steps.py
+++ b/libs/forwarder/features/steps/stale_read_steps.py
@@ -49,8 +49,17 @@
     request_all(context, flows)
     requests = {flow.request for flow in flows}
     services = {run.service for run in deployment.ledger if run.request in requests}
-    assert services == {context.service}, services
-    assert {flow.outcome for flow in flows} == {Outcome.ANSWERED}
+    in_force = {
+        balancer.name: [
+            (line["at_ms"], line["version"], line["source"])
+            for line in balancer.read_log()
+            if line["event"] == "configuration_in_force"
+        ]
+        for balancer in deployment.balancers.values()
+    }
+    assert services == {context.service}, (services, in_force)
+    outcomes = {flow.outcome for flow in flows}
+    assert outcomes == {Outcome.ANSWERED}, (outcomes, in_force)
 
 
 @then("the log of every balancer tells the revisions of what it read")
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -187,7 +187,7 @@
 
 
 def _decode_delta(fields):
-    reader, previous, position, known, version, part, parts, entries = fields
+    reader, previous, position, known, version, part, parts, entries, digest = fields
     if not 0 <= part < parts:
         raise ValueError("a part is out of range")
     return Delta(
@@ -199,6 +199,7 @@
         int(part),
         int(parts),
         [(str(key), decode_target(target)) for key, target in entries],
+        int(digest),
     )
 
 
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -137,7 +137,8 @@
         self.balancer.on_tick(time_ms)
         self.balancer.view_confirmed_ms = self.store_sync.confirmed_ms
         self.balancer.view.store_recovered_ms = self.store_sync.recovered_ms
-        beacon = self.store_sync.beacon(time_ms)
+        digest = self.balancer.view.digest
+        beacon = self.store_sync.beacon(time_ms, digest=digest)
         if beacon is not None:
             self.peers.broadcast(beacon)
         if time_ms >= self._next_settings_check_ms:
@@ -183,7 +184,8 @@
     def _on_message(self, message, host):
         time_ms = now_ms()
         if isinstance(message, Beacon):
-            self.store_sync.on_beacon(message, host, time_ms)
+            digest = self.balancer.view.digest
+            self.store_sync.on_beacon(message, host, time_ms, digest=digest)
         elif isinstance(message, Delta):
             self.store_reader.on_delta(message, time_ms)
         elif isinstance(message, ConfigurationDelta):
@@ -215,7 +217,7 @@
             )
 
     def _update_readiness(self, time_ms):
-        has_view = self.store_sync.history.position is not None
+        has_view = self.store_sync.has_targets
         if has_view and not self.port.is_open:
             self.port.open()
             self.metrics.observe_ms("start", time_ms - self.started_ms)
@@ -256,8 +258,9 @@
             return 200, self.metrics.render(self._gauges()).encode()
         configuration = self.balancer.configuration
         history = self.store_sync.history
-        if path == TARGETS_PATH.encode() and history.position is not None:
-            return 200, encode_targets(history.view, self.balancer.view.targets)
+        if path == TARGETS_PATH.encode() and self.store_sync.has_targets:
+            targets = self.balancer.view.targets
+            return 200, encode_targets(history.announced_view, targets)
         if path == CONFIGURATION_PATH.encode() and configuration is not None:
             return 200, self._configuration_document(configuration)
         return 404, b""
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -69,6 +69,7 @@
         self._may_be_old = False
         self._call_started_ms = loop.clock()
         self._call_endings = 0
+        self._watched_revision = 0
         self._known_before = None
         # At startup, targets and configuration are read at the same time: open
         # flows need only the targets, and a configuration may be large.
@@ -100,6 +101,7 @@
             self._may_be_old = call.may_be_old
             self._get_page(None)
         elif isinstance(call, Watch):
+            self._watched_revision = call.revision
             path = changes_path(ALL_KEYS_PREFIX, call.revision, call.wait_ms)
             self._get(path, call.wait_ms + WATCH_MARGIN_MS, self._on_changes)
         elif isinstance(call, ReadConfiguration):
@@ -116,7 +118,9 @@
     def on_delta(self, delta, now_ms):
         """Handle changes that a reader sent."""
         previous = self.store_sync.history.view
-        entries = self.store_sync.on_delta(delta, now_ms)
+        entries = self.store_sync.on_delta(
+            delta, now_ms, digest_after=self.balancer.view.digest_after
+        )
         if entries is not None:
             self.balancer.on_entries(entries, now_ms)
             self.store_log.restored(
@@ -186,26 +190,26 @@
         listing = self._decode_result(result, decode_page)
         if listing is None:
             return
+        if is_first:
+            self._page_revision = listing.revision
         self._pages.update(listing.entries)
         self._newest_revision = max(self._newest_revision, listing.newest)
-        if self._page_revision is None:
-            self._page_revision = listing.revision
         if listing.next_key is not None:
             self._get_page(listing.next_key)
             return
-        now_ms = self.loop.clock()
-        entries = {key: target for key, target in self._pages.items() if target}
-        history, rules = self.store_sync.history, self.store_sync.listing_rules()
-        previous, missing = history.view, self.balancer.view.targets.keys() - entries
-        changes = self.balancer.on_listing(entries, now_ms, rules)
         self.store_log.read(
             ENTRY_PREFIX,
             may_be_old=self._may_be_old,
             revision=self._page_revision,
             newest=self._newest_revision,
         )
+        now_ms, history = self.loop.clock(), self.store_sync.history
+        entries = {key: target for key, target in self._pages.items() if target}
+        rules = self.store_sync.listing_rules()
+        previous, missing = history.view, self.balancer.view.targets.keys() - entries
+        changes = self.balancer.on_listing(entries, now_ms, rules)
         if any(target for _, target in changes):
-            self._check_known(ENTRY_PREFIX, self._newest_revision, history.position)
+            self._check_known(ENTRY_PREFIX, self._newest_revision, history.targets)
         self.store_sync.on_listed(
             self._page_revision,
             now_ms,
@@ -216,7 +220,8 @@
         self.store_log.restored(
             previous, changed=len(changes), kept=kept, source="store"
         )
-        self._announce(previous, changes)
+        if history.view != previous:
+            self._announce(None, changes)
 
     def _check_known(self, prefix, written, known):
         """Report a change of the store that should have been known before."""
@@ -225,10 +230,18 @@
             self.store_log.change_missed(prefix, written=written, known=known)
 
     def _announce(self, previous, changes):
-        """Send changes of the targets to the members if this balancer is the reader."""
-        if not self.store_sync.reader or self.store_sync.history.view == previous:
+        """Send changes of the targets to the members if this balancer is the reader.
+
+        Args:
+            previous: ``Position`` after which these are all changes, None if they
+                were found by a listing.
+            changes: Pairs of a key and a ``Target`` or None.
+        """
+        if not self.store_sync.reader:
             return
-        for part in split_delta(self.store_sync.delta(previous, changes)):
+        digest = self.balancer.view.digest
+        delta = self.store_sync.delta(previous, changes, digest=digest)
+        for part in split_delta(delta):
             self.peers.broadcast(part)
 
     def _announce_configuration(self, previous, configuration):
@@ -257,11 +270,16 @@
         self._apply_configuration(
             listing.configuration, "store", written=listing.configuration_revision
         )
-        self.balancer.on_entries(listing.entries, now_ms)
+        entries = listing.entries
+        self.balancer.on_entries(entries, now_ms)
         self.store_sync.on_changes(
-            listing.revision, now_ms, targets_changed=bool(listing.entries)
+            listing.revision,
+            now_ms,
+            after=self._watched_revision,
+            targets_changed=bool(entries),
         )
-        self._announce(previous, listing.entries)
+        if self.store_sync.history.view != previous:
+            self._announce(previous, entries)
 
     def _on_configuration(self, result):
         if not self._is_void(result, endings=self._call_endings, may_begin_era=True):
@@ -278,6 +296,7 @@
                 listing.revision,
                 self.loop.clock(),
                 found=listing.configuration is not None,
+                may_be_old=may_be_old,
             )
 
     def _record_configuration_read(self, listing, *, may_be_old):
@@ -321,6 +340,7 @@
         copy = self._decode_peer_copy(result, CONFIGURATION_PATH, decode_configuration)
         if copy is not None:
             self._apply_configuration(copy, "peer")
+            self.store_sync.on_configuration_fetched()
 
     def _decode_peer_copy(self, result, path, decode):
         """Return what a peer sent, None if the fetch failed, and log the outcome."""
