Store reader: don't apply responses that are older than a reader's changes

What callers saw in the model: a target that had ended stays in use, or one that was added is missing, on one balancer for good.

Cause: while a listing or a watch of one balancer is running, another reader's change may arrive and be applied. The older response was applied over it; the view's position stayed at the newer one, so no beacon showed the difference.

Change: a response that names a revision before the view's is not applied; nor is a listing that may be old, once a position is known.

--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -192,6 +192,9 @@
         elif isinstance(call, ListTargets):
             old = call.may_be_old and store.stale_revision is not None
             revision = store.stale_revision if old else store.revision
+            if store_sync.history.is_outdated(revision, may_be_old=call.may_be_old):
+                store_sync.on_outdated_listing(self.now_ms)
+                return
             known, previous = balancer.targets, store_sync.history.view
             hidden = store.targets_revision > revision
             balancer.targets = None if hidden else store.targets
@@ -217,6 +220,7 @@
         store_sync, store = balancer.store_sync, self.store
         previous = store_sync.history.view
         changed = store.targets_revision > call.revision
+        changed = changed and not store_sync.history.is_outdated(store.revision)
         if store.version_revision > call.revision:
             self._configure(balancer, store.version)
         store_sync.on_changes(
--- a/libs/flows/features/positions.feature
+++ b/libs/flows/features/positions.feature
@@ -70,3 +70,15 @@
       | content | outcome                |
       | equal   | knows targets up to 40 |
       | other   | knows no position      |
+
+  Scenario Outline: A response that is older than a change from a reader is outdated
+    Given a follower that knows targets up to revision 40
+    When a response names revision <revision>, <kind>
+    Then the response is found to be <state>
+
+    Examples:
+      | revision | kind          | state     |
+      | 39       | consistent    | outdated  |
+      | 40       | consistent    | not older |
+      | 41       | consistent    | not older |
+      | 99       | may be old    | outdated  |
--- a/libs/flows/features/steps/positions_steps.py
+++ b/libs/flows/features/steps/positions_steps.py
@@ -256,3 +256,17 @@
     """After the catch-up, if that is still due."""
     calls = [next_call(context), next_call(context)]
     assert FetchTargets("10.0.0.2") in calls, calls
+
+
+@when("a response names revision {revision:d}, {kind}")
+def step_response_revision(context, revision, kind):
+    """Its call was running when a change arrived."""
+    context.result = context.store_sync.history.is_outdated(
+        revision, may_be_old=kind == "may be old"
+    )
+
+
+@then("the response is found to be {state}")
+def step_state(context, state):
+    """Outdated responses aren't applied."""
+    assert context.result == (state == "outdated"), context.result
--- a/libs/flows/src/lagoontally_flows/_store_history.py
+++ b/libs/flows/src/lagoontally_flows/_store_history.py
@@ -157,6 +157,20 @@
             return ALL_CHANGES
         return _RULES_BY_STEP[self.step + settling]
 
+    def is_outdated(self, revision, *, may_be_old=False):
+        """Return whether targets that the store sent are older than those here.
+
+        Changes that a reader sent may arrive while a call to the store is running.
+
+        Args:
+            revision: Revision of the store in the response.
+            may_be_old: Whether the call was for a result that may be old.
+        """
+        if may_be_old:
+            return self.targets is not None
+        era, known, _ = self.view
+        return (era, known) > (self.era, revision)
+
     def on_listed(self, revision, *, targets_changed, settling):
         """Record a complete, consistent listing of targets from the store."""
         if settling and self.is_settling:
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -122,6 +122,12 @@
         """Return the ``ListingRules`` of the listing that has just arrived."""
         return self.history.rules(settling=self._settling)
 
+    def on_outdated_listing(self, now_ms):
+        """Handle a listing older than the targets here, not applied."""
+        self._listed = True
+        self._settling = False
+        self.record_answer(now_ms)
+
     def on_listed(self, revision, now_ms, *, targets_changed, may_be_old=False):
         """Handle a complete listing of targets from the store.
 
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -204,6 +204,9 @@
             newest=self._newest_revision,
         )
         now_ms, history = self.loop.clock(), self.store_sync.history
+        if history.is_outdated(self._page_revision, may_be_old=self._may_be_old):
+            self.store_sync.on_outdated_listing(now_ms)
+            return
         entries = {key: target for key, target in self._pages.items() if target}
         rules = self.store_sync.listing_rules()
         previous, missing = history.view, self.balancer.view.targets.keys() - entries
@@ -271,6 +274,8 @@
             listing.configuration, "store", written=listing.configuration_revision
         )
         entries = listing.entries
+        if self.store_sync.history.is_outdated(listing.revision):
+            entries = []  # a reader has sent these changes and later ones
         self.balancer.on_entries(entries, now_ms)
         self.store_sync.on_changes(
             listing.revision,
