Followers: read the reader's targets if they differ at one position

What callers saw in the model: targets that ended while the store was away get new flows from one balancer, for good.

Cause: a restored store's listing keeps targets that it lacks for some seconds. If the reader restarts meanwhile its listing doesn't contain them, but has the same position; followers compared positions only, and never settled what they kept.

Change: at equal positions the digests are compared as well; targets that differ are read once from the reader. Once, since a target that is known to be leaving stays so on the balancer that knows it.

--- a/libs/flows/features/positions.feature
+++ b/libs/flows/features/positions.feature
@@ -71,6 +71,14 @@
       | equal   | knows targets up to 40 |
       | other   | knows no position      |
 
+  Scenario: Different targets at one position are read once
+    Given a follower that knows targets up to revision 40
+    When the beacon of a reader at revision 40 with other targets arrives
+    Then it fetches the reader's
+    When the reader's targets at revision 40 arrive and differ still
+    And the beacon of a reader at revision 40 with other targets arrives
+    Then it makes no call
+
   Scenario Outline: A response that is older than a change from a reader is outdated
     Given a follower that knows targets up to revision 40
     When a response names revision <revision>, <kind>
--- a/libs/flows/features/steps/positions_steps.py
+++ b/libs/flows/features/steps/positions_steps.py
@@ -258,6 +258,19 @@
     assert FetchTargets("10.0.0.2") in calls, calls
 
 
+@when("the reader's targets at revision {revision:d} arrive and differ still")
+def step_copy(context, revision):
+    """A target that is known to be leaving stays so here."""
+    assert context.store_sync.on_targets(position(revision), context.now_ms)
+
+
+@then("it makes no call")
+def step_no_call(context):
+    """To read again wouldn't help."""
+    context.store_sync.postpone_takeover(beacon(40, OTHER), context.now_ms + STEP_MS)
+    assert next_call(context) is None
+
+
 @when("a response names revision {revision:d}, {kind}")
 def step_response_revision(context, revision, kind):
     """Its call was running when a change arrived."""
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -147,6 +147,7 @@
             revision, targets_changed=targets_changed, settling=self._settling
         )
         self._settling = False
+        self._comparison.on_read()
         self.record_answer(now_ms)
         self.confirmed_ms = now_ms
 
@@ -226,6 +227,7 @@
             return False
         self._targets_outdated = False
         self._reader_is_next = True  # it has just answered
+        self._comparison.on_read()
         self.history.on_copy(position)
         return True
 
