Store reader: a listing whose pages show two eras is read again

Cause: the first page of a first listing came from the history before a restore, the next one named the new era. The listing then counted as known at a revision of the former history within the new era, and hid the changes up to there.

Change: all pages of a listing are of one era, or it is read again.

--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -65,6 +65,7 @@
         self._configuration_deltas = ConfigurationDeltas()
         self._pages = {}
         self._page_revision = None
+        self._page_era = 0
         self._newest_revision = 0
         self._may_be_old = False
         self._call_started_ms = loop.clock()
@@ -190,8 +191,11 @@
         listing = self._decode_result(result, decode_page)
         if listing is None:
             return
+        era = self.store_sync.history.era
         if is_first:
-            self._page_revision = listing.revision
+            self._page_revision, self._page_era = listing.revision, era
+        elif era != self._page_era:
+            return  # the pages before show the former history
         self._pages.update(listing.entries)
         self._newest_revision = max(self._newest_revision, listing.newest)
         if listing.next_key is not None:
