Balancer: leave the rotation by the platform's silence, not by the view's age

Cause: since a listing that may be old confirms no view, a balancer that has just started has no age of its view for up to two seconds, which stood for a platform that never answered: one whose callers are refused in that time would have left the rotation. Nor did it log changes of targets then.

Change: when the platform last answered this balancer or its reader is a time of its own. Only the entries of the first listing aren't logged one by one.

--- a/libs/flows/features/cut.feature
+++ b/libs/flows/features/cut.feature
@@ -16,6 +16,13 @@
     And 10 SYNs are refused
     Then the balancer stays in the rotation
 
+  Scenario: A balancer whose targets may be old stays in the rotation
+    Given a balancer with 0 targets and 2 remote ones
+    When the platform has answered, and the targets may be old
+    And all remote targets are found dead
+    And 10 SYNs are refused
+    Then the balancer stays in the rotation
+
   Scenario: A cut-off balancer that serves most callers stays in the rotation
     Given a balancer with 2 targets and 2 remote ones
     When the platform doesn't answer for 2000 ms
--- a/libs/flows/features/steps/cut_steps.py
+++ b/libs/flows/features/steps/cut_steps.py
@@ -5,15 +5,22 @@
 
 @when("the platform doesn't answer for {duration_ms:d} ms")
 def step_silent(context, duration_ms):
-    """The view becomes outdated."""
-    context.world.balancer.view_confirmed_ms = context.world.now_ms
+    """Neither this balancer nor a reader."""
+    context.world.balancer.platform_heard_ms = context.world.now_ms
     context.world.wait(duration_ms)
 
 
 @when("the platform never answered")
 def step_never_heard(context):
     """The view comes from a peer."""
+    context.world.balancer.platform_heard_ms = None
+
+
+@when("the platform has answered, and the targets may be old")
+def step_unconfirmed(context):
+    """The balancer has just started."""
     context.world.balancer.view_confirmed_ms = None
+    context.world.balancer.platform_heard_ms = context.world.now_ms
 
 
 @when("all remote targets are found dead")
@@ -38,7 +45,7 @@
 @when("the platform answers again")
 def step_heard(context):
     """The cut has ended."""
-    context.world.balancer.view_confirmed_ms = context.world.now_ms
+    context.world.balancer.platform_heard_ms = context.world.now_ms
     context.world.wait(100)
 
 
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -47,6 +47,7 @@
         effects: ``FlowReset``, ``Probe``, ``Verdict``, ``DealtAnew`` and
             ``LogEvent`` records that wait for ``take_effects``.
         view_confirmed_ms: When the view was last known to be current.
+        platform_heard_ms: When the platform last answered, or None.
         ticked_ms: Time of the last tick, None before the first.
     """
 
@@ -71,6 +72,8 @@
         self.in_rotation = True
         self.effects = []
         self.view_confirmed_ms = None
+        self.platform_heard_ms = None
+        self._is_first_listing = False
         self._unknown_since_ms = {}
         self._rehashed_ms = LONG_AGO_MS
         self.ticked_ms = None
@@ -154,7 +157,9 @@
             The changes, in the form that ``on_entries`` accepts.
         """
         changes = self.view.changes_to(entries, rules)
+        self._is_first_listing = not self.view.generation
         self.on_entries(changes, now_ms)
+        self._is_first_listing = False
         return changes
 
     def on_probe_result(self, cookie, evidence, now_ms):
@@ -194,11 +199,10 @@
         self.effects.extend(self.health.due_probes(now_ms))
         self._reset_stuck_flows(now_ms)
         self.demand.on_tick(now_ms)
-        age_ms = None
-        if self.view_confirmed_ms is not None:
-            age_ms = now_ms - self.view_confirmed_ms
+        heard_ms = self.platform_heard_ms
+        silence_ms = None if heard_ms is None else now_ms - heard_ms
         self.cut_off = is_cut_off(
-            self.demand, view_age_ms=age_ms, was_cut_off=self.cut_off
+            self.demand, silence_ms=silence_ms, was_cut_off=self.cut_off
         )
 
     def target_id(self, cookie):
@@ -379,7 +383,7 @@
         self._log_entry(current, listed=target is not None)
 
     def _log_entry(self, current, *, listed):
-        if self.view_confirmed_ms is None:
+        if self._is_first_listing:
             return  # the first listing is logged in one line, not one per target
         self.effects.append(entry_event(current, listed=listed))
 
--- a/libs/flows/src/lagoontally_flows/_reader_election.py
+++ b/libs/flows/src/lagoontally_flows/_reader_election.py
@@ -21,6 +21,8 @@
         members: Number of balancers in this data centre, including this one.
         failures: Consecutive calls to the store without a usable answer.
         contact_ms: When the store last answered this balancer.
+        heard_ms: When it last answered this balancer or a reader of its data centre,
+            or None.
         recovered_ms: When the store was last found to have recovered, or None.
     """
 
@@ -32,6 +34,7 @@
         self.members = 1
         self.failures = 0
         self.contact_ms = None
+        self.heard_ms = None
         self.recovered_ms = None
         self._reader_failing = False
         self._takeover_ms = 0
@@ -54,13 +57,15 @@
         if self.failures:
             self.recovered_ms = now_ms
         self.failures = 0
-        self.contact_ms = now_ms
+        self.contact_ms = self.heard_ms = now_ms
         if not self.reader:
             due_ms = now_ms + FRESH_MS + self._takeover_delay_ms()
             self._takeover_ms = max(self._takeover_ms, due_ms)
 
-    def record_working_reader(self, now_ms):
+    def record_working_reader(self, beacon, now_ms):
         """Record the beacon of a reader that is in contact with the store."""
+        answered_ms = now_ms - beacon.contact_age_ms
+        self.heard_ms = max(self.heard_ms or 0, answered_ms)
         if self._reader_failing:
             self._reader_failing = False
             self.recovered_ms = now_ms
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -296,7 +296,7 @@
         """Handle the beacon of a reader that is in contact with the store."""
         if self.failures:
             self._reader_is_next = True  # it reaches the store, this balancer doesn't
-        self.record_working_reader(now_ms)
+        self.record_working_reader(beacon, now_ms)
         if beacon.configuration_version <= self.configuration_version:
             self.history.on_configuration_known(beacon.known)
         informed = self.history.informed_era == self.history.era
