Followers: compare their targets with a reader's whatever their positions

What callers saw in the model: a target that ended gets new flows from one balancer, for good.

Cause: a reader whose history was lost lists the targets. If nothing changed for itself its view kept its position, although another balancer's view was newer and held a target that had ended meanwhile. To followers the reader was only older.

Change: each consistent listing moves the reader's view; followers with the same digest take the position over without a call, the others read its targets.

--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -198,12 +198,7 @@
             known, previous = balancer.targets, store_sync.history.view
             hidden = store.targets_revision > revision
             balancer.targets = None if hidden else store.targets
-            store_sync.on_listed(
-                revision,
-                self.now_ms,
-                targets_changed=balancer.targets != known,
-                may_be_old=call.may_be_old,
-            )
+            store_sync.on_listed(revision, self.now_ms, may_be_old=call.may_be_old)
             self._send_delta(balancer, previous, None, known)
         elif isinstance(call, ReadConfiguration):
             self._configure(balancer, store.version)
--- a/libs/flows/features/positions.feature
+++ b/libs/flows/features/positions.feature
@@ -90,3 +90,15 @@
       | 40       | consistent    | not older |
       | 41       | consistent    | not older |
       | 99       | may be old    | outdated  |
+
+  Scenario: A listing without changes shows others what ended before it
+    Given a reader that knows targets and configuration up to revision 18
+    When the store has lost its history
+    And a consistent listing at revision 22 arrives
+    Then its beacon is of revision 22
+
+  Scenario: Equal targets are known up to a reader's newer position
+    Given a follower that knows targets up to revision 40
+    When the beacon of a reader at revision 45 with equal targets arrives
+    Then it knows targets up to 45
+    And it makes no call
--- a/libs/flows/features/steps/positions_steps.py
+++ b/libs/flows/features/steps/positions_steps.py
@@ -66,7 +66,7 @@
     store_sync = context.store_sync
     store_sync.on_configuration(4, 9)
     store_sync.on_configuration_read(configuration, 0, found=True)
-    store_sync.on_listed(targets, 0, targets_changed=True)
+    store_sync.on_listed(targets, 0)
     store_sync.reader = True
 
 
@@ -96,7 +96,7 @@
 def step_listing(context, revision):
     """The targets haven't changed."""
     assert isinstance(next_call(context), ListTargets | FetchTargets)
-    context.store_sync.on_listed(revision, context.now_ms, targets_changed=False)
+    context.store_sync.on_listed(revision, context.now_ms)
 
 
 @when("version {version:d} arrives from a peer")
@@ -115,9 +115,7 @@
 def step_old_listing(context, revision):
     """The first call of a balancer."""
     assert_next_call(context, ListTargets(may_be_old=True))
-    context.store_sync.on_listed(
-        revision, context.now_ms, targets_changed=True, may_be_old=True
-    )
+    context.store_sync.on_listed(revision, context.now_ms, may_be_old=True)
 
 
 @when("a configuration that may be old and names revision {revision:d} arrives")
@@ -145,7 +143,7 @@
     assert_next_call(context, Watch(revision, 1))
     store_sync.on_changes(30, context.now_ms, after=revision, targets_changed=False)
     assert_next_call(context, ListTargets(may_be_old=False))
-    store_sync.on_listed(32, context.now_ms, targets_changed=True)
+    store_sync.on_listed(32, context.now_ms)
     assert_next_call(context, ReadConfiguration(may_be_old=False))
     store_sync.on_configuration_read(31, context.now_ms, found=True)
 
@@ -169,7 +167,7 @@
 def step_era(context, era, revision):
     """The store has come back from an older copy."""
     context.store_sync.on_era(era, context.now_ms)
-    context.store_sync.on_listed(revision, context.now_ms, targets_changed=False)
+    context.store_sync.on_listed(revision, context.now_ms)
 
 
 @then("its beacon names no position")
@@ -283,3 +281,10 @@
 def step_state(context, state):
     """Outdated responses aren't applied."""
     assert context.result == (state == "outdated"), context.result
+
+
+@then("its beacon is of revision {revision:d}")
+def step_beacon_revision(context, revision):
+    """Followers at an older view compare their targets."""
+    message = context.store_sync.beacon(context.now_ms, digest=OWN)
+    assert message.view == position(revision), message
--- a/libs/flows/features/steps/store_era_steps.py
+++ b/libs/flows/features/steps/store_era_steps.py
@@ -214,7 +214,7 @@
     """A reader that has listed the targets and read the configuration."""
     context.store_sync = StoreSync(priority=1, random=Random(1))
     context.store_sync.on_era(era, 0)
-    context.store_sync.on_listed(revision, 0, targets_changed=True)
+    context.store_sync.on_listed(revision, 0)
     context.store_sync.on_configuration_read(revision, 0, found=True)
     context.store_sync.reader = True
 
--- a/libs/flows/features/steps/store_sync_steps.py
+++ b/libs/flows/features/steps/store_sync_steps.py
@@ -185,7 +185,7 @@
     """A follower that has listed them."""
     context.store_sync = StoreSync(priority=9, random=Random(1))
     context.store_sync.on_era(1, 0)
-    context.store_sync.on_listed(revision, 0, targets_changed=True)
+    context.store_sync.on_listed(revision, 0)
     context.applied = []
 
 
--- a/libs/flows/src/lagoontally_flows/_store_history.py
+++ b/libs/flows/src/lagoontally_flows/_store_history.py
@@ -61,8 +61,8 @@
         era: The newest era known, 0 before the first.
         targets: Position up to which all changes of targets are known, or None.
         configuration: The same for changes of the configuration.
-        view: Position of the last known change of targets, ``START`` while
-            ``targets`` is None.
+        view: Position of the last known change or listing of targets, ``START``
+            while ``targets`` is None.
         began_ms: When the present era was found to have ended another one, or None.
         step: Number of listings taken over after ``SETTLE_AFTER_MS`` in this era.
         endings: Number of histories that ended while this balancer followed them;
@@ -171,15 +171,17 @@
         era, known, _ = self.view
         return (era, known) > (self.era, revision)
 
-    def on_listed(self, revision, *, targets_changed, settling):
-        """Record a complete, consistent listing of targets from the store."""
+    def on_listed(self, revision, *, settling):
+        """Record a complete, consistent listing of targets from the store.
+
+        The view moves even if nothing changed here: another balancer's may contain
+        a target that was listed and has ended since.
+        """
         if settling and self.is_settling:
             self.step += 1
-        first = not self.knows_targets
         self.targets = Position(self.era, revision, 0)
-        if targets_changed or settling or first:
-            step = self.step if settling else 0
-            self.view = max(self.view, Position(self.era, revision, step))
+        step = self.step if settling else 0
+        self.view = max(self.view, Position(self.era, revision, step))
 
     def on_changes(self, revision, *, after, targets_changed):
         """Record all changes between two revisions.
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -128,13 +128,12 @@
         self._settling = False
         self.record_answer(now_ms)
 
-    def on_listed(self, revision, now_ms, *, targets_changed, may_be_old=False):
+    def on_listed(self, revision, now_ms, *, may_be_old=False):
         """Handle a complete listing of targets from the store.
 
         Args:
             revision: Revision of the store in the response.
             now_ms: Current time.
-            targets_changed: Whether it changed the targets here.
             may_be_old: Whether the call was for a result that may be old: no position.
         """
         self._listed = self.has_targets = True
@@ -143,9 +142,7 @@
             self._catch_up_revision = revision
             self.record_answer(now_ms)
             return
-        self.history.on_listed(
-            revision, targets_changed=targets_changed, settling=self._settling
-        )
+        self.history.on_listed(revision, settling=self._settling)
         self._settling = False
         self._comparison.on_read()
         self.record_answer(now_ms)
--- a/libs/flows/src/lagoontally_flows/_target_comparison.py
+++ b/libs/flows/src/lagoontally_flows/_target_comparison.py
@@ -27,17 +27,17 @@
             digest: Digest of the targets here, None before the first.
         """
         history = self.history
-        if history.targets is None:
-            if digest != beacon.digest:
-                return False
-            history.on_copy(beacon.view)
-        if beacon.view != history.view:
-            return beacon.view < history.view
+        if digest == beacon.digest:
+            if beacon.view > history.view:
+                history.on_copy(beacon.view)
+            history.on_targets_known(beacon.known)
+            return True
+        if history.targets is None or beacon.view > history.view:
+            return False
         state = (beacon.view, beacon.digest)
-        if digest != beacon.digest and state not in self._reconciled:
+        if beacon.view == history.view and state not in self._reconciled:
             self._differing = state
             return False
-        history.on_targets_known(beacon.known)
         return True
 
     def on_read(self):
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -218,10 +218,7 @@
         if any(target for _, target in changes):
             self._check_known(ENTRY_PREFIX, self._newest_revision, history.targets)
         self.store_sync.on_listed(
-            self._page_revision,
-            now_ms,
-            targets_changed=bool(changes),
-            may_be_old=self._may_be_old,
+            self._page_revision, now_ms, may_be_old=self._may_be_old
         )
         kept = len(missing) if rules.keep_missing else 0
         self.store_log.restored(
