Store: a version isn't lost with another one in the same answer

Cause: of several versions in one answer to a watch the last was taken, and none if that one couldn't be decoded. The position moved past all of them, so a valid version before it never took effect.

--- a/libs/forwarder/features/platform.feature
+++ b/libs/forwarder/features/platform.feature
@@ -95,6 +95,16 @@
       | routes  | [{"name": "r", "host": "1.2.3.4", "prefix": "/a/", "service": "s"}] |
       | routes  | [{"name": "r", "host": "1.2.3.4", "prefix": "/1/"}] |
 
+  Scenario Outline: A version isn't lost with another one in the same answer
+    When a watch reports versions <versions> of the configuration
+    Then the newest valid version is 8, written at revision 21
+
+    Examples:
+      | versions         |
+      | 7, 8             |
+      | 8, 7             |
+      | 7, 8, invalid    |
+
   Scenario: The next page starts after the last key of a page
     When a page indicates that there are more
     Then the next page starts after its last key
--- a/libs/forwarder/features/steps/platform_steps.py
+++ b/libs/forwarder/features/steps/platform_steps.py
@@ -197,6 +197,27 @@
     assert len(context.listing.faults) == faults, context.listing.faults
 
 
+@when("a watch reports versions {versions} of the configuration")
+def step_versions(context, versions):
+    """Version 8 was written at revision 21, the others at later ones."""
+    events = []
+    for revision, version in enumerate(versions.split(", "), 22):
+        number = None if version == "invalid" else int(version)
+        document = CONFIGURATION | {"version": number}
+        written = 21 if number == 8 else revision
+        events.append(item("op/config", document, written))
+    context.listing = decode_changes(changes(events))
+
+
+@then("the newest valid version is {version:d}, written at revision {revision:d}")
+def step_newest(context, version, revision):
+    """The watch goes on after all of them."""
+    listing = context.listing
+    assert listing.configuration.version == version, listing.configuration
+    assert listing.configuration_revision == revision, listing
+    assert listing.newest >= revision, listing
+
+
 @when("a page indicates that there are more")
 def step_more(context):
     context.listing = decode_page(page([item(KEY, ENTRY)], more=True))
