Followers: settle what a settling reader has kept

What callers saw in the model: a target that ended while the store was away gets new flows through a whole data centre, for good.

Cause: after a restore the reader keeps targets that the copy lacks until it has listed the store again, 2.5 and 8 s later. A balancer that started meanwhile took them over without knowing of the restore; if it became the reader before those listings nobody made them.

Change: beacons say that their reader settles; who hears that has to, too.

--- a/libs/flows/features/positions.feature
+++ b/libs/flows/features/positions.feature
@@ -91,6 +91,14 @@
       | 41       | consistent    | not older |
       | 99       | may be old    | outdated  |
 
+  Scenario: Targets taken from a reader that settles a restored copy are settled by who takes over
+    Given a balancer without a position
+    When a listing that may be old and names revision 20 arrives
+    And the beacon of a reader at revision 20 that settles a restored copy arrives
+    And it becomes the reader and reads both at revision 21
+    And 3000 ms pass for it
+    Then its next call lists the targets again
+
   Scenario: A listing without changes shows others what ended before it
     Given a reader that knows targets and configuration up to revision 18
     When the store has lost its history
--- a/libs/flows/features/steps/positions_steps.py
+++ b/libs/flows/features/steps/positions_steps.py
@@ -288,3 +288,36 @@
     """Followers at an older view compare their targets."""
     message = context.store_sync.beacon(context.now_ms, digest=OWN)
     assert message.view == position(revision), message
+
+
+@when(
+    "the beacon of a reader at revision {revision:d} that settles a restored copy"
+    " arrives"
+)
+def step_settling_beacon(context, revision):
+    """It keeps targets that the copy lacks."""
+    message = beacon(revision, OWN)._replace(settling=True)
+    context.store_sync.on_beacon(message, "10.0.0.2", context.now_ms, digest=OWN)
+
+
+@when("it becomes the reader and reads both at revision {revision:d}")
+def step_reader_reads(context, revision):
+    """The other reader's process has ended."""
+    store_sync = context.store_sync
+    assert isinstance(next_call(context), Watch)  # the catch-up
+    store_sync.reader = True
+    store_sync.on_listed(revision, context.now_ms)
+    store_sync.on_configuration(5, 9)
+    store_sync.on_configuration_read(revision, context.now_ms, found=True)
+
+
+@when("{duration_ms:d} ms pass for it")
+def step_time(context, duration_ms):
+    """Without any message."""
+    context.now_ms += duration_ms
+
+
+@then("its next call lists the targets again")
+def step_lists_again(context):
+    """What the copy lacked is written again, or gone."""
+    assert_next_call(context, ListTargets(may_be_old=False))
--- a/libs/flows/src/lagoontally_flows/_store_history.py
+++ b/libs/flows/src/lagoontally_flows/_store_history.py
@@ -63,7 +63,8 @@
         configuration: The same for changes of the configuration.
         view: Position of the last known change or listing of targets, ``START``
             while ``targets`` is None.
-        began_ms: When the present era was found to have ended another one, or None.
+        began_ms: When the present era was found to have ended another one, here or by
+            a reader, or None.
         step: Number of listings taken over after ``SETTLE_AFTER_MS`` in this era.
         endings: Number of histories that ended while this balancer followed them;
             what was requested before is void.
@@ -143,6 +144,14 @@
         self.informed_era = era
         return BEGAN
 
+    def on_settling_reader(self, now_ms):
+        """Record that a reader has targets of which a restored copy may lack some.
+
+        A balancer that started since may take them over, and then has to settle them.
+        """
+        if self.began_ms is None:
+            self.began_ms = now_ms
+
     def is_settling_due(self, now_ms):
         """Return whether a listing is due that settles what was kept."""
         return self.is_settling and now_ms - self.began_ms >= SETTLE_AFTER_MS[self.step]
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -298,6 +298,8 @@
             self.history.on_configuration_known(beacon.known)
         informed = self.history.informed_era == self.history.era
         self._uninformed = beacon.settling and not informed
+        if beacon.settling:
+            self.history.on_settling_reader(now_ms)
         if not beacon.view.revision:
             return  # its targets may be old as well
         if self._comparison.has_targets_of(beacon, digest if self._listed else None):
