Readers: read the configuration from the store after a lost history

A reader asked a former reader first, which costs 300 ms and gives no position. It now reads the store at once if it has a configuration and the store answers.

--- a/libs/flows/features/positions.feature
+++ b/libs/flows/features/positions.feature
@@ -110,3 +110,10 @@
     When the beacon of a reader at revision 45 with equal targets arrives
     Then it knows targets up to 45
     And it makes no call
+
+  Scenario: A balancer that becomes reader in an outage takes its first configuration from a peer
+    Given a balancer without a position
+    When targets without a position arrive from a peer
+    And the beacon of a reader that has lost the store arrives
+    And its calls to the store fail, and it becomes the reader
+    Then it fetches the configuration from the peer in one of two calls
--- a/libs/flows/features/steps/positions_steps.py
+++ b/libs/flows/features/steps/positions_steps.py
@@ -7,6 +7,7 @@
 from lagoontally_flows import (
     Beacon,
     Delta,
+    FetchConfiguration,
     FetchTargets,
     ListTargets,
     Position,
@@ -321,3 +322,24 @@
 def step_lists_again(context):
     """What the copy lacked is written again, or gone."""
     assert_next_call(context, ListTargets(may_be_old=False))
+
+
+@when("the beacon of a reader that has lost the store arrives")
+def step_failing_beacon(context):
+    """The store answers no balancer."""
+    message = beacon(20, OWN)._replace(reachable=False, contact_age_ms=9_000)
+    context.store_sync.on_beacon(message, "10.0.0.2", context.now_ms, digest=OWN)
+
+
+@when("its calls to the store fail, and it becomes the reader")
+def step_failing_reader(context):
+    """No other balancer reaches the store either."""
+    context.store_sync.on_failure(context.now_ms)
+    context.store_sync.reader = True
+
+
+@then("it fetches the configuration from the peer in one of two calls")
+def step_fetches_configuration(context):
+    """The other one tries the store."""
+    calls = [next_call(context), next_call(context)]
+    assert any(type(call) is FetchConfiguration for call in calls), calls
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -375,7 +375,10 @@
 
     def _configuration_call(self, now_ms):
         """Alternate between the reader and the store until one has it."""
-        if not self.reader and self._take_reader_turn(now_ms):
+        # A reader needs a position, which only the store's answer gives.
+        if self.reader and self.configuration_version and not self.failures:
+            return ReadConfiguration(may_be_old=False)
+        if self._take_reader_turn(now_ms):
             return FetchConfiguration(self._reader_host)
         # All balancers poll until the operator publishes the first configuration.
         # Beacons correct an outdated one, as they do for the first listing.
