Read a repaired template that keeps the version of the rejected one

Operators who repaired a rejected document and published it under the same version saw nothing: no balancer that ran took it until a higher version came, and no log said so.

Cause: the watch names the version served last, also a rejected one. The platform then waits until the version differs, which a repaired document's doesn't. So the watch stood at a version whose accepted content the balancer never had.

A watch that names a rejected version waits 8 s at most; when it ends without a change, the next read names no version. A document that is still rejected is not posted again. Accepted versions are watched as before. Cost: one more read in 8 s for each balancer, only while the platform serves a rejected document.

--- a/libs/edges/features/platform.feature
+++ b/libs/edges/features/platform.feature
@@ -12,6 +12,12 @@
     When the template is watched until 3 is read
     Then 2, rejected 1000000 and 3 were posted
 
+  Scenario: A repaired document isn't missed where it keeps the rejected one's version
+    Given a platform that serves templates 2 and broken 3, and then 3 unless the watch names it
+    When the template is watched until 3 is read
+    Then 2, rejected 3 and 3 were posted
+    And the watch requested templates after nothing, 2, 3 and nothing
+
   Scenario: Failures back off with full jitter
     Given a platform that fails 6 times, answers with too large a body and then serves 2
     When the template is watched until 2 is read
--- a/libs/edges/features/steps/platform_steps.py
+++ b/libs/edges/features/steps/platform_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from queue import Queue
 from threading import Event, Thread
@@ -17,6 +18,7 @@
 TOO_LARGE_BYTES = 1_000_001
 HOLD = "hold"
 BREAK_OFF = "break off"
+WATCH_S = 0.05
 
 
 class RecordedDelays:
@@ -45,7 +47,7 @@
         )
         if is_watch:
             platform.requested_versions.append(after and int(after))
-        status, body = platform.answer(url.path, is_watch)
+        status, body = platform.answer(url.path, is_watch, after)
         if status == HOLD:
             platform.watch_held.set()
             platform.release_held.wait(TIMEOUT_S)
@@ -63,11 +65,12 @@
 class ScriptedPlatform:
     """A platform whose answers are scripted in order."""
 
-    def __init__(self, script, instances=b"{}"):
+    def __init__(self, script, instances=b"{}", last_version=None):
         self.script = Queue()
         for step in script:
             self.script.put(step)
         self.instances = instances
+        self.last_version = last_version
         self.requested_versions = []
         self.watch_held, self.release_held = Event(), Event()
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), PlatformHandler)
@@ -76,13 +79,22 @@
         Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
         self.url = f"http://127.0.0.1:{self.server.server_address[1]}"
 
-    def answer(self, path, is_watch):
+    def answer(self, path, is_watch, after):
         """Return the status and body of the next answer."""
         if path == "/v1/instances":
             return 200, self.instances
         if not is_watch:
             return 200, template_document(2)
-        return (HOLD, b"") if self.script.empty() else self.script.get()
+        if not self.script.empty():
+            return self.script.get()
+        return (HOLD, b"") if self.last_version is None else self.compare(after)
+
+    def compare(self, after):
+        """Return the last version, or no content to a watch that names it."""
+        if after == str(self.last_version):
+            time.sleep(WATCH_S)
+            return 204, b""
+        return 200, template_document(self.last_version)
 
     def close(self):
         """Release the held requests and stop the server."""
@@ -126,6 +138,16 @@
     open_platform(context, [scripted_answer(item) for item in split_list(versions)])
 
 
+@given(
+    "a platform that serves templates {versions}, and then {version:d} unless the"
+    " watch names it"
+)
+def step_serve_last(context, versions, version):
+    """The watch can't tell another document with the version that it names."""
+    script = [scripted_answer(item) for item in split_list(versions)]
+    open_platform(context, script, last_version=version)
+
+
 @given("a platform that serves templates {versions}")
 def step_serve_templates(context, versions):
     """Each read gets the next template."""
--- a/libs/edges/src/lagoontally_edges/_platform_edge.py
+++ b/libs/edges/src/lagoontally_edges/_platform_edge.py
@@ -21,6 +21,7 @@
 from ._platform_http import Document, Unavailable, Unchanged, read_document
 
 WATCH_WAIT_S = 25
+REJECTED_WATCH_WAIT_S = 8
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 8.0
 BACKOFF_MAX_DOUBLINGS = 4
@@ -95,6 +96,7 @@
         self.lock = Lock()
         self.accepted_version = 0
         self.served_version = 0
+        self.served_rejected = False
         self.rejected_document = b""
         self.failures = 0
         self.template_read_requested = Event()
@@ -121,10 +123,13 @@
         """Read the template once; wait while it is the version served last."""
         url = f"{self.url}/v1/template"
         self.increment("reads")
-        if not self.served_version:
+        with self.lock:
+            version, rejected = self.served_version, self.served_rejected
+        if not version:
             return read_document(session, url)
-        params = {"after": self.served_version, "wait": WATCH_WAIT_S}
-        return read_document(session, url, params=params, wait_s=WATCH_WAIT_S)
+        wait_s = REJECTED_WATCH_WAIT_S if rejected else WATCH_WAIT_S
+        params = {"after": version, "wait": wait_s}
+        return read_document(session, url, params=params, wait_s=wait_s)
 
     @singledispatchmethod
     def handle_template_outcome(self, outcome):
@@ -141,6 +146,10 @@
     @handle_template_outcome.register
     def _(self, outcome: Unchanged):
         self.failures = 0
+        with self.lock:
+            if self.served_rejected:
+                # A repaired document may keep the version of the rejected one.
+                self.served_version = 0
         return 0.0
 
     @handle_template_outcome.register
@@ -182,6 +191,7 @@
             accepted = self.accepted_version
             self.accepted_version = max(accepted, parsed.version)
             self.served_version = parsed.version
+            self.served_rejected = False
         if parsed.version < accepted:
             self.increment("older_templates")
         else:
@@ -195,6 +205,7 @@
         with self.lock:
             # Only the watch uses its version; lower ones can still be accepted later.
             self.served_version = version
+            self.served_rejected = True
             repeated = body == self.rejected_document
             self.rejected_document = body
         if not repeated:
