Put a template in force that was queued before a pause

Callers of a balancer that was frozen just after it had read a template were served by the older one, also by targets that were leaving, until the next version was published or a member had the newer one. Frozen together (a host, a data centre), no member had it. A start could lose the first template alike, where the platform answered before the core's first step; the balancer then didn't serve. A rejection could go unlogged.

Cause: the platform edge moves its cursor when it posts a document, and from then on watches what follows. The core discarded all that was queued before a pause. The read that it requests after a pause heals this only when it succeeds; it isn't repeated.

Templates only rise, so one read before the pause can be put in force at any time. It doesn't count as a refresh of the view, as a later one may have been published during the pause. So whatever the edge's cursor names has reached the core. All other events are discarded as before: their senders repeat them.

--- a/libs/core/features/fleet.feature
+++ b/libs/core/features/fleet.feature
@@ -26,6 +26,22 @@
     And a peer sends it version 2
     Then version 3 is in force
 
+  Scenario: A template queued before a pause is put in force but doesn't refresh the view
+    Given a balancer that serves
+    When version 2 is read before a pause and handled after it
+    Then version 2 is in force
+    And its view isn't refreshed
+
+  Scenario: A template queued before the first step isn't lost
+    Given a balancer that hasn't made a step
+    When version 2, queued before, is handled in its first step
+    Then version 2 is in force
+
+  Scenario: A rejection queued before a pause is logged
+    Given a balancer that serves
+    When a document is rejected before a pause and handled after it
+    Then an error names the rejected version
+
   Scenario: A suspected balancer refutes the suspicion
     Given a balancer that serves
     When a peer's probe says that it is suspected
--- a/libs/core/features/steps/fleet_steps.py
+++ b/libs/core/features/steps/fleet_steps.py
@@ -4,12 +4,18 @@
 from fixtures import Core, document, record
 
 from lagoontally_core import (
+    PAUSE_MS,
     HandoverPart,
     LeaveRequested,
+    LogChange,
     Phase,
     Ping,
+    Received,
     ServeEntries,
+    State,
     Succession,
+    TemplateRead,
+    TemplateRejected,
     TemplateSections,
     Welcome,
 )
@@ -17,7 +23,12 @@
 from lagoontally_core._members import MemberStatus
 from lagoontally_core._rendezvous import pick_successor
 from lagoontally_core._timers import Timers
-from lagoontally_model import document_digest, split_sections
+from lagoontally_model import (
+    Timing,
+    document_digest,
+    parse_template,
+    split_sections,
+)
 
 PEER = 3_000_003
 OTHER_PEER = 4_000_004
@@ -60,6 +71,58 @@
     context.core.read_template(second)
 
 
+@when("version {version:d} is read before a pause and handled after it")
+def step_read_before_pause(context, version):
+    """The edge doesn't post a version twice unless it is read again."""
+    data = document(version)
+    handle_after_pause(context.core, TemplateRead(parse_template(data), data))
+
+
+@given("a balancer that hasn't made a step")
+def step_no_step(context):
+    """Its edges may already read."""
+    context.core = Core()
+    context.core.state = State(context.core.state.info, Timing())
+
+
+@when("version {version:d}, queued before, is handled in its first step")
+def step_read_before_first_step(context, version):
+    """The first step takes the time of the start for the end of a pause."""
+    data = document(version)
+    event = TemplateRead(parse_template(data), data)
+    context.core.handle_event(Received(context.core.now_ms - 1, event))
+
+
+@when("a document is rejected before a pause and handled after it")
+def step_rejected_before_pause(context):
+    """The edge posts a rejection once."""
+    handle_after_pause(context.core, TemplateRejected(2, "nothing in it"))
+
+
+def handle_after_pause(core, event):
+    """Handle an event that was queued before a pause."""
+    received = Received(core.now_ms, event)
+    core.now_ms += PAUSE_MS
+    core.handle_event(received)
+
+
+@then("its view isn't refreshed")
+def step_not_refreshed(context):
+    """The template may be older than the pause."""
+    assert not context.core.state.refreshed
+
+
+@then("an error names the rejected version")
+def step_rejection_logged(context):
+    """The balancer logs it like any rejection."""
+    errors = [
+        item.fields["version"]
+        for item in context.core.actions_of_type(LogChange)
+        if item.level == "ERROR"
+    ]
+    assert errors == [2], context.core.actions
+
+
 @when("a peer's probe says that it is suspected")
 def step_suspected_by_others(context):
     """A probe's member updates may be about its receiver."""
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -76,6 +76,7 @@
     IdentityTimer,
     on_identity_reply,
     on_identity_timer,
+    on_outdated_template,
     on_template_digest,
     on_template_read,
     on_template_rejected,
@@ -113,7 +114,7 @@
     _detect_pause(context)
     if isinstance(event, Received):
         if event.received_ms < state.resumed_ms:
-            context.count("event.discarded_after_pause")
+            handle_outdated(event.event, context)
             return context.actions
         late = now_ms - event.received_ms >= LATE_EVENT_MS
         event = event.event
@@ -145,6 +146,17 @@
     contact_some_members(context)
 
 
+@singledispatch
+def handle_outdated(_event, context):
+    """Discard an event that was queued before a pause."""
+    context.count("event.discarded_after_pause")
+
+
+# The platform edge posts each version, and each rejection, only once.
+handle_outdated.register(TemplateRead, on_outdated_template)
+handle_outdated.register(TemplateRejected, on_template_rejected)
+
+
 @singledispatch
 def handle(event, context):
     """Handle an event by its type.
--- a/libs/core/src/lagoontally_core/_templates.py
+++ b/libs/core/src/lagoontally_core/_templates.py
@@ -28,6 +28,17 @@
 
 def on_template_read(event: TemplateRead, context):
     """Put a template in force if it is newer than the one in force."""
+    state = context.state
+    if event.template.version >= state.template_version:
+        state.refreshed = True
+    adopt(event.template, event.document, context)
+
+
+def on_outdated_template(event: TemplateRead, context):
+    """Put a template that was read before a pause in force, if it is newer.
+
+    It doesn't refresh the view, since another may have been published meanwhile.
+    """
     adopt(event.template, event.document, context)
 
 
@@ -46,8 +57,6 @@
         True when it was put in force.
     """
     state = context.state
-    if template.version >= state.template_version:
-        state.refreshed = True
     if template.version <= state.template_version:
         _ignore_not_newer(template, document, context)
         return False
@@ -265,4 +274,5 @@
         context.count("template.rejected")
         return
     context.count("template.from_peer")
-    adopt(template, document, context)
+    if adopt(template, document, context):
+        state.refreshed = True
