Read the template anew after the platform was unavailable

After an outage no error came: a platform restored from an older copy, on which the version in force was published again with other content, looked unchanged to every balancer that ran, while each new one took the other document.

Cause: the watch went on from the version that was served before the outage. A version stands for content only as long as the platform keeps its history.

Evidence: the new scenario failed before (the watch named 2 after the failure, no second document in 20 s) and passes now.

After a failed read the next one names no version, so the document itself is compared with the one in force, by its digest in the core. Cost: a whole document for each balancer after an outage, spread by the back-off (0 to 8 s).

--- a/libs/edges/features/platform.feature
+++ b/libs/edges/features/platform.feature
@@ -18,6 +18,12 @@
     Then 2, rejected 3 and 3 were posted
     And the watch requested templates after nothing, 2, 3 and nothing
 
+  Scenario: Another document under the version in force isn't missed after an outage
+    Given a platform that serves templates 2 and failure, and then 2 unless the watch names it
+    When the template is watched until 2 documents are read
+    Then 2 and 2 were posted
+    And the watch requested templates after nothing, 2 and nothing
+
   Scenario: Failures back off with full jitter
     Given a platform that fails 6 times, answers with too large a body and then serves 2
     When the template is watched until 2 is read
--- a/libs/edges/features/steps/platform_steps.py
+++ b/libs/edges/features/steps/platform_steps.py
@@ -107,6 +107,8 @@
     """Return the scripted answer for the text of a feature."""
     if text == "nothing new":
         return 204, b""
+    if text == "failure":
+        return 503, b""
     if text.startswith("broken"):
         return 200, json.dumps({"version": int(text.split()[1])}).encode()
     return 200, template_document(int(text))
@@ -199,6 +201,13 @@
             return
 
 
+@when("the template is watched until {number:d} documents are read")
+def step_watch_documents(context, number):
+    """Each document is posted, also one with a version that was posted before."""
+    context.recorder.start(context.edge.run_template_watch)
+    context.events = [context.recorder.wait_for_event() for _ in range(number)]
+
+
 @then("{expected} were posted")
 def step_templates_posted(context, expected):
     """Rejected templates have their version and a reason."""
--- a/libs/edges/src/lagoontally_edges/_platform_edge.py
+++ b/libs/edges/src/lagoontally_edges/_platform_edge.py
@@ -155,6 +155,9 @@
     @handle_template_outcome.register
     def _(self, outcome: Unavailable):
         self.increment("failures")
+        with self.lock:
+            # A platform that was restored may serve another document under the version.
+            self.served_version = 0
         if outcome.interrupted:
             return self.random.uniform(0, REREAD_DELAY_MAX_S)
         return self.back_off()
