Report a member that announces another document under the version in force

Two documents published under one version to different servers of the platform stayed unnoticed: each balancer saw one of them, at its own server, and members took an equal version for equal content.

Cause: the announcement of a template carries its digest, which the receiver ignored.

Evidence: the scenario with another document failed before (no error logged) and passes now; the one with the same document guards against false errors.

The receiver compares the digest where the version is its own. No message is added; each balancer announces to 3 members when it puts a template in force, so with documents that are spread over many balancers some report it, not each one.

--- a/libs/core/features/fleet.feature
+++ b/libs/core/features/fleet.feature
@@ -26,6 +26,19 @@
     And a peer sends it version 2
     Then version 3 is in force
 
+  Scenario: A member's other document under the version in force is reported
+    Given a balancer that serves
+    And a peer that doesn't answer probes
+    When the peer announces another document as version 1
+    Then an error names version 1
+    And the document in force stays
+
+  Scenario: A member's copy of the document in force isn't reported
+    Given a balancer that serves
+    And a peer that doesn't answer probes
+    When the peer announces the same document as version 1
+    Then no error is logged
+
   Scenario: A template queued before a pause is put in force but doesn't refresh the view
     Given a balancer that serves
     When version 2 is read before a pause and handled after it
@@ -40,7 +53,7 @@
   Scenario: A rejection queued before a pause is logged
     Given a balancer that serves
     When a document is rejected before a pause and handled after it
-    Then an error names the rejected version
+    Then an error names version 2
 
   Scenario: A suspected balancer refutes the suspicion
     Given a balancer that serves
--- a/libs/core/features/steps/fleet_steps.py
+++ b/libs/core/features/steps/fleet_steps.py
@@ -14,6 +14,7 @@
     ServeEntries,
     State,
     Succession,
+    TemplateDigest,
     TemplateRead,
     TemplateRejected,
     TemplateSections,
@@ -112,15 +113,43 @@
     assert not context.core.state.refreshed
 
 
-@then("an error names the rejected version")
-def step_rejection_logged(context):
-    """The balancer logs it like any rejection."""
-    errors = [
-        item.fields["version"]
-        for item in context.core.actions_of_type(LogChange)
-        if item.level == "ERROR"
-    ]
-    assert errors == [2], context.core.actions
+@then("an error names version {version:d}")
+def step_error_logged(context, version):
+    """The balancer logs the error once."""
+    errors = [item.fields["version"] for item in logged_errors(context.core)]
+    assert errors == [version], context.core.actions
+
+
+@then("no error is logged")
+def step_no_error(context):
+    """Nothing is wrong."""
+    assert not logged_errors(context.core), context.core.actions
+
+
+def logged_errors(core):
+    """Return the errors logged among the latest actions."""
+    return [item for item in core.actions_of_type(LogChange) if item.level == "ERROR"]
+
+
+@when("the peer announces another document as version {version:d}")
+def step_announce_other(context, version):
+    """Two documents were published under one version."""
+    context.digest = context.core.state.digest
+    message = TemplateDigest(version, document_digest(document(version + 1)))
+    context.core.receive_message(context.peer, message)
+
+
+@when("the peer announces the same document as version {version:d}")
+def step_announce_same(context, version):
+    """The usual case."""
+    message = TemplateDigest(version, document_digest(document(version)))
+    context.core.receive_message(context.peer, message)
+
+
+@then("the document in force stays")
+def step_document_stays(context):
+    """A balancer keeps the document that it saw first."""
+    assert context.core.state.digest == context.digest
 
 
 @when("a peer's probe says that it is suspected")
--- a/libs/core/src/lagoontally_core/_templates.py
+++ b/libs/core/src/lagoontally_core/_templates.py
@@ -88,12 +88,17 @@
         context.count("template.older_ignored")
         return
     if document_digest(document) != state.digest:
-        context.count("template.conflict")
-        context.log(
-            "ERROR",
-            "another document carries the version in force",
-            version=template.version,
-        )
+        _report_conflict(template.version, context)
+
+
+def _report_conflict(version, context, **fields):
+    context.count("template.conflict")
+    context.log(
+        "ERROR",
+        "another document carries the version in force",
+        version=version,
+        **fields,
+    )
 
 
 def serve_entries(context):
@@ -230,10 +235,15 @@
 
 
 def on_template_digest(message: TemplateDigest, sender, context):
-    """Request a member's template if it is newer."""
-    address = _address_of(sender, context.state)
-    if message.version > context.state.template_version and address:
-        _request_sections(address, context)
+    """Request a member's template if it is newer; report one that conflicts."""
+    state = context.state
+    record = state.membership.records.get(sender)
+    if record is None:
+        return
+    if message.version > state.template_version:
+        _request_sections(record.peer_address, context)
+    elif message.version == state.template_version and message.digest != state.digest:
+        _report_conflict(message.version, context, member=record.name)
 
 
 def on_template_want(message: TemplateWant, sender, context):
