Explore the platform edge with the core: cursors against old, late and lost answers

The explorations of templates hand documents to cores directly, so a cursor of the platform edge that runs ahead of the core couldn't show. This one has the real edge and core, and a platform that answers from copies of any age, fails, and is restored; answers and events wait over pauses. Documents may be faulty, repaired under their version, or published again with other content. Checked in each state: once the platform is steady, the newest document is in force or its version is logged.

Each of the three faults fixed before is found again when its fix is taken out (scenarios with mutations). The first of them wasn't at first: the check excused a repaired document by the log of the rejected one; it tells them apart now.

Assumed: a restored platform has lost its later copies, and an outage is longer than it takes to handle an answer.

--- a/libs/bench/features/explore.feature
+++ b/libs/bench/features/explore.feature
@@ -13,6 +13,7 @@
       | sheds, expiry                            | told not run      |
       | versions, stale reads                    | versions differ   |
       | a newcomer, stale reads                  | a newcomer serves |
+      | reads of the platform, a pause           | template rejected |
 
   Scenario Outline: The search detects a mutation of the core
     Given the core is mutated: <mutation>
@@ -27,6 +28,17 @@
       | older template adopted    | versions, stale reads              | went from              |
       | inherited runs forgotten  | a leave, copies                    | told not run, but ran  |
       | joining members don't ask | a newcomer, stale reads            | a reachable peer had   |
+      | templates lost in a pause | reads of the platform, a pause     | stays in force         |
+
+  Scenario Outline: The search detects a mutation of the platform edge
+    Given the platform edge is mutated: <mutation>
+    When "reads of the platform, a pause" is explored
+    Then the search reports: stays in force
+
+    Examples:
+      | mutation                           |
+      | rejected versions watched for good |
+      | the watch outlives an outage       |
 
   Scenario: Random walks through a model that is too large to search are reproducible
     When "two heirs, a leave, a crash, a freeze" is walked 10 times for 40 moves
--- a/libs/bench/features/steps/explore_steps.py
+++ b/libs/bench/features/steps/explore_steps.py
@@ -15,8 +15,27 @@
 from lagoontally_bench._mutations import apply_mutation
 from lagoontally_bench._once_state import Budget
 from lagoontally_bench._walk import walk
+from lagoontally_edges import PlatformEdge, Unavailable
 
 STATES_LIMIT = 20_000
+POST_REJECTED = PlatformEdge.post_rejected
+HANDLE_TEMPLATE_OUTCOME = PlatformEdge.__dict__["handle_template_outcome"]
+
+
+def _watch_rejected_for_good(edge, body, reason):
+    posted = POST_REJECTED(edge, body, reason)
+    edge.served_rejected = False
+    return posted
+
+
+def _keep_version_after_outage(edge, outcome):
+    version = edge.served_version
+    delay_s = HANDLE_TEMPLATE_OUTCOME.__get__(edge)(outcome)
+    if isinstance(outcome, Unavailable):
+        edge.served_version = version
+    return delay_s
+
+
 STEP_MUTATIONS = {
     "inherited runs forgotten": (
         "lagoontally_core._inherit._restore_remembered",
@@ -26,6 +45,18 @@
         "lagoontally_core._step._is_known_to_members",
         lambda step_context: True,
     ),
+    "templates lost in a pause": (
+        "lagoontally_core._step.handle_outdated",
+        lambda event, step_context: None,
+    ),
+    "rejected versions watched for good": (
+        "lagoontally_edges.PlatformEdge.post_rejected",
+        _watch_rejected_for_good,
+    ),
+    "the watch outlives an outage": (
+        "lagoontally_edges.PlatformEdge.handle_template_outcome",
+        _keep_version_after_outage,
+    ),
 }
 
 
@@ -35,8 +66,9 @@
 
 
 @given("the core is mutated: {name}")
+@given("the platform edge is mutated: {name}")
 def step_mutated(context, name):
-    """The mutated core breaks one promise."""
+    """The mutated part breaks one promise."""
     if name in STEP_MUTATIONS:
         context.undo.enter_context(patch(*STEP_MUTATIONS[name]))
     else:
--- a/libs/bench/src/lagoontally_bench/_explore.py
+++ b/libs/bench/src/lagoontally_bench/_explore.py
@@ -3,6 +3,7 @@
 import time
 from typing import NamedTuple
 
+from ._explore_edge import EdgeBudget, EdgeModel
 from ._explore_once import AtMostOnceModel, Scope
 from ._explore_templates import TemplateBudget, TemplateModel
 from ._once_state import Budget
@@ -50,6 +51,10 @@
     return lambda: TemplateModel(balancers, TemplateBudget(**budget))
 
 
+def _platform_reads(**budget):
+    return lambda: EdgeModel(EdgeBudget(**budget))
+
+
 TWO_LEAVES_PRELUDE = (
     "send command 0",
     "datagram 0.1 -> A",
@@ -132,6 +137,13 @@
         "a newcomer among three, a cut",
         _template(3, publishes=1, replacements=1, ticks=1, cuts=1),
     ),
+    Exploration(
+        "reads of the platform, a pause",
+        _platform_reads(publishes=2, answers=2, failures=0, reads=0),
+        quick=True,
+    ),
+    Exploration("reads of the platform, a failure", _platform_reads(publishes=2)),
+    Exploration("reads of the platform, three documents", _platform_reads()),
 )
 
 
--- a/libs/edges/src/lagoontally_edges/__init__.py
+++ b/libs/edges/src/lagoontally_edges/__init__.py
@@ -27,6 +27,7 @@
 )
 from ._peer_edge import PeerEdge
 from ._platform_edge import PlatformEdge
+from ._platform_http import Document, Unavailable, Unchanged
 from ._upstream_edge import UpstreamEdge
 
 __all__ = [
@@ -36,6 +37,7 @@
     "BindFailed",
     "CallerEdge",
     "DecodeError",
+    "Document",
     "EncodeError",
     "Malformed",
     "Metrics",
@@ -44,6 +46,8 @@
     "PingReceived",
     "PlatformEdge",
     "ResetReceived",
+    "Unavailable",
+    "Unchanged",
     "UpstreamDatagram",
     "UpstreamEdge",
     "configure_logging",
