Keep a member's version and pause count when an older copy suspects it

A joining balancer could serve an older template although a member with a newer one had just sent it a probe: callers were placed by the old template until the sections came. Relays to a member that had been suspected could name an earlier pause and were dropped; their callers had to send again.

Cause: member records were compared as one tuple of revision, status, pause count and version, and the whole record replaced. A suspicion is written into a copy of any age; its higher status brought the copy's counts with it, and the member's own record, at the same revision but a lower status, was then ignored but for its status.

Status goes by revision, as before. Pause count and template version only rise within an incarnation, so the larger one is kept whichever record came last.

--- a/libs/core/features/fleet.feature
+++ b/libs/core/features/fleet.feature
@@ -55,6 +55,35 @@
     When a document is rejected before a pause and handled after it
     Then an error names version 2
 
+  Scenario: A suspicion doesn't take back what a member said of itself
+    Given a balancer that serves
+    And a peer that sent version 2 and pause count 3
+    When another peer suspects it, from its record with version 1 and pause count 2
+    Then the peer is suspected
+    And its record has version 2 and pause count 3
+
+  Scenario: A suspected member's own probe brings its version and pause count
+    Given a balancer that serves
+    And another peer that suspects the peer, from its record with version 1 and pause count 2
+    When the peer sends version 2 and pause count 3
+    Then the peer is alive
+    And its record has version 2 and pause count 3
+
+  Scenario: A joining balancer waits for the newer template of a peer that was suspected
+    Given a joining balancer that read version 1
+    And another peer that suspects the peer, from its record with version 1 and pause count 0
+    When the other peer welcomes it with version 1
+    And the peer sends version 2 and pause count 0
+    And time passes
+    Then it takes no callers' packets
+
+  Scenario: A late probe of a member doesn't take back its version
+    Given a balancer that serves
+    And a peer that sent version 2 and pause count 3
+    When another peer suspects it, from its record with version 1 and pause count 2
+    And the peer sends version 1 and pause count 2
+    Then its record has version 2 and pause count 3
+
   Scenario: A suspected balancer refutes the suspicion
     Given a balancer that serves
     When a peer's probe says that it is suspected
--- a/libs/core/features/steps/fleet_steps.py
+++ b/libs/core/features/steps/fleet_steps.py
@@ -152,6 +152,44 @@
     assert context.core.state.digest == context.digest
 
 
+@given("a peer that sent version {version:d} and pause count {pauses:d}")
+@when("the peer sends version {version:d} and pause count {pauses:d}")
+def step_peer_sends(context, version, pauses):
+    """A probe contains the sender's record of itself."""
+    context.peer = record(PEER, version=version, pause_count=pauses)
+    context.core.receive_ping(context.peer)
+
+
+@given(
+    "another peer that suspects the peer, from its record with version {version:d}"
+    " and pause count {pauses:d}"
+)
+@when(
+    "another peer suspects it, from its record with version {version:d}"
+    " and pause count {pauses:d}"
+)
+def step_other_suspects(context, version, pauses):
+    """The other peer has an older record of it."""
+    context.other = record(OTHER_PEER)
+    suspected = record(
+        PEER, version=version, pause_count=pauses, status=MemberStatus.SUSPECT
+    )
+    context.core.receive_ping(context.other, updates=[suspected])
+
+
+@when("the other peer welcomes it with version 1")
+def step_other_welcomes(context):
+    """The other peer has no newer template."""
+    context.core.receive_message(context.other, Welcome(context.other, [], []))
+
+
+@then("its record has version {version:d} and pause count {pauses:d}")
+def step_record_has(context, version, pauses):
+    """Both only rise, whichever record came last."""
+    known = context.core.state.membership.records[PEER]
+    assert (known.template_version, known.pause_count) == (version, pauses), known
+
+
 @when("a peer's probe says that it is suspected")
 def step_suspected_by_others(context):
     """A probe's member updates may be about its receiver."""
--- a/libs/core/src/lagoontally_core/_members.py
+++ b/libs/core/src/lagoontally_core/_members.py
@@ -109,7 +109,7 @@
         return max((record.template_version for record in self.alive()), default=0)
 
     def merge_record(self, record, now_ms):
-        """Merge a record if it supersedes the known one.
+        """Merge a record into the known one.
 
         Args:
             record: A balancer's record, from any balancer.
@@ -123,8 +123,10 @@
             self._refute(record)
             return None
         known = self.records.get(record.incarnation)
-        if known is not None and not _supersedes(record, known):
-            return None
+        if known is not None:
+            record = _merge(record, known)
+            if record == known:
+                return None
         self.records[record.incarnation] = record
         if known is None or known.status != record.status:
             self.changed_ms[record.incarnation] = now_ms
@@ -233,20 +235,23 @@
         return expired
 
 
-def _supersedes(record, known):
-    """Return whether ``record`` supersedes the known record."""
+def _merge(record, known):
+    """Return what two records of one balancer say together.
+
+    A suspicion is written from a copy of any age, so its status may be newer than
+    its pause count and template version, which only rise.
+    """
     if known.status == MemberStatus.LEFT:
-        return False
+        return known
+    newer = record if _supersedes(record, known) else known
+    return newer._replace(
+        pause_count=max(record.pause_count, known.pause_count),
+        template_version=max(record.template_version, known.template_version),
+    )
+
+
+def _supersedes(record, known):
+    """Return whether the status in ``record`` is newer than the known one."""
     if record.status == MemberStatus.LEFT:
         return True
-    return (
-        record.revision,
-        record.status,
-        record.pause_count,
-        record.template_version,
-    ) > (
-        known.revision,
-        known.status,
-        known.pause_count,
-        known.template_version,
-    )
+    return (record.revision, record.status) > (known.revision, known.status)
