Wait for members also when the platform lists a balancer alone

A balancer that started again served an older template than its members had, where the platform's list was from before they started: callers were placed by the old template until a member's probe came. DESIGN says that the list lags and only tells whom to greet, never who is gone; "listed alone" was taken for "there is nobody".

Cause: the list named the joining balancer only, so it began to serve at once, with the version of its read, which may be old too.

The shortcut is gone: a balancer serves when the members that it knows know it, or after the 5 s that it waits for them at most. Price: the only balancer of a workspace starts to serve after 5 s.

--- a/libs/bench/features/explore.feature
+++ b/libs/bench/features/explore.feature
@@ -13,6 +13,7 @@
       | sheds, expiry                            | told not run      |
       | versions, stale reads                    | versions differ   |
       | a newcomer, stale reads                  | a newcomer serves |
+      | a newcomer, an old list                  | a newcomer serves |
       | reads of the platform, a pause           | template rejected |
 
   Scenario Outline: The search detects a mutation of the core
--- a/libs/bench/src/lagoontally_bench/_explore.py
+++ b/libs/bench/src/lagoontally_bench/_explore.py
@@ -129,6 +129,11 @@
         _template(2, publishes=1, replacements=1, ticks=1),
         quick=True,
     ),
+    Exploration(
+        "a newcomer, an old list",
+        _template(2, publishes=1, replacements=1, ticks=1, old_lists=1),
+        quick=True,
+    ),
     Exploration(
         "a newcomer, a cut, the longest wait",
         _template(2, publishes=1, replacements=1, waits=1, cuts=1),
--- a/libs/bench/src/lagoontally_bench/_explore_templates.py
+++ b/libs/bench/src/lagoontally_bench/_explore_templates.py
@@ -30,6 +30,7 @@
         replacements: Restarts of a balancer.
         cuts: Pairs of balancers that are cut off from each other.
         lists: Reads of the platform's list by joining balancers.
+        old_lists: Reads that return a list from before the others started.
     """
 
     publishes: int = 2
@@ -40,6 +41,7 @@
     replacements: int = 0
     cuts: int = 0
     lists: int = 1
+    old_lists: int = 0
 
 
 class TemplateWorld(NamedTuple):
@@ -198,12 +200,19 @@
                     self._builder(world).spend_budget("replacements").replace(number)
                 )
                 yield f"{balancer.info.name} is replaced", builder.build()
-        if world.newcomer and world.budget.lists:
-            number = world.index_of(world.newcomer)
+        if not world.newcomer:
+            return
+        number = world.index_of(world.newcomer)
+        if world.budget.lists:
             names = [item.info.name for item in world.balancers]
             event = InstancesRead(instances(names))
             builder = self._builder(world).spend_budget("lists").deliver(number, event)
             yield f"{world.newcomer} reads the list", builder.build()
+        if world.budget.old_lists:
+            event = InstancesRead(instances([world.newcomer]))
+            builder = self._builder(world).spend_budget("old_lists")
+            builder.deliver(number, event)
+            yield f"{world.newcomer} reads an old list", builder.build()
 
     def _time_moves(self, world):
         if world.budget.ticks:
--- a/libs/core/features/fleet.feature
+++ b/libs/core/features/fleet.feature
@@ -9,6 +9,14 @@
     And time passes
     Then it serves version 2
 
+  Scenario: A joining balancer that an old list shows alone waits for members
+    Given a joining balancer that read version 1
+    When the platform lists it alone
+    And time passes
+    Then it takes no callers' packets
+    When the time to wait for members has passed
+    Then it serves version 1
+
   Scenario Outline: A template version never goes back
     Given a balancer that serves
     When the platform answers with version <first>, then <second>
--- a/libs/core/features/steps/fleet_steps.py
+++ b/libs/core/features/steps/fleet_steps.py
@@ -4,8 +4,11 @@
 from fixtures import Core, document, record
 
 from lagoontally_core import (
+    JOIN_WAIT_MS,
     PAUSE_MS,
     HandoverPart,
+    Instance,
+    InstancesRead,
     LeaveRequested,
     LogChange,
     Phase,
@@ -49,6 +52,20 @@
     context.core.receive_message(context.peer, Welcome(context.peer, [], []))
 
 
+@when("the platform lists it alone")
+def step_listed_alone(context):
+    """The list lags, so members that started since aren't in it."""
+    info = context.core.state.info
+    own = Instance(info.name, info.data_centre, info.peer_address, False)
+    context.core.handle_event(InstancesRead((own,)))
+
+
+@when("the time to wait for members has passed")
+def step_join_wait(context):
+    """No member has answered."""
+    context.core.wait(JOIN_WAIT_MS)
+
+
 @when("time passes")
 def step_time(context):
     """Wait less than a joining balancer does at most."""
--- a/libs/core/src/lagoontally_core/_probing.py
+++ b/libs/core/src/lagoontally_core/_probing.py
@@ -233,8 +233,6 @@
     state = context.state
     known = {record.peer_address for record in state.membership.records.values()}
     known.add(state.info.peer_address)
-    listed = [instance.peer_address for instance in event.instances]
-    state.listed_alone = listed == [state.info.peer_address]
     for instance in event.instances:
         if instance.peer_address not in known:
             context.act(SendPeer(instance.peer_address, Join(own_record(context))))
--- a/libs/core/src/lagoontally_core/_state.py
+++ b/libs/core/src/lagoontally_core/_state.py
@@ -278,7 +278,6 @@
         clock_ms: Time of the latest step; None before the first.
         resumed_ms: When the latest pause was detected.
         pause_count: Number of pauses detected so far.
-        listed_alone: True while the platform lists this balancer and no other.
         next_list_ms: When the platform's list is read next.
         unknown_homes: Requests that wait for an unknown home, by incarnation.
         welcomed: True once a ``Welcome`` has arrived.
@@ -318,7 +317,6 @@
         self.template: Template | None = None
         self.sections: dict[str, bytes] = {}
         self.digest = b""
-        self.listed_alone = False
         self.next_list_ms = 0
         self.unknown_homes: dict[int, list] = {}
         self.welcomed = False
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -263,8 +263,6 @@
     state = context.state
     if state.membership.newest_version() > state.template_version:
         return False
-    if state.listed_alone:
-        return True
     return state.welcomed and state.membership.known_to_all()
 
 
