--- a/libs/core/src/lagoontally_core/_templates.py
+++ b/libs/core/src/lagoontally_core/_templates.py
@@ -28,6 +28,17 @@
 
 def on_template_read(event: TemplateRead, context):
     """Put a template in force if it is newer than the one in force."""
+    state = context.state
+    if event.template.version >= state.template_version:
+        state.refreshed = True
+    adopt(event.template, event.document, context)
+
+
+def on_outdated_template(event: TemplateRead, context):
+    """Put a template that was read before a pause in force, if it is newer.
+
+    It doesn't refresh the view, since another may have been published meanwhile.
+    """
     adopt(event.template, event.document, context)
 
 
@@ -46,8 +57,6 @@
         True when it was put in force.
     """
     state = context.state
-    if template.version >= state.template_version:
-        state.refreshed = True
     if template.version <= state.template_version:
         _ignore_not_newer(template, document, context)
         return False
@@ -79,12 +88,17 @@
         context.count("template.older_ignored")
         return
     if document_digest(document) != state.digest:
-        context.count("template.conflict")
-        context.log(
-            "ERROR",
-            "another document carries the version in force",
-            version=template.version,
-        )
+        _report_conflict(template.version, context)
+
+
+def _report_conflict(version, context, **fields):
+    context.count("template.conflict")
+    context.log(
+        "ERROR",
+        "another document carries the version in force",
+        version=version,
+        **fields,
+    )
 
 
 def serve_entries(context):
@@ -221,10 +235,15 @@
 
 
 def on_template_digest(message: TemplateDigest, sender, context):
-    """Request a member's template if it is newer."""
-    address = _address_of(sender, context.state)
-    if message.version > context.state.template_version and address:
-        _request_sections(address, context)
+    """Request a member's template if it is newer; report one that conflicts."""
+    state = context.state
+    record = state.membership.records.get(sender)
+    if record is None:
+        return
+    if message.version > state.template_version:
+        _request_sections(record.peer_address, context)
+    elif message.version == state.template_version and message.digest != state.digest:
+        _report_conflict(message.version, context, member=record.name)
 
 
 def on_template_want(message: TemplateWant, sender, context):
@@ -265,4 +284,5 @@
         context.count("template.rejected")
         return
     context.count("template.from_peer")
-    adopt(template, document, context)
+    if adopt(template, document, context):
+        state.refreshed = True
