Stand-in store: withhold changes from the watches of some clients

No test could show a data centre that has missed a change whatever the cause: a position newer than its data is one way to get there, and the store's own answers another. Changes of keys with a prefix can now be withheld from the watches of a client host; reads return them, and the revision of the answer moves on.

All balancers reached the store from one address, since the proxies in front of it connected from wherever the kernel chose, so the store couldn't tell them apart. A proxy connects from its own host.

--- a/libs/standins/src/lagoontally_standins/packets/_proxy.py
+++ b/libs/standins/src/lagoontally_standins/packets/_proxy.py
@@ -11,7 +11,7 @@
 
 
 class Proxy:
-    """Forwards connections to the store, with faults.
+    """Forwards connections to the store, from its own host, with faults.
 
     Attributes:
         mode: ``PASS`` forwards all data; ``SILENT`` drops all data; ``ONE_WAY``
@@ -25,6 +25,7 @@
         self.mode = PASS
         self.connections = []
         self.listener = socket.create_server(address, backlog=64)
+        self.host = self.listener.getsockname()[0]
         loop.watch(self.listener, self._on_connection)
 
     def set_mode(self, mode):
@@ -40,7 +41,9 @@
             sock.close()
             return
         try:
-            upstream = socket.create_connection(self.upstream, timeout=1)
+            upstream = socket.create_connection(
+                self.upstream, timeout=1, source_address=(self.host, 0)
+            )
         except OSError:
             sock.close()  # the store is unreachable
             return
--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -43,6 +43,7 @@
         stale_s: How old the copy is that answers reads with ``stale-ok``.
         stale_as_of_present: Whether such a read names the store's present revision
             instead of the copy's.
+        withheld: Prefix of the keys by client host whose changes watches lack.
         calls: Number of requests by client host.
         compacted_revision: Watches from before this revision get 410.
         era: Incremented by each restore.
@@ -62,6 +63,7 @@
         self.delay_s = 0.0
         self.stale_s = 0.0
         self.stale_as_of_present = False
+        self.withheld = {}
         self.calls = {}
         self.pending_watches = []
         self.listener = socket.create_server(address, backlog=128)
@@ -157,10 +159,13 @@
         if not self.compacted_revision <= after <= self.revision:
             connection.send(410, {})
             return
+        withheld = self.withheld.get(connection.host)
         found = [
             event
             for event in self.events
-            if event.revision > after and event.key.startswith(query.get("prefix", ""))
+            if event.revision > after
+            and event.key.startswith(query.get("prefix", ""))
+            and not (withheld and event.key.startswith(withheld))
         ]
         if found:
             events = [_item(event) for event in found]
