A data centre finds out that its reader missed a change

Callers of a data centre saw the routes of an older version until the next change, while other data centres had the newer one: one balancer watches the store for all, and if it lacks a change without knowing, nothing tells its data centre.

Each balancer now tells the seeds beside its Hello which version it has in force, and a seed answers with its own; followers pass a newer one on to their reader. A reader that has heard of a newer version for 1.4 s, in which the store answered it, lists the targets and reads the configuration again, neither from an old copy. A follower that is still behind after 3 s reads the configuration itself. While the store doesn't have the version the pauses grow, up to 60 s. It is independent of why the change was missed, and logs configuration_behind once a version.

The version is a message of its own, InForce: programs before it take exactly the fields of Hello and Members and would drop longer ones, so during a rollout the two builds wouldn't have found each other. They drop InForce and count it as unreadable.

--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -26,6 +26,7 @@
     "store_restored",
     "store_read",
     "store_change_missed",
+    "configuration_behind",
     "configuration_in_force",
 )
 END_EVENTS = ("reset", "drop")
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -52,6 +52,7 @@
     Watch,
 )
 from ._stuck_targets import ANSWERED, STUCK, THIS_BALANCER, UNANSWERED
+from ._version_check import Heard, InForce, VersionCheck
 
 __all__ = [
     "ACCEPTED",
@@ -85,8 +86,10 @@
     "FetchTargets",
     "FlowReset",
     "Forward",
+    "Heard",
     "Hello",
     "Hold",
+    "InForce",
     "Joined",
     "Lifecycle",
     "ListTargets",
@@ -103,6 +106,7 @@
     "StoreSync",
     "Target",
     "Verdict",
+    "VersionCheck",
     "Watch",
     "configuration_delta",
     "target_cookie",
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -43,8 +43,8 @@
         confirmed_ms: When the view was last known to be current.
         routes: Number of routes in the configuration in force here.
         call_cancelled: Whether to cancel the running call to the store, since
-            another reader reaches the store or the history that it asks about has
-            ended. Cleared by the caller of ``next_call``.
+            another reader reaches the store, or what it asks about has ended or is
+            in doubt. Cleared by the caller of ``next_call``.
     """
 
     def __init__(self, *, priority, random, slow_link=False):
@@ -60,6 +60,7 @@
         self._listed = False
         self._listing_may_be_old = False
         self._configured = False
+        self._configuration_doubted = False
         self._settling = False
         self._uninformed = False
         self._next_call_ms = 0
@@ -91,8 +92,30 @@
             return self._reader_call(now_ms)
         return self._follower_call(now_ms)
 
+    def reread(self, now_ms):
+        """Read the store again, as a change may have been missed.
+
+        A follower reads only the configuration, once.
+
+        Returns:
+            False if a read is due anyway, or if the store isn't known to answer.
+        """
+        reachable = now_ms - (self.confirmed_ms or 0) <= FRESH_MS
+        if not (reachable and self._listed and self._configured):
+            return False
+        if self.reader:
+            self._list_again()
+            self._reader_is_next = False  # it may lack the change, too
+            self.call_cancelled = True
+        else:
+            self._configuration_doubted = True
+        return True
+
     def _follower_call(self, now_ms):
         """Fetch what this follower missed, if anything."""
+        if self._configuration_doubted:
+            self._configuration_doubted = False
+            return ReadConfiguration(may_be_old=False)
         if self._targets_outdated:
             return self._targets_call(now_ms)
         if self._uninformed and self._reader_host is not None:
--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -3,6 +3,9 @@
   Scenario: Decoding reverses encoding
     Then each type of message is decoded to the message that was encoded
 
+  Scenario: Balancers of two builds find each other
+    Then programs before InForce decode the hello ["Hello", "tifton", 7, 2] and the reply ["Members", 7, 3, false, 0, 1, 2000, ["10.0.0.1", "10.0.0.2"], ["10.0.0.3"]]
+
   Scenario Outline: A delta with an invalid target is rejected
     When a delta arrives whose target has <field> <value>
     Then it is rejected
@@ -51,6 +54,16 @@
       | ["Hello", "tifton"] |
       | ["Hello", 5, 1, 1] |
       | ["Joined", 5] |
+      | ["InForce"] |
+      | ["InForce", 14, 15] |
+      | ["InForce", "14"] |
+      | ["InForce", -1] |
+      | ["InForce", 0] |
+      | ["InForce", 14.5] |
+      | ["InForce", 1e999] |
+      | ["InForce", true] |
+      | ["InForce", [14]] |
+      | ["InForce", 9223372036854775808] |
       | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, ["r", [], true]]]] |
       | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, ["r", [["a", "x"]], true]]]] |
       | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, 5]]] |
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -13,6 +13,7 @@
     DealtAnew,
     Delta,
     Hello,
+    InForce,
     Joined,
     Members,
     Membership,
@@ -37,6 +38,7 @@
 DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES)
 MESSAGES = (
     Hello("tifton", 7, 2),
+    InForce(14),
     Joined("tifton"),
     Members(7, 3, False, 0, 1, 2_000, ["10.0.0.1", "10.0.0.2"], ["10.0.0.3"]),
     Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False),
@@ -69,6 +71,14 @@
         assert decode_message(encode_message(message)) == message, message
 
 
+@then("programs before InForce decode the hello {hello} and the reply {reply}")
+def step_unchanged(context, hello, reply):
+    """They require exactly these fields, and drop messages of unknown types."""
+    assert json.loads(encode_message(MESSAGES[0])) == json.loads(hello)
+    members = next(one for one in MESSAGES if isinstance(one, Members))
+    assert json.loads(encode_message(members)) == json.loads(reply)
+
+
 @when("a delta arrives whose target has {field} {value}")
 def step_delta(context, field, value):
     document = json.loads(encode_message(DELTA))
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -9,6 +9,7 @@
     DealtAnew,
     Delta,
     Hello,
+    InForce,
     Joined,
     Members,
     Position,
@@ -28,6 +29,7 @@
 MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
 MAX_ROUTES_PER_DELTA = 8  # a route takes about 70 bytes, with two services 100
 MAX_PARTS = 256  # of a list of members
+MAX_VERSION = (1 << 63) - 1  # that is passed on; longer ones might not fit
 
 
 def encode_target(target):
@@ -177,6 +179,12 @@
     return Joined(data_centre) if isinstance(data_centre, str) else None
 
 
+def _decode_in_force(fields):
+    (version,) = fields
+    valid = type(version) is int and 0 < version <= MAX_VERSION
+    return InForce(version) if valid else None
+
+
 def _decode_beacon(fields):
     beacon = Beacon(*fields)
     beacon = beacon._replace(
@@ -224,6 +232,7 @@
 
 _DECODERS = {
     "Hello": _decode_hello,
+    "InForce": _decode_in_force,
     "Joined": _decode_joined,
     "Members": _decode_members,
     "Beacon": _decode_beacon,
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -6,6 +6,7 @@
     DealtAnew,
     Delta,
     Hello,
+    InForce,
     Joined,
     Members,
     Membership,
@@ -29,10 +30,12 @@
         settings: The ``Settings``.
         random: Random number generator.
         metrics: The ``Metrics``.
-        on_message: Called with one of ``STATE_MESSAGES`` and the sender's host.
+        on_message: Called with an ``InForce`` or one of ``STATE_MESSAGES`` and the
+            sender's host.
 
     Attributes:
         membership: The ``Membership``.
+        version: Version of the configuration in force here; 0 before the first.
     """
 
     def __init__(self, loop, settings, *, random, metrics, on_message):
@@ -45,6 +48,7 @@
             data_centre=settings.data_centre,
             epoch=random.getrandbits(EPOCH_BITS) + 1,  # 0 stands for no list
         )
+        self.version = 0
         self._port = settings.peer_address[1]
         self._sock = datagram_socket(settings.peer_address)
         loop.watch(self._sock, self._on_readable)
@@ -59,6 +63,7 @@
         addresses = dict(self.settings.seeds)
         for seed, hello in self.membership.on_tick(addresses, now_ms):
             self._send(encode_message(hello), (seed, addresses[seed]))
+            self._send_version((seed, addresses[seed]))
 
     def broadcast(self, message):
         """Send a message to every member.
@@ -74,6 +79,15 @@
         self.metrics.add("peer_messages_sent", type(message).__name__)
         return True
 
+    def send(self, message, host):
+        """Send a short message to one balancer."""
+        self._send(encode_message(message), (host, self._port))
+
+    def _send_version(self, address):
+        """Send the version in force to a balancer in any data centre."""
+        if self.version:
+            self._send(encode_message(InForce(self.version)), address)
+
     def _send(self, data, address):
         try:
             self._sock.sendto(data, address)
@@ -96,12 +110,15 @@
         now_ms = self.loop.clock()
         if isinstance(message, Hello):
             for reply in self.membership.on_hello(message, host, now_ms):
-                self._send(encode_message(reply), (host, self._port))
+                self.send(reply, host)
+            self._send_version((host, self._port))
         elif isinstance(message, Members):
             for member, joined in self.membership.on_members(message, host, now_ms):
-                self._send(encode_message(joined), (member, self._port))
+                self.send(joined, member)
         elif isinstance(message, Joined):
             self.membership.on_joined(message, host, now_ms)
+        elif isinstance(message, InForce):
+            self.on_message(message, host)
         elif isinstance(message, STATE_MESSAGES):
             self.membership.on_message(host, now_ms)
             self.on_message(message, host)
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -19,11 +19,13 @@
     DealtAnew,
     Delta,
     FlowReset,
+    InForce,
     Lifecycle,
     LogEvent,
     Probe,
     StoreSync,
     Verdict,
+    VersionCheck,
 )
 from lagoontally_platform import READINESS_PATH, SETTINGS_VARIABLE
 
@@ -81,6 +83,7 @@
             slow_link=slow_link,
             random=random,
         )
+        self.version_check = VersionCheck(random=random)
         self.peers = Peers(
             self.loop,
             settings,
@@ -132,6 +135,7 @@
         self._last_tick_ms = time_ms
         self.store_sync.members = len(self.peers.members) + 1
         self.store_reader.on_tick(time_ms)
+        self._check_version(time_ms)
         self.peers.on_tick(time_ms)
         self.prober.on_tick(time_ms)
         self.balancer.on_tick(time_ms)
@@ -145,6 +149,28 @@
         self._execute_effects()
         self._update_readiness(time_ms)
 
+    def _check_version(self, time_ms):
+        """Read the store again if others have a configuration that is missing here."""
+        store_sync, check = self.store_sync, self.version_check
+        self.peers.version = version = store_sync.configuration_version
+        check.on_own(version, time_ms)
+        heard = check.due(time_ms, reader=store_sync.reader, members=store_sync.members)
+        if heard is None or not store_sync.reread(time_ms):
+            return
+        if check.on_reread(time_ms):
+            self.metrics.add(
+                "configuration_behind", "reader" if store_sync.reader else "follower"
+            )
+            self.log.line(
+                "configuration_behind",
+                heard=heard.version,
+                host=heard.host,
+                own=version,
+                since_ms=time_ms - heard.since_ms,
+                reader=store_sync.reader,
+                position=store_sync.history.position,
+            )
+
     def _execute_effects(self):
         """Execute the effects of the balancer's decisions other than on packets."""
         for effect in self.balancer.take_effects():
@@ -183,7 +209,9 @@
     def _on_message(self, message, host):
         time_ms = now_ms()
         if isinstance(message, Beacon):
-            self.store_sync.on_beacon(message, host, time_ms)
+            self._on_beacon(message, host, time_ms)
+        elif isinstance(message, InForce):
+            self.version_check.on_version(message.version, host, time_ms)
         elif isinstance(message, Delta):
             self.store_reader.on_delta(message, time_ms)
         elif isinstance(message, ConfigurationDelta):
@@ -194,6 +222,15 @@
             self._log_verdict(message, host)
             self.balancer.on_verdict(message, host, time_ms)
 
+    def _on_beacon(self, beacon, host, time_ms):
+        """Handle a reader's beacon, and tell it of a newer version."""
+        self.store_sync.on_beacon(beacon, host, time_ms)
+        notice = self.version_check.notice(
+            beacon.configuration_version, time_ms, members=self.store_sync.members
+        )
+        if notice is not None:
+            self.peers.send(notice, host)
+
     def _log_verdict(self, verdict, source):
         """Log an own verdict, or a peer's that differs from the known state."""
         balancer = self.balancer
