--- a/libs/flows/features/data_centres.py
+++ b/libs/flows/features/data_centres.py
@@ -46,9 +46,13 @@
         """Read the store again if that is due."""
         store_sync = self.balancer.store_sync
         self.check.on_own(store_sync.configuration_version, now_ms)
-        role = {"reader": store_sync.reader, "members": store_sync.members}
-        heard = self.check.due(now_ms, **role)
-        if heard is None or not store_sync.reread(now_ms):
+        heard = self.check.due(
+            now_ms,
+            reader=store_sync.reader,
+            members=store_sync.members,
+            reachable=store_sync.reaches_store(now_ms),
+        )
+        if heard is None or not store_sync.reread():
             return
         assert isinstance(heard, Heard)
         self.readings += 1
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -8,6 +8,7 @@
     configuration_delta,
 )
 from ._cookie import NO_COOKIE, target_cookie
+from ._digest import digest
 from ._effects import DealtAnew, FlowReset, LogEvent
 from ._health import (
     ACCEPTED,
@@ -109,5 +110,6 @@
     "VersionCheck",
     "Watch",
     "configuration_delta",
+    "digest",
     "target_cookie",
 ]
--- a/libs/flows/src/lagoontally_flows/_version_check.py
+++ b/libs/flows/src/lagoontally_flows/_version_check.py
@@ -34,7 +34,7 @@
         version: The version.
         host: Host that announced it.
         since_ms: Since when the version in force here has been older than an
-            announced one without a change.
+            announced one, unchanged, and the store was reached.
     """
 
     __slots__ = ()
@@ -106,7 +106,7 @@
         self._next_notice_ms = now_ms + interval_ms
         return InForce(version)
 
-    def due(self, now_ms, *, reader, members):
+    def due(self, now_ms, *, reader, members, reachable):
         """Return the ``Heard`` to read the store for now, None if none is due.
 
         Followers wait longer, as their reader's beacons bring what it reads. All of a
@@ -116,9 +116,12 @@
             now_ms: Current time.
             reader: Whether this balancer reads for its data centre.
             members: Number of balancers in the data centre.
+            reachable: Whether this balancer or its reader reaches the store.
         """
         if self.heard is None:
             return None
+        if not reachable:
+            self.heard = self.heard._replace(since_ms=now_ms)
         delay_ms, pause_ms = READER_ARRIVAL_MS, self._pause_ms
         if not reader:
             spread_ms = RETRY_JITTER_PER_MEMBER_MS * members * self._spread
--- a/libs/forwarder/features/steps/missed_change_steps.py
+++ b/libs/forwarder/features/steps/missed_change_steps.py
@@ -8,6 +8,7 @@
 from lagoontally_standins.packets import PEER_PORT, Outcome
 
 FLOWS = 12
+SETTLED_S = 3.0  # the data centre has a reader, which has read all
 FRESH_MS = 1_400  # in which a reader that reaches the store knows each change
 
 
@@ -15,6 +16,7 @@
 def step_hide(context):
     """Reads return them, and the other data centre's watches do."""
     deployment = context.deployment
+    deployment.loop.run_for(SETTLED_S)
     for name, proxy in deployment.proxies.items():
         if deployment.balancers[name].settings["data_centre"] == LOCAL:
             deployment.store.withheld[proxy.host] = "op/config"
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -141,7 +141,8 @@
         self.balancer.on_tick(time_ms)
         self.balancer.view_confirmed_ms = self.store_sync.confirmed_ms
         self.balancer.view.store_recovered_ms = self.store_sync.recovered_ms
-        beacon = self.store_sync.beacon(time_ms)
+        digest = self.balancer.view.digest
+        beacon = self.store_sync.beacon(time_ms, digest=digest)
         if beacon is not None:
             self.peers.broadcast(beacon)
         if time_ms >= self._next_settings_check_ms:
@@ -154,8 +155,14 @@
         store_sync, check = self.store_sync, self.version_check
         self.peers.version = version = store_sync.configuration_version
         check.on_own(version, time_ms)
-        heard = check.due(time_ms, reader=store_sync.reader, members=store_sync.members)
-        if heard is None or not store_sync.reread(time_ms):
+        heard = check.due(
+            time_ms,
+            reader=store_sync.reader,
+            members=store_sync.members,
+            reachable=store_sync.reaches_store(time_ms),
+        )
+        position = store_sync.history.position
+        if heard is None or not store_sync.reread():
             return
         if check.on_reread(time_ms):
             self.metrics.add(
@@ -168,7 +175,7 @@
                 own=version,
                 since_ms=time_ms - heard.since_ms,
                 reader=store_sync.reader,
-                position=store_sync.history.position,
+                position=position,
             )
 
     def _execute_effects(self):
@@ -224,7 +231,8 @@
 
     def _on_beacon(self, beacon, host, time_ms):
         """Handle a reader's beacon, and tell it of a newer version."""
-        self.store_sync.on_beacon(beacon, host, time_ms)
+        digest = self.balancer.view.digest
+        self.store_sync.on_beacon(beacon, host, time_ms, digest=digest)
         notice = self.version_check.notice(
             beacon.configuration_version, time_ms, members=self.store_sync.members
         )
@@ -252,7 +260,7 @@
             )
 
     def _update_readiness(self, time_ms):
-        has_view = self.store_sync.history.position is not None
+        has_view = self.store_sync.has_targets
         if has_view and not self.port.is_open:
             self.port.open()
             self.metrics.observe_ms("start", time_ms - self.started_ms)
@@ -293,8 +301,9 @@
             return 200, self.metrics.render(self._gauges()).encode()
         configuration = self.balancer.configuration
         history = self.store_sync.history
-        if path == TARGETS_PATH.encode() and history.position is not None:
-            return 200, encode_targets(history.view, self.balancer.view.targets)
+        if path == TARGETS_PATH.encode() and self.store_sync.has_targets:
+            targets = self.balancer.view.targets
+            return 200, encode_targets(history.announced_view, targets)
         if path == CONFIGURATION_PATH.encode() and configuration is not None:
             return 200, self._configuration_document(configuration)
         return 404, b""
