Readers: announce a regained contact at once

Cause: a balancer that takes over has not heard from the store for 1.4 s, and its first beacon says so. Until the next one, 300 ms later, others took over as well and read targets or configuration, each at a price.

--- a/libs/flows/features/positions.feature
+++ b/libs/flows/features/positions.feature
@@ -37,6 +37,13 @@
     And that balancer hears the beacon
     Then it knows no position
 
+  Scenario: A new reader announces its first answer at once
+    Given a follower that knows targets up to revision 40
+    When it becomes the reader 2000 ms later
+    Then its first beacon is of a reader without contact
+    When a watch from revision 40 is answered up to revision 40
+    Then its next beacon, at the same time, is of a reader in contact
+
   Scenario Outline: Targets of a peer that may be old are taken only by who has none
     Given a balancer without a position
     When <before>
--- a/libs/flows/features/steps/positions_steps.py
+++ b/libs/flows/features/steps/positions_steps.py
@@ -16,6 +16,7 @@
     Watch,
 )
 
+FRESH_MS = 1_400
 OWN, OTHER = 7, 8  # digests of targets
 STEP_MS = 600  # longer than the delays of calls, shorter than a takeover
 
@@ -343,3 +344,24 @@
     """The other one tries the store."""
     calls = [next_call(context), next_call(context)]
     assert any(type(call) is FetchConfiguration for call in calls), calls
+
+
+@when("it becomes the reader {duration_ms:d} ms later")
+def step_reader_later(context, duration_ms):
+    """The former reader is silent."""
+    context.now_ms += duration_ms
+    context.store_sync.reader = True
+
+
+@then("its first beacon is of a reader without contact")
+def step_no_contact(context):
+    """The store answered it too long ago."""
+    message = context.store_sync.beacon(context.now_ms, digest=OWN)
+    assert message.contact_age_ms > FRESH_MS, message
+
+
+@then("its next beacon, at the same time, is of a reader in contact")
+def step_contact(context):
+    """Otherwise others would take over in the time until the next one."""
+    message = context.store_sync.beacon(context.now_ms, digest=OWN)
+    assert message is not None and message.contact_age_ms == 0, message
--- a/libs/flows/src/lagoontally_flows/_reader_messages.py
+++ b/libs/flows/src/lagoontally_flows/_reader_messages.py
@@ -24,6 +24,12 @@
         self._configured = False
         self._next_beacon_ms = 0
 
+    def record_answer(self, now_ms):
+        """Record an answer of the store; a regained contact is announced at once."""
+        if self.reader and not self.in_contact(now_ms):
+            self._next_beacon_ms = now_ms
+        super().record_answer(now_ms)
+
     @property
     def known(self):
         """Position up to which both targets and configuration are known here."""
