Balancer: a configuration that may be old ends no open flow

What callers saw: an open flow on a route that was added within the last seconds was reset when its packets came to a balancer that had just started.

Cause: the first configuration may be an old copy, and an open flow whose route it doesn't have was ended as if the operator had removed the route.

Change: open flows end for a missing route only once the configuration is known to be the newest up to a position. "A configuration that may be old ends no open flow" failed before.

--- a/libs/flows/features/flows.feature
+++ b/libs/flows/features/flows.feature
@@ -58,6 +58,13 @@
     And a configuration without its route is in force
     Then its next packet is reset as "route_removed"
 
+  Scenario: A configuration that may be old ends no open flow
+    When a flow is opened
+    And a configuration without its route is in force that may be old
+    Then its next packet is forwarded to the flow's target
+    When the configuration is confirmed
+    Then its next packet is reset as "route_removed"
+
   Scenario: An older configuration is ignored
     When configuration 5 is in force
     And configuration 4 arrives
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -48,6 +48,7 @@
             ``LogEvent`` records that wait for ``take_effects``.
         view_confirmed_ms: When the view was last known to be current.
         platform_heard_ms: When the platform last answered, or None.
+        configuration_confirmed: Whether the configuration isn't just an old copy.
         ticked_ms: Time of the last tick, None before the first.
     """
 
@@ -73,6 +74,7 @@
         self.effects = []
         self.view_confirmed_ms = None
         self.platform_heard_ms = None
+        self.configuration_confirmed = False
         self._is_first_listing = False
         self._unknown_since_ms = {}
         self._rehashed_ms = LONG_AGO_MS
@@ -126,7 +128,7 @@
         return self._on_open_flow(packet, flow, cookie, now_ms)
 
     def _on_open_flow(self, packet, flow, cookie, now_ms):
-        if self.configuration is not None and self._route(packet.flow) is None:
+        if self.configuration_confirmed and self._route(packet.flow) is None:
             return self._end_flow(packet, "route_removed")
         target = self.view.by_cookie.get(cookie)
         if target is None:
@@ -199,10 +201,8 @@
         self.effects.extend(self.health.due_probes(now_ms))
         self._reset_stuck_flows(now_ms)
         self.demand.on_tick(now_ms)
-        heard_ms = self.platform_heard_ms
-        silence_ms = None if heard_ms is None else now_ms - heard_ms
         self.cut_off = is_cut_off(
-            self.demand, silence_ms=silence_ms, was_cut_off=self.cut_off
+            self.demand, self.platform_heard_ms, now_ms, was_cut_off=self.cut_off
         )
 
     def target_id(self, cookie):
--- a/libs/flows/src/lagoontally_flows/_demand.py
+++ b/libs/flows/src/lagoontally_flows/_demand.py
@@ -46,15 +46,16 @@
         return refused >= MIN_REFUSED_SYNS and refused > REFUSED_TO_SERVED * served
 
 
-def is_cut_off(demand, *, silence_ms, was_cut_off):
+def is_cut_off(demand, heard_ms, now_ms, *, was_cut_off):
     """Return whether callers are better served through another data centre.
 
     Args:
         demand: The ``Demand``.
-        silence_ms: Since when the platform hasn't answered; None if it never did.
+        heard_ms: When the platform last answered; None if it never did.
+        now_ms: Current time.
         was_cut_off: The previous result. Once true, it stays true until the platform
             answers again: out of the rotation no SYNs arrive to judge by.
     """
-    if silence_ms is not None and silence_ms < CONTACT_LOST_MS:
+    if heard_ms is not None and now_ms - heard_ms < CONTACT_LOST_MS:
         return False
     return was_cut_off or demand.mostly_refused()
--- a/libs/flows/src/lagoontally_flows/_reader_messages.py
+++ b/libs/flows/src/lagoontally_flows/_reader_messages.py
@@ -30,6 +30,11 @@
             self._next_beacon_ms = now_ms
         super().record_answer(now_ms)
 
+    @property
+    def configuration_confirmed(self):
+        """Whether the configuration in force was the newest up to a position."""
+        return self.configuration_version > 0 and self.history.knows_configuration
+
     @property
     def known(self):
         """Position up to which both targets and configuration are known here."""
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -141,6 +141,7 @@
         self.balancer.on_tick(time_ms)
         self.balancer.view_confirmed_ms = self.store_sync.confirmed_ms
         self.balancer.platform_heard_ms = self.store_sync.heard_ms
+        self.balancer.configuration_confirmed = self.store_sync.configuration_confirmed
         self.balancer.view.store_recovered_ms = self.store_sync.recovered_ms
         digest = self.balancer.view.digest
         beacon = self.store_sync.beacon(time_ms, digest=digest)
