--- /dev/null
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -0,0 +1,394 @@
+"""Balancers of one data centre with their real store readers on a virtual clock."""
+
+from heapq import heappop, heappush
+from itertools import count
+from json import dumps
+from random import Random
+from types import SimpleNamespace
+from unittest.mock import patch
+from urllib.parse import parse_qs, urlsplit
+
+from lost_changes_store import Store
+
+from lagoontally_flows import Balancer, Beacon, ConfigurationDelta, Delta, StoreSync
+from lagoontally_forwarder import _store_reader
+from lagoontally_forwarder._http_client import HttpFailure, HttpResponse
+from lagoontally_forwarder._messages import decode_message, encode_message
+from lagoontally_forwarder._view_document import encode_configuration, encode_targets
+
+TICK_MS = 50
+STORE_ADDRESS = ("store", 1)
+PEER_PORT = 2
+MAX_AGE_MS = 6_000
+SILENT, BUSY, RESETTING = "silent", "busy", "resetting"
+
+
+class Client:
+    """Stands in for ``HttpClient``; see there."""
+
+    def __init__(self, loop, address):
+        self.loop = loop
+        self.address = address
+        self.number = 0
+        self.path = ""
+        self._on_done = None
+        self._deadline_ms = 0
+
+    @property
+    def busy(self):
+        """Whether a request is in progress."""
+        return self._on_done is not None
+
+    def get(self, path, timeout_ms, on_done):
+        """Start a request."""
+        self.number += 1
+        self.path = path
+        self._on_done = on_done
+        self._deadline_ms = self.loop.clock() + timeout_ms
+        self.loop.fleet.request(self.loop, self, path)
+
+    def on_tick(self, now_ms):
+        """Fail a request that has timed out."""
+        if self.busy and now_ms >= self._deadline_ms:
+            self.finish(self.number, HttpFailure("timeout"))
+
+    def cancel(self):
+        """Drop the request."""
+        self._on_done = None
+
+    def close(self):
+        """Close the connection."""
+
+    def await_until(self, due_ms):
+        """Extend the deadline, as the bytes of a slow response do."""
+        self._deadline_ms = max(self._deadline_ms, due_ms + 1)
+
+    def finish(self, number, result):
+        """Hand over the result of a request unless it was dropped."""
+        if self.busy and number == self.number:
+            self.loop.line("answer", path=self.path, result=result)
+            on_done, self._on_done = self._on_done, None
+            on_done(result)
+
+
+class Process:
+    """One balancer process; its loop, its peers, its log and its metrics.
+
+    Attributes:
+        alive: Whether it runs.
+        held: What has reached it while it stands still, None while it runs on.
+        joined_ms: From when on its messages reach the others.
+    """
+
+    def __init__(self, fleet, name, priority, seed):
+        self.fleet = fleet
+        self.name = name
+        self.priority = priority
+        self.alive = True
+        self.held = None
+        self.joined_ms = fleet.now_ms + fleet.random.choice((20, 300))
+        random = Random(seed)
+        self.balancer = Balancer(data_centre="z0", random=random)
+        self.store_sync = StoreSync(priority=priority, random=random)
+        self.store_reader = _store_reader.StoreReader(
+            self,
+            SimpleNamespace(
+                store_address=STORE_ADDRESS, peer_address=(name, PEER_PORT)
+            ),
+            store_sync=self.store_sync,
+            balancer=self.balancer,
+            peers=self,
+            log=self,
+            metrics=self,
+        )
+        self._periodic()
+
+    def clock(self):
+        """Return the time."""
+        return self.fleet.now_ms
+
+    def line(self, event, **fields):
+        """Log a line."""
+        self.fleet.trace(self.name, event, fields)
+
+    def add(self, name, label):
+        """Count nothing."""
+
+    def observe_ms(self, name, value):
+        """Measure nothing."""
+
+    def broadcast(self, message):
+        """Send a message to the other processes."""
+        if isinstance(message, Delta):
+            changes = [(key, bool(target)) for key, target in message.entries]
+            self.line("delta_sent", of=message._replace(entries=()), changes=changes)
+        data = encode_message(message)
+        if data is not None and self.clock() >= self.joined_ms:
+            self.fleet.broadcast(self, message, data)
+        return data is not None
+
+    def deliver(self, action, *arguments):
+        """Run an action as soon as the process can, unless it has ended."""
+        if not self.alive:
+            return
+        if self.held is not None:
+            self.held.append((action, arguments))
+            return
+        action(*arguments)
+        self.tick()
+
+    def resume(self):
+        """Go on after a pause with all that has arrived."""
+        held, self.held = self.held or (), None
+        for action, arguments in held:
+            self.deliver(action, *arguments)
+
+    def receive(self, data, host):
+        """Handle a message of a peer."""
+        message, now_ms = decode_message(data), self.clock()
+        if isinstance(message, Beacon):
+            self.store_sync.on_beacon(message, host, now_ms)
+        elif isinstance(message, Delta):
+            before = self.store_sync.history.view
+            self.store_reader.on_delta(message, now_ms)
+            position, view = message.position, self.store_sync.history.view
+            self.line("delta", host=host, position=position, before=before, view=view)
+        elif isinstance(message, ConfigurationDelta):
+            self.store_reader.on_configuration_delta(message)
+
+    def serve(self, path):
+        """Return the response to a peer's request, as the process does."""
+        configuration, history = self.balancer.configuration, self.store_sync.history
+        if path == _store_reader.TARGETS_PATH and history.position is not None:
+            body = encode_targets(history.view, self.balancer.view.targets)
+            return HttpResponse(200, b"", body)
+        if path == _store_reader.CONFIGURATION_PATH and configuration is not None:
+            return HttpResponse(200, b"", encode_configuration(configuration))
+        return HttpResponse(404, b"", b"")
+
+    def tick(self):
+        """Do what is due."""
+        now_ms = self.clock()
+        self.store_sync.members = len(self.fleet.living())
+        self.store_reader.on_tick(now_ms)
+        beacon = self.store_sync.beacon(now_ms)
+        if beacon is not None:
+            self.broadcast(beacon)
+
+    def _periodic(self):
+        if self.alive:
+            self.fleet.at(self.clock() + TICK_MS, self._periodic)
+            if self.held is None:
+                self.tick()
+
+
+class Fleet:
+    """The processes, the store and the network between them.
+
+    Args:
+        names: Names of the processes.
+        seed: Seed of all that is drawn.
+
+    Attributes:
+        store: The ``Store``.
+        processes: The present ``Process`` by name.
+        store_cuts: How the store treats calls, by process name.
+        peer_cuts: Names of processes without a connection to their peers.
+        deaf: Names of processes whose watches get no answer.
+        loss: Share of messages between processes that are lost.
+        answer_loss: Share of the store's responses that are lost.
+        slow: Whether the store's responses take long, some of them very long.
+        one_copy: Whether one copy answers all pages of a listing that may be old.
+        draw_age: Returns the age of the copy that answers a read that may be old.
+        draw_latency: Returns how long a request to the store or its response takes.
+        draw_loss: Returns whether a message from one process to another is lost.
+        requests: Name of the process and path of each request.
+        log: Lines of the processes if they are kept, else None.
+    """
+
+    def __init__(self, names, seed, *, one_copy=False, **store_options):
+        self.now_ms = 0
+        self.random = Random(seed)
+        self.store = Store(**store_options)
+        self.processes = dict.fromkeys(names)
+        self.store_cuts = {}
+        self.peer_cuts = set()
+        self.deaf = set()
+        self.loss = 0.0
+        self.answer_loss = 0.0
+        self.slow = False
+        self.one_copy = one_copy
+        self.draw_age = self._any_age
+        self.draw_latency = self._any_latency
+        self.draw_loss = self._any_loss
+        self.requests = []
+        self.log = None
+        self._copies = {}
+        self._watches = []
+        self._queue = []
+        self._numbers = count()
+
+    def at(self, at_ms, action, *arguments):
+        """Run an action at a time."""
+        heappush(self._queue, (at_ms, next(self._numbers), action, arguments))
+
+    def run_until(self, end_ms):
+        """Advance the time."""
+        with patch.object(_store_reader, "HttpClient", Client):
+            while self._queue and self._queue[0][0] <= end_ms:
+                self.now_ms, _, action, arguments = heappop(self._queue)
+                action(*arguments)
+        self.now_ms = end_ms
+
+    def run(self, duration_ms):
+        """Advance the time by a duration."""
+        self.run_until(self.now_ms + duration_ms)
+
+    def start(self, name, priority):
+        """Start a process, in place of one that runs under the name."""
+        self.stop(name)
+        self.trace(name, "process_starts", {})
+        seed = self.random.getrandbits(30)
+        with patch.object(_store_reader, "HttpClient", Client):
+            self.processes[name] = Process(self, name, priority, seed)
+
+    def stop(self, name):
+        """Kill a process."""
+        if self.processes[name] is not None and self.processes[name].alive:
+            self.trace(name, "process_killed", {})
+            self.processes[name].alive = False
+
+    def living(self):
+        """Return the running processes."""
+        return [one for one in self.processes.values() if one is not None and one.alive]
+
+    def readers(self):
+        """Return the processes that read for the others."""
+        return [one for one in self.living() if one.store_sync.reader]
+
+    def watching(self):
+        """Return the names of the processes whose watch is waiting."""
+        return {watch[0].name for watch in self._watches}
+
+    def trace(self, name, event, fields):
+        """Keep a line of the log."""
+        if self.log is not None:
+            self.log.append((self.now_ms, name, event, fields))
+
+    def put(self, key, document):
+        """Write an item to the store."""
+        self.store.put(key, document, self.now_ms)
+        self.trace("store", "write", {"key": key, "revision": self.store.revision})
+        self.answer_watches()
+
+    def answer_watches(self):
+        """Answer the waiting watches that have something to report."""
+        for watch in list(self._watches):
+            process, client, number, after = watch
+            answer = None if process.name in self.deaf else self.store.watch(after)
+            if answer is not None:
+                self._watches.remove(watch)
+                self._respond(process, client, number, answer)
+
+    def cut_watches(self):
+        """Close the connections of all waiting watches."""
+        watches, self._watches = self._watches, []
+        for process, client, number, _ in watches:
+            failure = HttpFailure("closed by the peer")
+            self.at(self.now_ms + 1, process.deliver, client.finish, number, failure)
+
+    def request(self, process, client, path):
+        """Send a request to the store or to a peer."""
+        number = client.number
+        self.requests.append((process.name, path))
+        if client.address == STORE_ADDRESS:
+            due_ms = self.now_ms + self.draw_latency(process, path, response=False)
+            self.at(due_ms, self._serve, process, client, number, path)
+        else:
+            self.at(self.now_ms + 1, self._serve_peer, process, client, number, path)
+
+    def broadcast(self, sender, message, data):
+        """Send a datagram to the other processes; some overtake others."""
+        for process in self.living():
+            apart = {sender.name, process.name} & self.peer_cuts
+            if process is sender or apart or self.draw_loss(sender, process, message):
+                continue
+            due_ms = self.now_ms + self.random.choice((1, 1, 2, 30))
+            self.at(due_ms, process.deliver, process.receive, data, sender.name)
+
+    def _serve_peer(self, process, client, number, path):
+        host = client.address[0]
+        peer = self.processes.get(host)
+        if {process.name, host} & self.peer_cuts:
+            return
+        if peer is None or not peer.alive:
+            failure = HttpFailure("connection error 111")
+            process.deliver(client.finish, number, failure)
+        else:
+            peer.deliver(self._answer_peer, peer, process, client, number, path)
+
+    def _answer_peer(self, peer, process, client, number, path):
+        result = peer.serve(path)
+        self.at(self.now_ms + 1, process.deliver, client.finish, number, result)
+
+    def _serve(self, process, client, number, path):
+        mode = self.store_cuts.get(process.name)
+        if not process.alive or mode == SILENT:
+            return
+        if mode == RESETTING:
+            process.deliver(client.finish, number, HttpFailure("connection error 104"))
+            return
+        if mode == BUSY:
+            process.deliver(client.finish, number, HttpResponse(503, b"", b"{}"))
+            return
+        query = {key: value[0] for key, value in parse_qs(urlsplit(path).query).items()}
+        if path.startswith("/api/kv-range"):
+            at_ms = self._copy_time(process, path, query)
+            answer = self.store.read(query, at_ms)
+            self.trace("store", "read", {"by": process.name, "at": at_ms} | query)
+        else:
+            after = int(query["after"])
+            answer = self.store.watch(after)
+            if answer is None or process.name in self.deaf:
+                watch = (process, client, number, after)
+                self._watches.append(watch)
+                end_ms = self.now_ms + int(query["wait-ms"])
+                self.at(end_ms, self._end_watch, watch)
+                return
+        self._respond(process, client, number, answer)
+
+    def _copy_time(self, process, path, query):
+        """Return from when the copy is that answers, None for the present state."""
+        if "stale-ok" not in query:
+            return None
+        if not (self.one_copy and "after" in query):
+            at_ms = self.now_ms - self.draw_age(process, path)
+            self._copies[process.name, query["prefix"]] = at_ms
+        return self._copies[process.name, query["prefix"]]
+
+    def _end_watch(self, watch):
+        if watch in self._watches and watch[0].name not in self.deaf:
+            self._watches.remove(watch)
+            self._respond(*watch[:3], self.store.end_watch())
+
+    def _respond(self, process, client, number, answer):
+        if self.random.random() < self.answer_loss:
+            return
+        due_ms = self.now_ms + self.draw_latency(process, client.path, response=True)
+        if self.slow and self.random.random() < 0.1 and number == client.number:
+            due_ms += self.random.randrange(4_000)
+            client.await_until(due_ms)
+        head = b"Store-Era: %d" % answer.era
+        response = HttpResponse(answer.status, head, dumps(answer.document).encode())
+        self.at(due_ms, process.deliver, client.finish, number, response)
+
+    def _any_age(self, _process, _path):
+        return self.random.choice((0, self.random.randrange(MAX_AGE_MS)))
+
+    def _any_loss(self, _sender, _receiver, _message):
+        return self.random.random() < self.loss
+
+    def _any_latency(self, _process, _path, *, response):
+        if self.slow:
+            return self.random.randrange(10, 125)
+        return self.random.choice((1, 2, 3, 40))
