--- a/libs/flows/features/fleet.py
+++ b/libs/flows/features/fleet.py
@@ -152,11 +152,13 @@
                 self._finish(balancer, call)
         if balancer.pending is None:
             self._begin(balancer)
-        beacon = store_sync.beacon(self.now_ms)
+        beacon = store_sync.beacon(self.now_ms, digest=balancer.targets)
         if beacon is not None:
             for other in self.living():
                 if other is not balancer:
-                    other.store_sync.on_beacon(beacon, balancer.name, self.now_ms)
+                    other.store_sync.on_beacon(
+                        beacon, balancer.name, self.now_ms, digest=other.targets
+                    )
 
     def _has_changes(self, call):
         return isinstance(call, Watch) and self.store.revision != call.revision
@@ -190,6 +192,9 @@
         elif isinstance(call, ListTargets):
             old = call.may_be_old and store.stale_revision is not None
             revision = store.stale_revision if old else store.revision
+            if store_sync.history.is_outdated(revision, may_be_old=call.may_be_old):
+                store_sync.on_outdated_listing(self.now_ms)
+                return
             known, previous = balancer.targets, store_sync.history.view
             hidden = store.targets_revision > revision
             balancer.targets = None if hidden else store.targets
@@ -199,11 +204,13 @@
                 targets_changed=balancer.targets != known,
                 may_be_old=call.may_be_old,
             )
-            self._send_delta(balancer, previous)
+            self._send_delta(balancer, previous, None, known)
         elif isinstance(call, ReadConfiguration):
             self._configure(balancer, store.version)
             found = store.version > 0
-            store_sync.on_configuration_read(store.revision, self.now_ms, found=found)
+            store_sync.on_configuration_read(
+                store.revision, self.now_ms, found=found, may_be_old=call.may_be_old
+            )
         elif not store.forgotten <= call.revision <= store.revision:
             store_sync.on_history_gone(self.now_ms)
         else:
@@ -213,26 +220,34 @@
         store_sync, store = balancer.store_sync, self.store
         previous = store_sync.history.view
         changed = store.targets_revision > call.revision
+        changed = changed and not store_sync.history.is_outdated(store.revision)
         if store.version_revision > call.revision:
             self._configure(balancer, store.version)
-        store_sync.on_changes(store.revision, self.now_ms, targets_changed=changed)
+        store_sync.on_changes(
+            store.revision, self.now_ms, after=call.revision, targets_changed=changed
+        )
         if not changed:
             return
-        balancer.targets = store.targets
-        self._send_delta(balancer, previous)
+        known, balancer.targets = balancer.targets, store.targets
+        self._send_delta(balancer, previous, previous, known)
 
-    def _send_delta(self, balancer, previous):
+    def _send_delta(self, balancer, previous, since, known):
+        """Send a delta that leads from the targets that the reader knew before."""
         store_sync = balancer.store_sync
         if not store_sync.reader or store_sync.history.view == previous:
             return
-        delta = store_sync.delta(previous, ())
+        delta = store_sync.delta(since, (), digest=balancer.targets)
         for other in self.living():
             if other is not balancer and other.name not in self.lost:
-                self._deliver_delta(other, delta, balancer.targets)
+                self._deliver_delta(other, delta, balancer.targets, known)
         self.lost.clear()
 
-    def _deliver_delta(self, balancer, delta, targets):
-        if balancer.store_sync.on_delta(delta, self.now_ms) is not None:
+    def _deliver_delta(self, balancer, delta, targets, known):
+        after = targets if balancer.targets == known else balancer.targets
+        found = balancer.store_sync.on_delta(
+            delta, self.now_ms, digest_after=lambda _entries: after
+        )
+        if found is not None:
             balancer.targets = targets
 
     def _is_void(self, balancer, call):
--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -147,7 +147,8 @@
         """Handle a message of a peer."""
         message, now_ms = decode_message(data), self.clock()
         if isinstance(message, Beacon):
-            self.store_sync.on_beacon(message, host, now_ms)
+            digest = self.balancer.view.digest
+            self.store_sync.on_beacon(message, host, now_ms, digest=digest)
         elif isinstance(message, Delta):
             before = self.store_sync.history.view
             self.store_reader.on_delta(message, now_ms)
@@ -159,8 +160,9 @@
     def serve(self, path):
         """Return the response to a peer's request, as the process does."""
         configuration, history = self.balancer.configuration, self.store_sync.history
-        if path == _store_reader.TARGETS_PATH and history.position is not None:
-            body = encode_targets(history.view, self.balancer.view.targets)
+        if path == _store_reader.TARGETS_PATH and self.store_sync.has_targets:
+            targets = self.balancer.view.targets
+            body = encode_targets(history.announced_view, targets)
             return HttpResponse(200, b"", body)
         if path == _store_reader.CONFIGURATION_PATH and configuration is not None:
             return HttpResponse(200, b"", encode_configuration(configuration))
@@ -171,7 +173,7 @@
         now_ms = self.clock()
         self.store_sync.members = len(self.fleet.living())
         self.store_reader.on_tick(now_ms)
-        beacon = self.store_sync.beacon(now_ms)
+        beacon = self.store_sync.beacon(now_ms, digest=self.balancer.view.digest)
         if beacon is not None:
             self.broadcast(beacon)
 
