--- a/libs/flows/features/lost_changes.feature
+++ b/libs/flows/features/lost_changes.feature
@@ -146,3 +146,6 @@
 
   Scenario: Any order of changes and faults, with old reads that name the newest revision
     Then with 60 seeds no change is lost, old reads come from one copy and name the newest revision
+
+  Scenario: The search notices positions that come from old reads
+    Then with 20 seeds positions that come from old reads lose changes at times
--- a/libs/flows/features/steps/lost_changes_steps.py
+++ b/libs/flows/features/steps/lost_changes_steps.py
@@ -1,5 +1,7 @@
 """Steps for changes of the store that balancers must not lose."""
 
+from unittest.mock import patch
+
 from behave import given, then, when
 from lost_changes_fleet import SILENT
 from lost_changes_plan import HONEST, PRESENT, START_MS, Plan, make_plan
@@ -7,7 +9,7 @@
 from lost_changes_search import play
 from lost_changes_store import CONFIGURATION_KEY
 
-from lagoontally_flows import Beacon, ConfigurationDelta, Delta
+from lagoontally_flows import Beacon, ConfigurationDelta, Delta, StoreSync
 from lagoontally_platform import ENTRY_PREFIX
 
 LATENCY_MS = 2
@@ -317,3 +319,22 @@
     for seed in range(seeds):
         wrong = play(make_plan(seed, named, one_copy=one_copy)).wrong
         assert not wrong, (seed, wrong)
+
+
+@then("with {seeds:d} seeds positions that come from old reads lose changes at times")
+def step_search_notices(context, seeds):
+    """Such a balancer takes an old read for a consistent one."""
+    listed, read = StoreSync.on_listed, StoreSync.on_configuration_read
+
+    def on_listed(self, *arguments, may_be_old=False, **options):
+        listed(self, *arguments, **options)
+
+    def on_read(self, *arguments, may_be_old=False, **options):
+        read(self, *arguments, **options)
+
+    plans = [make_plan(seed, PRESENT, one_copy=True) for seed in range(seeds)]
+    with (
+        patch.object(StoreSync, "on_listed", on_listed),
+        patch.object(StoreSync, "on_configuration_read", on_read),
+    ):
+        assert any(play(plan).wrong for plan in plans)
