Search for lost changes: an ended target that a restored copy lacks, known red

After a restore a listing keeps targets that it lacks for some seconds. A member that starts meanwhile fetches them from its reader and doesn't know that they are to be settled; if the reader dies, both keep targets that have ended.

--- a/libs/flows/features/lost_changes.feature
+++ b/libs/flows/features/lost_changes.feature
@@ -138,6 +138,17 @@
     And the member stands still until the reader reads again
     Then after 14000 ms no balancer lacks a change
 
+  Scenario: The reader dies before what it kept from a restored copy is settled
+    Given 2 balancers that follow the store
+    When the store comes back from its copy of 0 ms ago
+    And the last target ends
+    And the members have learned of the new era
+    And 200 ms go by
+    And a member restarts
+    And 1500 ms go by
+    And the reader is killed
+    Then after 14000 ms no balancer lacks a change
+
   Scenario: Any order of changes and faults
     Then with 150 seeds no change is lost, old reads come from several copies and name the revision of their copy
 
--- a/libs/flows/features/steps/lost_changes_steps.py
+++ b/libs/flows/features/steps/lost_changes_steps.py
@@ -136,6 +136,12 @@
     context.run.start(context.reader)
 
 
+@when("a member restarts")
+def step_member_restart(context):
+    """It reads what is known from the store or from its reader."""
+    context.run.start(context.members[0])
+
+
 @when("a member restarts and its read of the configuration is lost")
 def step_member_read_lost(context):
     """Later reads are answered."""
