--- a/libs/flows/features/steps/lost_changes_steps.py
+++ b/libs/flows/features/steps/lost_changes_steps.py
@@ -327,6 +327,14 @@
         assert not wrong, (seed, wrong)
 
 
+@then("with the seeds {seeds} no change is lost")
+def step_seeds(context, seeds):
+    """Seeds that once lost a change, with listings from one copy."""
+    plans = [make_plan(int(seed), HONEST, one_copy=True) for seed in seeds.split(", ")]
+    lost = [(plan.seed, play(plan).wrong) for plan in plans]
+    assert not any(wrong for _, wrong in lost), lost
+
+
 @then("with {seeds:d} seeds positions that come from old reads lose changes at times")
 def step_search_notices(context, seeds):
     """Such a balancer takes an old read for a consistent one."""
