--- a/libs/core/features/steps/fleet_steps.py
+++ b/libs/core/features/steps/fleet_steps.py
@@ -1,10 +1,13 @@
 """Steps for joins, templates, membership, handovers and their helpers."""
 
 from behave import given, then, when
-from fixtures import Core, document, record
+from fixtures import OTHER_PEER, PEER, Core, document, record
 
 from lagoontally_core import (
+    JOIN_WAIT_MS,
     HandoverPart,
+    Instance,
+    InstancesRead,
     LeaveRequested,
     Phase,
     Ping,
@@ -17,10 +20,10 @@
 from lagoontally_core._members import MemberStatus
 from lagoontally_core._rendezvous import pick_successor
 from lagoontally_core._timers import Timers
-from lagoontally_model import document_digest, split_sections
-
-PEER = 3_000_003
-OTHER_PEER = 4_000_004
+from lagoontally_model import (
+    document_digest,
+    split_sections,
+)
 
 
 @given("a joining balancer that read version {version:d}")
@@ -37,6 +40,20 @@
     context.core.receive_message(context.peer, Welcome(context.peer, [], []))
 
 
+@when("the platform lists it alone")
+def step_listed_alone(context):
+    """The list lags, so members that started since aren't in it."""
+    info = context.core.state.info
+    own = Instance(info.name, info.data_centre, info.peer_address, False)
+    context.core.handle_event(InstancesRead((own,)))
+
+
+@when("the time to wait for members has passed")
+def step_join_wait(context):
+    """No member has answered."""
+    context.core.wait(JOIN_WAIT_MS)
+
+
 @when("time passes")
 def step_time(context):
     """Wait less than a joining balancer does at most."""
