--- a/libs/flows/src/lagoontally_flows/_digest.py
+++ b/libs/flows/src/lagoontally_flows/_digest.py
@@ -1,6 +1,6 @@
 """Checksums by which balancers compare what they know without sending it."""
 
-from binascii import crc32
+from _blake2 import blake2s  # ``hashlib`` loads OpenSSL at startup
 
 EMPTY = 0
 _MASK = 0xFFFFFFFF
@@ -34,4 +34,5 @@
 
 def _checksum(key, value):
     # Plain tuples: the representation of records takes ten times as long.
-    return crc32(repr((key, tuple(value))).encode())
+    text = repr((key, tuple(value))).encode()
+    return int.from_bytes(blake2s(text, digest_size=4).digest(), "big")
