--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -296,10 +296,10 @@
 
     def _reader_call(self, now_ms):
         """Read what has no position, settle a restored listing, else watch."""
-        if not self.history.knows_targets:
-            return ListTargets(may_be_old=False)
         if not self.history.knows_configuration:
             return ReadConfiguration(may_be_old=False)
+        if not self.history.knows_targets:
+            return ListTargets(may_be_old=False)
         if self.history.is_settling_due(now_ms):
             self._settling = True
             return ListTargets(may_be_old=False)
