--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -129,7 +129,6 @@
             return
         self.history.on_listed(revision, settling=self._settling)
         self._settling = False
-        self._comparison.on_read()
         self.record_answer(now_ms)
         self.confirmed_ms = now_ms
 
@@ -209,7 +208,7 @@
             return False
         self._targets_outdated = False
         self._reader_is_next = True  # it has just answered
-        self._comparison.on_read()
+        self._comparison.on_read(now_ms)
         self.history.on_copy(position)
         return True
 
@@ -287,7 +286,8 @@
             self.history.on_settling_reader(now_ms)
         if not beacon.view.revision:
             return  # its targets may be old as well
-        if self._comparison.has_targets_of(beacon, digest if self._listed else None):
+        digest = digest if self._listed else None
+        if self._comparison.has_targets_of(beacon, digest, now_ms):
             self._targets_outdated = False
             confirmed_ms = now_ms - beacon.contact_age_ms
             self.confirmed_ms = max(self.confirmed_ms or 0, confirmed_ms)
--- a/libs/flows/src/lagoontally_flows/_target_comparison.py
+++ b/libs/flows/src/lagoontally_flows/_target_comparison.py
@@ -1,6 +1,7 @@
 """Compares the targets known here with those of a reader."""
 
 MAX_RECONCILED = 16
+RECONCILE_PAUSE_MS = 2_000  # a lasting difference shows after each change
 
 
 class TargetComparison:
@@ -17,14 +18,16 @@
     def __init__(self, history):
         self.history = history
         self._differing = None
+        self._next_read_ms = 0
         self._reconciled = set()
 
-    def has_targets_of(self, beacon, digest):
+    def has_targets_of(self, beacon, digest, now_ms):
         """Return whether the targets here are at least as new as a reader's.
 
         Args:
             beacon: The ``Beacon`` of a reader that knows its position.
             digest: Digest of the targets here, None before the first.
+            now_ms: Current time.
         """
         history = self.history
         if digest == beacon.digest:
@@ -35,17 +38,21 @@
         if history.targets is None or beacon.view > history.view:
             return False
         state = (beacon.view, beacon.digest)
-        if beacon.view == history.view and state not in self._reconciled:
-            self._differing = state
-            return False
-        return True
+        if beacon.view < history.view or state in self._reconciled:
+            return True
+        self._differing = state
+        return now_ms < self._next_read_ms
 
-    def on_read(self):
-        """Record that the targets were read after they were found to differ.
+    def on_read(self, now_ms):
+        """Record that the reader's targets were read.
 
-        They may differ still, since a target known to be leaving stays so here. Then
+        Those here may differ still, since a target known to be leaving stays so. Then
         to read them again doesn't help.
         """
+        if self._differing is None:
+            return
         if len(self._reconciled) > MAX_RECONCILED:
             self._reconciled.clear()
         self._reconciled.add(self._differing)
+        self._differing = None
+        self._next_read_ms = now_ms + RECONCILE_PAUSE_MS
