Search for lost changes: unsettled targets that a delta hands over, known red

After a restore a new balancer whose old read and a reader's delta lead to the reader's targets takes over its position, but not that kept targets are to be settled. If it reads for all next, an ended target is listed for good in the whole data centre.

--- a/libs/flows/features/lost_changes.feature
+++ b/libs/flows/features/lost_changes.feature
@@ -161,9 +161,13 @@
   Scenario: Orders in which changes were lost once
     Then with the seeds 91, 224, 242, 264, 346, 363, 498, 524, 525, 562, 639, 644 no change is lost
     And with the seeds 666, 714, 738, 778, 787, 794, 868, 895, 956, 977 no change is lost
+    And with the seeds 178, 267, 305, 4255, 6723 no change is lost
 
   Scenario: A target that starts again while a restored copy is settled stays listed
     Then with the seeds 4333 no change is lost
 
+  Scenario: A delta with targets that are not settled reaches the next reader
+    Then with the seeds 8775 no change is lost
+
   Scenario: The search notices positions that come from old reads
     Then with 20 seeds positions that come from old reads lose changes at times
