Followers: a change tells that its reader settles, too

Cause: a new balancer may take a settling reader's targets over with a change before the next beacon says that they aren't settled, and become the reader.

Change: changes of targets tell it as beacons do.

--- a/libs/flows/features/steps/positions_steps.py
+++ b/libs/flows/features/steps/positions_steps.py
@@ -213,7 +213,7 @@
     """The reader's own targets were old before this change."""
     view = position(revision)
     digest = OWN if content == "equal" else OTHER
-    change = Delta(3, view, view, view, 5, 0, 1, [("a", None)], digest)
+    change = Delta(3, view, view, view, 5, 0, 1, [("a", None)], digest, False)
     found = context.store_sync.on_delta(
         change, context.now_ms, digest_after=lambda _entries: OWN
     )
--- a/libs/flows/features/steps/reader_messages_steps.py
+++ b/libs/flows/features/steps/reader_messages_steps.py
@@ -23,7 +23,9 @@
         message = beacon(40, OWN, version)._replace(known=known)
         store_sync.on_beacon(message, "10.0.0.2", context.now_ms, digest=OWN)
         return
-    change = Delta(3, position(40), known, known, version, 0, 1, [("a", None)], OWN)
+    change = Delta(
+        3, position(40), known, known, version, 0, 1, [("a", None)], OWN, False
+    )
     found = store_sync.on_delta(
         change, context.now_ms, digest_after=lambda _entries: OWN
     )
@@ -41,7 +43,7 @@
 def step_followed_change(context, revision):
     """It continues the view, and the targets differed before."""
     view = position(revision)
-    change = Delta(3, position(40), view, view, 5, 0, 1, [("b", None)], OTHER)
+    change = Delta(3, position(40), view, view, 5, 0, 1, [("b", None)], OTHER, False)
     found = context.store_sync.on_delta(
         change, context.now_ms, digest_after=lambda _entries: OWN
     )
--- a/libs/flows/features/steps/store_era_steps.py
+++ b/libs/flows/features/steps/store_era_steps.py
@@ -233,7 +233,7 @@
 def step_delta(context, revision, era, content):
     """The reader has listed the restored store."""
     after = Position(era, revision, 0)
-    delta = Delta(7, after, after, after, 0, 0, 1, [("a", None)], 1)
+    delta = Delta(7, after, after, after, 0, 0, 1, [("a", None)], 1, False)
     digest = 1 if content == "equal" else 0
     context.applied = context.store_sync.on_delta(
         delta, 50, digest_after=lambda _entries: digest
--- a/libs/flows/features/steps/store_sync_steps.py
+++ b/libs/flows/features/steps/store_sync_steps.py
@@ -195,7 +195,9 @@
     previous = context.store_sync.history.view
     position = Position(1, revision, 0)
     entry = (f"{reader}-{part}", None)
-    delta = Delta(reader, previous, position, position, 0, part, parts, [entry], 1)
+    delta = Delta(
+        reader, previous, position, position, 0, part, parts, [entry], 1, False
+    )
     found = context.store_sync.on_delta(delta, 0, digest_after=lambda _entries: 0)
     context.applied += found or []
 
--- a/libs/flows/src/lagoontally_flows/_reader_messages.py
+++ b/libs/flows/src/lagoontally_flows/_reader_messages.py
@@ -83,4 +83,5 @@
             parts=1,
             entries=entries,
             digest=digest,
+            settling=self.history.is_settling,
         )
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -243,6 +243,8 @@
         self._parts.clear()
         self._targets_outdated = False
         self.history.on_copy(delta.position)
+        if delta.settling:
+            self.history.on_settling_reader(now_ms)
         if delta.configuration_version <= self.configuration_version:
             self.history.on_configuration_known(delta.known)
         return entries
--- a/libs/flows/src/lagoontally_flows/_store_sync_records.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync_records.py
@@ -70,7 +70,7 @@
 class Delta(
     Record,
     fields="reader previous position known configuration_version part parts entries"
-    " digest",
+    " digest settling",
 ):
     """Entries that changed between two positions of the store.
 
@@ -87,6 +87,7 @@
         parts: Number of parts that the changes are split into.
         entries: Pairs of a key and a ``Target`` or None.
         digest: Digest of the reader's targets after these changes.
+        settling: As in ``Beacon``.
     """
 
     __slots__ = ()
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -35,7 +35,7 @@
 )
 VIEW, KNOWN = Position(2, 10, 1), Position(2, 9, 0)
 ENTRIES = [("servers/i-1", TARGET), ("servers/i-2", None)]
-DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES, 77)
+DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES, 77, True)
 MESSAGES = (
     Hello("tifton", 7, 2),
     InForce(14),
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -195,7 +195,8 @@
 
 
 def _decode_delta(fields):
-    reader, previous, position, known, version, part, parts, entries, digest = fields
+    reader, previous, position, known, version, part, parts, *content = fields
+    entries, digest, settling = content
     if not 0 <= part < parts:
         raise ValueError("a part is out of range")
     return Delta(
@@ -208,6 +209,7 @@
         int(parts),
         [(str(key), decode_target(target)) for key, target in entries],
         int(digest),
+        bool(settling),
     )
 
 
