Stand-ins: write without blocking, so that an unread response stops nothing

A run of the stand-ins could stop for good: the store and the proxy set a socket blocking and sent the whole response. A balancer that is paused doesn't read, and the proxy can't read either while the store, in the same loop, waits for it. Both now keep what doesn't fit and send it as the socket becomes writable; the loop runs on, others are answered and the response arrives whole.

--- a/libs/standins/src/lagoontally_standins/packets/_loop.py
+++ b/libs/standins/src/lagoontally_standins/packets/_loop.py
@@ -4,6 +4,14 @@
 import itertools
 import selectors
 import time
+from typing import NamedTuple
+
+
+class Callbacks(NamedTuple):
+    """What to call when a socket is readable or writable; None ignores it."""
+
+    on_readable: object
+    on_writable: object = None
 
 
 class Loop:
@@ -22,7 +30,18 @@
     def watch(self, sock, callback):
         """Call ``callback`` whenever a socket is readable."""
         sock.setblocking(False)
-        self.selector.register(sock, selectors.EVENT_READ, callback)
+        self.selector.register(sock, selectors.EVENT_READ, Callbacks(callback))
+
+    def watch_writable(self, sock, callback):
+        """Also call ``callback`` whenever a watched socket is writable.
+
+        None ends this.
+        """
+        callbacks = self.selector.get_key(sock).data
+        if callbacks.on_writable is None and callback is None:
+            return
+        events = selectors.EVENT_READ | (selectors.EVENT_WRITE if callback else 0)
+        self.selector.modify(sock, events, callbacks._replace(on_writable=callback))
 
     def unwatch(self, sock):
         """Stop watching a socket and close it."""
@@ -57,9 +76,13 @@
 
     def _run_once(self, end):
         due = min(self.timers[0][0] if self.timers else end, end)
-        for key, _ in self.selector.select(max(0.0, min(due - self.now, 0.05))):
-            if key.fileobj.fileno() >= 0:
-                key.data()
+        wait_s = max(0.0, min(due - self.now, 0.05))
+        for key, events in self.selector.select(wait_s):
+            # A callback may have closed any of the sockets.
+            if events & selectors.EVENT_READ and key.fileobj.fileno() >= 0:
+                key.data.on_readable()
+            if events & selectors.EVENT_WRITE and key.fileobj.fileno() >= 0:
+                key.data.on_writable()
         self.now = time.monotonic()
         while self.timers and self.timers[0][0] <= self.now:
             heapq.heappop(self.timers)[2]()
--- a/libs/standins/src/lagoontally_standins/packets/_proxy.py
+++ b/libs/standins/src/lagoontally_standins/packets/_proxy.py
@@ -2,6 +2,8 @@
 
 import socket
 
+from ._writer import Writer
+
 PASS = "pass"
 SILENT = "silent"
 ONE_WAY = "one way"
@@ -55,6 +57,9 @@
         self.is_open = True
         proxy.loop.watch(client, lambda: self.on_readable(client, server))
         proxy.loop.watch(server, lambda: self.on_readable(server, client))
+        self.writers = {
+            sock: Writer(proxy.loop, sock, self.close) for sock in (client, server)
+        }
 
     def on_readable(self, source, sink):
         try:
@@ -70,14 +75,8 @@
             self.forward(sink, data)
 
     def forward(self, sink, data):
-        if not self.is_open:
-            return
-        sink.setblocking(True)
-        try:
-            sink.sendall(data)
-            sink.setblocking(False)
-        except OSError:
-            self.close()  # the other end has closed the connection
+        if self.is_open:
+            self.writers[sink].write(data)
 
     def close(self):
         if self.is_open:
--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
+from ._writer import Writer
+
 PAGE_ITEMS = 50
 MAX_EVENTS = 400
 ANSWERING = "answering"
@@ -193,6 +195,7 @@
         self.received = b""
         self.is_open = True
         store.loop.watch(sock, self.on_readable)
+        self.writer = Writer(store.loop, sock, self.close)
 
     def on_readable(self):
         try:
@@ -214,12 +217,7 @@
         era = self.store.era
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
         head += f"Store-Era: {era}\r\n\r\n"
-        self.sock.setblocking(True)
-        try:
-            self.sock.sendall(head.encode() + body)
-            self.sock.setblocking(False)
-        except OSError:
-            self.close()  # the client has closed the connection
+        self.writer.write(head.encode() + body)
 
     def close(self):
         if self.is_open:
