Stand-in store: history by time, and an age of its own for each old read

It now keeps 20 s (history-s) and answers 410 before. stale_s may be a function that draws the age of each read that may be old, since replicas differ. New scenarios show both, and the two kinds of as-of. With the store of before, a watch from before the history got 200 instead of 410, and one before 1,000 changes got fewer; both scenarios failed.

--- a/libs/standins/features/packets.feature
+++ b/libs/standins/features/packets.feature
@@ -10,3 +10,30 @@
       | server    |
       | the store |
       | the proxy |
+
+  Scenario Outline: A read that may be old shows a copy of some age and names <revision>
+    Given a store to which "first" was written and, 0.4 s later, "second"
+    When reads that may be old are 0.2 s behind and name the revision of <revision>
+    Then a read that may be old shows "first" and names the revision of <named>
+    And any other read shows "second" and names the revision of "second"
+
+    Examples:
+      | revision       | named    |
+      | their copy     | "first"  |
+      | the newest one | "second" |
+
+  Scenario: Each read that may be old draws an age of its own
+    Given a store to which "first" was written and, 0.4 s later, "second"
+    When reads that may be old are in turn 0.2, 0, 0.3 s behind
+    Then reads that may be old show "first, second, first"
+
+  Scenario: A watch from before the store's history gets 410, and none within it
+    Given a store that keeps its history for 0.3 s
+    When "first" is written and, 0.4 s later, "second"
+    Then a watch from before "first" gets 410
+    And a watch from "first" gets "second"
+
+  Scenario: Changes within the history are complete, however many
+    Given a store that keeps its history for 20 s
+    When 1000 items are written
+    Then a watch from before them gets 1000 changes
--- a/libs/standins/features/steps/packets_steps.py
+++ b/libs/standins/features/steps/packets_steps.py
@@ -1,5 +1,6 @@
 """Steps for the store and the proxy of the packet deployment."""
 
+import base64
 import json
 import socket
 import threading
@@ -96,3 +97,119 @@
     status, document = context.client.read()
     assert status == 200
     assert len(document["items"][0]["value"]) == DOCUMENT_BYTES // 3 * 4
+
+
+def start_store(context):
+    """Start a store with the name of each key's revision."""
+    context.loop = Loop()
+    context.store = Store(context.loop, (HOST, 0))
+    context.revisions = {}
+
+
+def write(context, name):
+    """Write one item, which "first" and "second" share."""
+    context.store.put("key", name.encode())
+    context.revisions[name] = context.store.revision
+
+
+def ask(context, path):
+    """Make a call to the store."""
+    return call(context.loop, context.store.address, path)
+
+
+def read(context, may_be_old):
+    """Return the item's value and the revision that the response names."""
+    path = "/api/kv-range?prefix=key" + "&stale-ok=1" * may_be_old
+    status, document = ask(context, path)
+    assert status == 200
+    [item] = document["items"]
+    return base64.b64decode(item["value"]).decode(), document["as-of"]
+
+
+@given('a store to which "first" was written and, {pause_s:f} s later, "second"')
+def step_store(context, pause_s):
+    """A change is older than the copies of the steps below."""
+    start_store(context)
+    step_write(context, pause_s)
+
+
+@given("a store that keeps its history for {history_s:g} s")
+def step_history(context, history_s):
+    """As the pages' ``history-s``."""
+    start_store(context)
+    context.store.history_s = history_s
+
+
+@when('"first" is written and, {pause_s:f} s later, "second"')
+def step_write(context, pause_s):
+    """Two changes of one item."""
+    write(context, "first")
+    context.loop.run_for(pause_s)
+    write(context, "second")
+
+
+@when("{count:d} items are written")
+def step_write_many(context, count):
+    """At once, as after a restored store."""
+    context.first_revision = context.store.revision
+    for number in range(count):
+        context.store.put(f"key-{number}", b"x")
+
+
+@when("reads that may be old are {age_s:f} s behind and name the revision of {source}")
+def step_stale(context, age_s, source):
+    """Both readings of the pages."""
+    context.store.stale_s = age_s
+    context.store.stale_as_of_present = source == "the newest one"
+
+
+@when("reads that may be old are in turn {ages} s behind")
+def step_ages(context, ages):
+    """As replicas that differ."""
+    context.store.stale_s = map(float, ages.split(", ")).__next__
+
+
+@then('a read that may be old shows "{name}" and names the revision of "{named}"')
+def step_old_read(context, name, named):
+    """The revision may be newer than what is shown."""
+    assert read(context, True) == (name, context.revisions[named])
+
+
+@then('any other read shows "{name}" and names the revision of "{named}"')
+def step_read(context, name, named):
+    """Reads are linearizable unless the caller allows an old one."""
+    assert read(context, False) == (name, context.revisions[named])
+
+
+@then('reads that may be old show "{names}"')
+def step_old_reads(context, names):
+    """One call after the other."""
+    assert [read(context, True)[0] for _ in names.split(", ")] == names.split(", ")
+
+
+def watch(context, revision):
+    """Make a call for the changes after a revision."""
+    return ask(context, f"/api/kv-watch?prefix=&after={revision}&wait-ms=100")
+
+
+@then('a watch from before "{name}" gets 410')
+def step_gone(context, name):
+    """The history begins after the change."""
+    assert watch(context, context.revisions[name] - 1)[0] == 410
+
+
+@then('a watch from "{name}" gets "{later}"')
+def step_changes(context, name, later):
+    """The change is still in the history."""
+    status, document = watch(context, context.revisions[name])
+    assert status == 200
+    assert [event["revision"] for event in document["events"]] == [
+        context.revisions[later]
+    ]
+
+
+@then("a watch from before them gets {count:d} changes")
+def step_all_changes(context, count):
+    """None is missing."""
+    status, document = watch(context, context.first_revision)
+    assert (status, len(document["events"])) == (200, count)
--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -9,7 +9,7 @@
 from ._writer import Writer
 
 PAGE_ITEMS = 50
-MAX_EVENTS = 400
+HISTORY_S = 20.0
 ANSWERING = "answering"
 BUSY = "busy"
 SILENT = "silent"
@@ -23,6 +23,7 @@
     revision: int
     key: str
     document: object
+    at: float
 
 
 class Copy(NamedTuple):
@@ -42,7 +43,9 @@
             ``RESETTING``.
         modes: Modes by client host; these take precedence over ``mode``.
         delay_s: Delay of each response.
-        stale_s: How old the copy is that answers reads with ``stale-ok``.
+        history_s: How long the store keeps its history.
+        stale_s: How old the copy is that answers a read with ``stale-ok``, or a
+            function that returns the age of the copy for each such read.
         stale_as_of_present: Whether such a read names the store's present revision
             instead of the copy's.
         calls: Number of requests by client host.
@@ -62,6 +65,7 @@
         self.mode = ANSWERING
         self.modes = {}
         self.delay_s = 0.0
+        self.history_s = HISTORY_S
         self.stale_s = 0.0
         self.stale_as_of_present = False
         self.calls = {}
@@ -73,17 +77,27 @@
     def put(self, key, document):
         """Write an item; None deletes it."""
         self.revision += 1
+        event = Event(self.revision, key, document, self.loop.now)
         if document is None:
             self.items.pop(key, None)
         else:
-            self.items[key] = Event(self.revision, key, document)
-        self.events = [*self.events, Event(self.revision, key, document)][-MAX_EVENTS:]
+            self.items[key] = event
+        self.events = [*self.events, event]
+        self._end_old_history()
         copy = Copy(self.loop.now, self.revision, dict(self.items), self.events)
         self.copies = [*self.copies, copy][-MAX_COPIES:]
         watches, self.pending_watches = self.pending_watches, []
         for connection, query in watches:
             self._answer_watch(connection, query)
 
+    def _end_old_history(self):
+        """Drop what happened longer than ``history_s`` ago."""
+        start = self.loop.now - self.history_s
+        old = [event for event in self.events if event.at < start]
+        if old:
+            self.events = self.events[len(old) :]
+            self.compacted_revision = old[-1].revision
+
     def forget_history(self):
         """Drop the history, so that watches from older revisions get 410."""
         self.events = []
@@ -139,16 +153,21 @@
 
     def _answer_range(self, connection, query):
         prefix, after = query.get("prefix", ""), query.get("after", "")
-        stored, as_of = self.items, self.revision
-        if query.get("stale-ok") == "1" and self.stale_s:
-            copy = self._copy_from(self.loop.now - self.stale_s)
-            stored = copy.items
-            as_of = self.revision if self.stale_as_of_present else copy.revision
+        may_be_old = query.get("stale-ok") == "1"
+        stored, as_of = self._read_old() if may_be_old else (self.items, self.revision)
         keys = sorted(key for key in stored if key.startswith(prefix) and key > after)
         items = [_item(stored[key]) for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
         connection.send(200, {"items": items, "has-more": more, "as-of": as_of})
 
+    def _read_old(self):
+        """Return the items and the revision that a read with ``stale-ok`` gets."""
+        age_s = self.stale_s() if callable(self.stale_s) else self.stale_s
+        if not age_s:
+            return self.items, self.revision
+        copy = self._copy_from(self.loop.now - age_s)
+        return copy.items, self.revision if self.stale_as_of_present else copy.revision
+
     def _copy_from(self, at):
         """Return the state at a time, the first one if that was before it."""
         found = [copy for copy in self.copies if copy.at <= at]
@@ -156,6 +175,7 @@
 
     def _answer_watch(self, connection, query):
         after = int(query["after"])
+        self._end_old_history()
         if not self.compacted_revision <= after <= self.revision:
             connection.send(410, {})
             return
