Soak: faults in series, old reads, restarts of data centres, longer faults

The soak couldn't show that a data centre keeps an older configuration: its store answered each read with the newest items, a fault lasted 4 s at most, one balancer was restarted at a time, and a change added or dropped one route. Series of faults, drawn from a generator of their own, now come beside the others: reads that may be old fall behind by up to 6 s for up to 14 s, with both kinds of as-of; one or all data centres are killed right after a change; routes are moved; several versions follow each other, some with more than 8 and more than 64 changed routes; the store or paths are harmed for up to 22 s; the store rejects some balancers only, which it tells apart by the address of their proxies.

Checks follow: a flow that stays at its target when its route moves gets answers of the route's former service, so an answer or a run counts as the request's own if any version gave the route to that service. A store that rejects some, or loses its history, excuses an older configuration for 12 s beyond the bound, not for ever.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -33,3 +33,8 @@
 
   Scenario: The proxy disturbs connections in each of its modes
     Then a call through the proxy is answered, dropped, reset or delayed by its mode
+
+  Scenario: Series of faults leave the other faults of a seed as they were
+    When the faults of 20 seeds are drawn with and without series
+    Then both draw the same faults
+    And the series change up to 8, more than 8 and more than 64 routes at once
--- a/libs/soak/src/lagoontally_soak/__main__.py
+++ b/libs/soak/src/lagoontally_soak/__main__.py
@@ -28,7 +28,7 @@
     )
     report = {
         "seed": seed,
-        "requests": len(run.sent_services),
+        "requests": len(run.sent_requests),
         "outcomes": run.outcomes,
         "faults": run.faults.injected_counts,
         "violations": run.violations,
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -4,11 +4,13 @@
 
 from lagoontally_standins.packets import Outcome
 
+from ._disturbances import STORE, STORE_PARTLY, STORE_SUBJECTS
 from ._faults import ENTRY_EXPIRY_S
 
 DRAIN_S = 3.0
 CONFIGURATION_S = 3.0
 EXCUSE_WINDOW_S = 4.0  # a disturbance this long before an event excuses it
+MAX_STRETCH_S = 12.0  # that a store that rejects some balancers is an excuse for
 
 
 class Violation(NamedTuple):
@@ -23,6 +25,18 @@
     detail: str
 
 
+class SentRequest(NamedTuple):
+    """A request that a caller sent.
+
+    Attributes:
+        flow: Addresses and ports of caller and route.
+        opened_at: When the caller opened its flow.
+    """
+
+    flow: tuple
+    opened_at: float
+
+
 class Checks:
     """Checks of one run.
 
@@ -35,29 +49,29 @@
         self.deployment = deployment
         self.faults = faults
 
-    def violations_of_run(self, sent_services, targets):
+    def violations_of_run(self, sent_requests, targets):
         """Return every ``Violation`` of the whole run.
 
         Args:
-            sent_services: Service of each request sent, by request.
+            sent_requests: Every ``SentRequest`` by request.
             targets: Every target that ever ran, by id.
         """
         return [
-            *self._run_violations(sent_services),
+            *self._run_violations(sent_requests),
             *self._drain_violations(targets),
         ]
 
-    def _run_violations(self, sent_services):
+    def _run_violations(self, sent_requests):
         first_runs = {}
         for run in self.deployment.ledger:
             first = first_runs.setdefault(run.request, run)
             if first is not run:
                 detail = f"{run.request} ran again: {run} after {first}"
                 yield Violation("a request runs once", detail)
-            if sent_services.get(run.request) != run.service:
-                detail = (
-                    f"{run.request} for {sent_services.get(run.request)} ran at {run}"
-                )
+            sent = sent_requests.get(run.request)
+            services = self.faults.route_history.ever(sent.flow[2:]) if sent else ()
+            if run.service not in services:
+                detail = f"{run.request} for {services} ran at {run}"
                 yield Violation("a request reaches its own service", detail)
 
     def _drain_violations(self, targets):
@@ -78,8 +92,8 @@
             for name, balancer in self.deployment.balancers.items()
             if balancer.settings["host"] == opening.host
         ]
-        subjects = ("store", *names)
-        return self.faults.was_disturbed(
+        subjects = (*STORE_SUBJECTS, *names)
+        return self.faults.disturbances.any_between(
             subjects, opening.at - EXCUSE_WINDOW_S, opening.at
         )
 
@@ -88,7 +102,7 @@
         return [
             Violation("no balancer ends by itself", name)
             for name, balancer in self.deployment.balancers.items()
-            if not balancer.alive() and name not in self.faults.faulted_balancers
+            if not balancer.alive() and not self.faults.is_faulted(name)
         ]
 
     def outcome_violations(self, flow, sent_at):
@@ -101,25 +115,26 @@
         if flow.outcome is Outcome.WRONG:
             return [Violation("an answer is the request's own", flow.request)]
         route = flow.flow[2:]
-        if route in self.faults.dropped_at:
+        if self.faults.route_history.dropped_at(route) is not None:
             return self._dropped_route_violations(flow, sent_at)
         if flow.outcome is Outcome.RESET and self._is_target_undisturbed(flow):
             detail = f"{flow.flow} to {flow.target}, sent {flow.request}"
             return [Violation("an open flow isn't reset", detail)]
-        published_at = self.faults.published_at[route]
+        added_at = self.faults.route_history.added_at(route)
         refused = flow.outcome is Outcome.NOT_OPENED and route in self.deployment.routes
-        settled = sent_at > published_at + CONFIGURATION_S
-        excused = self._is_excused(flow, sent_at) or self._has_target_ended(sent_at)
+        settled = sent_at > added_at + CONFIGURATION_S
+        excused = self._is_excused(flow, sent_at, added_at)
+        excused = excused or self._has_target_ended(sent_at)
         if refused and settled and not excused:
             detail = f"{flow.flow} sent {flow.request}"
             return [Violation("a route in force takes flows", detail)]
         return []
 
     def _dropped_route_violations(self, flow, sent_at):
-        dropped_at = self.faults.dropped_at[flow.flow[2:]]
+        dropped_at = self.faults.route_history.dropped_at(flow.flow[2:])
         late = sent_at > dropped_at + CONFIGURATION_S
         answered = flow.outcome is Outcome.ANSWERED
-        if not answered or not late or self._is_excused(flow, sent_at):
+        if not answered or not late or self._is_excused(flow, sent_at, dropped_at):
             return []
         detail = f"{flow.flow} sent {flow.request} {sent_at - dropped_at:.2f} s after"
         return [Violation("a dropped route takes no request", detail)]
@@ -130,10 +145,18 @@
         known = flow.target in self.deployment.targets
         if not known or flow.flow[2:] not in self.deployment.routes:
             return False
-        return not self.faults.was_disturbed((flow.target,), now - EXCUSE_WINDOW_S, now)
+        return not self.faults.disturbances.any_between(
+            (flow.target,), now - EXCUSE_WINDOW_S, now
+        )
 
-    def _is_excused(self, flow, moment):
-        """Return whether the store or a balancer of the data centre was disturbed."""
+    def _is_excused(self, flow, moment, changed_at):
+        """Return whether the store or a balancer of the data centre was disturbed.
+
+        Args:
+            flow: The ``CallerFlow``.
+            moment: When its request was sent.
+            changed_at: When the route was changed.
+        """
         data_centre = next(
             name
             for name, callers in self.deployment.callers.items()
@@ -144,8 +167,22 @@
             for name, balancer in self.deployment.balancers.items()
             if balancer.settings["data_centre"] == data_centre
         ]
-        subjects = ("store", *balancers)
-        return self.faults.was_disturbed(subjects, moment - EXCUSE_WINDOW_S, moment)
+        start = moment - EXCUSE_WINDOW_S
+        disturbed = self.faults.disturbances.any_between(balancers, start, moment)
+        return disturbed or self._is_store_excuse(start, moment, changed_at)
+
+    def _is_store_excuse(self, start, end, changed_at):
+        """Return whether the store excuses an older configuration between two times.
+
+        The platform's rules: a store that is down or slow always does; one that is
+        unstable stretches the time for a change by ``MAX_STRETCH_S`` at most. Reads
+        that are merely old are no excuse.
+        """
+        disturbances = self.faults.disturbances
+        if disturbances.any_between((STORE,), start, end):
+            return True
+        stretched = end <= changed_at + CONFIGURATION_S + MAX_STRETCH_S
+        return stretched and disturbances.any_between((STORE_PARTLY,), start, end)
 
     def _has_target_ended(self, moment):
         """Return whether a target's host may have refused a flow at a moment.
@@ -153,6 +190,6 @@
         The host of a target that exited refuses flows until its entry is delisted.
         """
         targets = self.deployment.targets.keys() | self.faults.drain_started_at.keys()
-        return self.faults.disturbance_began(
+        return self.faults.disturbances.any_began(
             targets, moment - ENTRY_EXPIRY_S - EXCUSE_WINDOW_S, moment
         )
--- a/libs/soak/src/lagoontally_soak/_faults.py
+++ b/libs/soak/src/lagoontally_soak/_faults.py
@@ -1,7 +1,7 @@
 """Faults that a soak test injects and ends."""
 
 import signal
-from typing import NamedTuple
+from collections import Counter
 
 from lagoontally_standins.packets import (
     ANSWERING,
@@ -14,6 +14,9 @@
     SILENT,
 )
 
+from ._disturbances import STORE, STORE_PARTLY, Disturbances
+from ._route_history import RouteHistory
+
 ENTRY_EXPIRY_S = 3.6  # a dead target's entry expires after three heartbeats
 DRAIN_S = 3.0
 ADDRESS_REUSE_DELAY_S = 2.0
@@ -22,20 +25,7 @@
 MAX_AWAY_S = 1.0
 MAX_LOST_WRITES = 400  # of items that balancers don't use
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
-
-
-class Disturbance(NamedTuple):
-    """An interval in which a fault disturbed a component.
-
-    Attributes:
-        subject: ``store``, a balancer's name or a target's id.
-        start: When it began.
-        end: When it ended.
-    """
-
-    subject: str
-    start: float
-    end: float
+FIRST_PORT, LAST_PORT = 9_000, 19_999  # of the routes that are added here
 
 
 class Faults:
@@ -48,26 +38,27 @@
             faults of recorded seeds as they were.
 
     Attributes:
-        disturbances: Every ``Disturbance`` so far.
+        disturbances: The ``Disturbances`` so far.
         drain_started_at: When each target's entry became ``draining``, by id; None
             for a crashed target.
-        published_at: When each route was published.
-        dropped_at: When each removed route was removed.
+        route_history: The ``RouteHistory``.
         injected_counts: Number of faults by name.
-        faulted_balancers: Names of balancers under a fault.
+        faulted_balancers: Names of balancers under one of these faults.
+        restarting: Number of restarts by a ``Series`` under way, by balancer name.
     """
 
     def __init__(self, deployment, random, restore_random):
         self.deployment = deployment
         self.loop = deployment.loop
         self.random = random
-        self.disturbances = []
+        self.disturbances = Disturbances()
         self.drain_started_at = {}
-        self.published_at = dict.fromkeys(deployment.routes, self.loop.now)
-        self.dropped_at = {}
+        self.route_history = RouteHistory(deployment.routes, self.loop.now)
+        self.next_port = FIRST_PORT + len(deployment.routes)
         self.injected_counts = {}
         self.last_target_number = 40
         self.faulted_balancers = set()
+        self.restarting = Counter()
         self.restore_random = restore_random
 
     def inject_one(self):
@@ -96,20 +87,6 @@
                 self.injected_counts.get(kind.__name__, 0) + 1
             )
 
-    def was_disturbed(self, subjects, start, end):
-        """Return whether any of the subjects was disturbed between two times."""
-        return any(
-            item.subject in subjects and item.start <= end and item.end >= start
-            for item in self.disturbances
-        )
-
-    def disturbance_began(self, subjects, start, end):
-        """Return whether a disturbance of a subject began between two times."""
-        return any(
-            item.subject in subjects and start <= item.start <= end
-            for item in self.disturbances
-        )
-
     def end_all(self):
         """End all faults."""
         deployment = self.deployment
@@ -123,26 +100,42 @@
                 balancer.start()
         for _, target in deployment.targets.values():
             target.silent = False
+        subjects = {STORE, STORE_PARTLY, *deployment.balancers}
+        self.disturbances.end(subjects, self.loop.now)
 
     def _duration(self):
         return self.random.uniform(MIN_FAULT_S, MAX_FAULT_S)
 
-    def _record_disturbance(self, subject, duration_s):
+    def is_faulted(self, name):
+        """Return whether a fault may have ended a balancer's process."""
+        return name in self.faulted_balancers or self.restarting[name] > 0
+
+    def record_disturbance(self, subject, duration_s):
+        """Record a disturbance that begins now."""
         now = self.loop.now
-        self.disturbances.append(Disturbance(subject, now, now + duration_s))
+        self.disturbances.record(subject, now, now + duration_s)
+
+    def publish(self):
+        """Publish the deployment's routes."""
+        self.deployment.publish()
+        self.route_history.record(self.deployment.routes, self.loop.now)
 
     def _pick_balancer(self):
-        """Return a random balancer without a fault, None unless two are free."""
+        """Return a random balancer without a fault, None unless two are free.
+
+        A series may have killed it; to choose another one would change what a seed
+        draws. It starts again at the latest when the fault ends.
+        """
         free = [
             balancer
             for name, balancer in self.deployment.balancers.items()
-            if name not in self.faulted_balancers and balancer.alive()
+            if name not in self.faulted_balancers
         ]
         return self.random.choice(free) if len(free) > 1 else None
 
     def _disturb_balancer(self, balancer, duration_s, end):
         self.faulted_balancers.add(balancer.name)
-        self._record_disturbance(balancer.name, duration_s)
+        self.record_disturbance(balancer.name, duration_s)
         self.loop.after(duration_s, lambda: self._end_disturbance(balancer, end))
 
     def _end_disturbance(self, balancer, end):
@@ -155,7 +148,9 @@
         if balancer is None:
             return False
         balancer.kill()
-        self._disturb_balancer(balancer, self._duration(), balancer.start)
+        self._disturb_balancer(
+            balancer, self._duration(), lambda: balancer.alive() or balancer.start()
+        )
         return True
 
     def terminate(self):
@@ -195,7 +190,7 @@
         mode = self.random.choice((SILENT, ONE_WAY, RESET, DELAYED))
         duration_s = self._duration()
         proxy.set_mode(mode)
-        self._record_disturbance(name, duration_s)
+        self.record_disturbance(name, duration_s)
         self.loop.after(duration_s, lambda: proxy.set_mode(PASS))
         return True
 
@@ -206,7 +201,7 @@
             store.mode = BUSY
         else:
             store.delay_s = 0.25
-        self._record_disturbance("store", duration_s)
+        self.record_disturbance(STORE, duration_s)
         self.loop.after(duration_s, self._restore_store)
         return True
 
@@ -222,14 +217,14 @@
         for number in range(random.randrange(MAX_LOST_WRITES)):
             self.deployment.store.put("other/key", {"number": number})
         self.deployment.restore_store(random, age_s=age_s, away_s=away_s)
-        self._record_disturbance("store", away_s)
+        self.record_disturbance(STORE, away_s)
         count = self.injected_counts.get("restore_store", 0)
         self.injected_counts["restore_store"] = count + 1
 
     def forget_history(self):
         """Drop the store's history."""
         self.deployment.store.forget_history()
-        self._record_disturbance("store", 0.0)
+        self.record_disturbance(STORE_PARTLY, 0.0)
         return True
 
     def write_garbage(self):
@@ -270,7 +265,7 @@
             return False
         target, duration_s = self.deployment.targets[target_id][1], self._duration()
         target.silent = True
-        self._record_disturbance(target_id, duration_s)
+        self.record_disturbance(target_id, duration_s)
 
         def end():
             target.silent = False
@@ -285,7 +280,7 @@
             return False
         data_centre_index, target = self.deployment.targets[target_id]
         target.close()
-        self._record_disturbance(target_id, 1e9)
+        self.record_disturbance(target_id, 1e9)
         self.drain_started_at[target_id] = None
         self.loop.after(
             ENTRY_EXPIRY_S,
@@ -326,25 +321,28 @@
         return True
 
     def _remove_target(self, target_id):
-        self._record_disturbance(target_id, 1e9)
+        self.record_disturbance(target_id, 1e9)
         self.deployment.remove_target(target_id)
 
     def publish_route(self):
         """Add a route."""
         routes = self.deployment.routes
-        route = (next(iter(routes))[0], 9_000 + len(self.published_at))
+        route = (next(iter(routes))[0], self.next_port)
+        self.next_port += 1
         routes[route] = self.random.choice(SERVICES)
-        self.published_at[route] = self.loop.now
-        self.deployment.publish()
+        self.publish()
         return True
 
     def drop_route(self):
         """Remove a route that was added."""
-        added = [route for route in self.deployment.routes if route[1] >= 9_000]
+        added = [
+            route
+            for route in self.deployment.routes
+            if FIRST_PORT <= route[1] <= LAST_PORT
+        ]
         if not added:
             return False
         route = self.random.choice(added)
         del self.deployment.routes[route]
-        self.dropped_at[route] = self.loop.now
-        self.deployment.publish()
+        self.publish()
         return True
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -9,18 +9,21 @@
 
 from lagoontally_standins.packets import Deployment, Outcome
 
-from ._checks import Checks, Violation
+from ._checks import Checks, SentRequest, Violation
 from ._explain import Failure
 from ._faults import Faults
 from ._mutations import MUTATIONS
+from ._series import Series
 
 DATA_CENTRES = ("tifton", "camilla")
 REQUEST_INTERVAL_S = 0.02
 FLOWS_PER_DATA_CENTRE = 30
-DROPPED_ROUTE_SHARE = 0.05  # of new flows, to dropped routes
+CHANGED_ROUTE_SHARE = 0.4  # of new flows, to routes that were changed recently
+CHANGED_RECENTLY_S = 12.0
 NEW_FLOW_SHARE = 0.3  # of requests, that open a flow as downloads do
 REQUEST_DEADLINE_S = 2.0
 FAULT_INTERVAL_S = (0.2, 2.5)
+SERIES_INTERVAL_S = (0.5, 4.0)
 RECOVERY_S = 9.0  # stopped balancers exit and routers detect all changes in this time
 FINAL_REQUESTS = 40
 VIEWS_S = 4.0  # the platform's bound for following the store
@@ -40,8 +43,7 @@
 
     Attributes:
         violations: The ``Violation`` records found.
-        services: Service of every route ever published; balancers that haven't yet
-            received a route's removal may still serve it.
+        sent_requests: Every ``SentRequest`` by request.
         outcomes: Number of requests by outcome.
         failures: ``Failure`` of each request that wasn't answered.
     """
@@ -60,10 +62,11 @@
                 balancer.command = self.mutation.command(sys.executable)
         restores = Random(f"restores {seed}")
         self.faults = Faults(self.deployment, Random(seed), restores)
+        self.series = Series(self.deployment, self.faults, Random(f"series {seed}"))
         self.checks = Checks(self.deployment, self.faults)
         self.request_numbers = itertools.count()
-        self.sent_services = {}
-        self.services = {}
+        self.sent_requests = {}
+        self.opened_at = {}
         self.pending_since = {}
         self.targets = {}
         self.pools = {data_centre: [] for data_centre in DATA_CENTRES}
@@ -83,11 +86,13 @@
             self.injecting_faults = True
             self._send_requests()
             self._inject_faults()
+            self._inject_series()
             if self._run_for(seconds):
                 return self.violations
             self.injecting_faults = False
             if self._run_for(RECOVERY_S):
                 return self.violations
+            self.series.end_all()
             self.faults.end_all()
             if self._run_for(RECOVERY_S):
                 return self.violations
@@ -96,7 +101,7 @@
         finally:
             self.deployment.stop()
         self.violations += self.checks.violations_of_run(
-            self.sent_services, self.targets
+            self.sent_requests, self.targets
         )
         return self.violations
 
@@ -109,7 +114,7 @@
         while self.loop.now < end:
             self.loop.run_for(CHECK_INTERVAL_S)
             found = self.violations + self.checks.violations_of_run(
-                self.sent_services, self.targets
+                self.sent_requests, self.targets
             )
             if any(item.promise == self.mutation.promise for item in found):
                 self.violations = found
@@ -122,8 +127,13 @@
             pause_s = self.faults.random.uniform(*FAULT_INTERVAL_S)
             self.loop.after(pause_s, self._inject_faults)
 
+    def _inject_series(self):
+        if self.injecting_faults:
+            self.series.inject_one()
+            pause_s = self.series.random.uniform(*SERIES_INTERVAL_S)
+            self.loop.after(pause_s, self._inject_series)
+
     def _send_requests(self):
-        self.services.update(self.deployment.routes)
         for target_id, (_, target) in self.deployment.targets.items():
             self.targets.setdefault(target_id, target)
         self._collect_outcomes()
@@ -141,24 +151,32 @@
             closing.close()
             pool.remove(closing)
         if len(pool) < FLOWS_PER_DATA_CENTRE:
-            flow = self.deployment.callers[data_centre].open(
-                self._pick_route(), REQUEST_DEADLINE_S
-            )
+            flow = self._open(self.deployment.callers[data_centre], self._pick_route())
             pool.append(flow)
         elif idle:
             flow = self.random.choice(idle)
         else:
             return
-        request = f"q{next(self.request_numbers)}"
-        self.sent_services[request] = self.services[flow.flow[2:]]
         self.pending_since[flow] = self.loop.now
+        self._send_on(flow)
+
+    def _open(self, callers, route):
+        flow = callers.open(route, REQUEST_DEADLINE_S)
+        self.opened_at[flow] = self.loop.now
+        return flow
+
+    def _send_on(self, flow):
+        request = f"q{next(self.request_numbers)}"
+        sent = SentRequest(flow.flow, self.opened_at[flow])
+        self.sent_requests[request] = sent
         flow.send_request(request)
 
     def _pick_route(self):
-        """Return a random route, sometimes a dropped one."""
-        dropped = sorted(self.faults.dropped_at)
-        if dropped and self.random.random() < DROPPED_ROUTE_SHARE:
-            return self.random.choice(dropped)
+        """Return a random route, often one that was changed, even a dropped one."""
+        start = self.loop.now - CHANGED_RECENTLY_S
+        changed = self.faults.route_history.changed_since(start)
+        if changed and self.random.random() < CHANGED_ROUTE_SHARE:
+            return self.random.choice(changed)
         return self.random.choice(sorted(self.deployment.routes))
 
     def _collect_outcomes(self):
@@ -184,15 +202,13 @@
         self._record_exits()
         callers = self.deployment.callers[DATA_CENTRES[0]]
         flows = [
-            callers.open(route, REQUEST_DEADLINE_S)
+            self._open(callers, route)
             for route in itertools.islice(
                 itertools.cycle(self.deployment.routes), FINAL_REQUESTS
             )
         ]
         for flow in flows:
-            request = f"q{next(self.request_numbers)}"
-            self.sent_services[request] = self.services[flow.flow[2:]]
-            flow.send_request(request)
+            self._send_on(flow)
         self.loop.run_until(
             lambda: all(flow.outcome is not Outcome.PENDING for flow in flows), 4
         )
--- a/libs/standins/src/lagoontally_standins/packets/__init__.py
+++ b/libs/standins/src/lagoontally_standins/packets/__init__.py
@@ -6,7 +6,8 @@
 from ._network import find_free_network
 from ._process import BALANCER_PROGRAM
 from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT, Proxy
-from ._store import ANSWERING, BUSY, Store
+from ._store import ANSWERING, BUSY, RESETTING, Store
+from ._store import SILENT as STORE_SILENT
 from ._target import Run, Target
 from ._wire import encode as encode_packet
 
@@ -20,8 +21,10 @@
     "PASS",
     "PEER_PORT",
     "RESET",
+    "RESETTING",
     "SERVICES",
     "SILENT",
+    "STORE_SILENT",
     "Callers",
     "Deployment",
     "Loop",
--- a/libs/standins/src/lagoontally_standins/packets/_caller.py
+++ b/libs/standins/src/lagoontally_standins/packets/_caller.py
@@ -104,9 +104,8 @@
 
     def _on_answer(self, answer):
         service, self.target, request = answer.split(" ", 2)
-        matches = request == self.request and (
-            self.callers.service_of(self.flow) in (service, None)
-        )
+        services = self.callers.services.get(self.flow[2:], ())
+        matches = request == self.request and service in services
         if self.outcome is Outcome.PENDING:
             self.outcome = Outcome.ANSWERED if matches else Outcome.WRONG
 
@@ -152,7 +151,8 @@
         host: Address of the callers.
         port: Port at which the callers receive packets.
         router: The ``Router`` of their data centre.
-        services: Service names by route (address and port).
+        services: Names of the services that each route (address and port) ever had;
+            a flow stays at its target when its route moves to another service.
     """
 
     def __init__(self, loop, host, port, *, router, services):
@@ -173,10 +173,6 @@
         flow.open()
         return flow
 
-    def service_of(self, flow):
-        """Return the service of a flow's route, None once the route is removed."""
-        return self.services.get(flow[2:])
-
     def _on_readable(self):
         while True:
             try:
--- a/libs/standins/src/lagoontally_standins/packets/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/packets/_deployment.py
@@ -37,6 +37,7 @@
     Attributes:
         ledger: Every ``Run`` of every target.
         routes: Services by route (address and port) in the latest configuration.
+        services_ever: Every service that a route ever had, by route.
         targets: Index of the data centre and ``Target`` by target id.
         states: State that each target last wrote, by target id.
         published: The newest configuration's document.
@@ -51,6 +52,7 @@
         self.identities = itertools.count(1)
         self.states = {}
         self.published = None
+        self.services_ever = {}
         self.store = Store(self.loop, (self.host(0, 1), STORE_PORT))
         self.routes = {
             (parse_host(ROUTE_HOST), port): service
@@ -79,6 +81,8 @@
     def publish(self, **changes):
         """Publish a configuration with the current routes."""
         self.version += 2
+        for route, service in self.routes.items():
+            self.services_ever.setdefault(route, set()).add(service)
         routes = [
             {
                 "name": f"r-{port}",
@@ -232,5 +236,5 @@
             self.host(201 + centre_index, 1),
             PACKET_PORT,
             router=self.routers[data_centre],
-            services=self.routes,
+            services=self.services_ever,
         )
--- a/libs/standins/src/lagoontally_standins/packets/_proxy.py
+++ b/libs/standins/src/lagoontally_standins/packets/_proxy.py
@@ -42,7 +42,11 @@
             sock.close()
             return
         try:
-            upstream = socket.create_connection(self.upstream, timeout=1)
+            # From the proxy's address, by which the store tells balancers apart.
+            host = self.listener.getsockname()[0]
+            upstream = socket.create_connection(
+                self.upstream, timeout=1, source_address=(host, 0)
+            )
         except OSError:
             sock.close()  # the store is unreachable
             return
