Soak: check that flows open by the newest configuration, and all of it at the end

A flow that a former service took was no violation, since the soak knew one service for each route, and at the end only targets were compared: a data centre with an older configuration passed. Now a run counts by its flow's opening, which later than 3 s after a change must be by the newest version, unless the balancer that forwarded it was disturbed in the 4 s before, or the store was; a store that is merely unstable excuses 12 s more. Other balancers of the data centre and reads that are merely old excuse nothing. After the faults each balancer must have the newest version and exactly its routes. New scenarios go through the bounds and the differences.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -38,3 +38,38 @@
     When the faults of 20 seeds are drawn with and without series
     Then both draw the same faults
     And the series change up to 8, more than 8 and more than 64 routes at once
+
+  Scenario Outline: A run by an older configuration is reported unless the rules excuse it
+    Given a route that was moved at 100 s
+    And "<subject>" was disturbed from <start> s to <end> s
+    When a flow that opens at <at> s through "tifton-1" is run by the former service
+    Then <count> runs by an older configuration are reported
+
+    Examples:
+      | subject       | start | end | at    | count |
+      | nothing       | 0     | 0   | 102.9 | 0     |
+      | nothing       | 0     | 0   | 103.1 | 1     |
+      | tifton-1      | 98    | 100 | 103.1 | 0     |
+      | tifton-1      | 98    | 100 | 104.1 | 1     |
+      | tifton-1      | 90    | 120 | 119.0 | 0     |
+      | tifton-2      | 98    | 104 | 103.1 | 1     |
+      | store         | 90    | 120 | 119.0 | 0     |
+      | store         | 98    | 100 | 104.1 | 1     |
+      | store, partly | 90    | 130 | 114.9 | 0     |
+      | store, partly | 90    | 130 | 115.1 | 1     |
+      | store, partly | 98    | 100 | 104.1 | 1     |
+
+  Scenario Outline: A balancer that lacks a change once the faults are over is reported
+    Given a balancer that knows the store's targets and configuration
+    When it has <difference>
+    Then "<promise>" is the only violation of its view
+
+    Examples:
+      | difference             | promise                                     |
+      | an older version       | all balancers have the newest configuration |
+      | a route too many       | all balancers have the newest configuration |
+      | a route less           | all balancers have the newest configuration |
+      | another service        | all balancers have the newest configuration |
+      | no configuration       | all balancers have the newest configuration |
+      | a target too many      | all balancers follow the store              |
+      | a target as not leaving | all balancers follow the store              |
--- /dev/null
+++ b/libs/soak/features/steps/checks_steps.py
@@ -0,0 +1,106 @@
+"""Steps for the checks, on records made by hand."""
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from lagoontally_soak._checks import Checks, SentRequest
+from lagoontally_soak._disturbances import Disturbances
+from lagoontally_soak._route_history import RouteHistory
+from lagoontally_soak._views import view_violations
+
+ROUTE = (3_322_019_841, 443)
+OTHER_ROUTE = (3_322_019_841, 8_443)
+FLOW = (1_677_721_607, 40_001, *ROUTE)
+FORMER, LATER = "pivot-link", "usage-ledger"
+
+
+@given("a route that was moved at {moved_at:d} s")
+def step_moved(context, moved_at):
+    """The first configuration was published at 0 s."""
+    context.history = RouteHistory({ROUTE: FORMER}, 0)
+    context.history.record({ROUTE: LATER}, moved_at)
+    context.disturbances = Disturbances()
+
+
+@given('"{subject}" was disturbed from {start:d} s to {end:d} s')
+def step_disturbed(context, subject, start, end):
+    """One disturbance, of the store or of a balancer."""
+    context.disturbances.record(subject, start, end)
+
+
+@when('a flow that opens at {at:f} s through "{name}" is run by the former service')
+def step_run(context, at, name):
+    """The SYN arrives 10 ms and the request 20 ms later."""
+    balancers = {
+        other: SimpleNamespace(settings={"host": f"127.0.1.{number}"})
+        for number, other in enumerate(("tifton-1", "tifton-2"))
+    }
+    run = SimpleNamespace(request="q1", target="i-1", service=FORMER, at=at + 0.02)
+    deployment = SimpleNamespace(ledger=[run], balancers=balancers)
+    faults = SimpleNamespace(
+        route_history=context.history,
+        disturbances=context.disturbances,
+        drain_started_at={},
+    )
+    opening = SimpleNamespace(at=at + 0.01, host=balancers[name].settings["host"])
+    target = SimpleNamespace(first_syns={FLOW: opening})
+    context.violations = Checks(deployment, faults).violations_of_run(
+        {"q1": SentRequest(FLOW, at)}, {"i-1": target}
+    )
+
+
+@then("{count:d} runs by an older configuration are reported")
+def step_reported(context, count):
+    """No other promise is broken."""
+    promises = [violation.promise for violation in context.violations]
+    assert promises == ["a request runs by the newest configuration"] * count, promises
+
+
+@given("a balancer that knows the store's targets and configuration")
+def step_view(context):
+    """Two routes and two targets, one of which is leaving."""
+    context.targets = {("servers/i-1", False), ("servers/i-2", True)}
+    context.version = 8
+    context.routes = {ROUTE: [(FORMER, 1)], OTHER_ROUTE: [(LATER, 1)]}
+    balancer = SimpleNamespace(
+        name="tifton-1",
+        fetch_targets=lambda: context.targets,
+        fetch_configuration=lambda: (
+            context.version and (context.version, context.routes)
+        ),
+    )
+    published, listed = (8, dict(context.routes)), set(context.targets)
+    context.deployment = SimpleNamespace(
+        balancers={"tifton-1": balancer},
+        published_configuration=lambda: published,
+        listed_targets=lambda: listed,
+    )
+    assert view_violations(context.deployment) == []
+
+
+@when("it has {difference}")
+def step_difference(context, difference):
+    """One difference."""
+    if difference == "an older version":
+        context.version = 6
+    elif difference == "no configuration":
+        context.version = None
+    elif difference == "a route too many":
+        context.routes[(1, 1)] = [(FORMER, 1)]
+    elif difference == "a route less":
+        del context.routes[ROUTE]
+    elif difference == "another service":
+        context.routes[ROUTE] = [(LATER, 1)]
+    elif difference == "a target too many":
+        context.targets.add(("servers/i-3", False))
+    else:
+        context.targets ^= {("servers/i-2", True), ("servers/i-2", False)}
+
+
+@then('"{promise}" is the only violation of its view')
+def step_view_violation(context, promise):
+    """The report names the balancer."""
+    [violation] = view_violations(context.deployment)
+    assert violation.promise == promise, violation
+    assert violation.detail.startswith("tifton-1"), violation
--- a/libs/soak/src/lagoontally_soak/__init__.py
+++ b/libs/soak/src/lagoontally_soak/__init__.py
@@ -1,6 +1,6 @@
 """Soak test of packet-forwarding balancer processes under seeded faults."""
 
-from ._checks import Violation
 from ._run import Soak, soak
+from ._violation import Violation
 
 __all__ = ["Soak", "Violation", "soak"]
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -6,6 +6,7 @@
 
 from ._disturbances import STORE, STORE_PARTLY, STORE_SUBJECTS
 from ._faults import ENTRY_EXPIRY_S
+from ._violation import Violation
 
 DRAIN_S = 3.0
 CONFIGURATION_S = 3.0
@@ -13,18 +14,6 @@
 MAX_STRETCH_S = 12.0  # that a store that rejects some balancers is an excuse for
 
 
-class Violation(NamedTuple):
-    """A broken promise.
-
-    Attributes:
-        promise: Which one.
-        detail: What was observed.
-    """
-
-    promise: str
-    detail: str
-
-
 class SentRequest(NamedTuple):
     """A request that a caller sent.
 
@@ -58,6 +47,7 @@
         """
         return [
             *self._run_violations(sent_requests),
+            *self._old_configuration_violations(sent_requests, targets),
             *self._drain_violations(targets),
         ]
 
@@ -74,6 +64,40 @@
                 detail = f"{run.request} for {services} ran at {run}"
                 yield Violation("a request reaches its own service", detail)
 
+    def _old_configuration_violations(self, sent_requests, targets):
+        """Yield a violation for each run that only an older configuration allows.
+
+        A flow stays at its target when its route moves, so what counts is its opening.
+        """
+        history = self.faults.route_history
+        for run in self.deployment.ledger:
+            sent = sent_requests.get(run.request)
+            if sent is None:
+                continue
+            route, opened_at = sent.flow[2:], sent.opened_at
+            opening = targets[run.target].first_syns[sent.flow]
+            allowed = history.allowed(route, opened_at - CONFIGURATION_S, opening.at)
+            if run.service in allowed or run.service not in history.ever(route):
+                continue
+            changed_at = history.replaced_at(route, run.service, opening.at)
+            name = self._balancer_at(opening.host)
+            start = opened_at - EXCUSE_WINDOW_S
+            disturbances = self.faults.disturbances
+            if disturbances.any_between((name,), start, opening.at):
+                continue
+            if self._is_store_excuse(start, opening.at, changed_at):
+                continue
+            detail = f"{run.request} on {route[1]} ran at {run.service}, of {allowed}, "
+            detail += f"through {name} {opened_at - changed_at:.2f} s after"
+            yield Violation("a request runs by the newest configuration", detail)
+
+    def _balancer_at(self, host):
+        return next(
+            name
+            for name, balancer in self.deployment.balancers.items()
+            if balancer.settings["host"] == host
+        )
+
     def _drain_violations(self, targets):
         for target_id, drain_started_at in self.faults.drain_started_at.items():
             if drain_started_at is None:
@@ -87,12 +111,7 @@
 
     def _is_opening_excused(self, opening):
         """Return whether the store or the forwarding balancer was disturbed."""
-        names = [
-            name
-            for name, balancer in self.deployment.balancers.items()
-            if balancer.settings["host"] == opening.host
-        ]
-        subjects = (*STORE_SUBJECTS, *names)
+        subjects = (*STORE_SUBJECTS, self._balancer_at(opening.host))
         return self.faults.disturbances.any_between(
             subjects, opening.at - EXCUSE_WINDOW_S, opening.at
         )
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -9,11 +9,13 @@
 
 from lagoontally_standins.packets import Deployment, Outcome
 
-from ._checks import Checks, SentRequest, Violation
+from ._checks import Checks, SentRequest
 from ._explain import Failure
 from ._faults import Faults
 from ._mutations import MUTATIONS
 from ._series import Series
+from ._views import view_violations
+from ._violation import Violation
 
 DATA_CENTRES = ("tifton", "camilla")
 REQUEST_INTERVAL_S = 0.02
@@ -218,22 +220,9 @@
             self.violations.append(Violation("all is served after the faults", detail))
 
     def _check_views(self):
-        """Compare the targets that balancers know with the store's."""
-
-        def differences():
-            listed = self.deployment.listed_targets()
-            return {
-                name: sorted((balancer.fetch_targets() or set()) ^ listed)
-                for name, balancer in self.deployment.balancers.items()
-            }
-
-        self.loop.run_until(lambda: not any(differences().values()), VIEWS_S)
-        for name, wrong in differences().items():
-            if wrong:
-                detail = f"{name}: {wrong[:3]}"
-                self.violations.append(
-                    Violation("all balancers follow the store", detail)
-                )
+        """Compare what balancers know with the store's targets and configuration."""
+        self.loop.run_until(lambda: not view_violations(self.deployment), VIEWS_S)
+        self.violations += view_violations(self.deployment)
 
 
 def soak(*, seed, seconds, network, balancers=3, keep=None, mutation=None):
--- a/libs/standins/src/lagoontally_standins/packets/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/packets/_deployment.py
@@ -171,6 +171,11 @@
         if stored is None or stored.document != self.published:
             self.store.put("op/config", self.published)
 
+    def published_configuration(self):
+        """Return what should be in force, in the form of ``fetch_configuration``."""
+        routes = {route: [(service, 1)] for route, service in self.routes.items()}
+        return self.published["version"], routes
+
     def listed_targets(self):
         """Return what balancers should know, in the form of ``fetch_targets``."""
         return {
--- a/libs/standins/src/lagoontally_standins/packets/_process.py
+++ b/libs/standins/src/lagoontally_standins/packets/_process.py
@@ -9,6 +9,7 @@
 
 FETCH_TIMEOUT_S = 3
 LEAVING_FIELD = 7  # index in the array of a target that peers fetch
+SHARES_FIELD = 1  # the same in that of a route
 BALANCER_PROGRAM = (
     "import sys; from lagoontally_forwarder import main; sys.exit(main())"
 )
@@ -90,18 +91,37 @@
         Returns:
             A set of pairs of an entry's key and whether the target is leaving.
         """
+        document = self._fetch("/targets")
+        return document and {
+            (key, target[LEAVING_FIELD]) for key, target in document["targets"].items()
+        }
+
+    def fetch_configuration(self):
+        """Return the configuration in force, None if the balancer doesn't answer.
+
+        Returns:
+            A pair of its version and the services and weights by route (address and
+            port).
+        """
+        document = self._fetch("/configuration")
+        return document and (
+            document["version"],
+            {
+                (address, port): [tuple(share) for share in route[SHARES_FIELD]]
+                for address, port, *route in document["routes"]
+            },
+        )
+
+    def _fetch(self, path):
         host, _, port = self.settings["peer_address"].rpartition(":")
         connection = HTTPConnection(host, int(port), timeout=FETCH_TIMEOUT_S)
         try:
-            connection.request("GET", "/targets")
-            document = json.loads(connection.getresponse().read())
+            connection.request("GET", path)
+            return json.loads(connection.getresponse().read())
         except (OSError, HTTPException, ValueError):
             return None
         finally:
             connection.close()
-        return {
-            (key, target[LEAVING_FIELD]) for key, target in document["targets"].items()
-        }
 
     def read_log(self):
         """Return the log's records; invalid lines become an "unreadable" event."""
