Soak: let restarts meet old reads, with time to notice what they leave behind

Restarts now come with old reads in most cases, series are at times some seconds apart, and the last one is always a restart with a change.

By the platform's rules machines that were killed in the last 4 s don't count; the check excuses just the routes that are younger than the oldest copy and those 4 s, and only in the data centre of the disturbed balancer. A new scenario goes through the cases.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -73,3 +73,18 @@
       | no configuration       | all balancers have the newest configuration |
       | a target too many      | all balancers follow the store              |
       | a target as not leaving | all balancers follow the store              |
+
+  Scenario Outline: A reset of an open flow is reported unless a started balancer may lack its route
+    Given a route that was added at 100 s
+    And "<subject>" was disturbed from <start> s to <end> s
+    When an open flow from "tifton" to the route is reset at <at> s
+    Then <count> resets are reported
+
+    Examples:
+      | subject   | start | end | at  | count |
+      | nothing   | 0     | 0   | 101 | 1     |
+      | tifton-1  | 100   | 101 | 102 | 0     |
+      | tifton-1  | 100   | 101 | 106 | 1     |
+      | tifton-1  | 112   | 113 | 114 | 1     |
+      | camilla-1 | 100   | 101 | 102 | 1     |
+      | i-1       | 100   | 101 | 102 | 0     |
--- a/libs/soak/features/steps/checks_steps.py
+++ b/libs/soak/features/steps/checks_steps.py
@@ -8,6 +8,7 @@
 from lagoontally_soak._disturbances import Disturbances
 from lagoontally_soak._route_history import RouteHistory
 from lagoontally_soak._views import view_violations
+from lagoontally_standins.packets import Outcome
 
 ROUTE = (3_322_019_841, 443)
 OTHER_ROUTE = (3_322_019_841, 8_443)
@@ -57,6 +58,47 @@
     assert promises == ["a request runs by the newest configuration"] * count, promises
 
 
+@given("a route that was added at {added_at:d} s")
+def step_added(context, added_at):
+    """A configuration without it was published at 0 s."""
+    context.history = RouteHistory({}, 0)
+    context.history.record({ROUTE: FORMER}, added_at)
+    context.disturbances = Disturbances()
+
+
+@when('an open flow from "{data_centre}" to the route is reset at {at:d} s')
+def step_reset(context, data_centre, at):
+    """Its target lives."""
+    callers = object()
+    balancers = {
+        f"{name}-1": SimpleNamespace(settings={"data_centre": name})
+        for name in (data_centre, "camilla")
+    }
+    deployment = SimpleNamespace(
+        balancers=balancers,
+        callers={data_centre: callers},
+        loop=SimpleNamespace(now=at),
+        routes={ROUTE: FORMER},
+        targets={"i-1": None},
+    )
+    faults = SimpleNamespace(
+        route_history=context.history,
+        disturbances=context.disturbances,
+        drain_started_at={},
+    )
+    flow = SimpleNamespace(
+        outcome=Outcome.RESET, flow=FLOW, target="i-1", request="q1", callers=callers
+    )
+    context.violations = Checks(deployment, faults).outcome_violations(flow, at)
+
+
+@then("{count:d} resets are reported")
+def step_resets(context, count):
+    """No other promise is broken."""
+    promises = [violation.promise for violation in context.violations]
+    assert promises == ["an open flow isn't reset"] * count, promises
+
+
 @given("a balancer that knows the store's targets and configuration")
 def step_view(context):
     """Two routes and two targets, one of which is leaving."""
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -11,6 +11,7 @@
 DRAIN_S = 3.0
 CONFIGURATION_S = 3.0
 EXCUSE_WINDOW_S = 4.0  # a disturbance this long before an event excuses it
+MAX_COPY_AGE_S = 6.0  # of what a read that may be old shows
 MAX_STRETCH_S = 12.0  # that a store that rejects some balancers is an excuse for
 
 
@@ -136,8 +137,10 @@
         route = flow.flow[2:]
         if self.faults.route_history.dropped_at(route) is not None:
             return self._dropped_route_violations(flow, sent_at)
-        if flow.outcome is Outcome.RESET and self._is_target_undisturbed(flow):
-            detail = f"{flow.flow} to {flow.target}, sent {flow.request}"
+        if flow.outcome is Outcome.RESET and not self._is_reset_excused(flow):
+            age_s = self.deployment.loop.now - self.faults.route_history.added_at(route)
+            detail = f"{flow.flow} to {flow.target}, sent {flow.request}, "
+            detail += f"{age_s:.2f} s after its route was added"
             return [Violation("an open flow isn't reset", detail)]
         added_at = self.faults.route_history.added_at(route)
         refused = flow.outcome is Outcome.NOT_OPENED and route in self.deployment.routes
@@ -158,14 +161,23 @@
         detail = f"{flow.flow} sent {flow.request} {sent_at - dropped_at:.2f} s after"
         return [Violation("a dropped route takes no request", detail)]
 
-    def _is_target_undisturbed(self, flow):
-        """Return whether the flow's route exists and its target was undisturbed."""
-        now = self.deployment.loop.now
-        known = flow.target in self.deployment.targets
-        if not known or flow.flow[2:] not in self.deployment.routes:
-            return False
-        return not self.faults.disturbances.any_between(
-            (flow.target,), now - EXCUSE_WINDOW_S, now
+    def _is_reset_excused(self, flow):
+        """Return whether the flow's route or target has ended, or was disturbed.
+
+        A balancer that has just started may not know a route that is newer than what
+        it has read.
+        """
+        now, route = self.deployment.loop.now, flow.flow[2:]
+        if flow.target not in self.deployment.targets:
+            return True
+        if route not in self.deployment.routes:
+            return True
+        start, disturbances = now - EXCUSE_WINDOW_S, self.faults.disturbances
+        if disturbances.any_between((flow.target,), start, now):
+            return True
+        added_at = self.faults.route_history.added_at(route)
+        return added_at > start - MAX_COPY_AGE_S and disturbances.any_between(
+            self._balancers_of(flow), start, now
         )
 
     def _is_excused(self, flow, moment, changed_at):
@@ -176,19 +188,22 @@
             moment: When its request was sent.
             changed_at: When the route was changed.
         """
+        start, balancers = moment - EXCUSE_WINDOW_S, self._balancers_of(flow)
+        disturbed = self.faults.disturbances.any_between(balancers, start, moment)
+        return disturbed or self._is_store_excuse(start, moment, changed_at)
+
+    def _balancers_of(self, flow):
+        """Return the names of the balancers in the data centre of a flow's caller."""
         data_centre = next(
             name
             for name, callers in self.deployment.callers.items()
             if callers is flow.callers
         )
-        balancers = [
+        return [
             name
             for name, balancer in self.deployment.balancers.items()
             if balancer.settings["data_centre"] == data_centre
         ]
-        start = moment - EXCUSE_WINDOW_S
-        disturbed = self.faults.disturbances.any_between(balancers, start, moment)
-        return disturbed or self._is_store_excuse(start, moment, changed_at)
 
     def _is_store_excuse(self, start, end, changed_at):
         """Return whether the store excuses an older configuration between two times.
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -25,7 +25,6 @@
 NEW_FLOW_SHARE = 0.3  # of requests, that open a flow as downloads do
 REQUEST_DEADLINE_S = 2.0
 FAULT_INTERVAL_S = (0.2, 2.5)
-SERIES_INTERVAL_S = (0.5, 4.0)
 RECOVERY_S = 9.0  # stopped balancers exit and routers detect all changes in this time
 FINAL_REQUESTS = 40
 VIEWS_S = 4.0  # the platform's bound for following the store
@@ -92,6 +91,7 @@
             if self._run_for(seconds):
                 return self.violations
             self.injecting_faults = False
+            self.series.inject_last()
             if self._run_for(RECOVERY_S):
                 return self.violations
             self.series.end_all()
@@ -132,8 +132,7 @@
     def _inject_series(self):
         if self.injecting_faults:
             self.series.inject_one()
-            pause_s = self.series.random.uniform(*SERIES_INTERVAL_S)
-            self.loop.after(pause_s, self._inject_series)
+            self.loop.after(self.series.next_pause_s(), self._inject_series)
 
     def _send_requests(self):
         for target_id, (_, target) in self.deployment.targets.items():
--- a/libs/soak/src/lagoontally_soak/_series.py
+++ b/libs/soak/src/lagoontally_soak/_series.py
@@ -15,12 +15,15 @@
     STORE_SILENT,
 )
 
+from ._checks import MAX_COPY_AGE_S
 from ._disturbances import STORE, STORE_PARTLY
 
 FIRST_PORT = 20_000  # of the routes that are added here
 MIN_FAULT_S, MAX_FAULT_S = 4.0, 22.0
-MAX_COPY_AGE_S = 6.0
-MAX_OLD_READS_S = 14.0
+COPY_AGE_S = (1.0, MAX_COPY_AGE_S)  # at most
+OLD_READS_S = (3.0, 14.0)
+OLD_READS_SHARE = 0.7  # of the restarts of data centres
+OVERLAPPING_S, APART_S = (0.2, 1.5), (4.0, 7.0)
 SLOW_STORE_S = 0.25
 MAX_AWAY_S = 1.5  # of killed balancers
 MAX_KILL_DELAY_S = 0.4  # after a change
@@ -53,16 +56,30 @@
         """Inject a random series."""
         kinds = (
             self.read_old_copies,
-            self.read_old_copies,
+            self.restart_data_centre,
             self.restart_data_centre,
             self.restart_data_centre,
             self.move_route,
             self.change_often,
+            self.change_often,
             self.harm_store,
             self.harm_paths,
             self.reject_some,
         )
-        kind = self.random.choice(kinds)
+        self._inject(self.random.choice(kinds))
+
+    def inject_last(self):
+        """Inject the series that no later change of configuration covers up."""
+        self._inject(self.restart_data_centre)
+
+    def next_pause_s(self):
+        """Return how long to wait before the next series.
+
+        The next version of the configuration ends what the one before it led to.
+        """
+        return self.random.uniform(*self.random.choice((OVERLAPPING_S, APART_S)))
+
+    def _inject(self, kind):
         kind()
         counts = self.faults.injected_counts
         counts[kind.__name__] = counts.get(kind.__name__, 0) + 1
@@ -77,7 +94,7 @@
         """Answer reads that may be old from copies that differ in age."""
         random, store = self.random, self.deployment.store
         copies = Random(random.random())  # the number of reads depends on timing
-        max_age_s = random.uniform(0.5, MAX_COPY_AGE_S)
+        max_age_s = random.uniform(*COPY_AGE_S)
         min_age_s = random.choice((0.0, max_age_s))
         store.stale_as_of_present = random.random() < 0.5
 
@@ -89,7 +106,7 @@
                 store.stale_s = 0.0
 
         store.stale_s = draw_age_s
-        self.loop.after(random.uniform(1.0, MAX_OLD_READS_S), end)
+        self.loop.after(random.uniform(*OLD_READS_S), end)
 
     def restart_data_centre(self):
         """Change routes and kill all balancers of one or all data centres."""
@@ -99,6 +116,8 @@
             centres = (random.choice(centres),)
         balancers = self._balancers_of(centres)
         away_s = random.uniform(0.0, MAX_AWAY_S)
+        if random.random() < OLD_READS_SHARE:
+            self.read_old_copies()
         self.change_routes()
         delay_s = random.uniform(0.0, MAX_KILL_DELAY_S)
         self.loop.after(delay_s, lambda: self._restart(balancers, away_s))
