--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -34,14 +34,15 @@
 )
 VIEW, KNOWN = Position(2, 10, 1), Position(2, 9, 0)
 ENTRIES = [("servers/i-1", TARGET), ("servers/i-2", None)]
-DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES)
+DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES, 77)
 MESSAGES = (
     Hello("tifton", 7, 2),
     Joined("tifton"),
     Members(7, 3, False, 0, 1, 2_000, ["10.0.0.1", "10.0.0.2"], ["10.0.0.3"]),
-    Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False),
+    Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False, 77),
     DELTA,
     ConfigurationDelta(
+        3,
         4,
         7,
         15_000,
@@ -51,6 +52,7 @@
             ((3_323_068_417, 8_443), Route("r-1", (("desk", 9), ("vault", 1)), True)),
             ((3_323_068_417, 8_080), None),
         ],
+        77,
     ),
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
@@ -72,7 +74,9 @@
 @when("a delta arrives whose target has {field} {value}")
 def step_delta(context, field, value):
     document = json.loads(encode_message(DELTA))
-    document[-1][0][1][Target._fields.index(field)] = json.loads(value)
+    document[1 + Delta._fields.index("entries")][0][1][Target._fields.index(field)] = (
+        json.loads(value)
+    )
     context.decoded = decode_message(json.dumps(document).encode())
 
 
@@ -113,7 +117,7 @@
     routes = [
         ((4_294_967_295, n), Route(f"route-{n:06}", shares, True)) for n in range(count)
     ]
-    delta = ConfigurationDelta(2**31, 2**31 + 1, 600_000, 0, 1, routes)
+    delta = ConfigurationDelta(2**33, 2**31, 2**31 + 1, 600_000, 0, 1, routes, 2**32)
     parts = split_configuration_delta(delta)
     decoded = [decode_message(encode_message(part)) for part in parts]
     assert decoded == parts
