Soak: a started balancer may not know a target that is newer than its reads

As for routes, the check excuses just targets that are younger than the oldest copy and the 4 s, where a balancer was disturbed.

--- a/libs/soak/features/steps/checks_steps.py
+++ b/libs/soak/features/steps/checks_steps.py
@@ -58,15 +58,16 @@
     assert promises == ["a request runs by the newest configuration"] * count, promises
 
 
-@given("a route that was added at {added_at:d} s")
-def step_added(context, added_at):
-    """A configuration without it was published at 0 s."""
+@given("a route that was added at {added_at:d} s and a target that started at {at:d} s")
+def step_added(context, added_at, at):
+    """A configuration without the route was published at 0 s."""
+    context.target = SimpleNamespace(started_at=at)
     context.history = RouteHistory({}, 0)
     context.history.record({ROUTE: FORMER}, added_at)
     context.disturbances = Disturbances()
 
 
-@when('an open flow from "{data_centre}" to the route is reset at {at:d} s')
+@when('an open flow from "{data_centre}" to the target is reset at {at:d} s')
 def step_reset(context, data_centre, at):
     """Its target lives."""
     callers = object()
@@ -79,7 +80,7 @@
         callers={data_centre: callers},
         loop=SimpleNamespace(now=at),
         routes={ROUTE: FORMER},
-        targets={"i-1": None},
+        targets={"i-1": (0, context.target)},
     )
     faults = SimpleNamespace(
         route_history=context.history,
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -138,9 +138,8 @@
         if self.faults.route_history.dropped_at(route) is not None:
             return self._dropped_route_violations(flow, sent_at)
         if flow.outcome is Outcome.RESET and not self._is_reset_excused(flow):
-            age_s = self.deployment.loop.now - self.faults.route_history.added_at(route)
-            detail = f"{flow.flow} to {flow.target}, sent {flow.request}, "
-            detail += f"{age_s:.2f} s after its route was added"
+            at = self.deployment.loop.now
+            detail = f"{flow.flow} to {flow.target}, sent {flow.request}, at {at:.3f}"
             return [Violation("an open flow isn't reset", detail)]
         added_at = self.faults.route_history.added_at(route)
         refused = flow.outcome is Outcome.NOT_OPENED and route in self.deployment.routes
@@ -164,19 +163,20 @@
     def _is_reset_excused(self, flow):
         """Return whether the flow's route or target has ended, or was disturbed.
 
-        A balancer that has just started may not know a route that is newer than what
-        it has read.
+        A balancer that has just started may not know a route or a target that is newer
+        than what it has read.
         """
         now, route = self.deployment.loop.now, flow.flow[2:]
         if flow.target not in self.deployment.targets:
             return True
+        _, target = self.deployment.targets[flow.target]
         if route not in self.deployment.routes:
             return True
         start, disturbances = now - EXCUSE_WINDOW_S, self.faults.disturbances
         if disturbances.any_between((flow.target,), start, now):
             return True
-        added_at = self.faults.route_history.added_at(route)
-        return added_at > start - MAX_COPY_AGE_S and disturbances.any_between(
+        known_from = max(self.faults.route_history.added_at(route), target.started_at)
+        return known_from > start - MAX_COPY_AGE_S and disturbances.any_between(
             self._balancers_of(flow), start, now
         )
 
--- a/libs/standins/src/lagoontally_standins/packets/_target.py
+++ b/libs/standins/src/lagoontally_standins/packets/_target.py
@@ -50,6 +50,7 @@
     Attributes:
         first_syns: ``FirstSyn`` of each flow.
         silent: Whether the target drops all packets.
+        started_at: When it started, on the loop's clock.
     """
 
     def __init__(self, loop, identity, service, address, *, caller_port, ledger):
@@ -63,6 +64,7 @@
         self.first_syns = {}
         self.resets = 0
         self.silent = False
+        self.started_at = loop.now
         self.work_s = 0.005
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(address)
