Soak: a balancer may be paused while a flow opens, not only before

The log of tifton-3: no line between 1995.03 s and 1996.32 s, then "resumed", and all three SYNs of the flow dropped as stale. The check now counts disturbances up to the outcome. The soak keeps the times of disturbances next to the logs, so that such a case is read and not inferred.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -90,3 +90,18 @@
       | 100   | 100    | tifton-1  | 112   | 113 | 114 | 1     |
       | 100   | 100    | camilla-1 | 100   | 101 | 102 | 1     |
       | 50    | 50     | i-1       | 100   | 101 | 102 | 0     |
+
+  Scenario Outline: A refused flow is reported unless a balancer was disturbed while it opened
+    Given a route that was added at 100 s and a target that started at 50 s
+    And "<subject>" was disturbed from <start> s to <end> s
+    When a flow from "tifton", sent at <sent> s, is refused at <at> s
+    Then <count> refused flows are reported
+
+    Examples:
+      | subject   | start | end | sent | at  | count |
+      | nothing   | 0     | 0   | 102  | 103 | 0     |
+      | nothing   | 0     | 0   | 105  | 106 | 1     |
+      | tifton-1  | 106   | 107 | 105  | 107 | 0     |
+      | tifton-1  | 108   | 109 | 105  | 107 | 1     |
+      | tifton-1  | 98    | 100 | 105  | 107 | 1     |
+      | camilla-1 | 106   | 107 | 105  | 107 | 1     |
--- a/libs/soak/features/steps/checks_steps.py
+++ b/libs/soak/features/steps/checks_steps.py
@@ -67,9 +67,8 @@
     context.disturbances = Disturbances()
 
 
-@when('an open flow from "{data_centre}" to the target is reset at {at:d} s')
-def step_reset(context, data_centre, at):
-    """Its target lives."""
+def outcome_violations(context, data_centre, outcome, *, sent_at, at):
+    """Return the violations that a flow's outcome shows; its target lives."""
     callers = object()
     balancers = {
         f"{name}-1": SimpleNamespace(settings={"data_centre": name})
@@ -88,9 +87,32 @@
         drain_started_at={},
     )
     flow = SimpleNamespace(
-        outcome=Outcome.RESET, flow=FLOW, target="i-1", request="q1", callers=callers
+        outcome=outcome, flow=FLOW, target="i-1", request="q1", callers=callers
+    )
+    return Checks(deployment, faults).outcome_violations(flow, sent_at)
+
+
+@when('an open flow from "{data_centre}" to the target is reset at {at:d} s')
+def step_reset(context, data_centre, at):
+    """It was sent at once."""
+    context.violations = outcome_violations(
+        context, data_centre, Outcome.RESET, sent_at=at, at=at
     )
-    context.violations = Checks(deployment, faults).outcome_violations(flow, at)
+
+
+@when('a flow from "{data_centre}", sent at {sent:d} s, is refused at {at:d} s')
+def step_refused(context, data_centre, sent, at):
+    """None of its SYNs was answered."""
+    context.violations = outcome_violations(
+        context, data_centre, Outcome.NOT_OPENED, sent_at=sent, at=at
+    )
+
+
+@then("{count:d} refused flows are reported")
+def step_refused_reported(context, count):
+    """No other promise is broken."""
+    promises = [violation.promise for violation in context.violations]
+    assert promises == ["a route in force takes flows"] * count, promises
 
 
 @then("{count:d} resets are reported")
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -144,7 +144,8 @@
         added_at = self.faults.route_history.added_at(route)
         refused = flow.outcome is Outcome.NOT_OPENED and route in self.deployment.routes
         settled = sent_at > added_at + CONFIGURATION_S
-        excused = self._is_excused(flow, sent_at, added_at)
+        now = self.deployment.loop.now
+        excused = self._is_excused(flow, sent_at, now, added_at)
         excused = excused or self._has_target_ended(sent_at)
         if refused and settled and not excused:
             detail = f"{flow.flow} sent {flow.request}"
@@ -155,7 +156,9 @@
         dropped_at = self.faults.route_history.dropped_at(flow.flow[2:])
         late = sent_at > dropped_at + CONFIGURATION_S
         answered = flow.outcome is Outcome.ANSWERED
-        if not answered or not late or self._is_excused(flow, sent_at, dropped_at):
+        if not answered or not late:
+            return []
+        if self._is_excused(flow, sent_at, sent_at, dropped_at):
             return []
         detail = f"{flow.flow} sent {flow.request} {sent_at - dropped_at:.2f} s after"
         return [Violation("a dropped route takes no request", detail)]
@@ -180,17 +183,18 @@
             self._balancers_of(flow), start, now
         )
 
-    def _is_excused(self, flow, moment, changed_at):
+    def _is_excused(self, flow, sent_at, end, changed_at):
         """Return whether the store or a balancer of the data centre was disturbed.
 
         Args:
             flow: The ``CallerFlow``.
-            moment: When its request was sent.
+            sent_at: When its request was sent.
+            end: Until when a balancer may have handled it.
             changed_at: When the route was changed.
         """
-        start, balancers = moment - EXCUSE_WINDOW_S, self._balancers_of(flow)
-        disturbed = self.faults.disturbances.any_between(balancers, start, moment)
-        return disturbed or self._is_store_excuse(start, moment, changed_at)
+        start, balancers = sent_at - EXCUSE_WINDOW_S, self._balancers_of(flow)
+        disturbed = self.faults.disturbances.any_between(balancers, start, end)
+        return disturbed or self._is_store_excuse(start, end, changed_at)
 
     def _balancers_of(self, flow):
         """Return the names of the balancers in the data centre of a flow's caller."""
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -1,6 +1,7 @@
 """Seeded soak test: balancer processes under load with overlapping faults."""
 
 import itertools
+import json
 import sys
 import tempfile
 import time
@@ -28,6 +29,7 @@
 RECOVERY_S = 9.0  # stopped balancers exit and routers detect all changes in this time
 FINAL_REQUESTS = 40
 VIEWS_S = 4.0  # the platform's bound for following the store
+DISTURBANCES_FILE = "disturbances.json"
 CHECK_INTERVAL_S = 0.5  # between checks of a broken build
 
 
@@ -249,4 +251,7 @@
             mutation=mutation,
         )
         run.run(seconds)
+        # On the clock of ``at_ms`` in the logs.
+        disturbances = run.faults.disturbances.items
+        (folder / DISTURBANCES_FILE).write_text(json.dumps(disturbances))
     return run
