Soak: each change of a series has its own draws, and changes at least one route

A series of changes drew from the shared generator when each change was made, so what a seed drew depended on the time of other series. And once 200 routes were there, a change that could only add changed none; the scenario about the sizes of changes failed on it as soon as the draws were others.

--- a/libs/soak/features/steps/series_steps.py
+++ b/libs/soak/features/steps/series_steps.py
@@ -50,7 +50,7 @@
             if with_series:
                 series.inject_one()
                 previous = dict(deployment.routes)
-                series.change_routes()
+                series.change_routes(series.random)
                 sizes.append(count_changes(previous, deployment.routes))
         deployment.store.listener.close()
     return kinds, sizes
--- a/libs/soak/src/lagoontally_soak/_series.py
+++ b/libs/soak/src/lagoontally_soak/_series.py
@@ -118,7 +118,7 @@
         away_s = random.uniform(0.0, MAX_AWAY_S)
         if random.random() < OLD_READS_SHARE:
             self.read_old_copies()
-        self.change_routes()
+        self.change_routes(random)
         delay_s = random.uniform(0.0, MAX_KILL_DELAY_S)
         self.loop.after(delay_s, lambda: self._restart(balancers, away_s))
 
@@ -157,24 +157,25 @@
         """Publish several versions in quick succession."""
         delay_s = 0.0
         for _ in range(self.random.randint(2, MAX_CHANGES)):
-            self.loop.after(delay_s, self.change_routes)
+            # Other series may draw before the change is made.
+            draws = Random(self.random.random())
+            self.loop.after(delay_s, lambda draws=draws: self.change_routes(draws))
             delay_s += self.random.uniform(*CHANGE_INTERVAL_S)
 
-    def change_routes(self):
+    def change_routes(self, random):
         """Publish a version in which some routes are moved, added or dropped."""
-        random, routes = self.random, self.deployment.routes
+        routes = self.deployment.routes
         count = random.randint(*random.choice(CHANGED_ROUTES))
         present = sorted(routes)
         address = present[0][0]
-        for route in random.sample(
-            present, random.randint(0, min(count, len(present)))
-        ):
-            count -= 1
+        least = max(0, count - (MAX_ROUTES - len(present)))
+        known = random.randint(least, min(count, len(present)))
+        for route in random.sample(present, known):
             if route[1] >= FIRST_PORT and random.random() < 0.6:
                 del routes[route]
             else:
                 self._move(route)
-        for _ in range(min(count, MAX_ROUTES - len(routes))):
+        for _ in range(count - known):
             routes[(address, self.next_port)] = random.choice(SERVICES)
             self.next_port += 1
         self.faults.publish()
