--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -27,6 +27,15 @@
       | 1    | balancers name a target differently |
       | 1    | new routes are ignored              |
 
+  Scenario Outline: A build that goes on from the position of an old read is detected
+    When seed <seed> is run for <seconds> s with "a read that may be old gives a position"
+    Then a violation of the promise that it breaks is found
+
+    Examples:
+      | seed | seconds |
+      | 8    | 2       |
+      | 7    | 2       |
+
   Scenario: Balancers that can't start are reported as a violation
     When a soak test is run whose balancers exit at once
     Then the only broken promise is "balancers start"
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -50,6 +50,13 @@
     )
 
 
+@when('seed {seed:d} is run for {seconds:d} s with "{mutation}"')
+def step_short_mutation(context, seed, seconds, mutation):
+    """What the broken build leaves behind shows once the faults are over."""
+    network = find_free_network(NETWORKS)
+    context.run = soak(seed=seed, seconds=seconds, network=network, mutation=mutation)
+
+
 @then("a violation of the promise that it breaks is found")
 def step_detected(context):
     """Check the promise; others may be broken too."""
--- a/libs/soak/src/lagoontally_soak/_mutations.py
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -109,6 +109,17 @@
     balancer.configuration = configuration
     return True
 Balancer.configure = configure
+""",
+    ),
+    "a read that may be old gives a position": Mutation(
+        "a route in force takes flows",
+        """
+from lagoontally_flows import StoreSync
+def without_age(method):
+    return lambda sync, *arguments, may_be_old=False, **named: method(
+        sync, *arguments, **named)
+StoreSync.on_listed = without_age(StoreSync.on_listed)
+StoreSync.on_configuration_read = without_age(StoreSync.on_configuration_read)
 """,
     ),
 }
