--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_store_reads.py
@@ -0,0 +1,90 @@
+"""Which reads of the store are due, and whether a peer is asked instead."""
+
+from ._call_timing import FRESH_MS
+from ._reader_messages import ReaderMessages
+from ._store_sync_records import (
+    FetchConfiguration,
+    FetchTargets,
+    ListTargets,
+    ReadConfiguration,
+)
+
+FETCH_RETRY_MS = 300
+
+
+class StoreReads(ReaderMessages):
+    """Reads of all targets and of the configuration.
+
+    Attributes:
+        announced_version: Newest version announced in a beacon.
+        confirmed_ms: When the view was last known to be current.
+        call_cancelled: Whether to cancel the running call to the store, since
+            another reader reaches the store, or what it asks about has ended or is
+            in doubt. Cleared by the caller of ``next_call``.
+    """
+
+    def __init__(self, *, priority, random, slow_link=False):
+        super().__init__(priority=priority, random=random, slow_link=slow_link)
+        self.announced_version = 0
+        self.confirmed_ms = None
+        self.call_cancelled = False
+        self._reader_is_next = True
+        self._reader_host = None
+        self._listed = False
+        self._first_listing = True
+        self._next_call_ms = 0
+
+    def reaches_store(self, now_ms):
+        """Return whether this balancer or its reader has lately reached the store."""
+        fresh_ms = FRESH_MS if self.reader else 2 * FRESH_MS  # beacons come later
+        return self.confirmed_ms is not None and now_ms - self.confirmed_ms <= fresh_ms
+
+    def reread(self):
+        """Read the store again, as a change may have been missed.
+
+        A follower reads only the configuration.
+
+        Returns:
+            False if a read is due anyway.
+        """
+        announced = self.announced_version > self.configuration_version
+        if announced or not (self._listed and self._configured):
+            return False
+        if self.reader and self.history.position is None:
+            return False
+        if self.reader:
+            self._list_again()
+            self.call_cancelled = True
+        self._configured = self._reader_is_next = False
+        return True
+
+    def _list_again(self):
+        """Read targets and configuration from the store once more."""
+        self._listed = self._configured = self._first_listing = False
+        self.history.configuration = None
+
+    def _configuration_call(self, now_ms):
+        """Alternate between the reader and the store until one has it."""
+        # A reader needs a position, which only the store's answer gives.
+        if self.reader and self.configuration_version and not self.failures:
+            return ReadConfiguration(may_be_old=False)
+        if self._take_reader_turn(now_ms):
+            return FetchConfiguration(self._reader_host)
+        # All balancers poll until the operator publishes the first configuration.
+        # Beacons correct an outdated one, as they do for the first listing.
+        nothing_known = self.announced_version == self.configuration_version == 0
+        return ReadConfiguration(nothing_known and not self.history.stale_refused)
+
+    def _first_call(self, now_ms):
+        """Try the store first; while it fails, alternate with a known reader."""
+        if self.failures and self._take_reader_turn(now_ms):
+            return FetchTargets(self._reader_host)
+        nothing_known = self._first_listing and self.history.targets is None
+        return ListTargets(nothing_known and not self.history.stale_refused)
+
+    def _take_reader_turn(self, now_ms):
+        self._reader_is_next = not self._reader_is_next
+        if self._reader_is_next or self._reader_host is None:
+            return False
+        self._next_call_ms = now_ms + FETCH_RETRY_MS
+        return True
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store_sync.py
@@ -17,10 +17,9 @@
     retry_pause_ms,
 )
 from ._parts import PartCollector
-from ._reader_messages import ReaderMessages
 from ._store_history import BEGAN, ENDED
+from ._store_reads import FETCH_RETRY_MS, StoreReads
 from ._store_sync_records import (
-    FetchConfiguration,
     FetchTargets,
     ListTargets,
     ReadConfiguration,
@@ -31,35 +30,21 @@
 WATCH_WAIT_MS = 800  # each answer proves that the store is reachable; see FRESH_MS
 WATCH_PAUSE_MS = 150  # batches changes that occur together into one call
 MAX_ROUTES_FROM_READER = 3_000  # times members; a reader's link needs a second
-FETCH_RETRY_MS = 300
 
 
-class StoreSync(ReaderMessages):
+class StoreSync(StoreReads):
     """Decides the next call to the store or to a peer.
 
     Attributes:
         has_targets: Whether any targets were read, from the store or a peer.
-        announced_version: Newest version announced in a beacon.
-        confirmed_ms: When the view was last known to be current.
-        call_cancelled: Whether to cancel the running call to the store, since
-            another reader reaches the store or the history that it asks about has
-            ended. Cleared by the caller of ``next_call``.
     """
 
     def __init__(self, *, priority, random, slow_link=False):
         super().__init__(priority=priority, random=random, slow_link=slow_link)
         self.has_targets = False
-        self.announced_version = 0
-        self.confirmed_ms = None
-        self.call_cancelled = False
-        self._reader_is_next = True
-        self._reader_host = None
-        self._listed = False
-        self._first_listing = True
         self._catch_up_revision = None
         self._settling = False
         self._uninformed = False
-        self._next_call_ms = 0
         self._targets_outdated = False
         self._parts = PartCollector()
         self._comparison = TargetComparison(self.history)
@@ -298,6 +283,8 @@
             self.history.on_configuration_known(beacon.known)
         informed = self.history.informed_era == self.history.era
         self._uninformed = beacon.settling and not informed
+        if beacon.settling:
+            self.history.on_settling_reader(now_ms)
         if not beacon.view.revision:
             return  # its targets may be old as well
         if self._comparison.has_targets_of(beacon, digest if self._listed else None):
@@ -320,11 +307,6 @@
         wait_ms = WATCH_WAIT_MS if self.in_contact(now_ms) else 1
         return Watch(self.history.position.revision, wait_ms)
 
-    def _list_again(self):
-        """Read targets and configuration from the store once more."""
-        self._listed = self._configured = self._first_listing = False
-        self.history.configuration = None
-
     def _compare_peer_era(self, era, now_ms):
         """Compare the era of a peer's message with the one known."""
         found = self.history.compare_era(era, now_ms)
@@ -370,26 +352,3 @@
             self._reader_is_next = True
             due_ms = now_ms + fetch_delay_ms(self.members, self.random)
             self._next_call_ms = max(self._next_call_ms, due_ms)
-
-    def _configuration_call(self, now_ms):
-        """Alternate between the reader and the store until one has it."""
-        if not self.reader and self._take_reader_turn(now_ms):
-            return FetchConfiguration(self._reader_host)
-        # All balancers poll until the operator publishes the first configuration.
-        # Beacons correct an outdated one, as they do for the first listing.
-        nothing_known = self.announced_version == self.configuration_version == 0
-        return ReadConfiguration(nothing_known and not self.history.stale_refused)
-
-    def _first_call(self, now_ms):
-        """Try the store first; while it fails, alternate with a known reader."""
-        if self.failures and self._take_reader_turn(now_ms):
-            return FetchTargets(self._reader_host)
-        nothing_known = self._first_listing and self.history.targets is None
-        return ListTargets(nothing_known and not self.history.stale_refused)
-
-    def _take_reader_turn(self, now_ms):
-        self._reader_is_next = not self._reader_is_next
-        if self._reader_is_next or self._reader_host is None:
-            return False
-        self._next_call_ms = now_ms + FETCH_RETRY_MS
-        return True
--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -48,6 +48,7 @@
             function that returns the age of the copy for each such read.
         stale_as_of_present: Whether such a read names the store's present revision
             instead of the copy's.
+        withheld: Prefix of the keys by client host whose changes watches lack.
         calls: Number of requests by client host.
         compacted_revision: Watches from before this revision get 410.
         era: Incremented by each restore.
@@ -68,6 +69,7 @@
         self.history_s = HISTORY_S
         self.stale_s = 0.0
         self.stale_as_of_present = False
+        self.withheld = {}
         self.calls = {}
         self.pending_watches = []
         self.listener = socket.create_server(address, backlog=128)
@@ -179,10 +181,13 @@
         if not self.compacted_revision <= after <= self.revision:
             connection.send(410, {})
             return
+        withheld = self.withheld.get(connection.host)
         found = [
             event
             for event in self.events
-            if event.revision > after and event.key.startswith(query.get("prefix", ""))
+            if event.revision > after
+            and event.key.startswith(query.get("prefix", ""))
+            and not (withheld and event.key.startswith(withheld))
         ]
         if found:
             events = [_item(event) for event in found]
