--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -27,9 +27,90 @@
       | 1    | balancers name a target differently |
       | 1    | new routes are ignored              |
 
+  Scenario Outline: A build that goes on from the position of an old read is detected
+    When seed <seed> is run for <seconds> s with "a read that may be old gives a position"
+    Then a violation of the promise that it breaks is found
+
+    Examples:
+      | seed | seconds |
+      | 8    | 2       |
+      | 7    | 2       |
+
   Scenario: Balancers that can't start are reported as a violation
     When a soak test is run whose balancers exit at once
     Then the only broken promise is "balancers start"
 
   Scenario: The proxy disturbs connections in each of its modes
     Then a call through the proxy is answered, dropped, reset or delayed by its mode
+
+  Scenario: Series of faults leave the other faults of a seed as they were
+    When the faults of 20 seeds are drawn with and without series
+    Then both draw the same faults
+    And the series change up to 8, more than 8 and more than 64 routes at once
+
+  Scenario Outline: A run by an older configuration is reported unless the rules excuse it
+    Given a route that was moved at 100 s
+    And "<subject>" was disturbed from <start> s to <end> s
+    When a flow that opens at <at> s through "tifton-1" is run by the former service
+    Then <count> runs by an older configuration are reported
+
+    Examples:
+      | subject       | start | end | at    | count |
+      | nothing       | 0     | 0   | 102.9 | 0     |
+      | nothing       | 0     | 0   | 103.1 | 1     |
+      | tifton-1      | 98    | 100 | 103.1 | 0     |
+      | tifton-1      | 98    | 100 | 104.1 | 1     |
+      | tifton-1      | 90    | 120 | 119.0 | 0     |
+      | tifton-2      | 98    | 104 | 103.1 | 1     |
+      | store         | 90    | 120 | 119.0 | 0     |
+      | store         | 98    | 100 | 104.1 | 1     |
+      | store, partly | 90    | 130 | 114.9 | 0     |
+      | store, partly | 90    | 130 | 115.1 | 1     |
+      | store, partly | 98    | 100 | 104.1 | 1     |
+
+  Scenario Outline: A balancer that lacks a change once the faults are over is reported
+    Given a balancer that knows the store's targets and configuration
+    When it has <difference>
+    Then "<promise>" is the only violation of its view
+
+    Examples:
+      | difference             | promise                                     |
+      | an older version       | all balancers have the newest configuration |
+      | a route too many       | all balancers have the newest configuration |
+      | a route less           | all balancers have the newest configuration |
+      | another service        | all balancers have the newest configuration |
+      | no configuration       | all balancers have the newest configuration |
+      | a target too many      | all balancers follow the store              |
+      | a target as not leaving | all balancers follow the store              |
+
+  Scenario Outline: A reset of an open flow is reported unless a started balancer may not know it
+    Given a route that was added at <route> s and a target that started at <target> s
+    And "<subject>" was disturbed from <start> s to <end> s
+    When an open flow from "tifton" to the target is reset at <at> s
+    Then <count> resets are reported
+
+    Examples:
+      | route | target | subject   | start | end | at  | count |
+      | 100   | 50     | nothing   | 0     | 0   | 101 | 1     |
+      | 100   | 50     | tifton-1  | 100   | 101 | 102 | 0     |
+      | 50    | 100    | tifton-1  | 100   | 101 | 102 | 0     |
+      | 50    | 50     | tifton-1  | 100   | 101 | 102 | 1     |
+      | 100   | 100    | tifton-1  | 100   | 101 | 106 | 1     |
+      | 100   | 100    | tifton-1  | 112   | 113 | 114 | 1     |
+      | 100   | 100    | camilla-1 | 100   | 101 | 102 | 1     |
+      | 50    | 50     | i-1       | 100   | 101 | 102 | 0     |
+
+  Scenario Outline: A refused flow is reported unless a balancer was disturbed while it opened
+    Given a route that was added at 100 s and a target that started at 50 s
+    And "<subject>" was disturbed from <start> s to <end> s
+    When a flow from "tifton", sent at <sent> s, is refused at <at> s
+    Then <count> refused flows are reported
+
+    Examples:
+      | subject   | start | end | sent | at  | count |
+      | nothing   | 0     | 0   | 102  | 103 | 0     |
+      | nothing   | 0     | 0   | 105  | 106 | 1     |
+      | tifton-1  | 106   | 107 | 105  | 107 | 0     |
+      | tifton-1  | 108   | 109 | 105  | 107 | 1     |
+      | tifton-1  | 98    | 100 | 105  | 107 | 1     |
+      | camilla-1 | 106   | 107 | 105  | 107 | 1     |
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -4,23 +4,27 @@
 
 from lagoontally_standins.packets import Outcome
 
+from ._disturbances import STORE, STORE_PARTLY, STORE_SUBJECTS
 from ._faults import ENTRY_EXPIRY_S
+from ._violation import Violation
 
 DRAIN_S = 3.0
 CONFIGURATION_S = 3.0
 EXCUSE_WINDOW_S = 4.0  # a disturbance this long before an event excuses it
+MAX_COPY_AGE_S = 6.0  # of what a read that may be old shows
+MAX_STRETCH_S = 12.0  # that a store that rejects some balancers is an excuse for
 
 
-class Violation(NamedTuple):
-    """A broken promise.
+class SentRequest(NamedTuple):
+    """A request that a caller sent.
 
     Attributes:
-        promise: Which one.
-        detail: What was observed.
+        flow: Addresses and ports of caller and route.
+        opened_at: When the caller opened its flow.
     """
 
-    promise: str
-    detail: str
+    flow: tuple
+    opened_at: float
 
 
 class Checks:
@@ -35,31 +39,66 @@
         self.deployment = deployment
         self.faults = faults
 
-    def violations_of_run(self, sent_services, targets):
+    def violations_of_run(self, sent_requests, targets):
         """Return every ``Violation`` of the whole run.
 
         Args:
-            sent_services: Service of each request sent, by request.
+            sent_requests: Every ``SentRequest`` by request.
             targets: Every target that ever ran, by id.
         """
         return [
-            *self._run_violations(sent_services),
+            *self._run_violations(sent_requests),
+            *self._old_configuration_violations(sent_requests, targets),
             *self._drain_violations(targets),
         ]
 
-    def _run_violations(self, sent_services):
+    def _run_violations(self, sent_requests):
         first_runs = {}
         for run in self.deployment.ledger:
             first = first_runs.setdefault(run.request, run)
             if first is not run:
                 detail = f"{run.request} ran again: {run} after {first}"
                 yield Violation("a request runs once", detail)
-            if sent_services.get(run.request) != run.service:
-                detail = (
-                    f"{run.request} for {sent_services.get(run.request)} ran at {run}"
-                )
+            sent = sent_requests.get(run.request)
+            services = self.faults.route_history.ever(sent.flow[2:]) if sent else ()
+            if run.service not in services:
+                detail = f"{run.request} for {services} ran at {run}"
                 yield Violation("a request reaches its own service", detail)
 
+    def _old_configuration_violations(self, sent_requests, targets):
+        """Yield a violation for each run that only an older configuration allows.
+
+        A flow stays at its target when its route moves, so what counts is its opening.
+        """
+        history = self.faults.route_history
+        for run in self.deployment.ledger:
+            sent = sent_requests.get(run.request)
+            if sent is None:
+                continue
+            route, opened_at = sent.flow[2:], sent.opened_at
+            opening = targets[run.target].first_syns[sent.flow]
+            allowed = history.allowed(route, opened_at - CONFIGURATION_S, opening.at)
+            if run.service in allowed or run.service not in history.ever(route):
+                continue
+            changed_at = history.replaced_at(route, run.service, opening.at)
+            name = self._balancer_at(opening.host)
+            start = opened_at - EXCUSE_WINDOW_S
+            disturbances = self.faults.disturbances
+            if disturbances.any_between((name,), start, opening.at):
+                continue
+            if self._is_store_excuse(start, opening.at, changed_at):
+                continue
+            detail = f"{run.request} on {route[1]} ran at {run.service}, of {allowed}, "
+            detail += f"through {name} {opened_at - changed_at:.2f} s after"
+            yield Violation("a request runs by the newest configuration", detail)
+
+    def _balancer_at(self, host):
+        return next(
+            name
+            for name, balancer in self.deployment.balancers.items()
+            if balancer.settings["host"] == host
+        )
+
     def _drain_violations(self, targets):
         for target_id, drain_started_at in self.faults.drain_started_at.items():
             if drain_started_at is None:
@@ -73,13 +112,8 @@
 
     def _is_opening_excused(self, opening):
         """Return whether the store or the forwarding balancer was disturbed."""
-        names = [
-            name
-            for name, balancer in self.deployment.balancers.items()
-            if balancer.settings["host"] == opening.host
-        ]
-        subjects = ("store", *names)
-        return self.faults.was_disturbed(
+        subjects = (*STORE_SUBJECTS, self._balancer_at(opening.host))
+        return self.faults.disturbances.any_between(
             subjects, opening.at - EXCUSE_WINDOW_S, opening.at
         )
 
@@ -88,7 +122,7 @@
         return [
             Violation("no balancer ends by itself", name)
             for name, balancer in self.deployment.balancers.items()
-            if not balancer.alive() and name not in self.faults.faulted_balancers
+            if not balancer.alive() and not self.faults.is_faulted(name)
         ]
 
     def outcome_violations(self, flow, sent_at):
@@ -101,51 +135,92 @@
         if flow.outcome is Outcome.WRONG:
             return [Violation("an answer is the request's own", flow.request)]
         route = flow.flow[2:]
-        if route in self.faults.dropped_at:
+        if self.faults.route_history.dropped_at(route) is not None:
             return self._dropped_route_violations(flow, sent_at)
-        if flow.outcome is Outcome.RESET and self._is_target_undisturbed(flow):
-            detail = f"{flow.flow} to {flow.target}, sent {flow.request}"
+        if flow.outcome is Outcome.RESET and not self._is_reset_excused(flow):
+            at = self.deployment.loop.now
+            detail = f"{flow.flow} to {flow.target}, sent {flow.request}, at {at:.3f}"
             return [Violation("an open flow isn't reset", detail)]
-        published_at = self.faults.published_at[route]
+        added_at = self.faults.route_history.added_at(route)
         refused = flow.outcome is Outcome.NOT_OPENED and route in self.deployment.routes
-        settled = sent_at > published_at + CONFIGURATION_S
-        excused = self._is_excused(flow, sent_at) or self._has_target_ended(sent_at)
+        settled = sent_at > added_at + CONFIGURATION_S
+        now = self.deployment.loop.now
+        excused = self._is_excused(flow, sent_at, now, added_at)
+        excused = excused or self._has_target_ended(sent_at)
         if refused and settled and not excused:
             detail = f"{flow.flow} sent {flow.request}"
             return [Violation("a route in force takes flows", detail)]
         return []
 
     def _dropped_route_violations(self, flow, sent_at):
-        dropped_at = self.faults.dropped_at[flow.flow[2:]]
+        dropped_at = self.faults.route_history.dropped_at(flow.flow[2:])
         late = sent_at > dropped_at + CONFIGURATION_S
         answered = flow.outcome is Outcome.ANSWERED
-        if not answered or not late or self._is_excused(flow, sent_at):
+        if not answered or not late:
+            return []
+        if self._is_excused(flow, sent_at, sent_at, dropped_at):
             return []
         detail = f"{flow.flow} sent {flow.request} {sent_at - dropped_at:.2f} s after"
         return [Violation("a dropped route takes no request", detail)]
 
-    def _is_target_undisturbed(self, flow):
-        """Return whether the flow's route exists and its target was undisturbed."""
-        now = self.deployment.loop.now
-        known = flow.target in self.deployment.targets
-        if not known or flow.flow[2:] not in self.deployment.routes:
-            return False
-        return not self.faults.was_disturbed((flow.target,), now - EXCUSE_WINDOW_S, now)
+    def _is_reset_excused(self, flow):
+        """Return whether the flow's route or target has ended, or was disturbed.
+
+        A balancer that has just started may not know a route or a target that is newer
+        than what it has read.
+        """
+        now, route = self.deployment.loop.now, flow.flow[2:]
+        if flow.target not in self.deployment.targets:
+            return True
+        _, target = self.deployment.targets[flow.target]
+        if route not in self.deployment.routes:
+            return True
+        start, disturbances = now - EXCUSE_WINDOW_S, self.faults.disturbances
+        if disturbances.any_between((flow.target,), start, now):
+            return True
+        known_from = max(self.faults.route_history.added_at(route), target.started_at)
+        return known_from > start - MAX_COPY_AGE_S and disturbances.any_between(
+            self._balancers_of(flow), start, now
+        )
 
-    def _is_excused(self, flow, moment):
-        """Return whether the store or a balancer of the data centre was disturbed."""
+    def _is_excused(self, flow, sent_at, end, changed_at):
+        """Return whether the store or a balancer of the data centre was disturbed.
+
+        Args:
+            flow: The ``CallerFlow``.
+            sent_at: When its request was sent.
+            end: Until when a balancer may have handled it.
+            changed_at: When the route was changed.
+        """
+        start, balancers = sent_at - EXCUSE_WINDOW_S, self._balancers_of(flow)
+        disturbed = self.faults.disturbances.any_between(balancers, start, end)
+        return disturbed or self._is_store_excuse(start, end, changed_at)
+
+    def _balancers_of(self, flow):
+        """Return the names of the balancers in the data centre of a flow's caller."""
         data_centre = next(
             name
             for name, callers in self.deployment.callers.items()
             if callers is flow.callers
         )
-        balancers = [
+        return [
             name
             for name, balancer in self.deployment.balancers.items()
             if balancer.settings["data_centre"] == data_centre
         ]
-        subjects = ("store", *balancers)
-        return self.faults.was_disturbed(subjects, moment - EXCUSE_WINDOW_S, moment)
+
+    def _is_store_excuse(self, start, end, changed_at):
+        """Return whether the store excuses an older configuration between two times.
+
+        The platform's rules: a store that is down or slow always does; one that is
+        unstable stretches the time for a change by ``MAX_STRETCH_S`` at most. Reads
+        that are merely old are no excuse.
+        """
+        disturbances = self.faults.disturbances
+        if disturbances.any_between((STORE,), start, end):
+            return True
+        stretched = end <= changed_at + CONFIGURATION_S + MAX_STRETCH_S
+        return stretched and disturbances.any_between((STORE_PARTLY,), start, end)
 
     def _has_target_ended(self, moment):
         """Return whether a target's host may have refused a flow at a moment.
@@ -153,6 +228,6 @@
         The host of a target that exited refuses flows until its entry is delisted.
         """
         targets = self.deployment.targets.keys() | self.faults.drain_started_at.keys()
-        return self.faults.disturbance_began(
+        return self.faults.disturbances.any_began(
             targets, moment - ENTRY_EXPIRY_S - EXCUSE_WINDOW_S, moment
         )
--- /dev/null
+++ b/libs/standins/features/steps/packets_steps.py
@@ -0,0 +1,215 @@
+"""Steps for the store and the proxy of the packet deployment."""
+
+import base64
+import json
+import socket
+import threading
+import time
+
+from behave import given, then, when
+
+from lagoontally_standins.packets import Loop, Proxy, Store
+
+HOST = "127.0.0.1"
+DOCUMENT_BYTES = 12_000_000  # 16 MB in base64, more than socket buffers hold
+KEEP_UNREAD_S = 2.0
+RUN_S = 0.5
+ANSWER_S = 5.0
+
+
+class Client:
+    """A client of the store that reads only when told to."""
+
+    def __init__(self, loop, address):
+        self.loop = loop
+        self.received = bytearray()
+        self.sock = socket.create_connection(address)
+
+    def request(self, path):
+        """Send a request."""
+        self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+    def read(self):
+        """Read the response and return its status and document."""
+        self.loop.watch(self.sock, self._on_readable)
+        self.loop.run_until(self._is_complete, ANSWER_S)
+        self.loop.unwatch(self.sock)
+        assert self._is_complete(), len(self.received)
+        head, _, body = bytes(self.received).partition(b"\r\n\r\n")
+        return int(head.split(b" ")[1]), json.loads(body)
+
+    def _on_readable(self):
+        self.received += self.sock.recv(1 << 20)
+
+    def _is_complete(self):
+        head, found, body = self.received.partition(b"\r\n\r\n")
+        if not found:
+            return False
+        length = head.partition(b"Content-Length: ")[2].partition(b"\r\n")[0]
+        return len(body) == int(length)
+
+
+def call(loop, address, path):
+    """Make a call and return its status and document."""
+    client = Client(loop, address)
+    client.request(path)
+    return client.read()
+
+
+@given("a store whose response to a range is 16 MB, behind a proxy")
+def step_large(context):
+    """The proxy and the store run in one loop, as in a deployment."""
+    context.loop = Loop()
+    context.store = Store(context.loop, (HOST, 0))
+    context.store.put("large", b"x" * DOCUMENT_BYTES)
+    context.store.put("small", b"x")
+    context.proxy = Proxy(context.loop, (HOST, 0), context.store.address)
+
+
+@when("a client asks {server} for it and doesn't read")
+def step_unread(context, server):
+    """A timer frees a loop that is blocked, so that the test can fail."""
+    proxied = server == "the proxy"
+    listener = (context.proxy if proxied else context.store).listener
+    context.client = Client(context.loop, listener.getsockname())
+    context.client.request("/api/kv-range?prefix=large")
+    give_up = threading.Timer(KEEP_UNREAD_S, context.client.sock.close)
+    give_up.start()
+    started = time.monotonic()
+    context.loop.run_for(RUN_S)
+    context.took_s = time.monotonic() - started
+    give_up.cancel()
+
+
+@then("the loop runs on and other clients are answered")
+def step_runs_on(context):
+    """Both servers answer while the response is unread."""
+    assert context.took_s < KEEP_UNREAD_S, context.took_s
+    for server in (context.store, context.proxy):
+        address = server.listener.getsockname()
+        status, document = call(context.loop, address, "/api/kv-range?prefix=small")
+        assert (status, len(document["items"])) == (200, 1), document
+
+
+@then("the client gets the whole response once it reads")
+def step_whole(context):
+    """Nothing is lost or repeated."""
+    status, document = context.client.read()
+    assert status == 200
+    assert len(document["items"][0]["value"]) == DOCUMENT_BYTES // 3 * 4
+
+
+def start_store(context):
+    """Start a store with the name of each key's revision."""
+    context.loop = Loop()
+    context.store = Store(context.loop, (HOST, 0))
+    context.revisions = {}
+
+
+def write(context, name):
+    """Write one item, which "first" and "second" share."""
+    context.store.put("key", name.encode())
+    context.revisions[name] = context.store.revision
+
+
+def ask(context, path):
+    """Make a call to the store."""
+    return call(context.loop, context.store.address, path)
+
+
+def read(context, may_be_old):
+    """Return the item's value and the revision that the response names."""
+    path = "/api/kv-range?prefix=key" + "&stale-ok=1" * may_be_old
+    status, document = ask(context, path)
+    assert status == 200
+    [item] = document["items"]
+    return base64.b64decode(item["value"]).decode(), document["as-of"]
+
+
+@given('a store to which "first" was written and, {pause_s:f} s later, "second"')
+def step_store(context, pause_s):
+    """A change is older than the copies of the steps below."""
+    start_store(context)
+    step_write(context, pause_s)
+
+
+@given("a store that keeps its history for {history_s:g} s")
+def step_history(context, history_s):
+    """As the pages' ``history-s``."""
+    start_store(context)
+    context.store.history_s = history_s
+
+
+@when('"first" is written and, {pause_s:f} s later, "second"')
+def step_write(context, pause_s):
+    """Two changes of one item."""
+    write(context, "first")
+    context.loop.run_for(pause_s)
+    write(context, "second")
+
+
+@when("{count:d} items are written")
+def step_write_many(context, count):
+    """At once, as after a restored store."""
+    context.first_revision = context.store.revision
+    for number in range(count):
+        context.store.put(f"key-{number}", b"x")
+
+
+@when("reads that may be old are {age_s:f} s behind and name the revision of {source}")
+def step_stale(context, age_s, source):
+    """Both readings of the pages."""
+    context.store.stale_s = age_s
+    context.store.stale_as_of_present = source == "the newest one"
+
+
+@when("reads that may be old are in turn {ages} s behind")
+def step_ages(context, ages):
+    """As replicas that differ."""
+    context.store.stale_s = map(float, ages.split(", ")).__next__
+
+
+@then('a read that may be old shows "{name}" and names the revision of "{named}"')
+def step_old_read(context, name, named):
+    """The revision may be newer than what is shown."""
+    assert read(context, True) == (name, context.revisions[named])
+
+
+@then('any other read shows "{name}" and names the revision of "{named}"')
+def step_read(context, name, named):
+    """Reads are linearizable unless the caller allows an old one."""
+    assert read(context, False) == (name, context.revisions[named])
+
+
+@then('reads that may be old show "{names}"')
+def step_old_reads(context, names):
+    """One call after the other."""
+    assert [read(context, True)[0] for _ in names.split(", ")] == names.split(", ")
+
+
+def watch(context, revision):
+    """Make a call for the changes after a revision."""
+    return ask(context, f"/api/kv-watch?prefix=&after={revision}&wait-ms=100")
+
+
+@then('a watch from before "{name}" gets 410')
+def step_gone(context, name):
+    """The history begins after the change."""
+    assert watch(context, context.revisions[name] - 1)[0] == 410
+
+
+@then('a watch from "{name}" gets "{later}"')
+def step_changes(context, name, later):
+    """The change is still in the history."""
+    status, document = watch(context, context.revisions[name])
+    assert status == 200
+    assert [event["revision"] for event in document["events"]] == [
+        context.revisions[later]
+    ]
+
+
+@then("a watch from before them gets {count:d} changes")
+def step_all_changes(context, count):
+    """None is missing."""
+    status, document = watch(context, context.first_revision)
+    assert (status, len(document["events"])) == (200, count)
