--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -37,13 +37,13 @@
       | ["Verdict", 5, true, "stuck", 1e999] |
       | ["Verdict", 5, true, "stuck", -1] |
       | ["Verdict", 5, true, "stuck", "long"] |
-      | ["Delta", 1e999, [1, 1, 0], [1, 2, 0], [1, 1, 0], 1, 0, 1, []] |
-      | ["Delta", 1, [1, 1, 0], [1, 1e999, 0], [1, 1, 0], 1, 0, 1, []] |
-      | ["Delta", 1, [1, 1, 0], [1, 2], [1, 1, 0], 1, 0, 1, []] |
-      | ["Delta", 1, 1, 2, 1, 1, 0, 1, []] |
-      | ["Delta", 1, [1, 1, 0], [1, 2, 0], [1, 1, 0], 1, 1, 1, []] |
-      | ["Beacon", 3, [1, -1, 0], [1, 1, 0], 2, 13, 40, true, false] |
-      | ["Beacon", 3, [1, 1, 0], [1, 1, 0], "2", 13, 40, true, false] |
+      | ["Delta", 1e999, [1, 1, 0], [1, 2, 0], [1, 1, 0], 1, 0, 1, [], 7] |
+      | ["Delta", 1, [1, 1, 0], [1, 1e999, 0], [1, 1, 0], 1, 0, 1, [], 7] |
+      | ["Delta", 1, [1, 1, 0], [1, 2], [1, 1, 0], 1, 0, 1, [], 7] |
+      | ["Delta", 1, 1, 2, 1, 1, 0, 1, [], 7] |
+      | ["Delta", 1, [1, 1, 0], [1, 2, 0], [1, 1, 0], 1, 1, 1, [], 7] |
+      | ["Beacon", 3, [1, -1, 0], [1, 1, 0], 2, 13, 40, true, false, 7] |
+      | ["Beacon", 3, [1, 1, 0], [1, 1, 0], "2", 13, 40, true, false, 7] |
       | ["Members", 5]                     |
       | ["Members", 1, 1, true, 0, 1, 2000, 5, []] |
       | ["Members", 1, 1, true, 1, 1, 2000, [], []] |
@@ -51,11 +51,11 @@
       | ["Hello", "tifton"] |
       | ["Hello", 5, 1, 1] |
       | ["Joined", 5] |
-      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, ["r", [], true]]]] |
-      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, ["r", [["a", "x"]], true]]]] |
-      | ["ConfigurationDelta", 1, 2, 5000, 0, 1, [[1, 80, 5]]] |
-      | ["ConfigurationDelta", 1, 2, 0, 0, 1, []] |
-      | ["ConfigurationDelta", 1, 2, 5000, 3, 2, []] |
+      | ["ConfigurationDelta", 3, 1, 2, 5000, 0, 1, [[1, 80, ["r", [], true]]], 7] |
+      | ["ConfigurationDelta", 3, 1, 2, 5000, 0, 1, [[1, 80, ["r", [["a", "x"]], true]]], 7] |
+      | ["ConfigurationDelta", 3, 1, 2, 5000, 0, 1, [[1, 80, 5]], 7] |
+      | ["ConfigurationDelta", 3, 1, 2, 0, 0, 1, [], 7] |
+      | ["ConfigurationDelta", 3, 1, 2, 5000, 3, 2, [], 7] |
       | ["Beacon", 1, 2]                   |
 
   Scenario: Every reply to a hello fits into a datagram
