Start: ignore SIGHUP until the balancer handles it

Cause: the signal's default action ends a process; the handler is installed once all modules are loaded and all sockets bound.

Change: the first statement of the program ignores the signal. Settings are read afterwards, and changes of the file are noticed without a signal, so none is lost. "A signal to reload doesn't end a balancer whose program is being loaded" failed before with status -1. The start of the interpreter itself can't be covered.

--- a/deploy/balancer.py
+++ b/deploy/balancer.py
@@ -8,6 +8,7 @@
 import gc
 import sys
 from _frozen_importlib import ModuleSpec  # ``importlib`` takes 2 ms more
+from _signal import SIG_IGN, SIGHUP, signal
 from marshal import loads
 
 PROGRAM = "program.bin"
@@ -41,6 +42,7 @@
 
 def main():
     """Run the balancer and return its exit status."""
+    signal(SIGHUP, SIG_IGN)  # would end the process until the balancer handles it
     gc.disable()
     folder = __file__.rpartition("/")[0] or "."
     with open(f"{folder}/{PROGRAM}", "rb") as file:
--- a/libs/forwarder/features/process.feature
+++ b/libs/forwarder/features/process.feature
@@ -132,6 +132,10 @@
       | without a signal                     | taken   |
       | to something wrong, with a signal    | refused |
 
+  Scenario: A signal to reload doesn't end a balancer whose program is being loaded
+    When SIGHUP arrives while the built program loads its modules
+    Then the program runs on
+
   Scenario: Flows survive a pause of their balancer
     Given a running deployment
     When 20 flows send a request
--- a/libs/standins/src/lagoontally_standins/packets/_process.py
+++ b/libs/standins/src/lagoontally_standins/packets/_process.py
@@ -10,9 +10,14 @@
 FETCH_TIMEOUT_S = 3
 LEAVING_FIELD = 7  # index in the array of a target that peers fetch
 SHARES_FIELD = 1  # the same in that of a route
-BALANCER_PROGRAM = (
-    "import sys; from lagoontally_forwarder import main; sys.exit(main())"
-)
+# As deploy/balancer.py does, from the sources.
+BALANCER_PROGRAM = """
+import sys
+from signal import SIG_IGN, SIGHUP, signal
+signal(SIGHUP, SIG_IGN)
+from lagoontally_forwarder import main
+sys.exit(main())
+"""
 
 
 class BalancerProcess:
