--- a/deploy/balancer.py
+++ b/deploy/balancer.py
@@ -42,7 +42,7 @@
 
 def main():
     """Run the balancer and return its exit status."""
-    signal(SIGHUP, SIG_IGN)  # would end the process until the balancer handles it
+    signal(SIGHUP, SIG_IGN)  # the default action would end a loading process
     gc.disable()
     folder = __file__.rpartition("/")[0] or "."
     with open(f"{folder}/{PROGRAM}", "rb") as file:
--- a/libs/flows/src/lagoontally_flows/_store_reads.py
+++ b/libs/flows/src/lagoontally_flows/_store_reads.py
@@ -36,7 +36,7 @@
 
     def reaches_store(self, now_ms):
         """Return whether this balancer or its reader has lately reached the store."""
-        fresh_ms = FRESH_MS if self.reader else 2 * FRESH_MS  # beacons come later
+        fresh_ms = FRESH_MS if self.reader else 2 * FRESH_MS  # beacons report it later
         return self.confirmed_ms is not None and now_ms - self.confirmed_ms <= fresh_ms
 
     def reread(self):
--- a/libs/flows/src/lagoontally_flows/_version_check.py
+++ b/libs/flows/src/lagoontally_flows/_version_check.py
@@ -140,7 +140,7 @@
         """
         version = self.heard.version
         is_first = version != self._sought
-        self.heard = None  # until it is announced again
+        self.heard = None  # a later announcement counts anew
         self._sought = version
         if self._read_ms is not None:
             self._pause_ms = min(2 * self._pause_ms, MAX_PAUSE_MS)
--- a/libs/soak/src/lagoontally_soak/_disturbances.py
+++ b/libs/soak/src/lagoontally_soak/_disturbances.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-STORE = "store"  # down or slow, or restored
+STORE = "store"  # for all balancers: down, slow or restored
 STORE_PARTLY = "store, partly"  # rejects some balancers, or has lost its history
 STORE_SUBJECTS = (STORE, STORE_PARTLY)
 
--- a/libs/soak/src/lagoontally_soak/_series.py
+++ b/libs/soak/src/lagoontally_soak/_series.py
@@ -19,12 +19,12 @@
 
 FIRST_PORT = 20_000  # of the routes that are added here
 MIN_FAULT_S, MAX_FAULT_S = 4.0, 22.0
-COPY_AGE_S = (1.0, 6.0)  # at most, of what a read that may be old shows
+COPY_AGE_S = (1.0, 6.0)  # range of the largest age of a copy
 OLD_READS_S = (3.0, 14.0)
-OLD_READS_SHARE = 0.7  # of the restarts of data centres
+OLD_READS_SHARE = 0.7  # of the data centre restarts, during which reads are old
 OVERLAPPING_S, APART_S = (0.2, 1.5), (4.0, 7.0)
 SLOW_STORE_S = 0.25
-MAX_AWAY_S = 1.5  # of killed balancers
+MAX_AWAY_S = 1.5  # until killed balancers are started again
 MAX_KILL_DELAY_S = 0.4  # after a change
 MAX_CHANGES = 6
 CHANGE_INTERVAL_S = (0.0, 0.7)
@@ -92,7 +92,7 @@
     def read_old_copies(self):
         """Answer reads that may be old from copies that differ in age."""
         random, store = self.random, self.deployment.store
-        copies = Random(random.random())  # the number of reads depends on timing
+        copies = Random(random.random())  # its number of draws depends on timing
         max_age_s = random.uniform(*COPY_AGE_S)
         min_age_s = random.choice((0.0, max_age_s))
         store.stale_as_of_present = random.random() < 0.5
--- a/libs/standins/src/lagoontally_standins/packets/_process.py
+++ b/libs/standins/src/lagoontally_standins/packets/_process.py
@@ -10,7 +10,7 @@
 FETCH_TIMEOUT_S = 3
 LEAVING_FIELD = 7  # index in the array of a target that peers fetch
 SHARES_FIELD = 1  # the same in that of a route
-# As deploy/balancer.py does, from the sources.
+# Starts like deploy/balancer.py, but imports the sources.
 BALANCER_PROGRAM = """
 import sys
 from signal import SIG_IGN, SIGHUP, signal
