Flows: part the decisions into packages by concern

Those on the store and its readers, on targets and their health, on the choice of a target and on seen flows are packages now, behind the same public module. No behaviour changes: the modules differ in their import lines alone.

--- a/libs/flows/features/steps/store_era_steps.py
+++ b/libs/flows/features/steps/store_era_steps.py
@@ -16,8 +16,8 @@
     Target,
     target_cookie,
 )
-from lagoontally_flows._store_history import StoreHistory
-from lagoontally_flows._view import View
+from lagoontally_flows._store import StoreHistory
+from lagoontally_flows._targets import View
 
 RULES = (ListingRules(True, True), ListingRules(False, True), ALL_CHANGES)
 LOST_CHANGES = 60
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -1,23 +1,8 @@
 """Decisions of a packet balancer, free of I/O, clocks and wire formats."""
 
 from ._balancer import STALE_SYN_MS, Balancer
-from ._call_timing import SLOW_LINK_MBPS
-from ._configuration_delta import (
-    ConfigurationDelta,
-    ConfigurationDeltas,
-    configuration_delta,
-)
-from ._cookie import NO_COOKIE, target_cookie
 from ._digest import digest
 from ._effects import DealtAnew, FlowReset, LogEvent
-from ._health import (
-    ACCEPTED,
-    REFUSED,
-    SILENT,
-    UNCLEAR,
-    Probe,
-    Verdict,
-)
 from ._lifecycle import Lifecycle
 from ._membership import Hello, Joined, Members, Membership
 from ._records import (
@@ -34,26 +19,43 @@
     Route,
     Target,
 )
-from ._store_history import (
+from ._store import (
     ALL_CHANGES,
     BEGAN,
     CURRENT,
     ENDED,
-    ListingRules,
-    Position,
-)
-from ._store_sync import StoreSync
-from ._store_sync_records import (
+    SLOW_LINK_MBPS,
     Beacon,
+    ConfigurationDelta,
+    ConfigurationDeltas,
     Delta,
     FetchConfiguration,
     FetchTargets,
+    Heard,
+    InForce,
+    ListingRules,
     ListTargets,
+    Position,
     ReadConfiguration,
+    StoreSync,
+    VersionCheck,
     Watch,
+    configuration_delta,
+)
+from ._targets import (
+    ACCEPTED,
+    ANSWERED,
+    NO_COOKIE,
+    REFUSED,
+    SILENT,
+    STUCK,
+    THIS_BALANCER,
+    UNANSWERED,
+    UNCLEAR,
+    Probe,
+    Verdict,
+    target_cookie,
 )
-from ._stuck_targets import ANSWERED, STUCK, THIS_BALANCER, UNANSWERED
-from ._version_check import Heard, InForce, VersionCheck
 
 __all__ = [
     "ACCEPTED",
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -5,18 +5,23 @@
 only improves these decisions and can be lost at any time.
 """
 
-from ._cookie import NO_COOKIE
-from ._demand import Demand, is_cut_off
 from ._effects import DealtAnew, FlowReset, entry_event
-from ._flow_table import FlowTable
-from ._half_open_flows import HalfOpenFlows
-from ._health import LONG_AGO_MS, Health
+from ._placing import Demand, TargetSelector, is_cut_off
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
-from ._store_history import ALL_CHANGES
-from ._stuck_flow_resets import reset_flows, should_reset_flows
-from ._stuck_targets import ANSWERED, STUCK, UNANSWERED, StuckTargets
-from ._target_selector import TargetSelector
-from ._view import View
+from ._store import ALL_CHANGES
+from ._targets import (
+    ANSWERED,
+    LONG_AGO_MS,
+    NO_COOKIE,
+    STUCK,
+    UNANSWERED,
+    Health,
+    StuckTargets,
+    View,
+    reset_flows,
+    should_reset_flows,
+)
+from ._tracking import FlowTable, HalfOpenFlows
 
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
--- a/libs/flows/src/lagoontally_flows/_membership.py
+++ b/libs/flows/src/lagoontally_flows/_membership.py
@@ -9,7 +9,7 @@
 
 from lagoontally_lean import Record
 
-from ._parts import PartCollector
+from ._store import PartCollector
 
 HELLO_INTERVAL_MS = 2_000
 HELLO_INTERVAL_PER_SENDER_MS = 50  # a seed answers at most 20 a second
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_store/__init__.py
@@ -0,0 +1,55 @@
+"""What the platform's store says, and which balancer reads it."""
+
+from ._call_timing import SLOW_LINK_MBPS
+from ._configuration_delta import (
+    ConfigurationDelta,
+    ConfigurationDeltas,
+    configuration_delta,
+)
+from ._history import (
+    ALL_CHANGES,
+    BEGAN,
+    CURRENT,
+    ENDED,
+    ListingRules,
+    Position,
+    StoreHistory,
+)
+from ._parts import PartCollector
+from ._sync import StoreSync
+from ._sync_records import (
+    Beacon,
+    Delta,
+    FetchConfiguration,
+    FetchTargets,
+    ListTargets,
+    ReadConfiguration,
+    Watch,
+)
+from ._version_check import Heard, InForce, VersionCheck
+
+__all__ = [
+    "ALL_CHANGES",
+    "BEGAN",
+    "Beacon",
+    "CURRENT",
+    "ConfigurationDelta",
+    "ConfigurationDeltas",
+    "Delta",
+    "ENDED",
+    "FetchConfiguration",
+    "FetchTargets",
+    "Heard",
+    "InForce",
+    "ListTargets",
+    "ListingRules",
+    "PartCollector",
+    "Position",
+    "ReadConfiguration",
+    "SLOW_LINK_MBPS",
+    "StoreHistory",
+    "StoreSync",
+    "VersionCheck",
+    "Watch",
+    "configuration_delta",
+]
--- a/libs/flows/src/lagoontally_flows/_configuration_delta.py
+++ b/libs/flows/src/lagoontally_flows/_store/_configuration_delta.py
@@ -6,9 +6,9 @@
 
 from lagoontally_lean import Record
 
-from . import _digest
+from .. import _digest
+from .._records import Configuration
 from ._parts import PartCollector
-from ._records import Configuration
 
 MAX_CHANGED_ROUTES = 64  # larger changes are fetched, spread over some time
 
--- a/libs/flows/src/lagoontally_flows/_reader_messages.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reader_messages.py
@@ -1,8 +1,8 @@
 """What a reader tells the other balancers of its data centre."""
 
+from ._history import START, StoreHistory
 from ._reader_election import ReaderElection
-from ._store_history import START, StoreHistory
-from ._store_sync_records import Beacon, Delta
+from ._sync_records import Beacon, Delta
 
 BEACON_INTERVAL_MS = 300
 
--- a/libs/flows/src/lagoontally_flows/_store_reads.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reads.py
@@ -2,7 +2,7 @@
 
 from ._call_timing import FRESH_MS
 from ._reader_messages import ReaderMessages
-from ._store_sync_records import (
+from ._sync_records import (
     FetchConfiguration,
     FetchTargets,
     ListTargets,
--- a/libs/flows/src/lagoontally_flows/_store_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -16,10 +16,10 @@
     fetch_delay_ms,
     retry_pause_ms,
 )
+from ._history import BEGAN, ENDED
 from ._parts import PartCollector
-from ._store_history import BEGAN, ENDED
-from ._store_reads import FETCH_RETRY_MS, StoreReads
-from ._store_sync_records import (
+from ._reads import FETCH_RETRY_MS, StoreReads
+from ._sync_records import (
     FetchTargets,
     ListTargets,
     ReadConfiguration,
--- a/libs/flows/src/lagoontally_flows/_version_check.py
+++ b/libs/flows/src/lagoontally_flows/_store/_version_check.py
@@ -7,8 +7,8 @@
 
 from lagoontally_lean import Record
 
+from .._membership import HELLO_INTERVAL_MS, HELLO_INTERVAL_PER_SENDER_MS
 from ._call_timing import FRESH_MS, RETRY_JITTER_PER_MEMBER_MS
-from ._membership import HELLO_INTERVAL_MS, HELLO_INTERVAL_PER_SENDER_MS
 
 # A reader that reaches the store knows a change after FRESH_MS. Followers know it
 # after a takeover (1.75 s), a slow call (0.25 s) and a fetch (0.6 s), and some slack.
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_targets/__init__.py
@@ -0,0 +1,37 @@
+"""Targets that are listed, and whether they respond."""
+
+from ._cookie import NO_COOKIE, target_cookie
+from ._health import (
+    ACCEPTED,
+    LONG_AGO_MS,
+    REFUSED,
+    SILENT,
+    UNCLEAR,
+    Health,
+    Probe,
+    Verdict,
+)
+from ._stuck_flow_resets import reset_flows, should_reset_flows
+from ._stuck_targets import ANSWERED, STUCK, THIS_BALANCER, UNANSWERED, StuckTargets
+from ._view import View
+
+__all__ = [
+    "ACCEPTED",
+    "ANSWERED",
+    "Health",
+    "LONG_AGO_MS",
+    "NO_COOKIE",
+    "Probe",
+    "REFUSED",
+    "SILENT",
+    "STUCK",
+    "StuckTargets",
+    "THIS_BALANCER",
+    "UNANSWERED",
+    "UNCLEAR",
+    "Verdict",
+    "View",
+    "reset_flows",
+    "should_reset_flows",
+    "target_cookie",
+]
--- a/libs/flows/src/lagoontally_flows/_stuck_flow_resets.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_stuck_flow_resets.py
@@ -5,7 +5,7 @@
 request that mustn't be repeated stays with its target.
 """
 
-from ._effects import FlowReset
+from .._effects import FlowReset
 
 MAX_STUCK_SHARE = 0.5  # of a service; with more, this balancer is the likelier cause
 RESET_REASON = "target_stuck"
--- a/libs/flows/src/lagoontally_flows/_view.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_view.py
@@ -2,8 +2,8 @@
 
 from lagoontally_lean import Record
 
-from . import _digest
-from ._store_history import ALL_CHANGES
+from .. import _digest
+from .._store import ALL_CHANGES
 
 DELISTED_RETENTION_MS = 60_000  # longest life of a flow that the platform promises
 RECOVERY_MS = 2_000  # live targets are listed again this soon after an outage
--- a/libs/soak/src/lagoontally_soak/_mutations.py
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -28,7 +28,7 @@
     "leaving targets get new flows": Mutation(
         "a leaving target gets no new flow",
         """
-from lagoontally_flows._view import View
+from lagoontally_flows._targets import View
 put = View.put
 View.put = lambda view, key, target, now_ms: put(
     view, key, target and target._replace(leaving=False), now_ms)
@@ -37,7 +37,7 @@
     "flows go to any service": Mutation(
         "a request reaches its own service",
         """
-from lagoontally_flows._view import View
+from lagoontally_flows._targets import View
 View.candidates = lambda view, _service, _now_ms: list(view.targets.values())
 """,
     ),
@@ -90,14 +90,14 @@
     "a restored store isn't noticed": Mutation(
         "all balancers follow the store",
         """
-from lagoontally_flows._store_history import CURRENT, StoreHistory
+from lagoontally_flows._store import CURRENT, StoreHistory
 StoreHistory.compare_era = lambda history, era, now_ms: CURRENT
 """,
     ),
     "a restored copy takes back that a target leaves": Mutation(
         "a leaving target gets no new flow",
         """
-from lagoontally_flows._view import View
+from lagoontally_flows._targets import View
 View._with_known_state = lambda view, target: target
 """,
     ),
