Decode what routes and services say of load, and regions and warm-up bounds

Routes: objective, deadline, priority and allowed regions; services: warm-up and most connections; settings: the region of each data centre and the bounds on targets that warm up. Nothing decides by them yet. A change of services isn't told as a delta of routes; members fetch that configuration.

--- a/libs/flows/features/steps/configuration_delta_steps.py
+++ b/libs/flows/features/steps/configuration_delta_steps.py
@@ -17,7 +17,13 @@
 SHARES = st.lists(st.tuples(st.sampled_from("abc"), st.integers(0, 9)), min_size=1)
 ROUTES = st.dictionaries(
     st.tuples(st.integers(0, 3), st.integers(80, 82)),
-    st.builds(Route, st.sampled_from("rst"), SHARES.map(tuple), st.booleans()),
+    st.builds(
+        Route,
+        st.sampled_from("rst"),
+        SHARES.map(tuple),
+        st.booleans(),
+        priority=st.integers(0, 2),
+    ),
 )
 
 
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -17,6 +17,7 @@
     Packet,
     Reset,
     Route,
+    Service,
     Target,
 )
 from ._store import (
@@ -106,6 +107,7 @@
     "ReadConfiguration",
     "Reset",
     "Route",
+    "Service",
     "StoreSync",
     "Target",
     "Verdict",
--- a/libs/flows/src/lagoontally_flows/_records.py
+++ b/libs/flows/src/lagoontally_flows/_records.py
@@ -47,25 +47,53 @@
     __slots__ = ()
 
 
-class Route(Record, fields="name shares repeatable"):
+class Route(
+    Record,
+    fields="name shares repeatable objective_ms deadline_ms priority regions",
+    defaults=(0, 0, 0, ()),
+):
     """Services that get the new flows to one address and port.
 
     Attributes:
         name: The operator's name for the route.
         shares: Pairs of a service and its weight.
         repeatable: Whether callers may repeat its requests.
+        objective_ms: Latency that its callers ask for, 0 if none is stated.
+        deadline_ms: When its callers give up, 0 if that isn't stated.
+        priority: Rank of its requests where not all can be served; 0 is the highest.
+        regions: Regions whose targets may serve it, empty for all.
+    """
+
+    __slots__ = ()
+
+
+class Service(
+    Record,
+    fields="name warm_up_ms warm_up_per_s max_connections",
+):
+    """What the operator states about the targets of one service.
+
+    Attributes:
+        name: Name of the service.
+        warm_up_ms: How long a target warms up after its start.
+        warm_up_per_s: Requests a second that a target bears meanwhile, 0 if that
+            isn't stated.
+        max_connections: Flows that a target holds at most, 0 if that isn't stated.
     """
 
     __slots__ = ()
 
 
-class Configuration(Record, fields="version routes idle_timeout_ms"):
+class Configuration(
+    Record, fields="version routes idle_timeout_ms services", defaults=({},)
+):
     """The operator's configuration.
 
     Attributes:
         version: Increases with each configuration.
         routes: ``Route`` by address and port.
         idle_timeout_ms: How long a flow may be idle before it is forgotten.
+        services: ``Service`` by name, of those that the operator describes.
     """
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_store/_configuration_delta.py
+++ b/libs/flows/src/lagoontally_flows/_store/_configuration_delta.py
@@ -7,7 +7,6 @@
 from lagoontally_lean import Record
 
 from .. import _digest
-from .._records import Configuration
 from ._parts import PartCollector
 
 MAX_CHANGED_ROUTES = 64  # larger changes are fetched, spread over some time
@@ -44,7 +43,7 @@
     Returns:
         The delta in one part, or None if the members should fetch the configuration.
     """
-    if previous is None:
+    if previous is None or previous.services != current.services:
         return None
     removed = [
         (destination, None)
@@ -110,4 +109,8 @@
                 routes[destination] = route
         if digest != delta.digest:
             return None
-        return Configuration(delta.version, routes, delta.idle_timeout_ms)
+        return current._replace(
+            version=delta.version,
+            routes=routes,
+            idle_timeout_ms=delta.idle_timeout_ms,
+        )
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -27,7 +27,7 @@
 DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError, OverflowError)
 MAX_VERDICT_AGE_MS = 60_000  # longest flow lifetime that the platform guarantees
 MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
-MAX_ROUTES_PER_DELTA = 8  # a route takes about 70 bytes, with two services 100
+MAX_ROUTES_PER_DELTA = 7  # a route takes about 85 bytes, with two services 115
 MAX_PARTS = 256  # of a list of members
 MAX_VERSION = (1 << 63) - 1  # that is passed on; longer ones might not fit
 
@@ -118,11 +118,27 @@
     """
     if document is None:
         return None
-    name, shares, repeatable = document
+    name, shares, repeatable, objective_ms, deadline_ms, priority, regions = document
     decoded = tuple((str(service), int(weight)) for service, weight in shares)
     if not decoded:
         raise ValueError("a route has no service")
-    return Route(str(name), decoded, bool(repeatable))
+    numbers = (int(objective_ms), int(deadline_ms), int(priority))
+    if min(numbers) < 0:
+        raise ValueError("a route's objective, deadline or priority is negative")
+    return Route(str(name), decoded, bool(repeatable), *numbers, decode_names(regions))
+
+
+def decode_names(document):
+    """Return the names in a JSON array.
+
+    Raises:
+        ValueError: It isn't an array of strings.
+    """
+    if not isinstance(document, list) or not all(
+        type(name) is str for name in document
+    ):
+        raise ValueError("names are not an array of strings")
+    return tuple(document)
 
 
 def encode_message(message):
--- a/libs/forwarder/src/lagoontally_forwarder/_settings.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_settings.py
@@ -7,7 +7,8 @@
 class Settings(
     Record,
     fields="instance data_centre host packet_address ready_address "
-    "peer_address metrics_address seeds store_address link_mbps grace_s",
+    "peer_address metrics_address seeds store_address link_mbps grace_s regions "
+    "warm_up_excess warm_up_slack",
 ):
     """The settings of one balancer; addresses are pairs of a host and a port.
 
@@ -23,6 +24,10 @@
         store_address: Address of the platform's store.
         link_mbps: Speed of the machine's network link.
         grace_s: Seconds from SIGTERM to SIGKILL.
+        regions: Region by data centre, empty if none is stated.
+        warm_up_excess: Factor by which the requests of a target that warms up may
+            exceed what its service states, None for no bound.
+        warm_up_slack: Requests within any second that it may get besides.
     """
 
     __slots__ = ()
@@ -58,6 +63,9 @@
     values["seeds"] = _seeds(document, findings)
     for name in ("link_mbps", "grace_s"):
         values[name] = _number(document, name, findings)
+    values["regions"] = _regions(document, findings)
+    for name in ("warm_up_excess", "warm_up_slack"):
+        values[name] = _bound(document, name, findings)
     return InvalidSettings(findings) if findings else Settings(**values)
 
 
@@ -96,6 +104,28 @@
     return tuple(seeds)
 
 
+def _bound(document, name, findings):
+    value = document.get(name)
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        findings.append(f"{name}: must be a number, 0 or above")
+        return None
+    return value
+
+
+def _regions(document, findings):
+    listed = document.get("regions")
+    if listed is None:
+        return {}
+    if isinstance(listed, dict) and all(
+        isinstance(name, str) for name in listed.values()
+    ):
+        return listed
+    findings.append("regions: must be an object with the region of each data centre")
+    return {}
+
+
 def _number(document, name, findings):
     value = document.get(name)
     if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -1,6 +1,6 @@
 """JSON documents of targets and configuration, for peers that missed updates."""
 
-from lagoontally_flows import Configuration
+from lagoontally_flows import Configuration, Service
 from lagoontally_lean import Record, dumps, loads
 
 from ._messages import (
@@ -53,6 +53,7 @@
             "version": configuration.version,
             "idle_timeout_ms": configuration.idle_timeout_ms,
             "routes": routes,
+            "services": [list(service) for service in configuration.services.values()],
         }
     )
 
@@ -66,7 +67,12 @@
             for address, port, *route in document["routes"]
         }
         version, idle_ms = int(document["version"]), int(document["idle_timeout_ms"])
-        return Configuration(version, routes, idle_ms)
+        services = {}
+        for name, warm_up_ms, warm_up_per_s, max_connections in document["services"]:
+            services[str(name)] = Service(
+                str(name), int(warm_up_ms), float(warm_up_per_s), int(max_connections)
+            )
+        return Configuration(version, routes, idle_ms, services)
     except DECODE_ERRORS:
         return None  # the caller counts it
 
--- a/libs/lean/src/lagoontally_lean/_record.py
+++ b/libs/lean/src/lagoontally_lean/_record.py
@@ -10,15 +10,19 @@
 class Record(tuple):
     """A named tuple whose subclasses list their fields.
 
-    Example: ``class Point(Record, fields="x y")``.
+    Example: ``class Point(Record, fields="x y z", defaults=(0,))``. The defaults are
+    those of the last fields.
     """
 
     __slots__ = ()
     _fields = ()
+    _defaults = {}
 
-    def __init_subclass__(cls, *, fields, **options):
+    def __init_subclass__(cls, *, fields, defaults=(), **options):
         super().__init_subclass__(**options)
         cls._fields = tuple(fields.split())
+        first = len(cls._fields) - len(defaults)
+        cls._defaults = dict(zip(cls._fields[first:], defaults, strict=True))
         for index, name in enumerate(cls._fields):
             setattr(cls, name, _tuplegetter(index, f"Item {index}."))
 
@@ -32,6 +36,10 @@
         Raises:
             TypeError: The values don't match the fields.
         """
+        if len(values) + len(named) < len(cls._fields) and cls._defaults:
+            rest = cls._fields[len(values) :]
+            defaults = cls._defaults
+            named = {name: defaults[name] for name in rest if name in defaults} | named
         if named:
             rest = cls._fields[len(values) :]
             missing = [name for name in rest if name not in named]
