--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -6,7 +6,7 @@
 """
 
 from ._effects import DealtAnew, FlowReset, entry_event
-from ._placing import Demand, TargetSelector, is_cut_off
+from ._placing import STALL_AFTER_MS, Demand, FlowPlacer, TargetSelector, is_cut_off
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
 from ._store import ALL_CHANGES
 from ._targets import (
@@ -23,7 +23,6 @@
 )
 from ._tracking import FlowTable, HalfOpenFlows
 
-STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 MAX_UNKNOWN_COOKIES = 1_024
 STALE_SYN_MS = 500  # two missed probes, half a second apart, turn routers away
@@ -47,6 +46,7 @@
         half_open_flows: Flows whose handshake isn't complete.
         target_selector: Selects the targets of new flows.
         demand: Recent SYNs by service.
+        placer: Decides on SYNs.
         cut_off: Whether callers are better served through another data centre.
         in_rotation: Whether readiness tells routers to send packets here.
         effects: ``FlowReset``, ``Probe``, ``Verdict``, ``DealtAnew`` and
@@ -74,9 +74,18 @@
             random=random,
         )
         self.demand = Demand()
+        self.effects = []
+        self.placer = FlowPlacer(
+            view=self.view,
+            health=self.health,
+            flows=self.flows,
+            half_open_flows=self.half_open_flows,
+            target_selector=self.target_selector,
+            demand=self.demand,
+            effects=self.effects,
+        )
         self.cut_off = False
         self.in_rotation = True
-        self.effects = []
         self.view_confirmed_ms = None
         self.platform_heard_ms = None
         self.configuration_confirmed = False
@@ -202,7 +211,7 @@
         for cookie in self.view.forget_delisted(now_ms):
             self.health.forget(cookie)
             self.stuck_targets.forget(cookie)
-        self._probe_overdue(now_ms)
+        self.placer.probe_overdue(now_ms)
         self.effects.extend(self.health.due_probes(now_ms))
         self._reset_stuck_flows(now_ms)
         self.demand.on_tick(now_ms)
@@ -229,7 +238,8 @@
 
     def take_effects(self):
         """Return and clear the effects requested since the last call."""
-        effects, self.effects = self.effects, []
+        effects = list(self.effects)
+        self.effects.clear()  # the placer adds to the same list
         return effects
 
     def _route(self, flow):
@@ -240,51 +250,7 @@
         route = self._route(packet.flow)
         if route is None:
             return Reset("no_route", packet.acknowledgement)
-        flow = self.flows.flows.get(packet.flow)
-        if flow is None:
-            return self._place_flow(packet, route, now_ms)
-        # Copies that were queued here together are no evidence against the target.
-        waited_here = now_ms - flow.last_packet_ms < STALL_AFTER_MS
-        if flow.established or waited_here or not packet.acknowledgement:
-            return self._on_repeated_syn(packet, flow, route, now_ms)
-        silent, since_ms = flow.cookie, flow.last_packet_ms
-        flow.last_packet_ms = now_ms
-        self.effects.extend(self.health.on_stall(silent, since_ms, now_ms))
-        target = self.target_selector.select(route, now_ms, avoid=flow.tried)
-        if target is None:
-            target = self.view.by_cookie.get(silent)
-        else:
-            self.flows.move(flow, target.cookie)
-        if target is None:
-            self.flows.remove(packet.flow)
-            return Reset("no_target", packet.acknowledgement)
-        return Forward(target, "silent_target")
-
-    def _on_repeated_syn(self, packet, flow, route, now_ms):
-        if now_ms - flow.last_packet_ms < STALL_AFTER_MS or packet.acknowledgement:
-            target = self.view.by_cookie.get(flow.cookie)
-            if target is not None:
-                return Forward(target, "repeated_syn")
-        return self._place_flow(packet, route, now_ms)
-
-    def _place_flow(self, packet, route, now_ms):
-        caller = packet.flow[0]
-        target = self.target_selector.select(
-            route,
-            now_ms,
-            avoid=self.half_open_flows.possibly_refused_by(caller, now_ms),
-        ) or self.target_selector.select(route, now_ms)
-        self.demand.on_syn(route.shares, served=target is not None)
-        if target is None:
-            return Reset("no_target", packet.acknowledgement)
-        flow = self.flows.add(packet.flow, target.cookie, now_ms)
-        self.half_open_flows.add(packet.flow, flow, now_ms)
-        self._probe_overdue(now_ms)
-        return Forward(target, "placed")
-
-    def _probe_overdue(self, now_ms):
-        for cookie, placed_ms in self.half_open_flows.overdue(now_ms):
-            self.effects.extend(self.health.on_stall(cookie, placed_ms, now_ms))
+        return self.placer.on_syn(packet, route, now_ms)
 
     def _record_packet(self, packet, flow, cookie, now_ms):
         if flow is None or flow.cookie != cookie:
--- a/libs/flows/src/lagoontally_flows/_placing/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_placing/__init__.py
@@ -1,10 +1,13 @@
 """Selection of the target of a new flow."""
 
 from ._demand import Demand, is_cut_off
+from ._flow_placer import STALL_AFTER_MS, FlowPlacer
 from ._target_selector import TargetSelector
 
 __all__ = [
+    "STALL_AFTER_MS",
     "Demand",
+    "FlowPlacer",
     "TargetSelector",
     "is_cut_off",
 ]
