Read the operator's evacuations and leave emptied data centres out

A third content of the store with a position of its own: read with the configuration, watched with all keys, told to members beside beacons and across data centres beside Hello. TargetSelector leaves its targets out.

--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -10,10 +10,22 @@
 
 from lost_changes_store import Store
 
-from lagoontally_flows import Balancer, Beacon, ConfigurationDelta, Delta, StoreSync
+from lagoontally_flows import (
+    BY_READER,
+    Balancer,
+    Beacon,
+    ConfigurationDelta,
+    Delta,
+    Evacuated,
+    StoreSync,
+)
 from lagoontally_forwarder import _store_reader
 from lagoontally_forwarder._http_client import HttpFailure, HttpResponse
-from lagoontally_forwarder._messages import decode_message, encode_message
+from lagoontally_forwarder._messages import (
+    decode_message,
+    encode_message,
+    split_evacuated,
+)
 from lagoontally_forwarder._view_document import encode_configuration, encode_targets
 
 TICK_MS = 50
@@ -88,8 +100,10 @@
         self.held = None
         self.joined_ms = fleet.now_ms + fleet.random.choice((20, 300))
         random = Random(seed)
-        self.balancer = Balancer(data_centre="z0", random=random)
         self.store_sync = StoreSync(priority=priority, random=random)
+        self.balancer = Balancer(
+            data_centre="z0", random=random, evacuations=self.store_sync.evacuations
+        )
         self.store_reader = _store_reader.StoreReader(
             self,
             SimpleNamespace(
@@ -149,6 +163,8 @@
         if isinstance(message, Beacon):
             digest = self.balancer.view.digest
             self.store_sync.on_beacon(message, host, now_ms, digest=digest)
+        elif isinstance(message, Evacuated):
+            self.store_sync.evacuations.on_message(message, host, now_ms)
         elif isinstance(message, Delta):
             before = self.store_sync.history.view
             self.store_reader.on_delta(message, now_ms)
@@ -176,6 +192,10 @@
         beacon = self.store_sync.beacon(now_ms, digest=self.balancer.view.digest)
         if beacon is not None:
             self.broadcast(beacon)
+            if beacon.evacuated:
+                told = self.store_sync.evacuations.message(BY_READER, now_ms)
+                for part in split_evacuated(told):
+                    self.broadcast(part)
 
     def _periodic(self):
         if self.alive:
--- a/libs/flows/features/steps/lost_changes_steps.py
+++ b/libs/flows/features/steps/lost_changes_steps.py
@@ -7,10 +7,9 @@
 from lost_changes_plan import HONEST, PRESENT, START_MS, Plan, make_plan
 from lost_changes_run import PORTS, Run
 from lost_changes_search import play
-from lost_changes_store import CONFIGURATION_KEY
 
 from lagoontally_flows import Beacon, ConfigurationDelta, Delta, StoreSync
-from lagoontally_platform import ENTRY_PREFIX
+from lagoontally_platform import ENTRY_PREFIX, OPERATOR_PREFIX
 
 LATENCY_MS = 2
 LOST_MS = 10**9
@@ -122,7 +121,7 @@
     """Both reads may be old."""
 
     def age_ms(_process, path):
-        return configuration_ms if CONFIGURATION_KEY in path else targets_ms
+        return configuration_ms if OPERATOR_PREFIX in path else targets_ms
 
     context.fleet.draw_age = age_ms
     context.run.start(context.reader)
@@ -150,7 +149,7 @@
         context,
         LOST_MS,
         lambda process, path, _response: (
-            process.name == name and CONFIGURATION_KEY in path and "stale-ok" in path
+            process.name == name and OPERATOR_PREFIX in path and "stale-ok" in path
         ),
     )
     context.run.start(name)
@@ -185,7 +184,7 @@
     delay(
         context,
         ms - LATENCY_MS,
-        lambda _process, path, response: CONFIGURATION_KEY in path and not response,
+        lambda _process, path, response: OPERATOR_PREFIX in path and not response,
     )
 
 
--- a/libs/flows/features/sync_fixtures.py
+++ b/libs/flows/features/sync_fixtures.py
@@ -26,4 +26,4 @@
 def beacon(revision, digest, version=5):
     """Return the beacon of a reader in contact with the store."""
     view = position(revision)
-    return Beacon(3, view, view, version, 9, 0, True, False, digest)
+    return Beacon(3, view, view, version, 9, 0, True, False, digest, view, 0)
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -5,10 +5,10 @@
 only improves these decisions and can be lost at any time.
 """
 
-from ._effects import DealtAnew, FlowReset, entry_event
+from ._effects import DealtAnew, FlowReset, entry_event, evacuation_event
 from ._placing import STALL_AFTER_MS, Demand, FlowPlacer, TargetSelector, is_cut_off
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
-from ._store import ALL_CHANGES
+from ._store import ALL_CHANGES, Evacuations, StoreHistory
 from ._targets import (
     ANSWERED,
     LONG_AGO_MS,
@@ -36,11 +36,13 @@
     Args:
         data_centre: Data centre that the balancer runs in.
         random: Random number generator, as ``random.Random``.
+        evacuations: The ``Evacuations``, None for none ever.
 
     Attributes:
         view: Targets that the platform lists.
         configuration: The ``Configuration`` in force, None before the first.
         flows: Recently seen flows.
+        evacuations: The data centres whose targets get no new flows.
         health: Which targets respond.
         stuck_targets: Targets that accept requests and don't answer them.
         half_open_flows: Flows whose handshake isn't complete.
@@ -57,9 +59,10 @@
         ticked_ms: Time of the last tick, None before the first.
     """
 
-    def __init__(self, *, data_centre, random):
+    def __init__(self, *, data_centre, random, evacuations=None):
         self.data_centre = data_centre
         self.view = View()
+        self.evacuations = evacuations or Evacuations(StoreHistory())
         self.configuration = None
         self.flows = FlowTable()
         self.health = Health()
@@ -70,6 +73,7 @@
             health=self.health,
             stuck_targets=self.stuck_targets,
             flows=self.flows,
+            evacuations=self.evacuations,
             data_centre=data_centre,
             random=random,
         )
@@ -234,11 +238,14 @@
             "view_age_ms": None if confirmed_ms is None else now_ms - confirmed_ms,
             "targets": len(self.view.targets),
             "dead": len(self.health.down_marks),
+            "evacuated": len(self.evacuations.since_ms),
         }
 
     def take_effects(self):
         """Return and clear the effects requested since the last call."""
-        effects = list(self.effects)
+        news = self.evacuations.take_news()
+        events = [evacuation_event(one, self.view.targets) for one in news]
+        effects = [*events, *self.effects]
         self.effects.clear()  # the placer adds to the same list
         return effects
 
--- a/libs/flows/src/lagoontally_flows/_effects.py
+++ b/libs/flows/src/lagoontally_flows/_effects.py
@@ -47,3 +47,23 @@
         ("data_centre", target.data_centre),
     )
     return LogEvent("target_listed" if listed else "target_lapsed", fields)
+
+
+def evacuation_event(news, targets):
+    """Return the ``LogEvent`` for an evacuation that began or ended.
+
+    Args:
+        news: The ``EvacuationNews``.
+        targets: Listed ``Target`` by key; where none is in the data centre, its name
+            may be wrong.
+    """
+    name, era, revision, _ = news.evacuation
+    count = sum(target.data_centre == name for target in targets.values())
+    fields = (
+        ("data_centre", name),
+        ("era", era),
+        ("revision", revision),
+        ("source", news.source),
+        ("targets", count),
+    )
+    return LogEvent("evacuation_began" if news.began else "evacuation_ended", fields)
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -1,7 +1,9 @@
 """Places new flows, and moves those whose target doesn't answer their SYN."""
 
-from .._records import Forward, Reset
+from .._records import Drop, Forward, Reset
+from ._target_selector import EVACUATED
 
+LATE_COPY_MS = 2_000  # copies may overtake each other by as much
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 
 
@@ -46,7 +48,7 @@
             now_ms: Current time.
 
         Returns:
-            A ``Forward`` or a ``Reset``.
+            A ``Forward``, a ``Reset`` or a ``Drop``.
         """
         flow = self.flows.flows.get(packet.flow)
         if flow is None:
@@ -60,19 +62,24 @@
         self.effects.extend(self.health.on_stall(silent, since_ms, now_ms))
         target = self.target_selector.select(route, now_ms, avoid=flow.tried)
         if target is None:
-            target = self.view.by_cookie.get(silent)
+            target = self._usable(silent)
         else:
             self.flows.move(flow, target.cookie)
         if target is None:
             self.flows.remove(packet.flow)
-            return Reset("no_target", packet.acknowledgement)
+            reason = self.target_selector.refusal(route, now_ms)
+            return Reset(reason, packet.acknowledgement)
         return Forward(target, "silent_target")
 
     def _on_repeated_syn(self, packet, flow, route, now_ms):
-        if now_ms - flow.last_packet_ms < STALL_AFTER_MS or packet.acknowledgement:
+        recent = now_ms - flow.last_packet_ms < STALL_AFTER_MS
+        if recent or packet.acknowledgement:
             target = self.view.by_cookie.get(flow.cookie)
-            if target is not None:
+            if target is not None and not self.target_selector.is_evacuated(target):
                 return Forward(target, "repeated_syn")
+            late = flow.established and now_ms - flow.last_packet_ms < LATE_COPY_MS
+            if target is not None and (recent or late):
+                return Drop("evacuated")  # the SYN before has reached the target
         return self._place_flow(packet, route, now_ms)
 
     def _place_flow(self, packet, route, now_ms):
@@ -82,14 +89,30 @@
             now_ms,
             avoid=self.half_open_flows.possibly_refused_by(caller, now_ms),
         ) or self.target_selector.select(route, now_ms)
-        self.demand.on_syn(route.shares, served=target is not None)
         if target is None:
-            return Reset("no_target", packet.acknowledgement)
+            return self._refuse(packet, route, now_ms)
+        self.demand.on_syn(route.shares, served=True)
         flow = self.flows.add(packet.flow, target.cookie, now_ms)
         self.half_open_flows.add(packet.flow, flow, now_ms)
         self.probe_overdue(now_ms)
         return Forward(target, "placed")
 
+    def _usable(self, cookie):
+        """Return the target of a cookie unless its data centre is emptied."""
+        target = self.view.by_cookie.get(cookie)
+        if target is None or self.target_selector.is_evacuated(target):
+            return None
+        return target
+
+    def _refuse(self, packet, route, now_ms):
+        """Reset a SYN that no target may get, and count it.
+
+        Where all targets are in emptied data centres, no other balancer has one either.
+        """
+        reason = self.target_selector.refusal(route, now_ms)
+        self.demand.on_syn(route.shares, served=reason == EVACUATED)
+        return Reset(reason, packet.acknowledgement)
+
     def probe_overdue(self, now_ms):
         """Probe the targets that haven't answered a SYN in time."""
         for cookie, placed_ms in self.half_open_flows.overdue(now_ms):
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -2,6 +2,9 @@
 
 from ._placement import select_service, select_target
 
+NO_TARGET = "no_target"
+EVACUATED = "evacuated"
+REST_UNREACHABLE = "evacuated_rest_unreachable"
 TIE_HASH_MULTIPLIER = 2_654_435_761  # Knuth's multiplicative hash
 
 
@@ -13,15 +16,27 @@
         health: The ``Health``.
         stuck_targets: The ``StuckTargets``; suspects are used only as a last resort.
         flows: The ``FlowTable``, whose counts are the load.
+        evacuations: The ``Evacuations``.
         data_centre: This balancer's data centre.
         random: Random number generator, as ``random.Random``.
     """
 
-    def __init__(self, *, view, health, stuck_targets, flows, data_centre, random):
+    def __init__(
+        self,
+        *,
+        view,
+        health,
+        stuck_targets,
+        flows,
+        evacuations,
+        data_centre,
+        random,
+    ):
         self.view = view
         self.health = health
         self.stuck_targets = stuck_targets
         self.flows = flows
+        self.evacuations = evacuations
         self.data_centre = data_centre
         self.random = random
         self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
@@ -52,6 +67,27 @@
             tie_break=self._tie_break,
         )
 
+    def is_evacuated(self, target):
+        """Return whether a target's data centre is emptied."""
+        return self.evacuations.is_evacuated(target.data_centre)
+
+    def refusal(self, route, now_ms):
+        """Return why there is no target for a new flow.
+
+        Returns:
+            ``NO_TARGET``, ``EVACUATED`` if there are targets, all in data centres that
+            are emptied, or ``REST_UNREACHABLE`` if there are others as well.
+        """
+        if not self.evacuations.since_ms:
+            return NO_TARGET
+        services = [service for service, _ in route.shares]
+        listed = [
+            one for name in services for one in self.view.candidates(name, now_ms)
+        ]
+        if not any(map(self.is_evacuated, listed)):
+            return NO_TARGET
+        return EVACUATED if all(map(self.is_evacuated, listed)) else REST_UNREACHABLE
+
     def control_target(self, cookie):
         """Return the control target for a probe, None if there is none.
 
@@ -73,9 +109,11 @@
         )
 
     def _healthy(self, service, now_ms, avoid):
+        evacuations = self.evacuations
+        is_evacuated = evacuations.is_evacuated if evacuations.since_ms else None
         healthy = [
             target
-            for target in self.view.candidates(service, now_ms)
+            for target in self.view.candidates(service, now_ms, is_evacuated)
             if target.cookie not in avoid and not self.health.is_dead(target.cookie)
         ]
         responsive = [
--- a/libs/flows/src/lagoontally_flows/_store/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_store/__init__.py
@@ -6,6 +6,15 @@
     ConfigurationDeltas,
     configuration_delta,
 )
+from ._evacuations import (
+    BY_PEER,
+    BY_READER,
+    BY_REPLY,
+    Evacuated,
+    Evacuation,
+    EvacuationChange,
+    Evacuations,
+)
 from ._history import (
     ALL_CHANGES,
     BEGAN,
@@ -31,12 +40,19 @@
 __all__ = [
     "ALL_CHANGES",
     "BEGAN",
+    "BY_PEER",
+    "BY_READER",
+    "BY_REPLY",
     "Beacon",
     "CURRENT",
     "ConfigurationDelta",
     "ConfigurationDeltas",
     "Delta",
     "ENDED",
+    "Evacuated",
+    "Evacuation",
+    "EvacuationChange",
+    "Evacuations",
     "FetchConfiguration",
     "FetchTargets",
     "Heard",
--- a/libs/flows/src/lagoontally_flows/_store/_history.py
+++ b/libs/flows/src/lagoontally_flows/_store/_history.py
@@ -52,15 +52,16 @@
 class StoreHistory:
     """How far a balancer has followed the store's history.
 
-    Targets and configuration are read in separate calls, so each has a position of
-    its own. Only consistent reads, watches that continue from a position, and peers
-    with a position set one: a read that may be old shows what the store contained
-    once, and not up to which change.
+    Targets and configuration are read in separate calls, and peers tell evacuations
+    without either, so each has a position of its own. Only consistent reads, watches
+    that continue from a position, and peers with a position set one: a read that may
+    be old shows what the store contained once, and not up to which change.
 
     Attributes:
         era: The newest era known, 0 before the first.
         targets: Position up to which all changes of targets are known, or None.
         configuration: The same for changes of the configuration.
+        evacuations: The same for evacuations.
         view: Position of the last known change or listing of targets, ``START``
             while ``targets`` is None.
         began_ms: When the present era was found to have ended another one, here or by
@@ -77,6 +78,7 @@
         self.era = 0
         self.targets = None
         self.configuration = None
+        self.evacuations = None
         self.view = START
         self.began_ms = None
         self.step = 0
@@ -94,6 +96,11 @@
         """Whether the same holds for the configuration."""
         return self.configuration is not None and self.configuration.era == self.era
 
+    @property
+    def knows_evacuations(self):
+        """Whether the same holds for evacuations."""
+        return self.evacuations is not None and self.evacuations.era == self.era
+
     @property
     def announced_view(self):
         """The view as peers are told; revision 0 while the targets may be old."""
@@ -105,9 +112,11 @@
 
         A watch starts there.
         """
-        if not self.knows_targets or not self.knows_configuration:
+        if not (
+            self.knows_targets and self.knows_configuration and self.knows_evacuations
+        ):
             return None
-        return min(self.targets, self.configuration)
+        return min(self.targets, self.configuration, self.evacuations)
 
     @property
     def has_ended(self):
@@ -208,6 +217,8 @@
                 self.view = max(self.view, reached)
         if self.knows_configuration and after <= self.configuration.revision:
             self.configuration = max(self.configuration, reached)
+        if self.knows_evacuations and after <= self.evacuations.revision:
+            self.evacuations = max(self.evacuations, reached)
 
     def on_configuration_read(self, revision):
         """Record a consistent read of the configuration."""
--- a/libs/flows/src/lagoontally_flows/_store/_reader_messages.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reader_messages.py
@@ -1,5 +1,6 @@
 """What a reader tells the other balancers of its data centre."""
 
+from ._evacuations import Evacuations
 from ._history import START, StoreHistory
 from ._reader_election import ReaderElection
 from ._sync_records import Beacon, Delta
@@ -12,6 +13,7 @@
 
     Attributes:
         history: The ``StoreHistory``.
+        evacuations: The ``Evacuations``.
         configuration_version: Version in force here; 0 before the first.
         routes: Number of routes in the configuration in force here.
     """
@@ -19,10 +21,12 @@
     def __init__(self, *, priority, random, slow_link=False):
         super().__init__(priority=priority, random=random, slow_link=slow_link)
         self.history = StoreHistory()
+        self.evacuations = Evacuations(self.history)
         self.configuration_version = 0
         self.routes = 0
         self._configured = False
         self._next_beacon_ms = 0
+        self._announced_generation = 0
 
     def record_answer(self, now_ms):
         """Record an answer of the store; a regained contact is announced at once."""
@@ -37,7 +41,7 @@
 
     @property
     def known(self):
-        """Position up to which both targets and configuration are known here."""
+        """Position up to which all contents of the store are known here."""
         return (self._configured and self.history.position) or START
 
     def beacon(self, now_ms, *, digest):
@@ -47,8 +51,10 @@
             now_ms: Current time.
             digest: Digest of the targets here.
         """
-        if not self.reader or now_ms < self._next_beacon_ms:
+        changed = self.evacuations.generation != self._announced_generation
+        if not self.reader or (now_ms < self._next_beacon_ms and not changed):
             return None
+        self._announced_generation = self.evacuations.generation
         self._next_beacon_ms = now_ms + BEACON_INTERVAL_MS
         age_ms = now_ms - (self.contact_ms or 0)
         return Beacon(
@@ -61,6 +67,8 @@
             self.failures == 0,
             self.history.is_settling,
             digest,
+            self.history.evacuations or START,
+            len(self.evacuations.since_ms),
         )
 
     def delta(self, previous, entries, *, digest):
--- a/libs/flows/src/lagoontally_flows/_store/_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -132,7 +132,7 @@
         self.record_answer(now_ms)
         self.confirmed_ms = now_ms
 
-    def on_changes(self, revision, now_ms, *, after, targets_changed):
+    def on_changes(self, revision, now_ms, *, after, targets_changed, evacuations=()):
         """Handle the answer to a watch.
 
         Args:
@@ -140,7 +140,9 @@
             now_ms: Current time.
             after: Revision from which the watch was made.
             targets_changed: Whether it contains changes of targets.
+            evacuations: ``EvacuationChange`` records that it contains.
         """
+        self.evacuations.on_changes(evacuations, now_ms)
         self.history.on_changes(revision, after=after, targets_changed=targets_changed)
         self.record_answer(now_ms)
         if self.history.knows_targets:
@@ -157,7 +159,9 @@
         """Handle a peer's configuration, which gives no position."""
         self._configured = True
 
-    def on_configuration_read(self, revision, now_ms, *, found, may_be_old=False):
+    def on_configuration_read(
+        self, revision, now_ms, *, found, may_be_old=False, evacuations=()
+    ):
         """Handle the store's answer to a read of the configuration.
 
         Args:
@@ -165,7 +169,9 @@
             now_ms: Current time.
             found: Whether it contained a usable configuration.
             may_be_old: Whether the call was for a result that may be old.
+            evacuations: ``EvacuationChange`` records that it contained.
         """
+        self.evacuations.on_read(evacuations, revision, now_ms, may_be_old=may_be_old)
         self._configured = self._configured or found
         if not may_be_old:
             self.history.on_configuration_read(revision)
@@ -261,6 +267,8 @@
         if self._compare_peer_era(beacon.view.era, now_ms) == ENDED:
             self._on_ended_history(beacon, now_ms)
             return
+        evacuations = self.evacuations
+        evacuations.on_reader(beacon.evacuations, beacon.evacuated, now_ms)
         if beacon.configuration_version >= self.announced_version:
             self._reader_host = host  # older readers lack this configuration
         if beacon.configuration_version > self.announced_version:
@@ -282,6 +290,7 @@
         if self.failures:
             self._reader_is_next = True  # it reaches the store, this balancer doesn't
         self.record_working_reader(beacon, now_ms)
+        self.evacuations.on_contact(now_ms)
         if beacon.configuration_version <= self.configuration_version:
             self.history.on_configuration_known(beacon.known)
         informed = self.history.informed_era == self.history.era
@@ -300,7 +309,8 @@
 
     def _reader_call(self, now_ms):
         """Read what has no position, settle a restored listing, else watch."""
-        if not self.history.knows_configuration:
+        history = self.history
+        if not (history.knows_configuration and history.knows_evacuations):
             return ReadConfiguration(may_be_old=False)
         if not self.history.knows_targets:
             return ListTargets(may_be_old=False)
--- a/libs/flows/src/lagoontally_flows/_store/_sync_records.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync_records.py
@@ -21,7 +21,7 @@
 
 
 class ReadConfiguration(Record, fields="may_be_old"):
-    """Read the configuration from the store.
+    """Read the configuration and the evacuations from the store.
 
     Attributes:
         may_be_old: Whether a result that is seconds old will do, at a tenth of the
@@ -46,7 +46,7 @@
 class Beacon(
     Record,
     fields="priority view known configuration_version routes contact_age_ms"
-    " reachable settling digest",
+    " reachable settling digest evacuations evacuated",
 ):
     """State that a reader announces to the other balancers of its data centre.
 
@@ -54,7 +54,8 @@
         priority: Priority of the reader; of several readers the lowest continues.
         view: ``Position`` of the store at which its view last changed; revision 0
             while its targets may be old.
-        known: ``Position`` up to which it knows both targets and configuration.
+        known: ``Position`` up to which it knows targets, configuration and
+            evacuations.
         configuration_version: Version of the newest configuration it knows.
         routes: Number of routes in that configuration.
         contact_age_ms: How long ago the store last answered it.
@@ -62,6 +63,8 @@
         settling: Whether the store came back from a copy that may still list targets
             as they were before.
         digest: Digest of the targets it knows.
+        evacuations: ``Position`` up to which it knows the evacuations.
+        evacuated: Number of them; if there are any, ``Evacuated`` tells which.
     """
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_targets/_view.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_view.py
@@ -162,18 +162,22 @@
                 self.generation += 1
         return forgotten
 
-    def candidates(self, service, now_ms):
+    def candidates(self, service, now_ms, is_evacuated=None):
         """Return the targets of a service that may get new flows.
 
         Args:
             service: Name of the service.
             now_ms: Current time.
+            is_evacuated: Function of a data centre that returns whether to leave its
+                targets out, None to leave out none.
 
         Returns:
             A list of ``Target``: the listed ones that aren't leaving, and those
             that may return, if there are at least as many and no fewer than two.
         """
         ready = self._ready_by_service().get(service, [])
+        if is_evacuated is not None:
+            ready = [one for one in ready if not is_evacuated(one.data_centre)]
         if not self.delisted:
             return ready
         returning = [
@@ -181,6 +185,7 @@
             for delisting in self.delisted.values()
             if delisting.target.service == service
             and not delisting.target.leaving
+            and not (is_evacuated and is_evacuated(delisting.target.data_centre))
             and self._may_return(delisting, now_ms)
         ]
         return ready + returning if len(returning) >= max(len(ready), 2) else ready
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -12,6 +12,8 @@
     ConfigurationDelta,
     DealtAnew,
     Delta,
+    Evacuated,
+    Evacuation,
     Hello,
     InForce,
     Joined,
@@ -41,7 +43,8 @@
     InForce(14),
     Joined("tifton"),
     Members(7, 3, False, 0, 1, 2_000, ["10.0.0.1", "10.0.0.2"], ["10.0.0.3"]),
-    Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False, 77),
+    Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False, 77, KNOWN, 1),
+    Evacuated("reader", KNOWN, 0, 1, [Evacuation("tifton", 2, 8, 0)]),
     DELTA,
     ConfigurationDelta(
         3,
--- a/libs/forwarder/features/steps/stale_read_steps.py
+++ b/libs/forwarder/features/steps/stale_read_steps.py
@@ -68,7 +68,7 @@
     for balancer in context.deployment.balancers.values():
         log = balancer.read_log()
         reads = [line for line in log if line["event"] == "store_read"]
-        assert {line["prefix"] for line in reads} == {"servers/", "op/config"}, reads
+        assert {line["prefix"] for line in reads} == {"servers/", "op/"}, reads
         for line in reads:
             assert 0 < line["newest"] <= line["revision"], line
             assert line["may_be_old"] in (True, False), line
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -4,10 +4,15 @@
 """
 
 from lagoontally_flows import (
+    BY_PEER,
+    BY_READER,
+    BY_REPLY,
     Beacon,
     ConfigurationDelta,
     DealtAnew,
     Delta,
+    Evacuated,
+    Evacuation,
     Hello,
     InForce,
     Joined,
@@ -28,6 +33,7 @@
 MAX_VERDICT_AGE_MS = 60_000  # longest flow lifetime that the platform guarantees
 MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
 MAX_ROUTES_PER_DELTA = 7  # a route takes about 85 bytes, with two services 115
+MAX_EVACUATED_BYTES = 1_000  # of the evacuations in a message
 MAX_PARTS = 256  # of a list of members
 MAX_VERSION = (1 << 63) - 1  # that is passed on; longer ones might not fit
 
@@ -94,6 +100,27 @@
     return _split(delta, "routes", MAX_ROUTES_PER_DELTA)
 
 
+def split_evacuated(message):
+    """Split an ``Evacuated`` into parts that fit into datagrams.
+
+    Names that fit into none are left out: no data centre bears them.
+    """
+    groups, room = [[]], MAX_EVACUATED_BYTES
+    for entry in message.entries:
+        size = len(dumps(list(entry))) + 1
+        if size > MAX_EVACUATED_BYTES:
+            continue
+        if size > room:
+            groups.append([])
+            room = MAX_EVACUATED_BYTES
+        groups[-1].append(entry)
+        room -= size
+    return [
+        message._replace(part=part, parts=len(groups), entries=entries)
+        for part, entries in enumerate(groups[:MAX_PARTS])
+    ]
+
+
 def _split(delta, field, size):
     items = getattr(delta, field)
     starts = range(0, max(len(items), 1), size)
@@ -204,12 +231,39 @@
 def _decode_beacon(fields):
     beacon = Beacon(*fields)
     beacon = beacon._replace(
-        view=decode_position(beacon.view), known=decode_position(beacon.known)
+        view=decode_position(beacon.view),
+        known=decode_position(beacon.known),
+        evacuations=decode_position(beacon.evacuations),
     )
     numbers = (value for value in beacon if not isinstance(value, Position))
     return beacon if all(isinstance(value, int) for value in numbers) else None
 
 
+def _decode_evacuated(fields):
+    source, position, part, parts, entries = fields
+    if source not in (BY_READER, BY_PEER, BY_REPLY) or not 0 <= part < parts:
+        raise ValueError("a source or a part is not valid")
+    if parts > MAX_PARTS:
+        raise ValueError("a list has too many parts")
+    return Evacuated(
+        source,
+        decode_position(position),
+        int(part),
+        int(parts),
+        [_decode_evacuation(entry) for entry in entries],
+    )
+
+
+def _decode_evacuation(document):
+    data_centre, era, revision, keep_ms = document
+    if not isinstance(data_centre, str) or not data_centre:
+        raise ValueError("an evacuation has no data centre")
+    numbers = (int(era), int(revision), int(keep_ms))
+    if min(numbers) < 0:
+        raise ValueError("an evacuation's era, revision or time is negative")
+    return Evacuation(data_centre, *numbers)
+
+
 def _decode_delta(fields):
     reader, previous, position, known, version, part, parts, *content = fields
     entries, digest, settling = content
@@ -264,6 +318,7 @@
     "Beacon": _decode_beacon,
     "ConfigurationDelta": _decode_configuration_delta,
     "Delta": _decode_delta,
+    "Evacuated": _decode_evacuated,
     "Verdict": _decode_verdict,
     "DealtAnew": lambda _fields: DealtAnew(),
 }
--- /dev/null
+++ b/libs/forwarder/src/lagoontally_forwarder/_pages.py
@@ -0,0 +1,60 @@
+"""Collects the pages of a read of the store."""
+
+from lagoontally_platform import page_path
+
+
+class Pages:
+    """The pages of one read that have arrived.
+
+    Args:
+        prefix: Prefix of the keys that are read.
+        may_be_old: Whether the response may be some seconds stale.
+
+    Attributes:
+        path: Path of the call for the next page, None after the last.
+        entries: Pairs of a key and a ``Target`` or None.
+        evacuations: ``EvacuationChange`` records.
+        configuration: The ``Configuration``, or None.
+        configuration_revision: Revision at which it was written.
+        revision: Revision that the first page names, None before; pages are no
+            snapshot, so later ones may show more.
+        newest: Revision of the last change among the items, 0 without any.
+    """
+
+    def __init__(self, prefix, *, may_be_old):
+        self.prefix = prefix
+        self.may_be_old = may_be_old
+        self.path = page_path(prefix, may_be_old=may_be_old)
+        self.entries = []
+        self.evacuations = []
+        self.configuration = self.configuration_revision = None
+        self.revision = None
+        self.newest = 0
+        self._era = None
+
+    def add(self, listing, era):
+        """Add the next page.
+
+        Args:
+            listing: The ``Listing``.
+            era: Era of the store that it shows.
+
+        Returns:
+            False if the pages before show a history of the store that has ended.
+        """
+        if self.revision is None:
+            self.revision, self._era = listing.revision, era
+        elif era != self._era:
+            return False
+        self.entries += listing.entries
+        self.evacuations += listing.evacuations
+        if listing.configuration is not None:
+            self.configuration = listing.configuration
+            self.configuration_revision = listing.configuration_revision
+        self.newest = max(self.newest, listing.newest)
+        self.path = None
+        if listing.next_key is not None:
+            self.path = page_path(
+                self.prefix, listing.next_key, may_be_old=self.may_be_old
+            )
+        return True
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -1,10 +1,14 @@
 """The socket for messages between the balancers."""
 
 from lagoontally_flows import (
+    BY_PEER,
+    BY_READER,
+    BY_REPLY,
     Beacon,
     ConfigurationDelta,
     DealtAnew,
     Delta,
+    Evacuated,
     Hello,
     InForce,
     Joined,
@@ -13,7 +17,7 @@
     Verdict,
 )
 
-from ._messages import decode_message, encode_message
+from ._messages import decode_message, encode_message, split_evacuated
 from ._sockets import datagram_socket
 
 MAX_MESSAGES_PER_READ = 64
@@ -30,6 +34,7 @@
         settings: The ``Settings``.
         random: Random number generator.
         metrics: The ``Metrics``.
+        evacuations: The ``Evacuations``, told to and by other balancers.
         on_message: Called with an ``InForce`` or one of ``STATE_MESSAGES`` and the
             sender's host.
 
@@ -38,10 +43,11 @@
         version: Version of the configuration in force here; 0 before the first.
     """
 
-    def __init__(self, loop, settings, *, random, metrics, on_message):
+    def __init__(self, loop, settings, *, random, metrics, evacuations, on_message):
         self.loop = loop
         self.settings = settings
         self.metrics = metrics
+        self.evacuations = evacuations
         self.on_message = on_message
         self.membership = Membership(
             host=settings.host,
@@ -64,6 +70,14 @@
         for seed, hello in self.membership.on_tick(addresses, now_ms):
             self._send(encode_message(hello), (seed, addresses[seed]))
             self._send_version((seed, addresses[seed]))
+            if self.evacuations.since_ms:
+                self._tell_evacuations(BY_PEER, (seed, addresses[seed]), now_ms)
+
+    def announce_evacuations(self, now_ms):
+        """Tell the members which data centres are emptied, if any."""
+        if self.evacuations.since_ms:
+            for part in split_evacuated(self.evacuations.message(BY_READER, now_ms)):
+                self.broadcast(part)
 
     def broadcast(self, message):
         """Send a message to every member.
@@ -88,6 +102,11 @@
         if self.version:
             self._send(encode_message(InForce(self.version)), address)
 
+    def _tell_evacuations(self, source, address, now_ms):
+        """Tell a balancer in any data centre which ones are emptied."""
+        for part in split_evacuated(self.evacuations.message(source, now_ms)):
+            self._send(encode_message(part), address)
+
     def _send(self, data, address):
         try:
             self._sock.sendto(data, address)
@@ -106,17 +125,25 @@
                 continue
             self._on_message(message, address[0])
 
+    def _on_hello(self, hello, host, now_ms):
+        for reply in self.membership.on_hello(hello, host, now_ms):
+            self.send(reply, host)
+        self._send_version((host, self._port))
+        if self.evacuations.since_ms:
+            self._tell_evacuations(BY_REPLY, (host, self._port), now_ms)
+
     def _on_message(self, message, host):
         now_ms = self.loop.clock()
         if isinstance(message, Hello):
-            for reply in self.membership.on_hello(message, host, now_ms):
-                self.send(reply, host)
-            self._send_version((host, self._port))
+            self._on_hello(message, host, now_ms)
         elif isinstance(message, Members):
             for member, joined in self.membership.on_members(message, host, now_ms):
                 self.send(joined, member)
         elif isinstance(message, Joined):
             self.membership.on_joined(message, host, now_ms)
+        elif isinstance(message, Evacuated):
+            if self.evacuations.on_message(message, host, now_ms):
+                self._tell_evacuations(BY_REPLY, (host, self._port), now_ms)
         elif isinstance(message, InForce):
             self.on_message(message, host)
         elif isinstance(message, STATE_MESSAGES):
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -37,6 +37,7 @@
 from ._packet_port import PacketPort
 from ._peers import Peers
 from ._prober import Prober
+from ._rereads import Rereads
 from ._settings import InvalidSettings, parse_settings
 from ._store_reader import CONFIGURATION_PATH, TARGETS_PATH, StoreReader
 from ._view_document import encode_configuration, encode_targets
@@ -67,7 +68,18 @@
         self.log = Log(settings.instance, now_ms)
         self.metrics = Metrics()
         random = Random()
-        self.balancer = Balancer(data_centre=settings.data_centre, random=random)
+        priority = crc32(settings.host.encode())
+        slow_link = settings.link_mbps < SLOW_LINK_MBPS
+        self.store_sync = StoreSync(
+            priority=priority + (WEAK_PRIORITY_OFFSET if slow_link else 0),
+            slow_link=slow_link,
+            random=random,
+        )
+        self.balancer = Balancer(
+            data_centre=settings.data_centre,
+            random=random,
+            evacuations=self.store_sync.evacuations,
+        )
         self.lifecycle = Lifecycle(grace_ms=settings.grace_s * 1_000)
         self.port = PacketPort(
             self.loop,
@@ -76,21 +88,22 @@
             log=self.log,
             metrics=self.metrics,
         )
-        priority = crc32(settings.host.encode())
-        slow_link = settings.link_mbps < SLOW_LINK_MBPS
-        self.store_sync = StoreSync(
-            priority=priority + (WEAK_PRIORITY_OFFSET if slow_link else 0),
-            slow_link=slow_link,
-            random=random,
-        )
         self.version_check = VersionCheck(random=random)
         self.peers = Peers(
             self.loop,
             settings,
             random=random,
             metrics=self.metrics,
+            evacuations=self.store_sync.evacuations,
             on_message=self._on_message,
         )
+        self.rereads = Rereads(
+            store_sync=self.store_sync,
+            version_check=self.version_check,
+            peers=self.peers,
+            log=self.log,
+            metrics=self.metrics,
+        )
         self.store_reader = StoreReader(
             self.loop,
             settings,
@@ -135,7 +148,7 @@
         self._last_tick_ms = time_ms
         self.store_sync.members = len(self.peers.members) + 1
         self.store_reader.on_tick(time_ms)
-        self._check_version(time_ms)
+        self.rereads.on_tick(time_ms)
         self.peers.on_tick(time_ms)
         self.prober.on_tick(time_ms)
         self.balancer.on_tick(time_ms)
@@ -147,39 +160,12 @@
         beacon = self.store_sync.beacon(time_ms, digest=digest)
         if beacon is not None:
             self.peers.broadcast(beacon)
+            self.peers.announce_evacuations(time_ms)
         if time_ms >= self._next_settings_check_ms:
             self._check_settings(time_ms)
         self._execute_effects()
         self._update_readiness(time_ms)
 
-    def _check_version(self, time_ms):
-        """Read the store again if others have a configuration that is missing here."""
-        store_sync, check = self.store_sync, self.version_check
-        self.peers.version = version = store_sync.configuration_version
-        check.on_own(version, time_ms)
-        heard = check.due(
-            time_ms,
-            reader=store_sync.reader,
-            members=store_sync.members,
-            reachable=store_sync.reaches_store(time_ms),
-        )
-        position = store_sync.history.position
-        if heard is None or not store_sync.reread():
-            return
-        if check.on_reread(time_ms):
-            self.metrics.add(
-                "configuration_behind", "reader" if store_sync.reader else "follower"
-            )
-            self.log.line(
-                "configuration_behind",
-                heard=heard.version,
-                host=heard.host,
-                own=version,
-                since_ms=time_ms - heard.since_ms,
-                reader=store_sync.reader,
-                position=position,
-            )
-
     def _execute_effects(self):
         """Execute the effects of the balancer's decisions other than on packets."""
         for effect in self.balancer.take_effects():
--- a/libs/forwarder/src/lagoontally_forwarder/_store_log.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_log.py
@@ -38,21 +38,14 @@
                 "store_lost", reason=reason, **self.balancer.state_summary(now_ms)
             )
 
-    def read(self, prefix, *, may_be_old, revision, newest):
-        """Record a complete read.
-
-        Args:
-            prefix: Prefix of the keys that were read.
-            may_be_old: Whether the store was asked for a result that may be old.
-            revision: The revision that the response names.
-            newest: Revision of the last change among the items, 0 without any.
-        """
+    def read(self, pages):
+        """Record a complete read, the ``Pages``."""
         self.log.line(
             "store_read",
-            prefix=prefix,
-            may_be_old=may_be_old,
-            revision=revision,
-            newest=newest,
+            prefix=pages.prefix,
+            may_be_old=pages.may_be_old,
+            revision=pages.revision,
+            newest=pages.newest,
         )
 
     def change_missed(self, prefix, *, written, known):
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -14,21 +14,21 @@
 )
 from lagoontally_platform import (
     ALL_KEYS_PREFIX,
-    CONFIGURATION_KEY,
     ENTRY_PREFIX,
     ERA_HEADER,
     HISTORY_GONE,
     OK,
+    OPERATOR_PREFIX,
     InvalidResponse,
     changes_path,
     decode_changes,
     decode_era,
     decode_page,
-    page_path,
 )
 
 from ._http_client import HttpClient, HttpFailure, header_value
 from ._messages import split_configuration_delta, split_delta
+from ._pages import Pages
 from ._store_log import StoreLog
 from ._view_document import decode_configuration, decode_targets
 
@@ -65,11 +65,7 @@
         self._peer_client = None
         self._configuration_deltas = ConfigurationDeltas()
         self._configuration_digest = 0
-        self._pages = {}
-        self._page_revision = None
-        self._page_era = 0
-        self._newest_revision = 0
-        self._may_be_old = False
+        self._pages = None
         self._call_started_ms = loop.clock()
         self._call_endings = 0
         self._watched_revision = 0
@@ -77,10 +73,9 @@
         # At startup, targets and configuration are read at the same time: open
         # flows need only the targets, and a configuration may be large.
         self._startup_client = HttpClient(loop, settings.store_address)
+        self._startup_pages = Pages(OPERATOR_PREFIX, may_be_old=True)
         self._startup_client.get(
-            page_path(CONFIGURATION_KEY, may_be_old=True),
-            CALL_TIMEOUT_MS,
-            self._on_startup_configuration,
+            self._startup_pages.path, CALL_TIMEOUT_MS, self._on_startup_page
         )
 
     def on_tick(self, now_ms):
@@ -98,19 +93,15 @@
             return
         call = self.store_sync.next_call(now_ms)
         if isinstance(call, ListTargets):
-            self._pages.clear()
-            self._page_revision = None
-            self._newest_revision = 0
-            self._may_be_old = call.may_be_old
-            self._get_page(None)
+            self._pages = Pages(ENTRY_PREFIX, may_be_old=call.may_be_old)
+            self._get(self._pages.path, CALL_TIMEOUT_MS, self._on_page)
         elif isinstance(call, Watch):
             self._watched_revision = call.revision
             path = changes_path(ALL_KEYS_PREFIX, call.revision, call.wait_ms)
             self._get(path, call.wait_ms + WATCH_MARGIN_MS, self._on_changes)
         elif isinstance(call, ReadConfiguration):
-            self._may_be_old = call.may_be_old
-            path = page_path(CONFIGURATION_KEY, may_be_old=call.may_be_old)
-            self._get(path, CALL_TIMEOUT_MS, self._on_configuration)
+            self._pages = Pages(OPERATOR_PREFIX, may_be_old=call.may_be_old)
+            self._get(self._pages.path, CALL_TIMEOUT_MS, self._on_operator_page)
         elif isinstance(call, FetchTargets):
             self._fetch_from_peer(call.host, TARGETS_PATH, self._on_peer_targets)
         elif isinstance(call, FetchConfiguration):
@@ -140,10 +131,6 @@
                 configuration, "delta", routes_digest=delta.digest
             )
 
-    def _get_page(self, after):
-        path = page_path(ENTRY_PREFIX, after, may_be_old=self._may_be_old)
-        self._get(path, CALL_TIMEOUT_MS, self._on_page)
-
     def _get(self, path, timeout_ms, on_done):
         self._call_started_ms = self.loop.clock()
         self._call_endings = self.store_sync.history.endings
@@ -191,41 +178,24 @@
         return None
 
     def _on_page(self, result):
-        is_first = self._page_revision is None
-        if self._is_void(result, endings=self._call_endings, may_begin_era=is_first):
-            return
-        listing = self._decode_result(result, decode_page)
-        if listing is None:
+        pages = self._pages
+        if not self._add_page(pages, result, endings=self._call_endings):
             return
-        era = self.store_sync.history.era
-        if is_first:
-            self._page_revision, self._page_era = listing.revision, era
-        elif era != self._page_era:
-            return  # the pages before show the former history
-        self._pages.update(listing.entries)
-        self._newest_revision = max(self._newest_revision, listing.newest)
-        if listing.next_key is not None:
-            self._get_page(listing.next_key)
+        if pages.path is not None:
+            self._get(pages.path, CALL_TIMEOUT_MS, self._on_page)
             return
-        self.store_log.read(
-            ENTRY_PREFIX,
-            may_be_old=self._may_be_old,
-            revision=self._page_revision,
-            newest=self._newest_revision,
-        )
+        self.store_log.read(pages)
         now_ms, history = self.loop.clock(), self.store_sync.history
-        if history.is_outdated(self._page_revision, may_be_old=self._may_be_old):
+        if history.is_outdated(pages.revision, may_be_old=pages.may_be_old):
             self.store_sync.on_outdated_listing(now_ms)
             return
-        entries = {key: target for key, target in self._pages.items() if target}
+        entries = {key: target for key, target in dict(pages.entries).items() if target}
         rules = self.store_sync.listing_rules()
         previous, missing = history.view, self.balancer.view.targets.keys() - entries
         changes = self.balancer.on_listing(entries, now_ms, rules)
         if any(target for _, target in changes):
-            self._check_known(ENTRY_PREFIX, self._newest_revision, history.targets)
-        self.store_sync.on_listed(
-            self._page_revision, now_ms, may_be_old=self._may_be_old
-        )
+            self._check_known(ENTRY_PREFIX, pages.newest, history.targets)
+        self.store_sync.on_listed(pages.revision, now_ms, may_be_old=pages.may_be_old)
         kept = len(missing) if rules.keep_missing else 0
         self.store_log.restored(
             previous, changed=len(changes), kept=kept, source="store"
@@ -233,6 +203,14 @@
         if history.view != previous:
             self._announce(None, changes)
 
+    def _add_page(self, pages, result, *, endings):
+        """Add a page to a read; return whether it is usable."""
+        is_first = pages.revision is None
+        if self._is_void(result, endings=endings, may_begin_era=is_first):
+            return False
+        listing = self._decode_result(result, decode_page)
+        return listing is not None and pages.add(listing, self.store_sync.history.era)
+
     def _check_known(self, prefix, written, known):
         """Report a change of the store that should have been known before."""
         same_era = known is not None and known.era == self.store_sync.history.era
@@ -294,46 +272,52 @@
             now_ms,
             after=self._watched_revision,
             targets_changed=bool(entries),
+            evacuations=listing.evacuations,
         )
         if self.store_sync.history.view != previous:
             self._announce(previous, entries)
 
-    def _on_configuration(self, result):
-        if not self._is_void(result, endings=self._call_endings, may_begin_era=True):
-            self._take_configuration(result, may_be_old=self._may_be_old)
+    def _on_operator_page(self, result):
+        pages = self._pages
+        if not self._add_page(pages, result, endings=self._call_endings):
+            return
+        if pages.path is not None:
+            self._get(pages.path, CALL_TIMEOUT_MS, self._on_operator_page)
+        else:
+            self._take_operator_pages(pages)
 
-    def _take_configuration(self, result, *, may_be_old):
-        listing = self._decode_result(result, decode_page)
-        if listing is not None:
-            self._record_configuration_read(listing, may_be_old=may_be_old)
-            self._apply_configuration(
-                listing.configuration, "store", written=listing.configuration_revision
-            )
-            self.store_sync.on_configuration_read(
-                listing.revision,
-                self.loop.clock(),
-                found=listing.configuration is not None,
-                may_be_old=may_be_old,
-            )
+    def _on_startup_page(self, result):
+        pages = self._startup_pages
+        usable = self._add_page(pages, result, endings=0)
+        if usable and pages.path is not None:
+            self._startup_client.get(pages.path, CALL_TIMEOUT_MS, self._on_startup_page)
+            return
+        self._startup_client.close()
+        if usable:
+            self._take_operator_pages(pages)
 
-    def _record_configuration_read(self, listing, *, may_be_old):
-        if listing.configuration is None:
-            return  # polls before the operator publishes one aren't logged
-        self.store_log.read(
-            CONFIGURATION_KEY,
-            may_be_old=may_be_old,
-            revision=listing.revision,
-            newest=listing.newest,
+    def _take_operator_pages(self, pages):
+        """Take over a complete read of configuration and evacuations."""
+        found = pages.configuration is not None
+        if found:  # polls before the operator publishes one aren't logged
+            self._record_configuration_read(pages)
+        self._apply_configuration(
+            pages.configuration, "store", written=pages.configuration_revision
+        )
+        self.store_sync.on_configuration_read(
+            pages.revision,
+            self.loop.clock(),
+            found=found,
+            may_be_old=pages.may_be_old,
+            evacuations=pages.evacuations,
         )
-        if listing.configuration.version > self.store_sync.configuration_version:
-            written = listing.configuration_revision
-            known = self.store_sync.history.configuration or self._known_before
-            self._check_known(CONFIGURATION_KEY, written, known)
 
-    def _on_startup_configuration(self, result):
-        self._startup_client.close()
-        if not self._is_void(result, endings=0, may_begin_era=True):
-            self._take_configuration(result, may_be_old=True)
+    def _record_configuration_read(self, pages):
+        self.store_log.read(pages)
+        if pages.configuration.version > self.store_sync.configuration_version:
+            written = pages.configuration_revision
+            known = self.store_sync.history.configuration or self._known_before
+            self._check_known(OPERATOR_PREFIX, written, known)
 
     def _fetch_from_peer(self, host, path, on_done):
         self._peer_client = HttpClient(self.loop, (host, self._peer_port))
