Test evacuations without a network; correct a list at an equal position

Random plans of lost_changes request evacuations too, and one that is never withdrawn must not end on any balancer. A reader that read again at the position of its list left its members with the old one: a scenario failed; such a read now counts as a step of the position.

--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -18,6 +18,7 @@
     Delta,
     Evacuated,
     StoreSync,
+    VersionCheck,
 )
 from lagoontally_forwarder import _store_reader
 from lagoontally_forwarder._http_client import HttpFailure, HttpResponse
@@ -26,6 +27,7 @@
     encode_message,
     split_evacuated,
 )
+from lagoontally_forwarder._rereads import Rereads
 from lagoontally_forwarder._view_document import encode_configuration, encode_targets
 
 TICK_MS = 50
@@ -115,6 +117,14 @@
             log=self,
             metrics=self,
         )
+        self.version = 0
+        self.rereads = Rereads(
+            store_sync=self.store_sync,
+            version_check=VersionCheck(random=random),
+            peers=self,
+            log=self,
+            metrics=self,
+        )
         self._periodic()
 
     def clock(self):
@@ -189,6 +199,9 @@
         now_ms = self.clock()
         self.store_sync.members = len(self.fleet.living())
         self.store_reader.on_tick(now_ms)
+        self.rereads.on_tick(now_ms)
+        for news in self.balancer.evacuations.take_news():
+            self.fleet.evacuation_news.append((now_ms, self.name, news))
         beacon = self.store_sync.beacon(now_ms, digest=self.balancer.view.digest)
         if beacon is not None:
             self.broadcast(beacon)
@@ -224,6 +237,7 @@
         draw_age: Returns the age of the copy that answers a read that may be old.
         draw_latency: Returns how long a request to the store or its response takes.
         draw_loss: Returns whether a message from one process to another is lost.
+        evacuation_news: Time, name of the process and ``EvacuationNews``.
         requests: Name of the process and path of each request.
         log: Lines of the processes if they are kept, else None.
     """
@@ -243,6 +257,7 @@
         self.draw_age = self._any_age
         self.draw_latency = self._any_latency
         self.draw_loss = self._any_loss
+        self.evacuation_news = []
         self.requests = []
         self.log = None
         self._copies = {}
--- a/libs/flows/features/lost_changes_plan.py
+++ b/libs/flows/features/lost_changes_plan.py
@@ -9,6 +9,7 @@
 START_MS = 3_000
 EVENTS_MS = 7_000
 MAX_EVENTS = 14
+EMPTIED, BY_TURNS = "z1", "z2"  # data centres
 
 
 class Event(NamedTuple):
@@ -50,9 +51,25 @@
         events.append(Event(at_ms, kind, _DRAWS[kind](random, names)))
         at_ms += random.choice((0, 5, 20, 60, 150, 400, 1_000, 1_500))
     configured = random.random() < 0.9
+    events = sorted(events + _evacuations(Random(f"{seed} evacuations")), key=_when)
     return Plan(seed, count, named, one_copy, configured, tuple(events))
 
 
+def _evacuations(random):
+    """Draw requests, of which those for one data centre are never withdrawn."""
+    events = [
+        Event(START_MS + random.randrange(EVENTS_MS), "evacuate", (EMPTIED, True))
+    ]
+    for number in range(random.randrange(4)):
+        at_ms = START_MS + random.randrange(EVENTS_MS)
+        events.append(Event(at_ms, "evacuate", (BY_TURNS, number % 2 == 0)))
+    return events
+
+
+def _when(event):
+    return event.at_ms
+
+
 def _some(random, names):
     return tuple(random.sample(names, random.randint(1, len(names))))
 
--- a/libs/flows/features/lost_changes_run.py
+++ b/libs/flows/features/lost_changes_run.py
@@ -4,7 +4,7 @@
 
 from lost_changes_fleet import Fleet
 from lost_changes_plan import PRESENT
-from lost_changes_store import CONFIGURATION_KEY, LONG_AGO_MS
+from lost_changes_store import CONFIGURATION_KEY, EVACUATION_PREFIX, LONG_AGO_MS
 
 from lagoontally_platform import ENTRY_PREFIX
 from lagoontally_platform._documents import decode_configuration, decode_target
@@ -25,6 +25,7 @@
         fleet: The ``Fleet``.
         targets: The documents of the targets that are alive, by key.
         configuration: The newest configuration that the store has acknowledged.
+        evacuated: The data centres that the operator has emptied.
         restored: Whether the store has come back from a copy.
         ended: Whether the faults are over.
         undisturbed_ms: How long each change without faults near it took.
@@ -48,6 +49,7 @@
         }
         self.targets = {}
         self.configuration = None
+        self.evacuated = set()
         self.restored = False
         self.ended = False
         self.started = 0
@@ -147,6 +149,13 @@
         }
         self.fleet.put(CONFIGURATION_KEY, self.configuration)
 
+    def evacuate(self, data_centre, requested=True):
+        """Request an evacuation or withdraw it."""
+        if requested == (data_centre in self.evacuated):
+            return
+        self.evacuated ^= {data_centre}
+        self.fleet.put(EVACUATION_PREFIX + data_centre, {} if requested else None)
+
     # Events
 
     def happen(self, event):
@@ -220,7 +229,9 @@
                 alive = key in self.targets
                 wait_ms = self.random.randrange(REWRITE_MS) if alive else EXPIRY_MS
                 self.later(wait_ms, self.write_again, key)
-        self.later(self.random.randrange(PUBLISH_AGAIN_MS), self.publish_again)
+        wait_ms = self.random.randrange(PUBLISH_AGAIN_MS)
+        self.later(wait_ms, self.publish_again)
+        self.later(wait_ms, self.evacuate_again)
 
     def write_again(self, key):
         """Write an entry that the restored copy holds otherwise."""
@@ -236,6 +247,14 @@
         if self.configuration is not None and found < self.configuration["version"]:
             self.fleet.put(CONFIGURATION_KEY, self.configuration)
 
+    def evacuate_again(self):
+        """Write the evacuations that the restored copy holds otherwise."""
+        items = self.fleet.store.items()
+        wanted = {EVACUATION_PREFIX + name for name in self.evacuated}
+        found = {key for key in items if key.startswith(EVACUATION_PREFIX)}
+        for key in sorted(wanted ^ found):
+            self.fleet.put(key, {} if key in wanted else None)
+
     def later(self, wait_ms, action, *arguments):
         """Run an action after some time."""
         self.fleet.at(self.fleet.now_ms + wait_ms, action, *arguments)
@@ -272,6 +291,8 @@
             view = process.balancer.view.targets
             if view != targets:
                 found.append(f"{process.name}: targets")
+            if process.balancer.evacuations.since_ms.keys() != self.evacuated:
+                found.append(f"{process.name}: evacuations")
         return found
 
     def needless_calls(self, duration_ms):
@@ -303,6 +324,7 @@
     "one target": Run.change_target,
     "routes": Run.publish,
     "one route": Run.publish,
+    "evacuate": Run.evacuate,
     "other item": lambda run: run.fleet.put("other/item", 1),
     "restart": Run.start,
     "restart all": Run.restart_all,
--- a/libs/flows/features/lost_changes_search.py
+++ b/libs/flows/features/lost_changes_search.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from lost_changes_fleet import Fleet
-from lost_changes_plan import START_MS
+from lost_changes_plan import EMPTIED, START_MS
 from lost_changes_run import Run
 
 AFTERMATH_MS = 6_000
@@ -37,7 +37,11 @@
     if run.configuration is None:
         run.publish(3)
     fleet.run(RESTORED_AFTERMATH_MS if run.restored else AFTERMATH_MS)
-    wrong = run.lacking()
+    wrong = run.lacking() + [
+        f"{name}: evacuation undone"
+        for _, name, news in fleet.evacuation_news
+        if news.evacuation.data_centre == EMPTIED and not news.began
+    ]
     for change in (run.change_target, lambda: run.publish(2)) if not wrong else ():
         took_ms = run.measure(change, QUIET_MS)
         if took_ms is None:
--- /dev/null
+++ b/libs/flows/features/steps/evacuation_steps.py
@@ -0,0 +1,231 @@
+"""Steps for data centres that an operator empties."""
+
+from behave import given, then, when
+from fixtures import REMOTE
+from lost_changes_fleet import SILENT
+from lost_changes_store import EVACUATION_PREFIX
+
+from lagoontally_flows import (
+    BY_PEER,
+    Drop,
+    Evacuated,
+    Evacuation,
+    EvacuationChange,
+    Position,
+)
+from lagoontally_forwarder._messages import encode_message
+
+HELLO_MS = 500
+OLDER_REVISIONS = 5
+
+
+@when('"{data_centre}" is emptied')
+def step_emptied(context, data_centre):
+    """The balancer learns it from the store."""
+    change = EvacuationChange(data_centre, 1, True)
+    context.world.balancer.evacuations.on_changes([change], context.world.now_ms)
+    context.world.collect()
+
+
+@when('"{data_centre}" is no longer emptied')
+def step_not_emptied(context, data_centre):
+    """The request is withdrawn."""
+    change = EvacuationChange(data_centre, 2, False)
+    context.world.balancer.evacuations.on_changes([change], context.world.now_ms)
+    context.world.collect()
+
+
+@given("a flow to a local target")
+def step_local_flow(context):
+    """Its caller has completed the handshake."""
+    context.flow, context.target = context.world.open_flow()
+    assert context.target in context.targets
+
+
+@given("a SYN that a local target got")
+def step_local_syn(context):
+    """Its answer hasn't been acknowledged."""
+    context.flow = context.world.new_flow()
+    assert context.world.syn(context.flow).target in context.targets
+
+
+@when("the local targets are no longer listed")
+def step_local_lapse(context):
+    """The store has lost their leases."""
+    context.world.list_targets(*context.remote)
+
+
+@when("the remote targets are no longer listed")
+def step_remote_lapse(context):
+    """The store has lost their leases."""
+    context.world.list_targets(*context.targets)
+
+
+@then("{count:d} new flows go to remote targets, and to none more than {most:d}")
+def step_remote_flows(context, count, most):
+    """Those of one data centre share them."""
+    found = [context.world.open_flow()[1] for _ in range(count)]
+    assert {target.data_centre for target in found} == {REMOTE}, found
+    assert max(map(found.count, found)) <= most, found
+
+
+@then("a new flow goes to a local target")
+def step_local_again(context):
+    """Callers are served where they arrive."""
+    assert context.world.open_flow()[1] in context.targets
+
+
+@then("packets of the flow go to its target")
+def step_open_flow_stays(context):
+    """Also those of another balancer, by the cookie."""
+    action = context.world.send(context.flow, cookie=context.target.cookie)
+    assert action.target == context.target, action
+
+
+@then("a copy of its SYN is dropped after {duration_ms:d} ms")
+@then("a copy of the SYN is dropped after {duration_ms:d} ms")
+def step_copy_dropped(context, duration_ms):
+    """The SYN before it has reached the target."""
+    context.world.wait(duration_ms)
+    assert context.world.syn(context.flow, 1) == Drop("evacuated")
+
+
+@then("a copy of the SYN goes to a remote target after {duration_ms:d} ms")
+def step_copy_moves(context, duration_ms):
+    """The target that got the SYN has not answered."""
+    context.world.wait(duration_ms)
+    action = context.world.syn(context.flow, 1)
+    assert action.target in context.remote, action
+
+
+@then('a copy of the SYN is reset as "{reason}" after {duration_ms:d} ms')
+def step_copy_reset(context, reason, duration_ms):
+    """No target may get it."""
+    context.world.wait(duration_ms)
+    assert context.world.syn(context.flow, 1).reason == reason
+
+
+@then('{count:d} SYNs are reset as "{reason}"')
+def step_syns_reset(context, count, reason):
+    """At once, without a target."""
+    for _ in range(count):
+        action = context.world.syn(context.world.new_flow())
+        assert action.reason == reason, action
+    context.world.wait(100)
+
+
+@then('a line says that "{data_centre}" is emptied and has {count:d} targets')
+def step_logged(context, data_centre, count):
+    """Its name may be wrong."""
+    (line,) = [e for e in context.world.effects if "evacuation_began" in e]
+    fields = dict(line.fields)
+    assert (fields["data_centre"], fields["targets"]) == (data_centre, count), fields
+
+
+@when('the operator empties "{data_centre}"')
+@given('the operator has emptied "{data_centre}"')
+def step_operator_empties(context, data_centre):
+    """The store acknowledges the request."""
+    context.run.evacuate(data_centre)
+
+
+@when('the operator takes "{data_centre}" back')
+def step_operator_takes_back(context, data_centre):
+    """The store acknowledges that the request is gone."""
+    context.run.evacuate(data_centre, requested=False)
+
+
+@when('the operator gives "{data_centre}" up, which the store has lost')
+def step_operator_gives_up(context, data_centre):
+    """Nothing is written."""
+    context.run.evacuated.discard(data_centre)
+
+
+@given("no data centre is emptied")
+def step_none_emptied(context):
+    """The store has no request."""
+    assert not context.run.evacuated
+
+
+@when("{count:d} data centres with long names are emptied")
+def step_many(context, count):
+    """Together they don't fit into a datagram."""
+    for number in range(count):
+        context.run.evacuate(f"{number:03d}" + "z" * 150)
+
+
+@when("the store answers nobody for {duration_ms:d} ms")
+def step_store_away(context, duration_ms):
+    """All calls time out."""
+    context.run.cut_from_store(list(context.fleet.processes), SILENT, duration_ms)
+
+
+@when("a member restarts with reads {ms:d} ms old")
+def step_old_start(context, ms):
+    """Both come from copies of that age."""
+    context.fleet.draw_age = lambda _process, _path: ms
+    context.run.start(context.members[0])
+
+
+@when("all balancers restart with reads {ms:d} ms old")
+def step_all_old(context, ms):
+    """Nobody remembers anything."""
+    context.fleet.draw_age = lambda _process, _path: ms
+    context.run.restart_all(0)
+
+
+@when("watches lack the next changes of evacuations")
+def step_withheld(context):
+    """The revision that they name covers them."""
+    events = context.fleet.store._events
+
+    def without(found):
+        return events([i for i in found if not i["key"].startswith(EVACUATION_PREFIX)])
+
+    context.fleet.store._events = without
+
+
+@when("another data centre tells what it knows for {duration_ms:d} ms")
+def step_peer_tells(context, duration_ms):
+    """Its reader follows the store."""
+    _tell(context, duration_ms, context.fleet.store.revision)
+
+
+@when("another data centre tells an older list for {duration_ms:d} ms")
+def step_peer_old(context, duration_ms):
+    """Its reader has lost the store."""
+    _tell(context, duration_ms, context.fleet.store.revision - OLDER_REVISIONS)
+
+
+@then('no balancer has taken the evacuation of "{data_centre}" for ended')
+def step_never_ended(context, data_centre):
+    """Not even for a moment."""
+    ended = [
+        news
+        for _, _, news in context.fleet.evacuation_news
+        if news.evacuation.data_centre == data_centre and not news.began
+    ]
+    assert not ended, ended
+
+
+@then("in {duration_ms:d} ms only the reader calls the store")
+def step_calls(context, duration_ms):
+    """It watches."""
+    found = context.run.needless_calls(duration_ms)
+    assert not found, found
+
+
+def _tell(context, duration_ms, revision):
+    """Send the evacuations up to a revision to the reader from time to time."""
+    fleet = context.fleet
+    for _ in range(duration_ms // HELLO_MS):
+        era, items = fleet.store.era, fleet.store.items()
+        entries = [
+            Evacuation(key.removeprefix(EVACUATION_PREFIX), era, change.revision, 0)
+            for key, change in items.items()
+            if key.startswith(EVACUATION_PREFIX) and change.revision <= revision
+        ]
+        message = Evacuated(BY_PEER, Position(era, revision, 0), 0, 1, entries)
+        for process in fleet.readers():
+            process.receive(encode_message(message), "far")
+        fleet.run(HELLO_MS)
--- a/libs/flows/src/lagoontally_flows/_store/_evacuations.py
+++ b/libs/flows/src/lagoontally_flows/_store/_evacuations.py
@@ -131,8 +131,11 @@
                 self._update(found | self.listed, now_ms, FROM_STORE)
             return
         position = Position(era, revision, 0)
-        if known is not None and known > position:
+        if known is not None and known._replace(step=0) > position:
             return  # the reader's list arrived while the call was running
+        if known is not None and known._replace(step=0) == position:
+            differs = found != self.listed  # a watch has missed a change
+            position = known._replace(step=known.step + differs)
         self.history.evacuations = position
         self.check.on_read(now_ms)
         self._settle(now_ms)
--- a/libs/flows/src/lagoontally_flows/_store/_history.py
+++ b/libs/flows/src/lagoontally_flows/_store/_history.py
@@ -23,7 +23,8 @@
         era: Number of times that the store came back from a copy.
         revision: The store's revision within the era.
         step: Number of listings since the era began that a reader has taken over with
-            fewer reservations, see ``ListingRules``; 0 for changes.
+            fewer reservations, see ``ListingRules``; 0 for changes. For evacuations,
+            the number of reads at the revision that have corrected the list.
     """
 
     __slots__ = ()
