--- a/libs/cli/features/steps/trace_steps.py
+++ b/libs/cli/features/steps/trace_steps.py
@@ -57,6 +57,19 @@
     "refusing target": dead_target("refused"),
     "cut data centre": flow_reset("no_target"),
     "dropped route": flow_reset("route_removed"),
+    "emptied data centre": [
+        line(
+            0.3,
+            "evacuation_began",
+            data_centre="tifton",
+            revision=31,
+            source="reader",
+            targets=4,
+        ),
+        line(0.1, "evacuation_began", data_centre="camilla", revision=30, source="peer"),
+        line(0.4, "evacuation_ended", data_centre="camilla", revision=30),
+        flow_reset("evacuated"),
+    ],
     "killed balancer": [line(2.5, "start")],
     "paused balancer": [line(2.5, "resumed", stood_still_ms=4000)],
     "late retry": [
--- a/libs/cli/features/trace.feature
+++ b/libs/cli/features/trace.feature
@@ -16,6 +16,7 @@
       | late retry        | its caller tried again, 900 ms after flow 100.64.0.7:40000>198.18.0.1:443 had ended: the flow's target was found dead: it answers nothing |
       | restored store    | target is unknown to the platform (at tifton-1, version 7, view_age_ms 120, targets 9, dead 1, target 00000000000000aa); its balancer had followed a restored store for 700 ms: 2 entries changed, 3 kept |
       | restore unseen    | no such route (at tifton-1, version 7, view_age_ms 120, targets 9, dead 1, target 00000000000000aa); the store had come back from a copy 300 ms before |
+      | emptied data centre | all data centres with targets of the service were emptied (at tifton-1, version 7, view_age_ms 120, targets 9, dead 1, target 00000000000000aa); tifton had been emptied for 1000 ms by revision 31, known from reader |
       | served request    | sent to target 00000000000000aa, which was believed alive |
 
   Scenario: The lines include those of the target and none of other flows
--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -28,7 +28,9 @@
     "store_change_missed",
     "configuration_behind",
     "configuration_in_force",
+    "evacuations_contradicted",
 )
+EVACUATION_EVENTS = ("evacuation_began", "evacuation_ended")
 END_EVENTS = ("reset", "drop")
 TARGET_FAULTS = {
     "target_dead": "was found dead",
@@ -39,6 +41,9 @@
     "no_route": "the configuration in force at the balancer had no such route",
     "route_removed": "a configuration removed the route of the open flow",
     "no_target": "no target of the service was believed alive and reachable",
+    "evacuated": "all data centres with targets of the service were emptied",
+    "evacuated_rest_unreachable": "targets of the service were in data centres that "
+    "were emptied, or not believed alive and reachable",
     "target_gone": "the flow's target is unknown to the platform",
     "target_dead": "the flow's target had been found dead",
     "target_refused": "the flow's target was found dead: its host refuses connections",
@@ -115,6 +120,11 @@
         line
         for line in log.lines
         if line in subject_lines
+        or (
+            line["event"] in EVACUATION_EVENTS  # it may have begun long before
+            and line["instance"] in instances
+            and line["time"] <= last
+        )
         or (
             first <= line["time"] <= last
             and _is_related(line, targets=targets, instances=instances, callers=callers)
@@ -151,10 +161,31 @@
     for line in reversed(lines):
         if line["event"] in END_EVENTS and line["flow"] in flows:
             cause = f"{_reason_text(line)} ({_decision_inputs(line)})"
-            return cause + _restore_before(line, lines)
+            return cause + _emptied_at(line, lines) + _restore_before(line, lines)
     return _cause_without_end(lines, flows)
 
 
+def _emptied_at(end, lines):
+    """Return as text which data centres were emptied, for a refusal because of it."""
+    if not end["reason"].startswith("evacuated"):
+        return ""
+    began = {}
+    for line in lines:
+        if line["instance"] != end["instance"] or line["time"] > end["time"]:
+            continue
+        if line["event"] == "evacuation_began":
+            began[line["data_centre"]] = line
+        elif line["event"] == "evacuation_ended":
+            began.pop(line["data_centre"], None)
+        elif line["event"] == "start":
+            began.clear()
+    return "".join(
+        f"; {name} had been emptied for {round(1_000 * (end['time'] - line['time']))} "
+        f"ms by revision {line['revision']}, known from {line['source']}"
+        for name, line in sorted(began.items())
+    )
+
+
 def _restore_before(end, lines):
     """Return as text whether the store had come back from a copy before a line."""
     for line in reversed(lines):
--- a/libs/forwarder/features/platform.feature
+++ b/libs/forwarder/features/platform.feature
@@ -105,6 +105,24 @@
       | 8, 7             |
       | 7, 8, invalid    |
 
+  Scenario Outline: The operator's request to empty a data centre
+    When a page holds <key> with the value <value>
+    Then it empties <data centres>, with <faults> faults
+
+    Examples:
+      | key                   | value | data centres | faults |
+      | op/evacuate/tifton    | {}    | tifton       | 0      |
+      | op/evacuate/a b&c/d   | {}    | a b&c/d      | 0      |
+      | op/evacuate/tifton    | 7     | tifton       | 1      |
+      | op/evacuate/tifton    | %%    | tifton       | 1      |
+      | op/evacuate/          | {}    | nothing      | 1      |
+      | op/evacuate           | {}    | nothing      | 0      |
+      | op/other              | %%    | nothing      | 0      |
+
+  Scenario: The page after a key with odd characters
+    When the next page starts after "op/evacuate/a b&c"
+    Then its path ends in "after=op/evacuate/a%20b%26c"
+
   Scenario: The next page starts after the last key of a page
     When a page indicates that there are more
     Then the next page starts after its last key
--- a/libs/forwarder/features/steps/platform_steps.py
+++ b/libs/forwarder/features/steps/platform_steps.py
@@ -19,6 +19,7 @@
     decode_page,
     encode_reset,
     format_flow,
+    page_path,
 )
 from lagoontally_standins.packets import encode_packet
 
@@ -218,6 +219,37 @@
     assert listing.newest >= revision, listing
 
 
+@when("a page holds {key} with the value {value}")
+def step_evacuation(context, key, value):
+    """Values are documents, or no base64."""
+    written = item(key, {}) | ({"value": "%%%"} if value == "%%" else {})
+    if value == "7":
+        written = item(key, 7)
+    context.listing = decode_page(page([written, item("op/config", CONFIGURATION)]))
+
+
+@then("it empties {name}, with {faults:d} faults")
+def step_emptied(context, name, faults):
+    """The rest of the page is taken over."""
+    listing = context.listing
+    names = [change.data_centre for change in listing.evacuations] or ["nothing"]
+    assert names == [name], names
+    assert len(listing.faults) == faults, listing.faults
+    assert listing.configuration is not None
+
+
+@when('the next page starts after "{key}"')
+def step_next_page(context, key):
+    """Keys are at most 200 bytes of any kind."""
+    context.path = page_path("op/", key)
+
+
+@then('its path ends in "{text}"')
+def step_path(context, text):
+    """A query can't hold all characters."""
+    assert context.path.endswith(text), context.path
+
+
 @when("a page indicates that there are more")
 def step_more(context):
     context.listing = decode_page(page([item(KEY, ENTRY)], more=True))
