--- a/libs/cli/features/steps/trace_steps.py
+++ b/libs/cli/features/steps/trace_steps.py
@@ -66,9 +66,11 @@
             source="reader",
             targets=4,
         ),
-        line(0.1, "evacuation_began", data_centre="camilla", revision=30, source="peer"),
+        line(
+            0.1, "evacuation_began", data_centre="camilla", revision=30, source="peer"
+        ),
         line(0.4, "evacuation_ended", data_centre="camilla", revision=30),
-        flow_reset("evacuated"),
+        *flow_reset("evacuated"),
     ],
     "killed balancer": [line(2.5, "start")],
     "paused balancer": [line(2.5, "resumed", stood_still_ms=4000)],
