--- a/libs/flows/features/evacuation.feature
+++ b/libs/flows/features/evacuation.feature
@@ -113,14 +113,14 @@
     Then after 1000 ms no balancer lacks a change
 
   Scenario: All balancers start with reads from before the request
-    Given 3 balancers that follow the store
+    Given 3 balancers that follow a store whose old reads name its newest revision
     And the operator has emptied "z1"
     When 500 ms go by
     And all balancers restart with reads 3000 ms old
     Then after 3000 ms no balancer lacks a change
 
   Scenario: A balancer starts with reads from before the end
-    Given 3 balancers that follow the store
+    Given 3 balancers that follow a store whose old reads name its newest revision
     And the operator has emptied "z1"
     When 1000 ms go by
     And the operator takes "z1" back
@@ -155,6 +155,24 @@
     Then no balancer has taken the evacuation of "z1" for ended
     And after 3000 ms no balancer lacks a change
 
+  Scenario: A reader's messages from before the request arrive late
+    Given 3 balancers that follow the store
+    When messages of the reader are held back
+    And the operator empties "z1"
+    And 500 ms go by
+    And they reach the members
+    Then no balancer has taken the evacuation of "z1" for ended
+
+  Scenario: A reader's messages from before the end arrive late
+    Given 3 balancers that follow the store
+    And the operator has emptied "z1"
+    When 500 ms go by
+    And messages of the reader are held back
+    And the operator takes "z1" back
+    And 100 ms go by
+    And they reach the members
+    Then after 0 ms no balancer lacks a change
+
   Scenario: The store forgets its history
     Given 3 balancers that follow the store
     When the reader's watches are not answered
--- a/libs/flows/features/steps/evacuation_steps.py
+++ b/libs/flows/features/steps/evacuation_steps.py
@@ -7,6 +7,7 @@
 
 from lagoontally_flows import (
     BY_PEER,
+    BY_READER,
     Drop,
     Evacuated,
     Evacuation,
@@ -197,6 +198,26 @@
     _tell(context, duration_ms, context.fleet.store.revision - OLDER_REVISIONS)
 
 
+@when("messages of the reader are held back")
+def step_held_back(context):
+    """They arrive, and copies of them later."""
+    reader, now_ms = context.fleet.processes[context.reader], context.fleet.now_ms
+    beacon = reader.store_sync.beacon(
+        now_ms + HELLO_MS, digest=reader.balancer.view.digest
+    )
+    evacuated = reader.store_sync.evacuations.message(BY_READER, now_ms)
+    context.copies = [encode_message(beacon), encode_message(evacuated)]
+
+
+@when("they reach the members")
+def step_copies_arrive(context):
+    """After newer ones."""
+    for name in context.members:
+        for copy in context.copies:
+            context.fleet.processes[name].receive(copy, context.reader)
+        context.fleet.processes[name].tick()
+
+
 @then('no balancer has taken the evacuation of "{data_centre}" for ended')
 def step_never_ended(context, data_centre):
     """Not even for a moment."""
