Pass contradictions on to the reader; test evacuations with real processes

Where no seed runs outside a data centre, its reader heard nobody who knows better: a scenario with the request hidden from one data centre's watches failed, and its members now pass on what they hear.

--- a/libs/flows/src/lagoontally_flows/_store/_evacuations.py
+++ b/libs/flows/src/lagoontally_flows/_store/_evacuations.py
@@ -242,7 +242,8 @@
             if name not in told and not _is_after(entry, position)
         ]
         if len(missing) > len(added) or withdrawn:
-            self.check.on_contradiction(now_ms)
+            heard = message._replace(source=BY_PEER, part=0, parts=1, entries=entries)
+            self.check.on_contradiction(heard, now_ms)
         self._update(self.listed | added, now_ms, BY_PEER)
         return message.source == BY_PEER and told.keys() != self.listed.keys()
 
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -102,6 +102,11 @@
         if self.version:
             self._send(encode_message(InForce(self.version)), address)
 
+    def send_evacuated(self, message, host):
+        """Send an ``Evacuated`` to one balancer, in parts."""
+        for part in split_evacuated(message):
+            self.send(part, host)
+
     def _tell_evacuations(self, source, address, now_ms):
         """Tell a balancer in any data centre which ones are emptied."""
         for part in split_evacuated(self.evacuations.message(source, now_ms)):
@@ -130,7 +135,7 @@
             self.send(reply, host)
         self._send_version((host, self._port))
         if self.evacuations.since_ms:
-            self._tell_evacuations(BY_REPLY, (host, self._port), now_ms)
+            self._tell_evacuations(BY_PEER, (host, self._port), now_ms)
 
     def _on_message(self, message, host):
         now_ms = self.loop.clock()
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -226,6 +226,9 @@
         )
         if notice is not None:
             self.peers.send(notice, host)
+        contradiction = self.store_sync.evacuations.check.notice(time_ms)
+        if contradiction is not None:
+            self.peers.send_evacuated(contradiction, host)
 
     def _log_verdict(self, verdict, source):
         """Log an own verdict, or a peer's that differs from the known state."""
--- a/libs/standins/src/lagoontally_standins/packets/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/packets/_deployment.py
@@ -41,6 +41,7 @@
         targets: Index of the data centre and ``Target`` by target id.
         states: State that each target last wrote, by target id.
         published: The newest configuration's document.
+        evacuated: Data centres that are emptied.
     """
 
     def __init__(self, folder, network, *, data_centres, balancers, targets):
@@ -52,6 +53,7 @@
         self.identities = itertools.count(1)
         self.states = {}
         self.published = None
+        self.evacuated = set()
         self.services_ever = {}
         self.store = Store(self.loop, (self.host(0, 1), STORE_PORT))
         self.routes = {
@@ -102,6 +104,13 @@
         self.published = document | changes
         self.store.put("op/config", self.published)
 
+    def evacuate(self, data_centre, requested=True):
+        """Request the evacuation of a data centre, or withdraw it."""
+        self.evacuated.discard(data_centre)
+        if requested:
+            self.evacuated.add(data_centre)
+        self.store.put(f"op/evacuate/{data_centre}", {} if requested else None)
+
     def add_target(self, centre_index, service, number):
         """Start a target, write its entry and return it."""
         identity = f"i-{next(self.identities):08x}"
@@ -170,6 +179,10 @@
         stored = self.store.items.get("op/config")
         if stored is None or stored.document != self.published:
             self.store.put("op/config", self.published)
+        for data_centre in self.data_centres:
+            listed = f"op/evacuate/{data_centre}" in self.store.items
+            if listed != (data_centre in self.evacuated):
+                self.evacuate(data_centre, requested=not listed)
 
     def published_configuration(self):
         """Return what should be in force, in the form of ``fetch_configuration``."""
