--- a/libs/forwarder/features/steps/evacuation_steps.py
+++ b/libs/forwarder/features/steps/evacuation_steps.py
@@ -47,9 +47,14 @@
 @when("all balancers are killed and restarted")
 def step_all_killed(context):
     """None of them remembers anything."""
-    for balancer in context.deployment.balancers.values():
+    deployment = context.deployment
+    for balancer in deployment.balancers.values():
         balancer.kill()
-    assert context.deployment.start()
+    routers = deployment.routers.values()
+    assert deployment.loop.run_until(
+        lambda: all(all(router.misses.values()) for router in routers), SETTLED_S
+    )
+    assert deployment.start()
 
 
 @when("new flows reach only the other data centre within {timeout_s:d} s")
