--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -83,6 +83,24 @@
       | a target too many      | all balancers follow the store              |
       | a target as not leaving | all balancers follow the store              |
 
+  Scenario Outline: A flow to an emptied data centre is reported unless the rules excuse it
+    Given a data centre that was emptied from 100 s to 120 s
+    And "<subject>" was disturbed from <start> s to <end> s
+    When a flow opens in "<data centre>" at <at> s through "tifton-1"
+    Then <count> flows to an emptied data centre are reported
+
+    Examples:
+      | subject       | start | end | data centre | at    | count |
+      | nothing       | 0     | 0   | tifton      | 102.9 | 0     |
+      | nothing       | 0     | 0   | tifton      | 103.1 | 1     |
+      | nothing       | 0     | 0   | tifton      | 120.1 | 0     |
+      | nothing       | 0     | 0   | camilla     | 103.1 | 0     |
+      | tifton-1      | 98    | 100 | tifton      | 103.9 | 0     |
+      | tifton-1      | 98    | 100 | tifton      | 104.1 | 1     |
+      | tifton-2      | 98    | 104 | tifton      | 103.1 | 1     |
+      | store         | 98    | 100 | tifton      | 103.9 | 0     |
+      | store, partly | 98    | 100 | tifton      | 103.9 | 0     |
+
   Scenario Outline: A reset of an open flow is reported unless its target was disturbed
     Given a route that was added at <route> s and a target that started at <target> s
     And "<subject>" was disturbed from <start> s to <end> s
--- a/libs/soak/features/steps/checks_steps.py
+++ b/libs/soak/features/steps/checks_steps.py
@@ -6,6 +6,7 @@
 
 from lagoontally_soak._checks import Checks, SentRequest
 from lagoontally_soak._disturbances import Disturbances
+from lagoontally_soak._evacuations import Evacuations, Request
 from lagoontally_soak._route_history import RouteHistory
 from lagoontally_soak._views import view_violations
 from lagoontally_standins.packets import Outcome
@@ -16,6 +17,12 @@
 FORMER, LATER = "pivot-link", "usage-ledger"
 
 
+def checks(deployment, faults):
+    """Return checks of a run in which no data centre was emptied."""
+    evacuations = Evacuations(deployment, faults.disturbances, None)
+    return Checks(deployment, faults, evacuations)
+
+
 @given("a route that was moved at {moved_at:d} s")
 def step_moved(context, moved_at):
     """The first configuration was published at 0 s."""
@@ -46,8 +53,8 @@
     )
     opening = SimpleNamespace(at=at + 0.01, host=balancers[name].settings["host"])
     target = SimpleNamespace(first_syns={FLOW: opening})
-    context.violations = Checks(deployment, faults).violations_of_run(
-        {"q1": SentRequest(FLOW, at)}, {"i-1": target}
+    context.violations = checks(deployment, faults).violations_of_run(
+        {"q1": SentRequest(FLOW, at)}, {"i-1": target}, {"i-1": "tifton"}
     )
 
 
@@ -89,7 +96,7 @@
     flow = SimpleNamespace(
         outcome=outcome, flow=FLOW, target="i-1", request="q1", callers=callers
     )
-    return Checks(deployment, faults).outcome_violations(flow, sent_at)
+    return checks(deployment, faults).outcome_violations(flow, sent_at)
 
 
 @when('an open flow from "{data_centre}" to the target is reset at {at:d} s')
@@ -169,3 +176,27 @@
     [violation] = view_violations(context.deployment)
     assert violation.promise == promise, violation
     assert violation.detail.startswith("tifton-1"), violation
+
+
+@given("a data centre that was emptied from {began:d} s to {ended:d} s")
+def step_emptied(context, began, ended):
+    """Its targets live on."""
+    context.disturbances = Disturbances()
+    context.evacuations = Evacuations(None, context.disturbances, None)
+    context.evacuations.requests.append(Request("tifton", began, ended))
+
+
+@when('a flow opens in "{data_centre}" at {at:f} s through "{name}"')
+def step_opens(context, data_centre, at, name):
+    """Its SYN is what the target saw."""
+    opening = SimpleNamespace(at=at, host="127.0.1.0")
+    target = SimpleNamespace(first_syns={FLOW: opening})
+    context.violations = context.evacuations.violations(
+        {"i-1": (data_centre, target)}, lambda _host: name
+    )
+
+
+@then("{count:d} flows to an emptied data centre are reported")
+def step_emptied_reported(context, count):
+    """Each names the target."""
+    assert len(list(context.violations)) == count
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -32,23 +32,28 @@
     Args:
         deployment: The ``Deployment``.
         faults: The ``Faults`` injected into it.
+        evacuations: The ``Evacuations``.
     """
 
-    def __init__(self, deployment, faults):
+    def __init__(self, deployment, faults, evacuations):
         self.deployment = deployment
         self.faults = faults
+        self.evacuations = evacuations
 
-    def violations_of_run(self, sent_requests, targets):
+    def violations_of_run(self, sent_requests, targets, data_centres):
         """Return every ``Violation`` of the whole run.
 
         Args:
             sent_requests: Every ``SentRequest`` by request.
             targets: Every target that ever ran, by id.
+            data_centres: Data centre of each of them, by id.
         """
+        located = {name: (data_centres[name], one) for name, one in targets.items()}
         return [
             *self._run_violations(sent_requests),
             *self._old_configuration_violations(sent_requests, targets),
             *self._drain_violations(targets),
+            *self.evacuations.violations(located, self._balancer_at),
         ]
 
     def _run_violations(self, sent_requests):
--- a/libs/soak/src/lagoontally_soak/_mutations.py
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -38,7 +38,8 @@
         "a request reaches its own service",
         """
 from lagoontally_flows._targets import View
-View.candidates = lambda view, _service, _now_ms: list(view.targets.values())
+View.candidates = lambda view, _service, _now_ms, _is_evacuated=None: list(
+    view.targets.values())
 """,
     ),
     "dropped routes stay": Mutation(
@@ -85,6 +86,32 @@
             raise SystemError from None
         raise
 _store.loads = loads_or_end
+""",
+    ),
+    "evacuations are forgotten by a restart": Mutation(
+        "an emptied data centre gets no new flow",
+        """
+from lagoontally_flows import Evacuations
+on_read, on_list = Evacuations.on_read, Evacuations._on_list
+def read_nothing(evacuations, changes, revision, now_ms, *, may_be_old):
+    on_read(evacuations, [], revision, now_ms, may_be_old=may_be_old)
+def list_only_changes(evacuations, position, entries, now_ms):
+    if evacuations.history.evacuations:
+        on_list(evacuations, position, entries, now_ms)
+    else:
+        evacuations.history.evacuations = position
+Evacuations.on_read, Evacuations._on_list = read_nothing, list_only_changes
+""",
+    ),
+    "an older copy undoes an evacuation": Mutation(
+        "an emptied data centre gets no new flow",
+        """
+from lagoontally_flows import Evacuations
+on_read = Evacuations.on_read
+def read_any(evacuations, changes, revision, now_ms, *, may_be_old):
+    evacuations.history.evacuations = None
+    on_read(evacuations, changes, revision, now_ms, may_be_old=False)
+Evacuations.on_read = read_any
 """,
     ),
     "a restored store isn't noticed": Mutation(
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -11,6 +11,7 @@
 from lagoontally_standins.packets import Deployment, Outcome
 
 from ._checks import Checks, SentRequest
+from ._evacuations import Evacuations
 from ._explain import Failure
 from ._faults import Faults
 from ._mutations import MUTATIONS
@@ -66,12 +67,16 @@
         restores = Random(f"restores {seed}")
         self.faults = Faults(self.deployment, Random(seed), restores)
         self.series = Series(self.deployment, self.faults, Random(f"series {seed}"))
-        self.checks = Checks(self.deployment, self.faults)
+        self.evacuations = Evacuations(
+            self.deployment, self.faults.disturbances, Random(f"evacuations {seed}")
+        )
+        self.checks = Checks(self.deployment, self.faults, self.evacuations)
         self.request_numbers = itertools.count()
         self.sent_requests = {}
         self.opened_at = {}
         self.pending_since = {}
         self.targets = {}
+        self.target_centres = {}
         self.pools = {data_centre: [] for data_centre in DATA_CENTRES}
         self.violations = []
         self.outcomes = {}
@@ -90,12 +95,14 @@
             self._send_requests()
             self._inject_faults()
             self._inject_series()
+            self._change_evacuations()
             if self._run_for(seconds):
                 return self.violations
             self.injecting_faults = False
             self.series.inject_last()
             if self._run_for(RECOVERY_S):
                 return self.violations
+            self.evacuations.end()
             self.series.end_all()
             self.faults.end_all()
             if self._run_for(RECOVERY_S):
@@ -105,7 +112,7 @@
         finally:
             self.deployment.stop()
         self.violations += self.checks.violations_of_run(
-            self.sent_requests, self.targets
+            self.sent_requests, self.targets, self.target_centres
         )
         return self.violations
 
@@ -118,7 +125,7 @@
         while self.loop.now < end:
             self.loop.run_for(CHECK_INTERVAL_S)
             found = self.violations + self.checks.violations_of_run(
-                self.sent_requests, self.targets
+                self.sent_requests, self.targets, self.target_centres
             )
             if any(item.promise == self.mutation.promise for item in found):
                 self.violations = found
@@ -136,9 +143,15 @@
             self.series.inject_one()
             self.loop.after(self.series.next_pause_s(), self._inject_series)
 
+    def _change_evacuations(self):
+        if self.injecting_faults:
+            self.loop.after(self.evacuations.next_pause_s(), self._change_evacuations)
+            self.evacuations.change()
+
     def _send_requests(self):
-        for target_id, (_, target) in self.deployment.targets.items():
+        for target_id, (index, target) in self.deployment.targets.items():
             self.targets.setdefault(target_id, target)
+            self.target_centres[target_id] = DATA_CENTRES[index]
         self._collect_outcomes()
         self._record_exits()
         for data_centre in DATA_CENTRES:
