Flows: limit the new flows of targets that warm up

Cause: a target without flows is the next choice of every balancer, and nothing bounded what all of them send it while it is slow.

--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -39,6 +39,7 @@
     "no_route": "the configuration in force at the balancer had no such route",
     "route_removed": "a configuration removed the route of the open flow",
     "no_target": "no target of the service was believed alive and reachable",
+    "warming_up": "all targets that could take the flow warm up, and get no more now",
     "target_gone": "the flow's target is unknown to the platform",
     "target_dead": "the flow's target had been found dead",
     "target_refused": "the flow's target was found dead: its host refuses connections",
--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -162,7 +162,9 @@
         configuration, history = self.balancer.configuration, self.store_sync.history
         if path == _store_reader.TARGETS_PATH and self.store_sync.has_targets:
             targets = self.balancer.view.targets
-            body = encode_targets(history.announced_view, targets)
+            warm_ups = self.balancer.warm_ups
+            left_ms = warm_ups.left_by_cookie(targets.values(), self.clock())
+            body = encode_targets(history.announced_view, targets, left_ms)
             return HttpResponse(200, b"", body)
         if path == _store_reader.CONFIGURATION_PATH and configuration is not None:
             return HttpResponse(200, b"", encode_configuration(configuration))
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -6,7 +6,14 @@
 """
 
 from ._effects import DealtAnew, FlowReset, entry_event
-from ._placing import STALL_AFTER_MS, Demand, FlowPlacer, TargetSelector, is_cut_off
+from ._placing import (
+    STALL_AFTER_MS,
+    Demand,
+    FlowPlacer,
+    TargetSelector,
+    WarmUpBudgets,
+    is_cut_off,
+)
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
 from ._store import ALL_CHANGES
 from ._targets import (
@@ -18,6 +25,7 @@
     Health,
     StuckTargets,
     View,
+    WarmUps,
     reset_flows,
     should_reset_flows,
 )
@@ -43,6 +51,8 @@
         flows: Recently seen flows.
         health: Which targets respond.
         stuck_targets: Targets that accept requests and don't answer them.
+        warm_ups: How long targets warm up.
+        warm_up_budgets: Limits the new flows of targets that warm up.
         half_open_flows: Flows whose handshake isn't complete.
         target_selector: Selects the targets of new flows.
         demand: Recent SYNs by service.
@@ -65,11 +75,16 @@
         self.health = Health()
         self.stuck_targets = StuckTargets(self.flows)
         self.half_open_flows = HalfOpenFlows()
+        self.warm_ups = WarmUps()
+        self.warm_up_budgets = WarmUpBudgets(
+            warm_ups=self.warm_ups, data_centre=data_centre
+        )
         self.target_selector = TargetSelector(
             view=self.view,
             health=self.health,
             stuck_targets=self.stuck_targets,
             flows=self.flows,
+            warm_up_budgets=self.warm_up_budgets,
             data_centre=data_centre,
             random=random,
         )
@@ -81,6 +96,7 @@
             flows=self.flows,
             half_open_flows=self.half_open_flows,
             target_selector=self.target_selector,
+            warm_up_budgets=self.warm_up_budgets,
             demand=self.demand,
             effects=self.effects,
         )
@@ -104,6 +120,7 @@
         if current is not None and configuration.version <= current.version:
             return False
         self.configuration = configuration
+        self.warm_ups.services = configuration.services
         return True
 
     def on_packet(self, packet, now_ms, *, waited_ms=0):
@@ -180,6 +197,7 @@
 
     def on_probe_result(self, cookie, evidence, now_ms):
         """Handle the result of a probe; see ``Health.on_probe_result``."""
+        self.warm_ups.on_evidence(cookie, evidence)
         verdicts = self.health.on_probe_result(cookie, evidence, now_ms)
         self.effects.extend(verdicts)
         if any(verdict.dead for verdict in verdicts):
@@ -190,6 +208,7 @@
         if verdict.evidence in (STUCK, UNANSWERED, ANSWERED):
             self.effects.extend(self.stuck_targets.on_verdict(verdict, host, now_ms))
             return
+        self.warm_ups.on_evidence(verdict.cookie, verdict.evidence)
         is_new = self.health.on_verdict(verdict, now_ms)
         if is_new and self.flows.open_flows.get(verdict.cookie):
             self.effects.extend(self.health.request_probe(verdict.cookie, now_ms))
@@ -211,6 +230,8 @@
         for cookie in self.view.forget_delisted(now_ms):
             self.health.forget(cookie)
             self.stuck_targets.forget(cookie)
+            self.warm_ups.forget(cookie)
+        self.warm_up_budgets.on_tick(now_ms)
         self.placer.probe_overdue(now_ms)
         self.effects.extend(self.health.due_probes(now_ms))
         self._reset_stuck_flows(now_ms)
@@ -347,6 +368,8 @@
             self._unknown_since_ms.pop(target.cookie, None)
         if before == target:
             return
+        if target is not None:
+            self.warm_ups.on_entry(target, now_ms)
         current = target or before
         replaced = before is not None and before.cookie != current.cookie
         if target is None or replaced:
--- a/libs/flows/src/lagoontally_flows/_effects.py
+++ b/libs/flows/src/lagoontally_flows/_effects.py
@@ -44,6 +44,7 @@
         ("service", target.service),
         ("address", f"{target.address[0]}:{target.address[1]}"),
         ("leaving", target.leaving),
+        ("warm_up_ms", target.warm_up_ms),
         ("data_centre", target.data_centre),
     )
     return LogEvent("target_listed" if listed else "target_lapsed", fields)
--- a/libs/flows/src/lagoontally_flows/_membership.py
+++ b/libs/flows/src/lagoontally_flows/_membership.py
@@ -17,6 +17,8 @@
 # Until a seed has answered; it may be starting too.
 FIRST_HELLO_INTERVAL_MS = 250
 MISSED_HELLOS = 6  # that remove a sender; datagrams may be lost
+MISSED_REPLIES = 3  # fewer, so that a balancer notices before others remove it
+SETTLING_MS = 3_000  # members that start together announce themselves by then
 MAX_HOSTS_PER_MESSAGE = 60  # an address takes up to 18 bytes of a datagram of 1,200
 MAX_RECORDED_CHANGES = 256
 UNKNOWN_GENERATION = 0
@@ -173,6 +175,8 @@
         self._interval_ms = HELLO_INTERVAL_MS
         self._next_hello_ms = 0
         self._replied_ms = None
+        self._heard_ms = None
+        self._settling_since_ms = None
 
     def on_tick(self, seeds, now_ms):
         """Expire members and return the messages that are due.
@@ -202,6 +206,7 @@
         if previous is not None and previous != hello.data_centre:
             self._lists[previous].remove(host)
         self._senders[host] = hello.data_centre
+        self._on_heard(now_ms)
         if hello.data_centre == self.data_centre:
             self.members[host] = now_ms
         member_list = self._lists.setdefault(hello.data_centre, MemberList())
@@ -219,6 +224,7 @@
         replies = self._seeds.setdefault(seed, SeedReplies())
         replies.apply(message)
         self._replied_ms = now_ms
+        self._on_heard(now_ms)
         self._interval_ms = min(message.interval_ms, MAX_HELLO_INTERVAL_MS)
         new = []
         for host in replies.hosts:
@@ -230,6 +236,18 @@
         self._remove_unlisted(message.removed)
         return [(host, Joined(self.data_centre)) for host in new]
 
+    def is_settled(self, now_ms):
+        """Return whether this balancer and the members know each other.
+
+        True once it has been in touch with seeds for ``SETTLING_MS``, until it misses
+        ``MISSED_REPLIES``.
+        """
+        return (
+            self._heard_ms is not None
+            and now_ms - self._heard_ms <= self._interval_ms * MISSED_REPLIES
+            and now_ms - self._settling_since_ms >= SETTLING_MS
+        )
+
     def on_joined(self, message, host, now_ms):
         """Record a balancer that has started."""
         if message.data_centre == self.data_centre:
@@ -240,6 +258,14 @@
         self.members[host] = now_ms
         self._announced.add(host)
 
+    def _on_heard(self, now_ms):
+        """Record that another balancer is in touch, as a seed or with this seed."""
+        heard_ms = self._heard_ms
+        silence_ms = self._interval_ms * MISSED_REPLIES
+        if heard_ms is None or now_ms - heard_ms > silence_ms:
+            self._settling_since_ms = now_ms
+        self._heard_ms = now_ms
+
     def _remove_unlisted(self, hosts):
         """Remove hosts that no seed lists any more."""
         for host in hosts:
--- a/libs/flows/src/lagoontally_flows/_placing/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_placing/__init__.py
@@ -3,11 +3,13 @@
 from ._demand import Demand, is_cut_off
 from ._flow_placer import STALL_AFTER_MS, FlowPlacer
 from ._target_selector import TargetSelector
+from ._warm_up_budgets import WarmUpBudgets
 
 __all__ = [
     "STALL_AFTER_MS",
     "Demand",
     "FlowPlacer",
     "TargetSelector",
+    "WarmUpBudgets",
     "is_cut_off",
 ]
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -1,6 +1,6 @@
 """Places new flows, and moves those whose target doesn't answer their SYN."""
 
-from .._records import Forward, Reset
+from .._records import Drop, Forward, Reset
 
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 
@@ -14,6 +14,7 @@
         flows: The ``FlowTable``.
         half_open_flows: The ``HalfOpenFlows``.
         target_selector: The ``TargetSelector``.
+        warm_up_budgets: The ``WarmUpBudgets`` that count the SYNs of cold targets.
         demand: The ``Demand`` that counts SYNs.
         effects: List to which ``Probe`` records are added.
     """
@@ -26,6 +27,7 @@
         flows,
         half_open_flows,
         target_selector,
+        warm_up_budgets,
         demand,
         effects,
     ):
@@ -34,6 +36,7 @@
         self.flows = flows
         self.half_open_flows = half_open_flows
         self.target_selector = target_selector
+        self.warm_up_budgets = warm_up_budgets
         self.demand = demand
         self.effects = effects
 
@@ -46,8 +49,16 @@
             now_ms: Current time.
 
         Returns:
-            A ``Forward`` or a ``Reset``.
+            A ``Forward`` or a ``Reset``, or a ``Drop`` of a copy for a target that
+            gets no more for now.
         """
+        action = self._decide(packet, route, now_ms)
+        if not isinstance(action, Forward):
+            return action
+        admitted = self.warm_up_budgets.take(action.target, now_ms)
+        return action if admitted else Drop("warming_up")
+
+    def _decide(self, packet, route, now_ms):
         flow = self.flows.flows.get(packet.flow)
         if flow is None:
             return self._place_flow(packet, route, now_ms)
@@ -84,7 +95,8 @@
         ) or self.target_selector.select(route, now_ms)
         self.demand.on_syn(route.shares, served=target is not None)
         if target is None:
-            return Reset("no_target", packet.acknowledgement)
+            reason = self.target_selector.refusal(route, now_ms)
+            return Reset(reason, packet.acknowledgement)
         flow = self.flows.add(packet.flow, target.cookie, now_ms)
         self.half_open_flows.add(packet.flow, flow, now_ms)
         self.probe_overdue(now_ms)
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -1,6 +1,7 @@
 """Selection of targets by view, health and load."""
 
 from ._placement import select_service, select_target
+from ._regions import in_allowed_regions
 
 TIE_HASH_MULTIPLIER = 2_654_435_761  # Knuth's multiplicative hash
 
@@ -13,17 +14,33 @@
         health: The ``Health``.
         stuck_targets: The ``StuckTargets``; suspects are used only as a last resort.
         flows: The ``FlowTable``, whose counts are the load.
+        warm_up_budgets: The ``WarmUpBudgets`` that limit the flows of cold targets.
         data_centre: This balancer's data centre.
         random: Random number generator, as ``random.Random``.
+
+    Attributes:
+        regions: Region by data centre, as far as they are known.
     """
 
-    def __init__(self, *, view, health, stuck_targets, flows, data_centre, random):
+    def __init__(
+        self,
+        *,
+        view,
+        health,
+        stuck_targets,
+        flows,
+        warm_up_budgets,
+        data_centre,
+        random,
+    ):
         self.view = view
         self.health = health
         self.stuck_targets = stuck_targets
         self.flows = flows
+        self.warm_up_budgets = warm_up_budgets
         self.data_centre = data_centre
         self.random = random
+        self.regions = {}
         self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
 
     def select(self, route, now_ms, avoid=()):
@@ -35,7 +52,7 @@
             avoid: Cookies of targets to leave out.
         """
         targets_by_service = {
-            service: self._healthy(service, now_ms, avoid)
+            service: self._usable(service, route, now_ms, avoid)
             for service, _ in route.shares
         }
         service = select_service(
@@ -52,6 +69,13 @@
             tie_break=self._tie_break,
         )
 
+    def refusal(self, route, now_ms):
+        """Return why no target can be selected: ``warming_up`` or ``no_target``."""
+        held_back = any(
+            self._healthy(service, route, now_ms) for service, _ in route.shares
+        )
+        return "warming_up" if held_back else "no_target"
+
     def control_target(self, cookie):
         """Return the control target for a probe, None if there is none.
 
@@ -72,10 +96,15 @@
             default=None,
         )
 
-    def _healthy(self, service, now_ms, avoid):
+    def _usable(self, service, route, now_ms, avoid):
+        healthy = self._healthy(service, route, now_ms, avoid)
+        return self.warm_up_budgets.admitted(healthy, now_ms)
+
+    def _healthy(self, service, route, now_ms, avoid=()):
+        candidates = self.view.candidates(service, now_ms)
         healthy = [
             target
-            for target in self.view.candidates(service, now_ms)
+            for target in in_allowed_regions(candidates, route.regions, self.regions)
             if target.cookie not in avoid and not self.health.is_dead(target.cookie)
         ]
         responsive = [
--- a/libs/flows/src/lagoontally_flows/_targets/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_targets/__init__.py
@@ -14,6 +14,7 @@
 from ._stuck_flow_resets import reset_flows, should_reset_flows
 from ._stuck_targets import ANSWERED, STUCK, THIS_BALANCER, UNANSWERED, StuckTargets
 from ._view import View
+from ._warm_ups import WarmUps
 
 __all__ = [
     "ACCEPTED",
@@ -31,6 +32,7 @@
     "UNCLEAR",
     "Verdict",
     "View",
+    "WarmUps",
     "reset_flows",
     "should_reset_flows",
     "target_cookie",
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -7,12 +7,9 @@
 from posix import environ, stat  # ``os`` adds 1 ms to startup
 
 from lagoontally_flows import (
-    ANSWERED,
     SLOW_LINK_MBPS,
     STALE_SYN_MS,
-    STUCK,
     THIS_BALANCER,
-    UNANSWERED,
     Balancer,
     Beacon,
     ConfigurationDelta,
@@ -29,7 +26,7 @@
 )
 from lagoontally_platform import READINESS_PATH, SETTINGS_VARIABLE
 
-from ._clock import now_ms
+from ._clock import now_ms, unix_ms
 from ._http_server import HttpServer
 from ._log import Log
 from ._loop import PROBING_TICK_MS, TICK_MS, Loop
@@ -39,6 +36,7 @@
 from ._prober import Prober
 from ._settings import InvalidSettings, parse_settings
 from ._store_reader import CONFIGURATION_PATH, TARGETS_PATH, StoreReader
+from ._verdict_log import log_verdict
 from ._view_document import encode_configuration, encode_targets
 
 SETTINGS_CHECK_INTERVAL_MS = 2_000  # the file may change without a signal
@@ -68,6 +66,7 @@
         self.metrics = Metrics()
         random = Random()
         self.balancer = Balancer(data_centre=settings.data_centre, random=random)
+        self._take_bounds(settings)
         self.lifecycle = Lifecycle(grace_ms=settings.grace_s * 1_000)
         self.port = PacketPort(
             self.loop,
@@ -138,6 +137,7 @@
         self._check_version(time_ms)
         self.peers.on_tick(time_ms)
         self.prober.on_tick(time_ms)
+        self._update_warm_ups(time_ms)
         self.balancer.on_tick(time_ms)
         self.balancer.view_confirmed_ms = self.store_sync.confirmed_ms
         self.balancer.platform_heard_ms = self.store_sync.heard_ms
@@ -152,6 +152,20 @@
         self._execute_effects()
         self._update_readiness(time_ms)
 
+    def _take_bounds(self, settings):
+        """Take over what the settings state of targets that warm up and of regions."""
+        budgets = self.balancer.warm_up_budgets
+        budgets.host = settings.host
+        budgets.excess = settings.warm_up_excess
+        budgets.slack = settings.warm_up_slack or 0
+        self.balancer.target_selector.regions = settings.regions
+
+    def _update_warm_ups(self, time_ms):
+        self.balancer.warm_ups.unix_offset_ms = unix_ms() - time_ms
+        self.balancer.warm_up_budgets.on_members(
+            self.peers.members, settled=self.peers.membership.is_settled(time_ms)
+        )
+
     def _check_version(self, time_ms):
         """Read the store again if others have a configuration that is missing here."""
         store_sync, check = self.store_sync, self.version_check
@@ -194,7 +208,7 @@
             elif isinstance(effect, Probe):
                 self._start_probe(effect.cookie)
             elif isinstance(effect, Verdict):
-                self._log_verdict(effect, THIS_BALANCER)
+                log_verdict(self.log, self.balancer, effect, THIS_BALANCER)
                 self.peers.broadcast(effect)
             elif isinstance(effect, DealtAnew):
                 self.peers.broadcast(effect)
@@ -228,7 +242,7 @@
         elif isinstance(message, DealtAnew):
             self.balancer.on_flows_rehashed(time_ms)
         elif isinstance(message, Verdict):
-            self._log_verdict(message, host)
+            log_verdict(self.log, self.balancer, message, host)
             self.balancer.on_verdict(message, host, time_ms)
 
     def _on_beacon(self, beacon, host, time_ms):
@@ -241,26 +255,6 @@
         if notice is not None:
             self.peers.send(notice, host)
 
-    def _log_verdict(self, verdict, source):
-        """Log an own verdict, or a peer's that differs from the known state."""
-        balancer = self.balancer
-        if verdict.evidence in (STUCK, UNANSWERED):
-            event = "target_stuck"
-            known = balancer.stuck_targets.is_stuck(verdict.cookie)
-        elif verdict.evidence == ANSWERED:
-            event = "target_answers"
-            known = not balancer.stuck_targets.has_overdue_reports(verdict.cookie)
-        else:
-            event = "target_dead" if verdict.dead else "target_alive"
-            known = balancer.health.is_dead(verdict.cookie) == verdict.dead
-        if source == THIS_BALANCER or not known:
-            self.log.line(
-                event,
-                target=balancer.target_id(verdict.cookie),
-                evidence=verdict.evidence,
-                source=source,
-            )
-
     def _update_readiness(self, time_ms):
         has_view = self.store_sync.has_targets
         if has_view and not self.port.is_open:
@@ -305,7 +299,8 @@
         history = self.store_sync.history
         if path == TARGETS_PATH.encode() and self.store_sync.has_targets:
             targets = self.balancer.view.targets
-            return 200, encode_targets(history.announced_view, targets)
+            warm_ups = self.balancer.warm_ups.left_by_cookie(targets.values(), now_ms())
+            return 200, encode_targets(history.announced_view, targets, warm_ups)
         if path == CONFIGURATION_PATH.encode() and configuration is not None:
             return 200, self._configuration_document(configuration)
         return 404, b""
@@ -323,6 +318,10 @@
         position = self.store_sync.history.position
         return gauges | {
             "flows": len(self.balancer.flows.flows),
+            "warming_up": self.balancer.warm_up_budgets.warming_up(
+                self.balancer.view.targets.values(), now_ms()
+            ),
+            "held_back": self.balancer.warm_up_budgets.held_back,
             "members": self.store_sync.members,
             "reader": self.store_sync.reader,
             "era": self.store_sync.history.era,
@@ -372,6 +371,7 @@
         # Sockets stay bound: the platform changes addresses only at startup.
         self.settings = settings
         self.peers.settings = settings
+        self._take_bounds(settings)
         self.lifecycle.grace_ms = settings.grace_s * 1_000
         self.log.line("reload", outcome="taken", changed=changed)
 
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -345,6 +345,7 @@
             return
         now_ms, previous = self.loop.clock(), self.store_sync.history.view
         if self.store_sync.on_targets(copy.position, now_ms):
+            self.balancer.warm_ups.on_copy(copy.entries.values(), copy.warm_ups, now_ms)
             changes = self.balancer.on_listing(copy.entries, now_ms)
             self.store_log.restored(
                 previous, changed=len(changes), kept=0, source="peer"
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -13,21 +13,31 @@
 )
 
 
-class TargetsCopy(Record, fields="position entries"):
+class TargetsCopy(Record, fields="position entries warm_ups"):
     """The targets that a peer knows.
 
     Attributes:
         position: ``Position`` of the store at which they last changed.
         entries: ``Target`` by key.
+        warm_ups: What is left of warm-ups in milliseconds, by cookie.
     """
 
     __slots__ = ()
 
 
-def encode_targets(position, entries):
-    """Return the document of targets as bytes."""
+def encode_targets(position, entries, warm_ups):
+    """Return the document of targets as bytes.
+
+    Args:
+        position: ``Position`` of the store at which they last changed.
+        entries: ``Target`` by key.
+        warm_ups: What is left of warm-ups in milliseconds, by cookie. The entries
+            state what was left when they were written.
+    """
     targets = {key: encode_target(target) for key, target in entries.items()}
-    return _encode({"position": position, "targets": targets})
+    return _encode(
+        {"position": position, "targets": targets, "warm_ups": list(warm_ups.items())}
+    )
 
 
 def decode_targets(body):
@@ -37,7 +47,11 @@
         entries = {
             key: decode_target(target) for key, target in document["targets"].items()
         }
-        return TargetsCopy(decode_position(document["position"]), entries)
+        warm_ups = {
+            int(cookie): max(0, int(left_ms))
+            for cookie, left_ms in document.get("warm_ups", ())
+        }
+        return TargetsCopy(decode_position(document["position"]), entries, warm_ups)
     except DECODE_ERRORS:
         return None  # the caller counts it
 
