--- a/libs/flows/features/cluster.py
+++ b/libs/flows/features/cluster.py
@@ -32,9 +32,13 @@
         count: Number of balancers.
         data_centres: Number of data centres.
         loss: Share of datagrams that are lost.
+
+    Attributes:
+        cut_off: Hosts whose datagrams are lost, as are those sent to them.
     """
 
     def __init__(self, count, data_centres, loss=0.0):
+        self.cut_off = set()
         self.now_ms = 1_000_000
         self.random = Random(1)
         self.loss = loss
@@ -109,7 +113,7 @@
 
     def _deliver(self, sender, receiver, message):
         membership = receiver.membership
-        if membership is None:
+        if membership is None or self.cut_off & {sender, receiver.host}:
             return
         receiver.received += 1
         if isinstance(message, Hello):
