--- a/libs/flows/src/lagoontally_flows/_placing/_warm_up_budgets.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_warm_up_budgets.py
@@ -63,7 +63,12 @@
         """Return the targets that may get a new flow now."""
         if self.excess is None or not self.warm_ups.may_warm_up(now_ms):
             return targets
-        admitted = [target for target in targets if self.admits(target, now_ms)]
+        may_warm_up = self.warm_ups.cookies()
+        admitted = [
+            target
+            for target in targets
+            if target.cookie not in may_warm_up or self.admits(target, now_ms)
+        ]
         if len(admitted) == len(targets):
             return targets
         self.held_back += 1
--- a/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
@@ -83,6 +83,10 @@
         """Return whether any target may be warming up."""
         return now_ms < self._latest_ms or bool(self._refused)
 
+    def cookies(self):
+        """Return the cookies of the targets that may be warming up."""
+        return self._statements.keys() | self._refused
+
     def left_ms(self, target, now_ms):
         """Return what is left of the warm-up of a target that is alive."""
         until_ms = self._stated_until_ms(target)
--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -90,3 +90,20 @@
   Scenario: Decoding random messages raises no error
     When hypothesis generates 400 messages of random fields
     Then each is decoded or rejected
+
+  Scenario: A copy of the targets tells what is left of their warm-ups
+    Then a copy of targets with 500 ms left of a warm-up is decoded as it was
+
+  Scenario: A copy of a balancer of the version before is decoded
+    Then a copy without what is left of warm-ups is decoded
+
+  Scenario Outline: A copy with malformed warm-ups is rejected
+    Then a copy with the warm-ups <warm_ups> is rejected
+
+    Examples:
+      | warm_ups     |
+      | 5            |
+      | [5]          |
+      | [["x", 5]]   |
+      | [[7, 1e999]] |
+      | [[7, null]]  |
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -28,6 +28,11 @@
     encode_message,
     split_configuration_delta,
 )
+from lagoontally_forwarder._view_document import (
+    TargetsCopy,
+    decode_targets,
+    encode_targets,
+)
 
 NAME = bytes.fromhex("000000007f3a91c2")
 TARGET = Target(
@@ -149,3 +154,26 @@
 def check_message(name, fields):
     """Decode one message, which must not raise an error."""
     decode_message(json.dumps([name, *fields]).encode())
+
+
+@then("a copy of targets with {left_ms:d} ms left of a warm-up is decoded as it was")
+def step_copy(context, left_ms):
+    """The entry itself is sent as the target wrote it."""
+    entries = {"servers/i-1": TARGET._replace(warm_up_ms=2_000)}
+    warm_ups = {TARGET.cookie: left_ms}
+    copy = decode_targets(encode_targets(VIEW, entries, warm_ups))
+    assert copy == TargetsCopy(VIEW, entries, warm_ups), copy
+
+
+@then("a copy without what is left of warm-ups is decoded")
+def step_old_copy(context):
+    """Balancers of two versions run side by side while they are replaced."""
+    copy = decode_targets(json.dumps({"position": VIEW, "targets": {}}).encode())
+    assert copy == TargetsCopy(VIEW, {}, {}), copy
+
+
+@then("a copy with the warm-ups {warm_ups} is rejected")
+def step_malformed_copy(context, warm_ups):
+    """It raises no error."""
+    head = json.dumps({"position": VIEW, "targets": {}})[:-1]
+    assert decode_targets(f'{head}, "warm_ups": {warm_ups}}}'.encode()) is None
