--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -44,6 +44,7 @@
     "evacuated": "all data centres with targets of the service were emptied",
     "evacuated_rest_unreachable": "targets of the service were in data centres that "
     "were emptied, or not believed alive and reachable",
+    "warming_up": "all targets that could take the flow warm up, and get no more now",
     "target_gone": "the flow's target is unknown to the platform",
     "target_dead": "the flow's target had been found dead",
     "target_refused": "the flow's target was found dead: its host refuses connections",
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -16,6 +16,7 @@
         flows: The ``FlowTable``.
         half_open_flows: The ``HalfOpenFlows``.
         target_selector: The ``TargetSelector``.
+        warm_up_budgets: The ``WarmUpBudgets`` that count the SYNs of cold targets.
         demand: The ``Demand`` that counts SYNs.
         effects: List to which ``Probe`` records are added.
     """
@@ -28,6 +29,7 @@
         flows,
         half_open_flows,
         target_selector,
+        warm_up_budgets,
         demand,
         effects,
     ):
@@ -36,6 +38,7 @@
         self.flows = flows
         self.half_open_flows = half_open_flows
         self.target_selector = target_selector
+        self.warm_up_budgets = warm_up_budgets
         self.demand = demand
         self.effects = effects
 
@@ -48,8 +51,16 @@
             now_ms: Current time.
 
         Returns:
-            A ``Forward``, a ``Reset`` or a ``Drop``.
+            A ``Forward``, a ``Reset``, or a ``Drop`` of a copy for a target that gets
+            no more for now.
         """
+        action = self._decide(packet, route, now_ms)
+        if not isinstance(action, Forward):
+            return action
+        admitted = self.warm_up_budgets.take(action.target, now_ms)
+        return action if admitted else Drop("warming_up")
+
+    def _decide(self, packet, route, now_ms):
         flow = self.flows.flows.get(packet.flow)
         if flow is None:
             return self._place_flow(packet, route, now_ms)
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -1,10 +1,12 @@
 """Selection of targets by view, health and load."""
 
 from ._placement import select_service, select_target
+from ._regions import in_allowed_regions
 
 NO_TARGET = "no_target"
 EVACUATED = "evacuated"
 REST_UNREACHABLE = "evacuated_rest_unreachable"
+WARMING_UP = "warming_up"
 TIE_HASH_MULTIPLIER = 2_654_435_761  # Knuth's multiplicative hash
 
 
@@ -17,8 +19,12 @@
         stuck_targets: The ``StuckTargets``; suspects are used only as a last resort.
         flows: The ``FlowTable``, whose counts are the load.
         evacuations: The ``Evacuations``.
+        warm_up_budgets: The ``WarmUpBudgets`` that limit the flows of cold targets.
         data_centre: This balancer's data centre.
         random: Random number generator, as ``random.Random``.
+
+    Attributes:
+        regions: Region by data centre, as far as they are known.
     """
 
     def __init__(
@@ -29,6 +35,7 @@
         stuck_targets,
         flows,
         evacuations,
+        warm_up_budgets,
         data_centre,
         random,
     ):
@@ -37,8 +44,10 @@
         self.stuck_targets = stuck_targets
         self.flows = flows
         self.evacuations = evacuations
+        self.warm_up_budgets = warm_up_budgets
         self.data_centre = data_centre
         self.random = random
+        self.regions = {}
         self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
 
     def select(self, route, now_ms, avoid=()):
@@ -50,7 +59,7 @@
             avoid: Cookies of targets to leave out.
         """
         targets_by_service = {
-            service: self._healthy(service, now_ms, avoid)
+            service: self._usable(service, route, now_ms, avoid)
             for service, _ in route.shares
         }
         service = select_service(
@@ -75,12 +84,15 @@
         """Return why there is no target for a new flow.
 
         Returns:
-            ``NO_TARGET``, ``EVACUATED`` if there are targets, all in data centres that
-            are emptied, or ``REST_UNREACHABLE`` if there are others as well.
+            ``WARMING_UP`` if targets get no more for now, ``EVACUATED`` if there are
+            targets, all in data centres that are emptied, ``REST_UNREACHABLE`` if
+            there are others as well, else ``NO_TARGET``.
         """
+        services = [service for service, _ in route.shares]
+        if any(self._healthy(service, route, now_ms) for service in services):
+            return WARMING_UP
         if not self.evacuations.since_ms:
             return NO_TARGET
-        services = [service for service, _ in route.shares]
         listed = [
             one for name in services for one in self.view.candidates(name, now_ms)
         ]
@@ -108,12 +120,17 @@
             default=None,
         )
 
-    def _healthy(self, service, now_ms, avoid):
+    def _usable(self, service, route, now_ms, avoid):
+        healthy = self._healthy(service, route, now_ms, avoid)
+        return self.warm_up_budgets.admitted(healthy, now_ms)
+
+    def _healthy(self, service, route, now_ms, avoid=()):
         evacuations = self.evacuations
         is_evacuated = evacuations.is_evacuated if evacuations.since_ms else None
+        candidates = self.view.candidates(service, now_ms, is_evacuated)
         healthy = [
             target
-            for target in self.view.candidates(service, now_ms, is_evacuated)
+            for target in in_allowed_regions(candidates, route.regions, self.regions)
             if target.cookie not in avoid and not self.health.is_dead(target.cookie)
         ]
         responsive = [
