Flows: a flow that two targets answered stays where its caller opened it

Cause: a caller's SYN whose answer is late is copied after 200 ms, and the copy goes to another target. A caller that reads both answers returns the cookie of the later one, on a flow that the earlier one holds; its data then reached the wrong target, which drops it, until the deadline. It also counted as a rehash of all flows, which ended the watch for stuck targets everywhere. Change: an established flow's packets go to the target whose numbers they acknowledge, if the cookie names another one that its SYN was sent to.

--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -132,6 +132,8 @@
         cookie = packet.cookie or (flow.cookie if flow else NO_COOKIE)
         if cookie == NO_COOKIE:
             return Drop("no_cookie")
+        if flow is not None and flow.cookie != cookie:
+            cookie = self.flows.holder(flow, packet)
         self.half_open_flows.remove(packet.flow)
         if packet.flags & (RST | FIN):
             self._on_abandoned_request(packet, flow, now_ms)
--- a/libs/flows/src/lagoontally_flows/_tracking/_flow_table.py
+++ b/libs/flows/src/lagoontally_flows/_tracking/_flow_table.py
@@ -10,6 +10,7 @@
 )
 SEQUENCE_MASK = 0xFFFFFFFF
 HALF_SEQUENCE = 0x80000000
+MAX_UNSEEN_BYTES = 1 << 16  # of a target, between two packets of its caller here
 
 
 class Flow:
@@ -105,6 +106,24 @@
         self._count(cookie)
         return flow
 
+    def holder(self, flow, packet):
+        """Return the cookie of the target that holds a packet's flow.
+
+        A caller whose SYN two targets answered opens the flow at the one that it
+        acknowledges, and returns the other's cookie if that answered later.
+
+        Args:
+            flow: The ``Flow`` known by the packet's addresses and ports.
+            packet: A ``Packet`` with a cookie that follows the SYN.
+        """
+        if packet.cookie not in flow.tried:
+            return packet.cookie
+        if not flow.established:
+            self.move(flow, packet.cookie)
+            return packet.cookie
+        unseen = (packet.acknowledgement - flow.acknowledged) & SEQUENCE_MASK
+        return flow.cookie if unseen <= MAX_UNSEEN_BYTES else packet.cookie
+
     def move(self, flow, cookie):
         """Move a flow that isn't open to another target."""
         self._release(flow)
