Peers: reject numbers out of range and targets that are null

Cause: a position or version of any size was taken over, and the next request for metrics ended the process (int too large to convert to float); targets of a peer in which one is null ended it at once.

--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -29,7 +29,7 @@
 MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
 MAX_ROUTES_PER_DELTA = 7  # a route takes about 85 bytes, with two services 115
 MAX_PARTS = 256  # of a list of members
-MAX_VERSION = (1 << 63) - 1  # that is passed on; longer ones might not fit
+MAX_VERSION = (1 << 63) - 1  # also of revisions; longer ones might not fit
 
 
 def encode_target(target):
@@ -79,8 +79,8 @@
         ValueError, TypeError, OverflowError: It isn't a valid position.
     """
     position = Position(*map(int, document))
-    if min(position) < 0:
-        raise ValueError("a position is negative")
+    if not 0 <= min(position) <= max(position) <= MAX_VERSION:
+        raise ValueError("a position is out of range")
     return position
 
 
@@ -206,15 +206,16 @@
     beacon = beacon._replace(
         view=decode_position(beacon.view), known=decode_position(beacon.known)
     )
-    numbers = (value for value in beacon if not isinstance(value, Position))
-    return beacon if all(isinstance(value, int) for value in numbers) else None
+    numbers = [value for value in beacon if not isinstance(value, Position)]
+    valid = all(isinstance(value, int) and value <= MAX_VERSION for value in numbers)
+    return beacon if valid else None
 
 
 def _decode_delta(fields):
     reader, previous, position, known, version, part, parts, *content = fields
     entries, digest, settling = content
-    if not 0 <= part < parts:
-        raise ValueError("a part is out of range")
+    if not 0 <= part < parts or not 0 <= version <= MAX_VERSION:
+        raise ValueError("a part or a version is out of range")
     return Delta(
         int(reader),
         decode_position(previous),
@@ -233,6 +234,8 @@
     reader, previous, version, idle_timeout_ms, part, parts, routes, digest = fields
     if not 0 <= part < parts <= MAX_PARTS or idle_timeout_ms <= 0:
         raise ValueError("a part or a time-out is out of range")
+    if not 0 < version <= MAX_VERSION:
+        raise ValueError("a version is out of range")
     decoded = [
         ((int(address), int(port)), decode_route(route))
         for address, port, route in routes
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -5,6 +5,7 @@
 
 from ._messages import (
     DECODE_ERRORS,
+    MAX_VERSION,
     decode_position,
     decode_route,
     decode_target,
@@ -37,6 +38,8 @@
         entries = {
             key: decode_target(target) for key, target in document["targets"].items()
         }
+        if None in entries.values():
+            return None
         return TargetsCopy(decode_position(document["position"]), entries)
     except DECODE_ERRORS:
         return None  # the caller counts it
@@ -67,6 +70,8 @@
             for address, port, *route in document["routes"]
         }
         version, idle_ms = int(document["version"]), int(document["idle_timeout_ms"])
+        if not 0 < version <= MAX_VERSION or idle_ms <= 0:
+            return None
         services = {}
         for name, warm_up_ms, warm_up_per_s, max_connections in document["services"]:
             services[str(name)] = Service(
