--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -41,11 +41,14 @@
     Args:
         loop: The ``Loop`` that watches the connection.
         address: Host and port.
+        on_error: Called with the time when ``on_done`` has raised an error, so that
+            the request isn't made again at once; None for nothing.
     """
 
-    def __init__(self, loop, address):
+    def __init__(self, loop, address, *, on_error=None):
         self.loop = loop
         self.address = address
+        self._on_error = on_error
         self._sock = None
         self._request = b""
         self._unsent = b""
@@ -174,7 +177,12 @@
 
     def _finish(self, result):
         on_done, self._on_done = self._on_done, None
-        on_done(result)
+        try:
+            on_done(result)
+        except Exception:
+            if self._on_error is not None:
+                self._on_error(self.loop.clock())
+            raise
 
 
 def parse_response(received):
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -60,7 +60,8 @@
         self.store_log = StoreLog(
             log=log, metrics=metrics, history=store_sync.history, balancer=balancer
         )
-        self.store = HttpClient(loop, settings.store_address)
+        failed = store_sync.on_failure
+        self.store = HttpClient(loop, settings.store_address, on_error=failed)
         self._peer_port = settings.peer_address[1]
         self._peer_client = None
         self._configuration_deltas = ConfigurationDeltas()
