Forwarder: an unexpected error in one input doesn't end the process

Cause: any exception in a callback of the loop ended the balancer; input that causes one reaches all balancers of a data centre at the same time. Change: callbacks run under a guard, which counts and logs their errors.

--- a/libs/forwarder/features/deployments.py
+++ b/libs/forwarder/features/deployments.py
@@ -13,8 +13,14 @@
 LOCAL, OTHER = "tifton", "camilla"
 
 
-def start(context, invalid_entries=0):
-    """Start a deployment that is stopped after the scenario."""
+def start(context, invalid_entries=0, command=None):
+    """Start a deployment that is stopped after the scenario.
+
+    Args:
+        context: The scenario's context.
+        invalid_entries: Number of entries in the store that can't be used.
+        command: Command line of the balancers, None for the program.
+    """
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.folder = folder.name
@@ -25,6 +31,8 @@
     context.add_cleanup(context.deployment.stop)
     for number in range(invalid_entries):
         context.deployment.store.put(f"servers/i-{number:04x}ffff", {"service": 5})
+    for balancer in context.deployment.balancers.values():
+        balancer.command = command or balancer.command
     assert context.deployment.start(), "the balancers didn't get into rotation"
     context.flows = []
     context.numbers = itertools.count()
--- a/libs/forwarder/src/lagoontally_forwarder/_loop.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_loop.py
@@ -19,10 +19,12 @@
 
     Attributes:
         max_lag_ms: Longest time that one round of callbacks has taken.
+        guard: The ``Guard`` that runs the callbacks, None to let errors pass.
     """
 
     def __init__(self, clock):
         self.clock = clock
+        self.guard = None
         self.max_lag_ms = 0
         self._epoll = epoll()
         self._callbacks = {}
@@ -51,6 +53,10 @@
         started_ms = self.clock()
         for descriptor, event in events:
             callback = self._callbacks.get(descriptor)
-            if callback is not None:
+            if callback is None:
+                continue
+            if self.guard is None:
                 callback(event)
+            else:
+                self.guard.run("input", callback, event)
         self.max_lag_ms = max(self.max_lag_ms, self.clock() - started_ms)
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -30,6 +30,7 @@
 from lagoontally_platform import READINESS_PATH, SETTINGS_VARIABLE
 
 from ._clock import now_ms
+from ._guard import Guard
 from ._http_server import HttpServer
 from ._log import Log
 from ._loop import PROBING_TICK_MS, TICK_MS, Loop
@@ -43,9 +44,7 @@
 
 SETTINGS_CHECK_INTERVAL_MS = 2_000  # the file may change without a signal
 WEAK_PRIORITY_OFFSET = 1 << 32  # sorts after every instance with a fast link
-PAUSE_THRESHOLD_MS = (
-    1_000  # a longer gap between ticks means that the process was paused
-)
+PAUSE_THRESHOLD_MS = 1_000  # between ticks; a longer gap is a pause of the process
 CONFIGURATION_WAIT_MS = 2_000  # a large one takes 1 s on a slow link
 METRICS_PATH = b"/metrics"
 EXIT_INVALID_SETTINGS = 2
@@ -66,6 +65,8 @@
         self.loop = Loop(now_ms)
         self.log = Log(settings.instance, now_ms)
         self.metrics = Metrics()
+        self.guard = Guard(clock=now_ms, log=self.log, metrics=self.metrics)
+        self.loop.guard = self.guard
         random = Random()
         self.balancer = Balancer(data_centre=settings.data_centre, random=random)
         self.lifecycle = Lifecycle(grace_ms=settings.grace_s * 1_000)
@@ -119,12 +120,12 @@
         """Run until a signal stops the process and return the exit status."""
         self.log.line("start", data_centre=self.settings.data_centre)
         while True:
-            self._tick(now_ms())
+            self.guard.run_essential("tick", self._tick, now_ms())
             if self.lifecycle.may_end(now_ms()):
                 self.log.line("stop", **self.balancer.state_summary(now_ms()))
                 return 0
             self.loop.run_once(PROBING_TICK_MS if self.prober.running else TICK_MS)
-            self._execute_effects()
+            self.guard.run("effects", self._execute_effects)
 
     def _tick(self, time_ms):
         if time_ms - self._last_tick_ms > PAUSE_THRESHOLD_MS:
