CoAP balancer: drop members of unknown status and parts out of range

Cause: a member record whose status no balancer knows, and a handover whose parts lack number 0, raised an error in the core's task, which ended the process. Change: the codec takes only the statuses that exist; a part is taken only if its number is below the number of parts, and if that is the same for all. The round-trip example of the codec now holds the enumeration, as it does for kinds of requests: the check that types are restored stays as it was. Shown by: libs/daemon/features/any_message.feature; both scenarios fail before.

--- a/libs/core/src/lagoontally_core/_inherit.py
+++ b/libs/core/src/lagoontally_core/_inherit.py
@@ -42,6 +42,10 @@
         self.parts = {}
         self.received_ms = 0
 
+    def takes(self, part):
+        """Return whether a part is one of as many as those received."""
+        return all(other.parts == part.parts for other in self.parts.values())
+
     def complete(self):
         """Return whether every part has been received."""
         return (
@@ -61,6 +65,9 @@
     state = context.state
     if has_accepted(state, part.predecessor):
         return
+    if not 0 <= part.part < part.parts:
+        context.count("handover.invalid_part")
+        return
     if state.phase in (Phase.LEAVING, Phase.LEFT):
         _decline(part, context)
         return
@@ -70,7 +77,7 @@
         state.timers.add(
             context.now_ms + STAGED_TIMEOUT_MS, DropStaged(part.predecessor)
         )
-    if part.attempt != staged.attempt:
+    if part.attempt != staged.attempt or not staged.takes(part):
         return
     staged.parts.setdefault(part.part, part)
     staged.received_ms = context.now_ms
--- a/libs/core/src/lagoontally_core/_members.py
+++ b/libs/core/src/lagoontally_core/_members.py
@@ -6,10 +6,9 @@
 instance list lags, so it is only used to find balancers to contact.
 """
 
-from enum import IntEnum
 from typing import NamedTuple
 
-from ._peer_messages import MemberRecord
+from ._peer_messages import MemberRecord, MemberStatus
 
 INDIRECT_PROBES = 3
 MAX_UPDATES_PER_MESSAGE = 6
@@ -17,16 +16,6 @@
 INITIAL_REVISION = 0
 
 
-class MemberStatus(IntEnum):
-    """Status of a balancer; a higher value wins at the same revision."""
-
-    ALIVE = 0
-    LEAVING = 1
-    SUSPECT = 2
-    DEAD = 3
-    LEFT = 4
-
-
 class Probe(NamedTuple):
     """A probe that hasn't been answered.
 
--- a/libs/core/src/lagoontally_core/_peer_messages.py
+++ b/libs/core/src/lagoontally_core/_peer_messages.py
@@ -4,11 +4,22 @@
 Incarnations are random 64-bit numbers, drawn when a balancer starts.
 """
 
+from enum import IntEnum
 from typing import NamedTuple
 
 from ._events import Flow, Request
 
 
+class MemberStatus(IntEnum):
+    """Status of a balancer; a higher value wins at the same revision."""
+
+    ALIVE = 0
+    LEAVING = 1
+    SUSPECT = 2
+    DEAD = 3
+    LEFT = 4
+
+
 class MemberRecord(NamedTuple):
     """State of one balancer, as gossiped between members.
 
@@ -17,7 +28,7 @@
         name: Its instance name.
         data_centre: Its data centre.
         peer_address: ``IP:port`` that takes peer messages.
-        status: A ``MemberStatus`` value.
+        status: Its ``MemberStatus``.
         revision: Rises each time the balancer refutes a suspicion or changes.
         pause_count: Pauses of its process that it has noticed.
         template_version: The version that it has in force.
@@ -27,7 +38,7 @@
     name: str
     data_centre: str
     peer_address: str
-    status: int
+    status: MemberStatus
     revision: int
     pause_count: int
     template_version: int
--- a/libs/edges/features/steps/peers_steps.py
+++ b/libs/edges/features/steps/peers_steps.py
@@ -12,6 +12,7 @@
     Join,
     LineRecord,
     MemberRecord,
+    MemberStatus,
     Origin,
     PeerMessage,
     Ping,
@@ -45,7 +46,9 @@
 HIGHEST = 2**64 - 1
 FLOW = Flow("pivot-link", "127.0.0.1:5000")
 REQUEST = Request(RequestKind.LINE_OPEN, b"ab", 7, True, b"e" * 40, 5000, b"\x40\xff")
-MEMBER = MemberRecord(HIGHEST, "tifton-1", "tifton", "127.0.0.1:1", 0, 3, 1, 9)
+MEMBER = MemberRecord(
+    HIGHEST, "tifton-1", "tifton", "127.0.0.1:1", MemberStatus.ALIVE, 3, 1, 9
+)
 SUCCESSION = Succession(HIGHEST, [1, 2], 40)
 PARTS = [
     [Origin(3, b"k", 10, [7, 9], [7])],
