--- a/libs/daemon/src/lagoontally_daemon/_composition.py
+++ b/libs/daemon/src/lagoontally_daemon/_composition.py
@@ -20,6 +20,7 @@
 
 from ._action_executor import ActionExecutor
 from ._core_task import CoreTask, wall_offset_ms
+from ._task_guard import TaskGuard
 
 INCARNATION_BITS = 64
 ECHO_KEY_BYTES = 32
@@ -47,6 +48,7 @@
         core: The ``CoreTask`` that runs the core.
         edges: The ``Edges`` of the balancer.
         executor: Executes the core's actions.
+        guards: The ``TaskGuard`` of each task.
     """
 
     def __init__(self, settings):
@@ -59,6 +61,8 @@
         )
         self.edges = _make_edges(settings, info, self.core.post, random)
         self.executor = ActionExecutor(edges=self.edges, stop=self.stop)
+        self.guards = self._make_guards()
+        self.core.on_error = self.guards["core"].report
 
     def _execute(self, action, decided_ms):
         self.executor.execute(action, decided_ms)
@@ -76,11 +80,11 @@
         """Run every task until the balancer has left.
 
         Raises:
-            Exception: The exception that a task failed with.
+            Exception: The exception that a task kept failing with.
         """
-        tasks = self._tasks()
-        with ThreadPoolExecutor(len(tasks)) as pool:
-            futures = [pool.submit(task, self.stop) for task in tasks]
+        guards = self.guards.values()
+        with ThreadPoolExecutor(len(guards)) as pool:
+            futures = [pool.submit(guard.run, self.stop) for guard in guards]
             try:
                 done = _wait_for_end(futures)
             finally:
@@ -90,18 +94,22 @@
         for future in done:
             future.result()
 
-    def _tasks(self):
+    def _make_guards(self):
         edges = self.edges
-        return [
-            self.core.run,
-            edges.callers.run,
-            edges.upstreams.run,
-            edges.peers.run,
-            edges.platform.run_template_watch,
-            edges.platform.run_instances_poll,
-            edges.operators.run,
-            edges.metrics.run,
-        ]
+        tasks = {
+            "core": self.core.run,
+            "callers": edges.callers.run,
+            "upstreams": edges.upstreams.run,
+            "peers": edges.peers.run,
+            "template": edges.platform.run_template_watch,
+            "instances": edges.platform.run_instances_poll,
+            "operators": edges.operators.run,
+            "metrics": edges.metrics.run,
+        }
+        count = edges.metrics.count
+        return {
+            part: TaskGuard(part, task, count=count) for part, task in tasks.items()
+        }
 
 
 def _wait_for_end(futures):
--- a/libs/daemon/src/lagoontally_daemon/_core_task.py
+++ b/libs/daemon/src/lagoontally_daemon/_core_task.py
@@ -30,6 +30,7 @@
         requests: Callers' requests, in order of arrival.
         event_queued: Set when an event was queued.
         last_tick_ms: Time of the last ``Tick``.
+        on_error: Called with an event's unexpected error; None lets it pass.
     """
 
     def __init__(self, *, state, random, execute):
@@ -40,6 +41,7 @@
         self.requests = SimpleQueue()
         self.event_queued = Event()
         self.last_tick_ms = 0
+        self.on_error = None
 
     def post(self, event):
         """Queue an event; the core discards it if the process pauses meanwhile."""
@@ -58,7 +60,7 @@
         while not stop.is_set():
             event = self._next_event()
             if event is not None:
-                self._handle(event)
+                self._handle_input(event)
             if monotonic_ms() - self.last_tick_ms >= self._tick_interval_ms():
                 self.last_tick_ms = monotonic_ms()
                 self._handle(Tick())
@@ -92,6 +94,15 @@
             return TICK_MS
         return max(1, min(TICK_MS, due_ms - self.last_tick_ms))
 
+    def _handle_input(self, event):
+        """Handle an event from outside, whose error doesn't end the task."""
+        try:
+            self._handle(event)
+        except Exception as error:
+            if self.on_error is None:
+                raise
+            self.on_error(error)
+
     def _handle(self, event):
         now_ms = monotonic_ms()
         for action in step(self.state, event, now_ms, self.random):
