Admission: refuse SYNs at once where targets have too little room

Own evidence of each balancer: quick short answers are refusals of full targets. Full targets pause, longer each time; a service whose targets refuse gets a rate that follows the refusals, higher ranks first, with a floor for the others.

--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -0,0 +1,227 @@
+"""Decides which SYNs are refused because a service has too little room.
+
+Covers bursts beyond what targets can serve, also while some of them are slow. A SYN
+that is reset at once hasn't run and can be tried again in time; one that is sent to
+a full target costs a connection and the caller's patience. Nothing is refused here
+while targets refuse nothing and answer within the deadline.
+"""
+
+from .._effects import LogEvent
+from ._decaying import DecayingCount
+from ._evidence import HALF_LIFE_MS, ServiceEvidence
+from ._full_targets import FullTargets, exceeds_share
+from ._limit import RateLimit
+from ._ranks import Ranks, kind_of
+
+NO_ROOM = "no_room"
+TOO_LATE = "wait_exceeds_deadline"
+START_SHARE = 0.15  # of answers that are refusals, above what chance brings
+MIN_REFUSED = 3.0
+CALM_MS = 1_000  # without a refusal here
+CHANGE_NOTICE_MS = 1_000
+MAX_REFUSED_FLOWS = 512
+
+
+class ServiceAdmission:
+    """Admission to one service.
+
+    Attributes:
+        evidence: The ``ServiceEvidence``.
+        limit: The ``RateLimit`` while flows are shed, else None.
+        ranks: The ``Ranks``.
+        asked: Recent SYNs.
+        shed: Recent SYNs that were refused here.
+        shed_ms: When a SYN was refused last.
+        shed_kind: Highest kind refused since the last notice.
+    """
+
+    def __init__(self):
+        self.evidence = ServiceEvidence()
+        self.limit = None
+        self.ranks = Ranks()
+        self.asked = DecayingCount(HALF_LIFE_MS)
+        self.shed = DecayingCount(HALF_LIFE_MS)
+        self.shed_ms = 0
+        self.shed_kind = None
+
+    def refusal(self, route, kind, now_ms):
+        """Return why a SYN is refused, None if it is let in."""
+        self.ranks.add(kind)
+        self.asked.add(now_ms)
+        evidence = self.evidence
+        if route.deadline_ms and evidence.mean_wait_ms(now_ms) > route.deadline_ms:
+            return self._refuse(TOO_LATE, now_ms)
+        limit = self.limit
+        if limit is not None:
+            limit.refill(evidence.refused_share(now_ms), now_ms)
+            if not self.ranks.may_pass(kind, limit.tokens, limit.capacity):
+                return self._refuse(NO_ROOM, now_ms)
+            limit.tokens -= 1.0
+            self.ranks.on_passed(kind)
+        evidence.sent.add(now_ms)
+        return None
+
+    def update(self, now_ms):
+        """Start or end shedding; return True if it began, False if it ended."""
+        evidence = self.evidence
+        share = evidence.refused_share(now_ms)
+        if self.limit is None:
+            if share < START_SHARE or evidence.refused.value(now_ms) < MIN_REFUSED:
+                return None
+            per_s = evidence.sent.rate_per_s(now_ms) * (1.0 - share)
+            self.limit = RateLimit(per_s, now_ms)
+            self.shed_ms = now_ms
+            return True
+        if now_ms - self.shed_ms < CALM_MS or share >= START_SHARE:
+            return None
+        self.limit = None
+        self.shed_kind = None
+        return False
+
+    def refusal_probability(self, now_ms):
+        """Return the share of recent SYNs that were refused here."""
+        asked = self.asked.value(now_ms)
+        return self.shed.value(now_ms) / asked if asked >= 1.0 else 0.0
+
+    def _refuse(self, reason, now_ms):
+        self.shed.add(now_ms)
+        self.shed_ms = now_ms
+        return reason
+
+
+class Admission:
+    """Admission of new flows at one balancer, by its own evidence.
+
+    Args:
+        random: Random number generator, as ``random.Random``.
+
+    Attributes:
+        enabled: Whether flows may be refused or targets left out.
+        services: ``ServiceAdmission`` by service.
+        full_targets: The ``FullTargets``.
+        refusals: Number of refusals by service, kind and reason.
+        max_connections: Flows that a target holds at most, by service.
+        members: Number of balancers that share them.
+    """
+
+    def __init__(self, *, random):
+        self.enabled = True
+        self.services = {}
+        self.full_targets = FullTargets(random=random)
+        self.refusals = {}
+        self.max_connections = {}
+        self.members = 1
+        self._refused_flows = {}
+        self._effects = []
+
+    def refusal(self, packet, route, now_ms):
+        """Decide on a SYN.
+
+        A copy is refused only if its first was: the flow may have been opened
+        through another balancer.
+
+        Args:
+            packet: The ``Packet``.
+            route: The ``Route`` of its flow.
+            now_ms: Current time.
+
+        Returns:
+            Why it is refused, None if it is let in.
+        """
+        if not self.enabled:
+            return None
+        if packet.acknowledgement:
+            return self._refused_flows.get(packet.flow)
+        service, kind = route.shares[0][0], kind_of(route)
+        reason = self._service(service).refusal(route, kind, now_ms)
+        if reason is None:
+            self._refused_flows.pop(packet.flow, None)
+            return None
+        if len(self._refused_flows) >= MAX_REFUSED_FLOWS:
+            del self._refused_flows[next(iter(self._refused_flows))]
+        self._refused_flows[packet.flow] = reason
+        key = (service, kind_name(kind), reason)
+        self.refusals[key] = self.refusals.get(key, 0) + 1
+        self._on_refused_kind(service, kind, now_ms)
+        return reason
+
+    def on_answer(self, answer, now_ms):
+        """Take note of an ``Answer``."""
+        service = self._service(answer.service)
+        if service.evidence.on_answer(answer, now_ms):
+            self.full_targets.on_refused(answer.cookie, now_ms)
+            self._update(answer.service, service, now_ms)
+        else:
+            self.full_targets.on_served(answer.cookie)
+
+    def on_unanswered(self, cookie, now_ms):
+        """Take note that a target didn't answer a SYN."""
+        self.full_targets.on_unanswered(cookie, now_ms)
+
+    def leaves_out(self, target, flows, now_ms):
+        """Return whether a target gets no flows for now.
+
+        Args:
+            target: The ``Target``.
+            flows: Flows of this balancer to it.
+            now_ms: Current time.
+        """
+        if not self.enabled:
+            return False
+        if self.full_targets.is_full(target.cookie, now_ms):
+            return True
+        most = self.max_connections.get(target.service, 0)
+        return exceeds_share(flows, most, self.members)
+
+    def on_tick(self, now_ms):
+        """Return ``LogEvent`` records where shedding began, changed or ended."""
+        for name, service in self.services.items():
+            if service.limit is not None:
+                self._update(name, service, now_ms)
+        effects, self._effects = self._effects, []
+        return effects
+
+    def gauges(self, now_ms):
+        """Return the refusal probability by service."""
+        return {
+            name: round(service.refusal_probability(now_ms), 3)
+            for name, service in self.services.items()
+        }
+
+    def _service(self, name):
+        service = self.services.get(name)
+        if service is None:
+            service = self.services[name] = ServiceAdmission()
+        return service
+
+    def _update(self, name, service, now_ms):
+        began = service.update(now_ms)
+        if began is not None:
+            event = "shedding_began" if began else "shedding_ended"
+            self._log(event, name, service, now_ms)
+
+    def _on_refused_kind(self, name, kind, now_ms):
+        service = self.services[name]
+        if service.shed_kind is not None and service.shed_kind <= kind:
+            return
+        service.shed_kind = kind
+        self._log("shedding_kind", name, service, now_ms)
+
+    def _log(self, event, name, service, now_ms):
+        evidence, limit = service.evidence, service.limit
+        kind = service.shed_kind
+        fields = (
+            ("service", name),
+            ("kind", None if kind is None else kind_name(kind)),
+            ("refused_share", round(evidence.refused_share(now_ms), 3)),
+            ("mean_wait_ms", round(evidence.mean_wait_ms(now_ms))),
+            ("per_s", None if limit is None else round(limit.per_s, 1)),
+            ("probability", round(service.refusal_probability(now_ms), 3)),
+        )
+        self._effects.append(LogEvent(event, fields))
+
+
+def kind_name(kind):
+    """Return the name of a kind in logs and counters."""
+    priority, repeatable = kind
+    return f"priority-{priority}-{'repeatable' if repeatable else 'once'}"
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -5,9 +5,10 @@
 only improves these decisions and can be lost at any time.
 """
 
+from ._admission import Admission
 from ._effects import DealtAnew, FlowReset, entry_event
 from ._placing import STALL_AFTER_MS, Demand, FlowPlacer, TargetSelector, is_cut_off
-from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
+from ._records import FIN, RST, SYN, Answer, Drop, Forward, Hold, Reset
 from ._store import ALL_CHANGES
 from ._targets import (
     ANSWERED,
@@ -21,7 +22,7 @@
     reset_flows,
     should_reset_flows,
 )
-from ._tracking import FlowTable, HalfOpenFlows
+from ._tracking import SEQUENCE_MASK, FlowTable, HalfOpenFlows
 
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 MAX_UNKNOWN_COOKIES = 1_024
@@ -44,6 +45,7 @@
         health: Which targets respond.
         stuck_targets: Targets that accept requests and don't answer them.
         half_open_flows: Flows whose handshake isn't complete.
+        admission: Decides which SYNs are refused for lack of room.
         target_selector: Selects the targets of new flows.
         demand: Recent SYNs by service.
         placer: Decides on SYNs.
@@ -65,11 +67,13 @@
         self.health = Health()
         self.stuck_targets = StuckTargets(self.flows)
         self.half_open_flows = HalfOpenFlows()
+        self.admission = Admission(random=random)
         self.target_selector = TargetSelector(
             view=self.view,
             health=self.health,
             stuck_targets=self.stuck_targets,
             flows=self.flows,
+            admission=self.admission,
             data_centre=data_centre,
             random=random,
         )
@@ -81,6 +85,7 @@
             flows=self.flows,
             half_open_flows=self.half_open_flows,
             target_selector=self.target_selector,
+            admission=self.admission,
             demand=self.demand,
             effects=self.effects,
         )
@@ -104,6 +109,10 @@
         if current is not None and configuration.version <= current.version:
             return False
         self.configuration = configuration
+        self.admission.max_connections = {
+            name: service.max_connections
+            for name, service in configuration.services.items()
+        }
         return True
 
     def on_packet(self, packet, now_ms, *, waited_ms=0):
@@ -211,9 +220,11 @@
         for cookie in self.view.forget_delisted(now_ms):
             self.health.forget(cookie)
             self.stuck_targets.forget(cookie)
+            self.admission.full_targets.forget(cookie)
         self.placer.probe_overdue(now_ms)
         self.effects.extend(self.health.due_probes(now_ms))
         self._reset_stuck_flows(now_ms)
+        self.effects.extend(self.admission.on_tick(now_ms))
         self.demand.on_tick(now_ms)
         self.cut_off = is_cut_off(
             self.demand, self.platform_heard_ms, now_ms, was_cut_off=self.cut_off
@@ -267,9 +278,12 @@
             probes = self.health.on_stall(cookie, flow.progress_ms, now_ms)
             self.effects.extend(probes)
             return
+        acknowledged = flow.acknowledged
         if flow.record(packet, now_ms):
             self.health.on_response(cookie, now_ms)
             if flow.request_sent_ms is not None:
+                length = (packet.acknowledgement - acknowledged) & SEQUENCE_MASK
+                self._on_answer(packet.flow, flow, length, now_ms)
                 self.flows.complete_request(packet.flow, flow)
                 self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
         if packet.flags & FIN:
@@ -278,6 +292,13 @@
         elif packet.length:
             self.flows.start_request(packet.flow, flow, now_ms)
 
+    def _on_answer(self, key, flow, length, now_ms):
+        """Tell of the answer to the pending request of a flow."""
+        service = self.view.by_cookie[flow.cookie].service
+        waited_ms = now_ms - flow.request_sent_ms
+        answer = Answer(key, flow.cookie, service, waited_ms, length)
+        self.admission.on_answer(answer, now_ms)
+
     def _on_rehashed_flow(self, packet, cookie, now_ms):
         """Handle the first packet of a flow that came from another balancer.
 
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -14,6 +14,7 @@
         flows: The ``FlowTable``.
         half_open_flows: The ``HalfOpenFlows``.
         target_selector: The ``TargetSelector``.
+        admission: The ``Admission``, asked before a target is selected.
         demand: The ``Demand`` that counts SYNs.
         effects: List to which ``Probe`` records are added.
     """
@@ -26,6 +27,7 @@
         flows,
         half_open_flows,
         target_selector,
+        admission,
         demand,
         effects,
     ):
@@ -34,6 +36,7 @@
         self.flows = flows
         self.half_open_flows = half_open_flows
         self.target_selector = target_selector
+        self.admission = admission
         self.demand = demand
         self.effects = effects
 
@@ -76,6 +79,9 @@
         return self._place_flow(packet, route, now_ms)
 
     def _place_flow(self, packet, route, now_ms):
+        reason = self.admission.refusal(packet, route, now_ms)
+        if reason is not None:
+            return Reset(reason, packet.acknowledgement)
         caller = packet.flow[0]
         target = self.target_selector.select(
             route,
@@ -94,3 +100,4 @@
         """Probe the targets that haven't answered a SYN in time."""
         for cookie, placed_ms in self.half_open_flows.overdue(now_ms):
             self.effects.extend(self.health.on_stall(cookie, placed_ms, now_ms))
+            self.admission.on_unanswered(cookie, now_ms)
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -13,15 +13,20 @@
         health: The ``Health``.
         stuck_targets: The ``StuckTargets``; suspects are used only as a last resort.
         flows: The ``FlowTable``, whose counts are the load.
+        admission: The ``Admission``; targets that it leaves out are used only where
+            no others are left.
         data_centre: This balancer's data centre.
         random: Random number generator, as ``random.Random``.
     """
 
-    def __init__(self, *, view, health, stuck_targets, flows, data_centre, random):
+    def __init__(
+        self, *, view, health, stuck_targets, flows, admission, data_centre, random
+    ):
         self.view = view
         self.health = health
         self.stuck_targets = stuck_targets
         self.flows = flows
+        self.admission = admission
         self.data_centre = data_centre
         self.random = random
         self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
@@ -83,7 +88,14 @@
             for target in healthy
             if not self.stuck_targets.is_stuck(target.cookie)
         ]
-        return responsive or healthy
+        candidates = responsive or healthy
+        leaves_out, open_flows = self.admission.leaves_out, self.flows.open_flows
+        roomy = [
+            target
+            for target in candidates
+            if not leaves_out(target, open_flows.get(target.cookie, 0), now_ms)
+        ]
+        return roomy or candidates
 
     def _tie_break(self, target):
         return (target.cookie ^ self._tie_salt) * TIE_HASH_MULTIPLIER & 0xFFFFFFFF
--- a/libs/flows/src/lagoontally_flows/_records.py
+++ b/libs/flows/src/lagoontally_flows/_records.py
@@ -26,6 +26,20 @@
     __slots__ = ()
 
 
+class Answer(Record, fields="flow cookie service waited_ms length"):
+    """The first acknowledgement of an answer by a caller.
+
+    Attributes:
+        flow: Flow key.
+        cookie: Cookie of the flow's target.
+        service: Name of the target's service.
+        waited_ms: Time since the request's first packet.
+        length: Bytes newly acknowledged.
+    """
+
+    __slots__ = ()
+
+
 class Target(
     Record,
     fields="name born cookie address data_centre service slots leaving warm_up_ms",
