--- a/libs/bench/src/lagoontally_bench/_queueing.py
+++ b/libs/bench/src/lagoontally_bench/_queueing.py
@@ -248,11 +248,15 @@
             )
         balancer = self.random.choice(self.balancers)
         flow = self.random.randrange(2_000)
-        job = Job(flow, self.now_ms, balancer, self._work_ms())
+        job = self.new_job(flow, balancer)
         balancer.retry_tokens += RETRY_TOKENS_PER_REQUEST
         balancer.retry_tokens = min(balancer.retry_tokens, MAX_RETRY_TOKENS)
         self.policy.place(job, self)
 
+    def new_job(self, flow, balancer):
+        """Return a request that has just arrived."""
+        return Job(flow, self.now_ms, balancer, self._work_ms())
+
     def hop_ms(self, one, other):
         """Return the delay of a peer message between two balancers."""
         base_ms = self.random.uniform(*RELAY_DELAY_RANGE_MS)
--- /dev/null
+++ b/libs/flows/features/admission.feature
@@ -0,0 +1,59 @@
+Feature: Admission where targets have too little room
+
+  Scenario: Nobody is refused while targets answer in time
+    Given lookups and confirmations to 4 targets
+    When 40 callers a second come for 3 s and targets serve all after 20 ms
+    Then nobody is refused
+
+  Scenario: Short answers alone aren't taken for refusals
+    Given lookups and confirmations to 4 targets
+    When 40 callers a second come for 3 s and targets refuse all
+    Then nobody is refused
+
+  Scenario: A target that refused gets no flows for a while
+    Given lookups and confirmations to 4 targets
+    And one target that refuses
+    When 40 callers a second come for 3 s and targets serve all after 120 ms
+    Then at most 20 flows went to the target that refuses
+    And nobody is refused
+
+  Scenario: With too little room most callers are refused at once
+    Given lookups and confirmations to 4 targets
+    When 60 callers a second come for 4 s and targets serve 20 a second
+    Then targets refuse less than 0.25 of what they get in the last second
+    And the balancer refuses between 0.5 and 0.75 of the callers in the last second
+
+  Scenario: Confirmations are let in first, lookups keep a floor
+    Given lookups and confirmations to 4 targets
+    When 60 callers a second come for 4 s and targets serve 20 a second
+    Then at least 0.9 of the confirmations and 0.1 of the lookups are let in
+
+  Scenario: All are let in soon after the load falls
+    Given lookups and confirmations to 4 targets
+    When 60 callers a second come for 4 s and targets serve 20 a second
+    And 10 callers a second come for 1 s and targets serve all after 20 ms
+    Then nobody is refused in the last second
+    And shedding was logged from its begin to its end
+
+  Scenario: A copy of a SYN that was let in is never refused
+    Given lookups and confirmations to 4 targets
+    When 60 callers a second come for 4 s and targets serve 20 a second
+    Then a copy of a SYN that came another way is let in
+    And a copy of a refused SYN is refused
+
+  Scenario: A wait beyond the deadline is refused at once
+    Given lookups and confirmations to 4 targets
+    When 40 callers a second come for 6 s and targets serve all after 4000 ms
+    Then some callers are refused because the wait exceeds their deadline
+
+  Scenario: Nobody is refused where admission is switched off
+    Given lookups and confirmations to 4 targets
+    And admission is off
+    When 60 callers a second come for 4 s and targets serve 20 a second
+    Then nobody is refused
+
+  Scenario: A balancer uses no more than its share of a target's connections
+    Given lookups and confirmations to 4 targets
+    And targets that hold 20 connections, and 5 balancers
+    When 20 flows are opened and stay open
+    Then each target has at most 8 of them
--- /dev/null
+++ b/libs/flows/features/steps/admission_steps.py
@@ -0,0 +1,206 @@
+"""Steps for admission where targets have too little room."""
+
+from behave import given, then, when
+from fixtures import IDLE_TIMEOUT_MS, SERVICE, World, make_target
+
+from lagoontally_flows import ACK, FIN, Configuration, LogEvent, Reset, Route, Service
+
+LOOKUP = (0xC6120001, 443)
+CONFIRMATION = (0xC6120002, 443)
+SHARES = ((SERVICE, 1),)
+ROUTES = {
+    LOOKUP: Route("lookup", SHARES, True, 600, 3_600, 2),
+    CONFIRMATION: Route("confirmation", SHARES, False, 600, 3_600, 1),
+}
+REFUSAL = (80, 160)
+CONFIRMATIONS_EVERY = 5
+
+
+@given("lookups and confirmations to {count:d} targets")
+def step_routes(context, count):
+    """Two routes of different rank use the same targets."""
+    world = context.world = World()
+    context.services = {}
+    world.balancer.configure(Configuration(2, ROUTES, IDLE_TIMEOUT_MS))
+    world.list_targets(*[make_target(number + 1) for number in range(count)])
+    context.refusing = None
+    context.seconds = []
+    context.due = []
+    context.tokens = 0.0
+
+
+@given("one target that refuses")
+def step_one_refuses(context):
+    """A target refuses each request at once."""
+    context.refusing = make_target(1).cookie
+
+
+@given("admission is off")
+def step_off(context):
+    """The operator has switched admission off."""
+    context.world.balancer.admission.enabled = False
+
+
+@given("targets that hold {most:d} connections, and {members:d} balancers")
+def step_connections(context, most, members):
+    """Balancers share the connections of targets."""
+    services = {SERVICE: Service(SERVICE, 0, 0, most)}
+    configured = Configuration(3, ROUTES, IDLE_TIMEOUT_MS, services)
+    context.world.balancer.configure(configured)
+    context.world.balancer.admission.members = members
+
+
+@when("{rate:d} callers a second come for {seconds:d} s and targets {how}")
+def step_load(context, rate, seconds, how):
+    """Callers come one by one and targets answer them."""
+    for _ in range(seconds):
+        context.seconds.append(_second(context, rate, how))
+
+
+@when("{count:d} flows are opened and stay open")
+def step_stay_open(context, count):
+    """Flows are opened and not closed."""
+    context.placed = [context.world.open_flow(LOOKUP)[1] for _ in range(count)]
+
+
+@then("nobody is refused")
+def step_nobody(context):
+    """Every caller got a target."""
+    assert not _refused(context.seconds), context.seconds
+
+
+@then("nobody is refused in the last second")
+def step_nobody_late(context):
+    """Every caller of the last second got a target."""
+    assert not _refused(context.seconds[-1:]), context.seconds[-1]
+
+
+@then("at most {most:d} flows went to the target that refuses")
+def step_few(context, most):
+    """The refusing target was left out most of the time."""
+    sent = [one for second in context.seconds for one in second]
+    count = sum(cookie == context.refusing for _, _, cookie, _ in sent)
+    assert 0 < count <= most, count
+
+
+@then("targets refuse less than {share:g} of what they get in the last second")
+def step_targets_refuse(context, share):
+    """Few flows are sent in vain."""
+    sent = [one for one in context.seconds[-1] if one[2]]
+    in_vain = sum(not served for _, _, _, served in sent)
+    assert in_vain < share * len(sent), (in_vain, len(sent))
+
+
+@then(
+    "the balancer refuses between {least:g} and {most:g} of the callers "
+    "in the last second"
+)
+def step_balancer_refuses(context, least, most):
+    """The callers that targets have no room for are refused."""
+    share = len(_refused(context.seconds[-1:])) / len(context.seconds[-1])
+    assert least <= share <= most, share
+
+
+@then(
+    "at least {first:g} of the confirmations and {second:g} of the lookups are let in"
+)
+def step_kinds(context, first, second):
+    """Kinds are let in by their rank."""
+    for route, least in ((CONFIRMATION, first), (LOOKUP, second)):
+        asked = [one for part in context.seconds[1:] for one in part if one[0] == route]
+        share = sum(one[1] is None for one in asked) / len(asked)
+        assert share >= least, (route, share)
+
+
+@then("shedding was logged from its begin to its end")
+def step_logged(context):
+    """Operators see one line for the begin, the kind and the end."""
+    context.world.wait(1_500)
+    events = [one for one in context.world.effects if isinstance(one, LogEvent)]
+    names = [one.event for one in events if one.event.startswith("shedding")]
+    assert names[0] == "shedding_began" and names[-1] == "shedding_ended", names
+    assert names.count("shedding_began") == names.count("shedding_ended"), names
+
+
+@then("a copy of a SYN that came another way is let in")
+def step_copy(context):
+    """The first SYN may have opened the flow through another balancer."""
+    world = context.world
+    for _ in range(50):
+        assert not isinstance(world.syn(world.new_flow(LOOKUP), copy=1), Reset)
+
+
+@then("a copy of a refused SYN is refused")
+def step_refused_copy(context):
+    """The caller hears the same again."""
+    world = context.world
+    flows = [world.new_flow(LOOKUP) for _ in range(50)]
+    refused = [flow for flow in flows if isinstance(world.syn(flow), Reset)]
+    assert refused
+    assert all(isinstance(world.syn(flow, copy=1), Reset) for flow in refused)
+
+
+@then("some callers are refused because the wait exceeds their deadline")
+def step_deadline(context):
+    """A run that comes too late would help nobody."""
+    reasons = {one[1] for one in _refused(context.seconds)}
+    assert reasons == {"wait_exceeds_deadline"}, reasons
+
+
+@then("each target has at most {most:d} of them")
+def step_share(context, most):
+    """The connections of targets are shared among balancers."""
+    counts = context.world.balancer.flows.open_flows
+    assert max(counts.values()) <= most, counts
+
+
+def _second(context, rate, how):
+    """Play one second; return route, reason, cookie and whether it was served."""
+    world, results, due = context.world, [], context.due
+    tokens = context.tokens
+    for number in range(rate):
+        route = LOOKUP if number % CONFIRMATIONS_EVERY else CONFIRMATION
+        flow = world.new_flow(route)
+        action = world.syn(flow)
+        if isinstance(action, Reset):
+            results.append((route, action.reason, 0, False))
+        else:
+            cookie = action.target.cookie
+            wait_ms, length = REFUSAL
+            tokens = min(3.0, tokens)
+            if how == "refuse all" or cookie == context.refusing:
+                served = False
+            elif how.startswith("serve all"):
+                served = True
+                wait_ms, length = int(how.split()[3]), 600
+            else:
+                served = tokens >= 1.0
+                tokens -= served
+                if served:
+                    wait_ms, length = 100, 600
+            world.send(flow, cookie=cookie, ack=5_000)
+            world.send(flow, cookie=cookie, ack=5_000, length=169)
+            due.append((world.now_ms + wait_ms, flow, cookie, length))
+            results.append((route, None, cookie, served))
+        if how.endswith("a second"):
+            tokens += int(how.split()[1]) / rate
+        due = _answer(world, due, world.now_ms + 1_000 // rate)
+    context.due, context.tokens = due, tokens
+    return results
+
+
+def _answer(world, due, until_ms):
+    """Let time pass and callers acknowledge the answers that are due."""
+    later = []
+    for at_ms, flow, cookie, length in sorted(due):
+        if at_ms > until_ms:
+            later.append((at_ms, flow, cookie, length))
+            continue
+        world.wait(max(0, at_ms - world.now_ms))
+        world.send(flow, ACK | FIN, cookie=cookie, ack=5_000 + length)
+    world.wait(until_ms - world.now_ms)
+    return later
+
+
+def _refused(seconds):
+    return [one for second in seconds for one in second if one[1] is not None]
--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -17,6 +17,7 @@
 TOO_LATE = "wait_exceeds_deadline"
 START_SHARE = 0.15  # of answers that are refusals, above what chance brings
 MIN_REFUSED = 3.0
+LEAST_KEPT = 0.5  # of the rate at the begin: few answers tell little
 CALM_MS = 1_000  # without a refusal here
 CHANGE_NOTICE_MS = 1_000
 MAX_REFUSED_FLOWS = 512
@@ -53,7 +54,8 @@
             return self._refuse(TOO_LATE, now_ms)
         limit = self.limit
         if limit is not None:
-            limit.refill(evidence.refused_share(now_ms), now_ms)
+            served_per_s = evidence.served.rate_per_s(now_ms)
+            limit.refill(evidence.refused_share(now_ms), served_per_s, now_ms)
             if not self.ranks.may_pass(kind, limit.tokens, limit.capacity):
                 return self._refuse(NO_ROOM, now_ms)
             limit.tokens -= 1.0
@@ -68,8 +70,10 @@
         if self.limit is None:
             if share < START_SHARE or evidence.refused.value(now_ms) < MIN_REFUSED:
                 return None
-            per_s = evidence.sent.rate_per_s(now_ms) * (1.0 - share)
+            kept = max(LEAST_KEPT, 1.0 - share)
+            per_s = evidence.sent.rate_per_s(now_ms) * kept
             self.limit = RateLimit(per_s, now_ms)
+            evidence.forget_answers(now_ms)  # they tell of the former rate
             self.shed_ms = now_ms
             return True
         if now_ms - self.shed_ms < CALM_MS or share >= START_SHARE:
--- a/libs/flows/src/lagoontally_flows/_admission/_decaying.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_decaying.py
@@ -26,6 +26,10 @@
             return 0.0
         return self._value * 0.5 ** ((now_ms - self._at_ms) / self.half_life_ms)
 
+    def clear(self):
+        """Forget all additions."""
+        self._value = 0.0
+
     def rate_per_s(self, now_ms):
         """Return the additions a second that sustain the value."""
         return self.value(now_ms) * 693.147 / self.half_life_ms
--- a/libs/flows/src/lagoontally_flows/_admission/_limit.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_limit.py
@@ -8,9 +8,9 @@
 """
 
 ADJUST_INTERVAL_MS = 100
-REFUSED_TARGET = 0.06  # share of flows that keeps the queues filled
-GROWTH = 0.08  # a tenth of a second without refusals
-REDUCTION = 0.6  # relative to the excess of refusals
+REFUSED_TARGET = 0.05  # share of flows that keeps the queues filled
+GROWTH = 0.05  # a tenth of a second without refusals
+REDUCTION = 0.4  # relative to the excess of refusals
 MIN_PER_S = 1.0  # a balancer always learns whether there is room
 KEPT_S = 0.15
 MIN_KEPT = 3.0
@@ -41,11 +41,19 @@
         """Tokens that are kept at most."""
         return max(MIN_KEPT, self.per_s * KEPT_S)
 
-    def refill(self, refused_share, now_ms):
-        """Adjust the rate to the share that targets refuse, and add tokens."""
+    def refill(self, refused_share, served_per_s, now_ms):
+        """Adjust the rate and add tokens.
+
+        Args:
+            refused_share: Share of the flows sent that targets refuse.
+            served_per_s: Flows a second that they serve, below which the rate
+                doesn't fall.
+            now_ms: Current time.
+        """
         if now_ms - self._adjusted_ms >= ADJUST_INTERVAL_MS:
             self._adjusted_ms = now_ms
-            self.per_s = max(MIN_PER_S, self.per_s * _factor(refused_share))
+            per_s = self.per_s * _factor(refused_share)
+            self.per_s = max(MIN_PER_S, per_s, served_per_s)
         elapsed_s = (now_ms - self._refilled_ms) / 1_000
         self._refilled_ms = now_ms
         self.tokens = min(self.capacity, self.tokens + self.per_s * elapsed_s)
