--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -5,6 +5,7 @@
 only improves these decisions and can be lost at any time.
 """
 
+from ._admission import Admission
 from ._effects import DealtAnew, FlowReset, entry_event, evacuation_event
 from ._placing import (
     STALL_AFTER_MS,
@@ -14,7 +15,7 @@
     WarmUpBudgets,
     is_cut_off,
 )
-from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
+from ._records import FIN, RST, SYN, Answer, Drop, Forward, Hold, Reset
 from ._store import ALL_CHANGES, Evacuations, StoreHistory
 from ._targets import (
     ANSWERED,
@@ -29,7 +30,7 @@
     reset_flows,
     should_reset_flows,
 )
-from ._tracking import FlowTable, HalfOpenFlows
+from ._tracking import SEQUENCE_MASK, FlowTable, HalfOpenFlows
 
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 MAX_UNKNOWN_COOKIES = 1_024
@@ -56,6 +57,7 @@
         warm_ups: How long targets warm up.
         warm_up_budgets: Limits the new flows of targets that warm up.
         half_open_flows: Flows whose handshake isn't complete.
+        admission: Decides which SYNs are refused for lack of room.
         target_selector: Selects the targets of new flows.
         demand: Recent SYNs by service.
         placer: Decides on SYNs.
@@ -82,6 +84,7 @@
         self.warm_up_budgets = WarmUpBudgets(
             warm_ups=self.warm_ups, data_centre=data_centre
         )
+        self.admission = Admission(random=random)
         self.target_selector = TargetSelector(
             view=self.view,
             health=self.health,
@@ -89,6 +92,7 @@
             flows=self.flows,
             evacuations=self.evacuations,
             warm_up_budgets=self.warm_up_budgets,
+            admission=self.admission,
             data_centre=data_centre,
             random=random,
         )
@@ -101,6 +105,7 @@
             half_open_flows=self.half_open_flows,
             target_selector=self.target_selector,
             warm_up_budgets=self.warm_up_budgets,
+            admission=self.admission,
             demand=self.demand,
             effects=self.effects,
         )
@@ -125,6 +130,10 @@
             return False
         self.configuration = configuration
         self.warm_ups.services = configuration.services
+        self.admission.max_connections = {
+            name: service.max_connections
+            for name, service in configuration.services.items()
+        }
         return True
 
     def on_packet(self, packet, now_ms, *, waited_ms=0):
@@ -237,10 +246,12 @@
             self.health.forget(cookie)
             self.stuck_targets.forget(cookie)
             self.warm_ups.forget(cookie)
+            self.admission.full_targets.forget(cookie)
         self.warm_up_budgets.on_tick(now_ms)
         self.placer.probe_overdue(now_ms)
         self.effects.extend(self.health.due_probes(now_ms))
         self._reset_stuck_flows(now_ms)
+        self.effects.extend(self.admission.on_tick(now_ms))
         self.demand.on_tick(now_ms)
         self.cut_off = is_cut_off(
             self.demand, self.platform_heard_ms, now_ms, was_cut_off=self.cut_off
@@ -297,9 +308,12 @@
             probes = self.health.on_stall(cookie, flow.progress_ms, now_ms)
             self.effects.extend(probes)
             return
+        acknowledged = flow.acknowledged
         if flow.record(packet, now_ms):
             self.health.on_response(cookie, now_ms)
             if flow.request_sent_ms is not None:
+                length = (packet.acknowledgement - acknowledged) & SEQUENCE_MASK
+                self._on_answer(packet.flow, flow, length, now_ms)
                 self.flows.complete_request(packet.flow, flow)
                 self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
         if packet.flags & FIN:
@@ -308,6 +322,13 @@
         elif packet.length:
             self.flows.start_request(packet.flow, flow, now_ms)
 
+    def _on_answer(self, key, flow, length, now_ms):
+        """Tell of the answer to the pending request of a flow."""
+        service = self.view.by_cookie[flow.cookie].service
+        waited_ms = now_ms - flow.request_sent_ms
+        answer = Answer(key, flow.cookie, service, waited_ms, length)
+        self.admission.on_answer(answer, now_ms)
+
     def _on_rehashed_flow(self, packet, cookie, now_ms):
         """Handle the first packet of a flow that came from another balancer.
 
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -17,6 +17,7 @@
         half_open_flows: The ``HalfOpenFlows``.
         target_selector: The ``TargetSelector``.
         warm_up_budgets: The ``WarmUpBudgets`` that count the SYNs of cold targets.
+        admission: The ``Admission``, asked before a target is selected.
         demand: The ``Demand`` that counts SYNs.
         effects: List to which ``Probe`` records are added.
     """
@@ -30,6 +31,7 @@
         half_open_flows,
         target_selector,
         warm_up_budgets,
+        admission,
         demand,
         effects,
     ):
@@ -39,6 +41,7 @@
         self.half_open_flows = half_open_flows
         self.target_selector = target_selector
         self.warm_up_budgets = warm_up_budgets
+        self.admission = admission
         self.demand = demand
         self.effects = effects
 
@@ -94,6 +97,9 @@
         return self._place_flow(packet, route, now_ms)
 
     def _place_flow(self, packet, route, now_ms):
+        reason = self.admission.refusal(packet, route, now_ms)
+        if reason is not None:
+            return Reset(reason, packet.acknowledgement)
         caller = packet.flow[0]
         target = self.target_selector.select(
             route,
@@ -128,3 +134,4 @@
         """Probe the targets that haven't answered a SYN in time."""
         for cookie, placed_ms in self.half_open_flows.overdue(now_ms):
             self.effects.extend(self.health.on_stall(cookie, placed_ms, now_ms))
+            self.admission.on_unanswered(cookie, now_ms)
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -20,6 +20,8 @@
         flows: The ``FlowTable``, whose counts are the load.
         evacuations: The ``Evacuations``.
         warm_up_budgets: The ``WarmUpBudgets`` that limit the flows of cold targets.
+        admission: The ``Admission``; targets that it leaves out are used only where
+            no others are left.
         data_centre: This balancer's data centre.
         random: Random number generator, as ``random.Random``.
 
@@ -36,6 +38,7 @@
         flows,
         evacuations,
         warm_up_budgets,
+        admission,
         data_centre,
         random,
     ):
@@ -45,6 +48,7 @@
         self.flows = flows
         self.evacuations = evacuations
         self.warm_up_budgets = warm_up_budgets
+        self.admission = admission
         self.data_centre = data_centre
         self.random = random
         self.regions = {}
@@ -138,7 +142,14 @@
             for target in healthy
             if not self.stuck_targets.is_stuck(target.cookie)
         ]
-        return responsive or healthy
+        candidates = responsive or healthy
+        leaves_out, open_flows = self.admission.leaves_out, self.flows.open_flows
+        roomy = [
+            target
+            for target in candidates
+            if not leaves_out(target, open_flows.get(target.cookie, 0), now_ms)
+        ]
+        return roomy or candidates
 
     def _tie_break(self, target):
         return (target.cookie ^ self._tie_salt) * TIE_HASH_MULTIPLIER & 0xFFFFFFFF
