Flows: divide work by measured speed and demand

Balancers report answer times and new flows to their reader; it advises members on slow targets and on spill to other data centres. Demand of loaded data centres passes through seeds. Equally loaded targets are divided among the balancers by rank.

--- a/libs/bench/src/lagoontally_bench/_experiment.py
+++ b/libs/bench/src/lagoontally_bench/_experiment.py
@@ -33,7 +33,8 @@
         name: Its name in the results.
         report_age_ms: Age of a load report when it arrives.
         liars: Number of targets that always report that they are idle.
-        half_speed: Number of targets that take twice as long.
+        half_speed: Number of targets that take ``slow_factor`` times as long.
+        slow_factor: Multiplier of their service time.
         cold: Number of targets that restart a third into the run.
         cold_ms: How long a restarted target is slow.
         cold_factor: Multiplier of its service time while it is slow.
@@ -50,6 +51,7 @@
     report_age_ms: float = 0.0
     liars: int = 0
     half_speed: int = 0
+    slow_factor: float = 2.0
     cold: int = 0
     cold_ms: float = 10_000.0
     cold_factor: float = 5.0
--- a/libs/bench/src/lagoontally_bench/_policies.py
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -1,8 +1,12 @@
 """Target selection policies for the queueing model."""
 
+from collections import deque
+
 from lagoontally_core import rendezvous_pick
+from lagoontally_flows import Target, select_target, target_order
 
 REPORT_HALF_LIFE_MS = 1_000.0
+PREFERRED_TARGETS = 5
 
 
 class Policy:
@@ -178,6 +182,94 @@
         dispatcher.placed[number] -= 1
 
 
+class PacketBalancer(Policy):
+    """The rule of the packet balancers, by their own code.
+
+    Attributes:
+        order: What orders targets that are equally loaded: ``random`` draws an order
+            for each balancer, ``divided`` is ``target_order``, in ``rotation`` the
+            target that was selected last comes last.
+        preferred: Number of targets in a balancer's order that it uses alone while
+            one of them has a free slot by its own count, 0 for all.
+    """
+
+    def __init__(self, order, preferred=0):
+        self.order = order
+        self.preferred = preferred
+
+    def start(self, model):
+        """Describe the targets as the packet balancers see them."""
+        self.records = [
+            Target(b"", 0, target.number, None, "", "", target.slots, False, 0)
+            for target in model.targets
+        ]
+        self.orders = [
+            self._first_order(balancer.number, model) for balancer in model.balancers
+        ]
+        self.turns = 0
+
+    def _first_order(self, rank, model):
+        numbers = [target.number for target in model.targets]
+        if self.order == "divided":
+            return target_order(rank, numbers)
+        model.random.shuffle(numbers)
+        return {number: place for place, number in enumerate(numbers)}
+
+    def choose(self, balancer, usable, job, model):
+        """Return the target that ``select_target`` selects."""
+        order = self.orders[balancer.number]
+        load = balancer.in_flight
+        records = [self.records[target.number] for target in usable]
+        preferred = [
+            record
+            for record in records
+            if order[record.cookie] < self.preferred
+            and load[record.cookie] < record.slots
+        ]
+        selected = select_target(
+            preferred or records,
+            load=lambda record: load[record.cookie],
+            data_centre="",
+            data_centres=("",),
+            draw=model.random.random(),
+            tie_break=lambda record: order[record.cookie],
+        )
+        if self.order == "rotation":
+            self.turns += 1
+            order[selected.cookie] = len(usable) + self.turns
+        return model.targets[selected.cookie]
+
+
+class OneQueue(Policy):
+    """One queue before all slots: the limit that no other policy can beat."""
+
+    def start(self, model):
+        """Begin with an empty queue."""
+        self.queue = deque()
+        self.used = [0] * len(model.targets)
+
+    def place(self, job, model):
+        """Queue the request, or send it if a slot is free."""
+        self.queue.append(job)
+        self._send_queued(model)
+
+    def on_release(self, job, model, *, answered):
+        """Give the slot to the next request."""
+        self.used[job.target.number] -= 1
+        self._send_queued(model)
+
+    def _send_queued(self, model):
+        while self.queue:
+            target = min(
+                model.targets, key=lambda one: (self.used[one.number], one.factor)
+            )
+            if self.used[target.number] >= target.slots:
+                return
+            self.used[target.number] += 1
+            job = self.queue.popleft()
+            model.send(job, job.balancer, target)
+
+
 def own_load(balancer, target):
     """Return the number of a balancer's own requests at a target, per slot."""
     return balancer.in_flight[target.number] / target.slots
@@ -222,6 +314,11 @@
     "least-reported": LeastReported,
     "two-discounted": TwoDiscounted,
     "least-discounted": LeastDiscounted,
+    "packet-random": lambda: PacketBalancer("random"),
+    "packet-rotation": lambda: PacketBalancer("rotation"),
+    "packet-subset": lambda: PacketBalancer("divided", preferred=PREFERRED_TARGETS),
+    "packet-divided": lambda: PacketBalancer("divided"),
+    "one-queue": OneQueue,
     "dispatcher": lambda: Dispatcher("all"),
     "dispatcher-hold-500": lambda: Dispatcher("all", 500.0),
     "dispatcher-hold-1000": lambda: Dispatcher("all", 1_000.0),
--- a/libs/bench/src/lagoontally_bench/_queueing.py
+++ b/libs/bench/src/lagoontally_bench/_queueing.py
@@ -18,7 +18,6 @@
 MAX_RETRY_TOKENS = 20.0
 PARETO_SHAPE = 1.5
 MAX_PARETO_FACTOR = 200.0
-HALF_SPEED_FACTOR = 2.0
 LATE_LATENCY_MS = 1_000.0
 RECOVERY_GAP_MS = 5_000.0
 
@@ -208,7 +207,7 @@
         for target in self.targets[: condition.liars]:
             target.reports_idle = True
         for target in self.targets[: condition.half_speed]:
-            target.factor = HALF_SPEED_FACTOR
+            target.factor = condition.slow_factor
         for target in self.targets[: condition.cold]:
             self.after(third_ms, setattr, target, "factor", condition.cold_factor)
             self.after(third_ms + condition.cold_ms, setattr, target, "factor", 1.0)
--- /dev/null
+++ b/libs/flows/features/uneven_load.feature
@@ -0,0 +1,115 @@
+Feature: Uneven demand and uneven targets
+
+  Scenario: A slow target gets a small share of the flows
+    Given a balancer with 10 targets
+    When 1 target takes 6 times as long as the others for 1 s
+    And 400 flows come and go
+    Then the slow targets together get between 2 and 20 flows
+    And "target_set_aside" is logged once
+
+  Scenario: A few long requests don't make a target slow
+    Given a balancer with 10 targets
+    When each target takes 7 times as long for 1 request in 10
+    Then no target is set aside
+
+  Scenario: If all are slow, none is set aside
+    Given a balancer with 6 targets
+    When 6 targets take 8 times as long as the others for 2 s
+    Then no target is set aside
+
+  Scenario: The only target is never set aside
+    Given a balancer with 1 targets
+    When 1 target takes 8 times as long as the others for 2 s
+    And 40 flows come and go
+    Then the slow targets together get between 40 and 40 flows
+
+  Scenario: At most half of a service's capacity is set aside
+    Given a balancer with 10 targets
+    When 6 targets take 9 times as long as the others for 1 s
+    Then at most 5 targets are set aside
+
+  Scenario: Answers from another data centre take longer and are no fault
+    Given a balancer with 4 targets and 4 remote ones
+    When the remote targets take 3 times as long as the others for 1 s
+    Then no target is set aside
+
+  Scenario: One balancer's word doesn't set a target aside
+    Given a balancer with 10 targets
+    When one balancer says that 1 target takes 6 times as long for 1 s
+    Then no target is set aside
+
+  Scenario: A target that is fast again comes back in steps
+    Given a balancer with 10 targets
+    When 1 target takes 6 times as long as the others for 1 s
+    And all targets are equally fast for 5 s
+    Then its share rises in at least 4 steps
+    And no target is set aside
+    And "target_restored" is logged once
+
+  Scenario: A target without new answers is tried again
+    Given a balancer with 10 targets
+    When 1 target takes 6 times as long as the others for 1 s
+    And no answer is reported for 8 s
+    Then no target is set aside
+
+  Scenario: Advice lapses when the reader is silent
+    Given a balancer with 2 targets
+    When a reader advises a share of 1% for a target
+    And 3000 ms pass
+    And 40 flows come and go
+    Then each target gets 20 flows
+
+  Scenario: Advice on targets that this balancer doesn't know changes nothing
+    Given a balancer with 2 targets
+    When a reader advises a share of 1% for an unknown target
+    And 40 flows come and go
+    Then each target gets 20 flows
+
+  Scenario: A burst spills to other data centres
+    Given a balancer with 10 targets and 10 remote ones
+    When callers keep 30 slots busy for 3 s
+    And 400 flows come and go
+    Then between 55% and 70% of them are local
+    And "spill_started" is logged once
+
+  Scenario: Calm demand stays, and nothing is sent about it
+    Given a balancer with 10 targets and 10 remote ones
+    When callers keep 6 slots busy for 3 s
+    And 400 flows come and go
+    Then between 100% and 100% of them are local
+    And neither advice nor digests were sent
+
+  Scenario: A burst ends
+    Given a balancer with 10 targets and 10 remote ones
+    When callers keep 30 slots busy for 3 s
+    And callers keep 6 slots busy for 5 s
+    And 400 flows come and go
+    Then between 100% and 100% of them are local
+    And "spill_ended" is logged once
+
+  Scenario Outline: Demand is divided between data centres
+    Then with <slots> slots each and demand "<demands>", "<from>" sends <parts>
+
+    Examples:
+      | slots | demands           | from | parts           |
+      | 40    | a 60, b 10, c 10  | a    | b 27%, c 27%    |
+      | 40    | a 60, b 24, c 10  | a    | b 12%, c 36%    |
+      | 40    | a 60, b 10        | a    | b 31%, c 21%    |
+      | 40    | a 60, b 60, c 60  | a    | nothing         |
+      | 40    | a 90, b 60, c 60  | b    | nothing         |
+      | 40    | a 90, b 90, c 30  | a    | c 22%           |
+      | 40    | a 90, b 90, c 30  | c    | nothing         |
+      | 40    | a 20              | a    | nothing         |
+
+  Scenario: A cut data centre counts as an average one, not as idle
+    Given a balancer with 10 targets and 10 remote ones
+    When the remote data centre tells that 12 slots are busy
+    Then its demand counts as 12 slots
+    But 4000 ms later it isn't known
+
+  Scenario: A seed passes digests on to the readers of other data centres
+    Given a balancer with 2 targets
+    When readers of "tifton", "camilla" and "pelham" send digests to this seed
+    Then the next of "tifton" goes to the readers of "camilla" and "pelham"
+    And one that was passed on goes to nobody
+    And 6000 ms later it goes to nobody else
--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -4,12 +4,15 @@
 from ._digest import digest
 from ._effects import DealtAnew, FlowReset, LogEvent
 from ._lifecycle import Lifecycle
+from ._load import DemandDigest, LoadAdvice, LoadReport, LoadSharing
 from ._membership import Hello, Joined, Members, Membership
+from ._placing import select_target, target_order
 from ._records import (
     ACK,
     FIN,
     RST,
     SYN,
+    Answer,
     Configuration,
     Drop,
     Forward,
@@ -78,6 +81,7 @@
     "THIS_BALANCER",
     "UNANSWERED",
     "UNCLEAR",
+    "Answer",
     "Balancer",
     "Beacon",
     "Configuration",
@@ -85,6 +89,7 @@
     "ConfigurationDeltas",
     "DealtAnew",
     "Delta",
+    "DemandDigest",
     "Drop",
     "FetchConfiguration",
     "FetchTargets",
@@ -98,6 +103,9 @@
     "Lifecycle",
     "ListTargets",
     "ListingRules",
+    "LoadAdvice",
+    "LoadReport",
+    "LoadSharing",
     "LogEvent",
     "Members",
     "Membership",
@@ -115,5 +123,7 @@
     "Watch",
     "configuration_delta",
     "digest",
+    "select_target",
     "target_cookie",
+    "target_order",
 ]
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -6,8 +6,9 @@
 """
 
 from ._effects import DealtAnew, FlowReset, entry_event
+from ._load import LoadSharing
 from ._placing import STALL_AFTER_MS, Demand, FlowPlacer, TargetSelector, is_cut_off
-from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
+from ._records import FIN, RST, SYN, Answer, Drop, Forward, Hold, Reset
 from ._store import ALL_CHANGES
 from ._targets import (
     ANSWERED,
@@ -21,7 +22,7 @@
     reset_flows,
     should_reset_flows,
 )
-from ._tracking import FlowTable, HalfOpenFlows
+from ._tracking import SEQUENCE_MASK, FlowTable, HalfOpenFlows
 
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 MAX_UNKNOWN_COOKIES = 1_024
@@ -44,6 +45,7 @@
         health: Which targets respond.
         stuck_targets: Targets that accept requests and don't answer them.
         half_open_flows: Flows whose handshake isn't complete.
+        load_sharing: What is told and known of uneven load.
         target_selector: Selects the targets of new flows.
         demand: Recent SYNs by service.
         placer: Decides on SYNs.
@@ -65,6 +67,9 @@
         self.health = Health()
         self.stuck_targets = StuckTargets(self.flows)
         self.half_open_flows = HalfOpenFlows()
+        self.load_sharing = LoadSharing(
+            data_centre=data_centre, view=self.view, health=self.health
+        )
         self.target_selector = TargetSelector(
             view=self.view,
             health=self.health,
@@ -72,6 +77,7 @@
             flows=self.flows,
             data_centre=data_centre,
             random=random,
+            load_advice=self.load_sharing.advice,
         )
         self.demand = Demand()
         self.effects = []
@@ -82,6 +88,7 @@
             half_open_flows=self.half_open_flows,
             target_selector=self.target_selector,
             demand=self.demand,
+            answer_log=self.load_sharing.log,
             effects=self.effects,
         )
         self.cut_off = False
@@ -267,9 +274,13 @@
             probes = self.health.on_stall(cookie, flow.progress_ms, now_ms)
             self.effects.extend(probes)
             return
+        acknowledged = flow.acknowledged
         if flow.record(packet, now_ms):
             self.health.on_response(cookie, now_ms)
             if flow.request_sent_ms is not None:
+                self._on_answer(
+                    self._answer(packet, cookie, flow, acknowledged, now_ms), now_ms
+                )
                 self.flows.complete_request(packet.flow, flow)
                 self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
         if packet.flags & FIN:
@@ -278,6 +289,21 @@
         elif packet.length:
             self.flows.start_request(packet.flow, flow, now_ms)
 
+    def _answer(self, packet, cookie, flow, acknowledged, now_ms):
+        """Return the ``Answer`` to a flow's pending request."""
+        target = self.view.by_cookie.get(cookie)
+        return Answer(
+            packet.flow,
+            cookie,
+            target.service if target else "",
+            now_ms - flow.request_sent_ms,
+            (packet.acknowledgement - acknowledged) & SEQUENCE_MASK,
+        )
+
+    def _on_answer(self, answer, now_ms):
+        """Hand an answer on to the decisions that learn from it."""
+        self.load_sharing.log.on_answer(answer.cookie, answer.waited_ms)
+
     def _on_rehashed_flow(self, packet, cookie, now_ms):
         """Handle the first packet of a flow that came from another balancer.
 
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_load/__init__.py
@@ -0,0 +1,21 @@
+"""Where work goes when demand and targets are uneven."""
+
+from ._answer_log import AnswerLog
+from ._data_centre_demand import DataCentreDemand
+from ._load_advice import AdviceInForce
+from ._load_messages import DemandDigest, LoadAdvice, LoadReport
+from ._load_sharing import LoadSharing
+from ._spill import spill_parts
+from ._target_speeds import TargetSpeeds
+
+__all__ = [
+    "AdviceInForce",
+    "AnswerLog",
+    "DataCentreDemand",
+    "DemandDigest",
+    "LoadAdvice",
+    "LoadReport",
+    "LoadSharing",
+    "TargetSpeeds",
+    "spill_parts",
+]
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
@@ -0,0 +1,94 @@
+"""Demand for each service by data centre, as a reader measures and hears it.
+
+Covers bursts of one data centre's callers. Demand is the slots that callers keep busy:
+new flows a second times the usual time of an answer.
+"""
+
+DEMAND_LIFETIME_MS = 3_000  # of what another data centre told
+SMOOTHING = 0.5  # weight of the latest second
+WAIT_SMOOTHING = 0.05  # a queue must not look like longer work
+MAX_WAIT_FACTOR = 2.0
+TOLD_LOAD = 0.5  # of the slots; below it a data centre says nothing
+REFRESH_MS = 1_000
+MAX_DATA_CENTRES = 64  # bounds what forged digests can fill
+
+
+class DataCentreDemand:
+    """New flows by service, turned into busy slots.
+
+    Attributes:
+        busy: Slots that the callers of this data centre keep busy, by service.
+    """
+
+    def __init__(self):
+        self.busy = {}
+        self._arrivals = {}
+        self._rates = {}
+        self._waits = {}
+        self._heard = {}
+        self._updated_ms = None
+
+    def on_arrivals(self, arrivals):
+        """Record the new flows in a balancer's report."""
+        for service, count in arrivals:
+            self._arrivals[service] = self._arrivals.get(service, 0) + count
+
+    def on_digest(self, digest, now_ms):
+        """Record what another data centre told; see ``DemandDigest``."""
+        if len(self._heard) < MAX_DATA_CENTRES or digest.data_centre in self._heard:
+            self._heard[digest.data_centre] = (dict(digest.demands), now_ms)
+
+    def update(self, usual_waits, now_ms):
+        """Recompute ``busy``.
+
+        Args:
+            usual_waits: Usual time of an answer in milliseconds, by service.
+            now_ms: Current time.
+
+        Returns:
+            Whether it was recomputed; it isn't more than once in ``REFRESH_MS``.
+        """
+        if self._updated_ms is None:
+            self._updated_ms = now_ms
+        elapsed_ms = now_ms - self._updated_ms
+        if elapsed_ms < REFRESH_MS:
+            return False
+        self._updated_ms = now_ms
+        for service in self._rates.keys() | self._arrivals.keys():
+            rate = self._arrivals.get(service, 0) / elapsed_ms
+            before = self._rates.get(service, rate)
+            self._rates[service] = before + SMOOTHING * (rate - before)
+        self._arrivals = {}
+        for service, wait_ms in usual_waits.items():
+            before = self._waits.setdefault(service, wait_ms)
+            latest = min(wait_ms, MAX_WAIT_FACTOR * before)
+            self._waits[service] = before + WAIT_SMOOTHING * (latest - before)
+        self.busy = {
+            service: rate * self._waits.get(service, 0)
+            for service, rate in self._rates.items()
+        }
+        return True
+
+    def by_data_centre(self, service, own, now_ms):
+        """Return the known demand for a service by data centre."""
+        demands = {
+            name: told.get(service)
+            for name, (told, heard_ms) in self._heard.items()
+            if now_ms - heard_ms <= DEMAND_LIFETIME_MS
+        }
+        demands[own] = self.busy.get(service, 0.0)
+        return {name: busy for name, busy in demands.items() if busy is not None}
+
+    def to_tell(self, capacities):
+        """Return the demands that others must know: pairs of a service and slots.
+
+        Args:
+            capacities: Own usable slots by service.
+        """
+        loaded = any(
+            busy >= TOLD_LOAD * capacities.get(service, 0) and busy >= 1
+            for service, busy in self.busy.items()
+        )
+        if not loaded:
+            return []
+        return [(service, round(busy, 1)) for service, busy in self.busy.items()]
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_load/_load_advice.py
@@ -0,0 +1,45 @@
+"""The advice that a balancer follows, while it is fresh.
+
+Covers a reader that ends or is cut off: what it told lapses, and each balancer's own
+counts of flows decide alone.
+"""
+
+ADVICE_LIFETIME_MS = 2_000  # two are lost by chance once in a million
+
+
+class AdviceInForce:
+    """The latest ``LoadAdvice`` and what follows from it for a new flow."""
+
+    def __init__(self):
+        self._shares = {}
+        self._spills = {}
+        self._received_ms = None
+
+    def on_advice(self, advice, now_ms):
+        """Replace the advice in force."""
+        self._shares = {cookie: percent / 100 for cookie, percent in advice.shares}
+        self._spills = {service: tuple(parts) for service, parts in advice.spills}
+        self._received_ms = now_ms
+
+    def admitted(self, targets, now_ms, random):
+        """Return the targets that a new flow may go to.
+
+        A slow target is left out of all flows but its share. If that leaves none, all
+        are returned, so the only target of a service is never set aside.
+        """
+        if not self._shares or not self._is_fresh(now_ms):
+            return targets
+        shares = self._shares
+        return [
+            target
+            for target in targets
+            if target.cookie not in shares or random.random() < shares[target.cookie]
+        ] or targets
+
+    def spill(self, service, now_ms):
+        """Return pairs of a data centre and its percentage, empty if all stay."""
+        return self._spills.get(service, ()) if self._is_fresh(now_ms) else ()
+
+    def _is_fresh(self, now_ms):
+        received_ms = self._received_ms
+        return received_ms is not None and now_ms - received_ms <= ADVICE_LIFETIME_MS
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_load/_load_messages.py
@@ -0,0 +1,40 @@
+"""Messages about load between balancers."""
+
+from lagoontally_lean import Record
+
+
+class LoadReport(Record, fields="arrivals answers"):
+    """What a balancer saw since its previous report; sent to its reader.
+
+    Attributes:
+        arrivals: Pairs of a service and its new flows.
+        answers: Pairs of a target's cookie and how long an answer took, in
+            milliseconds.
+    """
+
+    __slots__ = ()
+
+
+class LoadAdvice(Record, fields="shares spills"):
+    """What a reader found; sent to its members while there is something to say.
+
+    Attributes:
+        shares: Pairs of a slow target's cookie and its share of a usual target's
+            flows, in percent.
+        spills: Pairs of a service and its parts: pairs of a data centre and the
+            percentage of new flows that goes there. The local one gets the rest.
+    """
+
+    __slots__ = ()
+
+
+class DemandDigest(Record, fields="data_centre demands passed_on"):
+    """Demand of a loaded data centre; sent to seeds, which pass it on.
+
+    Attributes:
+        data_centre: Data centre whose callers the demand comes from.
+        demands: Pairs of a service and the slots that its callers keep busy.
+        passed_on: Whether a seed passed it on to a reader, which keeps it.
+    """
+
+    __slots__ = ()
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -0,0 +1,200 @@
+"""What a balancer and the reader of its data centre tell each other about load.
+
+Every balancer reports to its reader, which combines the reports and advises all. Only
+the advice decides; a balancer that gets none places by its own counts.
+"""
+
+from .._effects import LogEvent
+from ._answer_log import AnswerLog
+from ._data_centre_demand import DataCentreDemand
+from ._load_advice import AdviceInForce
+from ._load_messages import DemandDigest, LoadAdvice
+from ._spill import START_LOAD, STOP_LOAD, spill_parts
+from ._target_speeds import TargetSpeeds
+
+ADVICE_INTERVAL_MS = 500
+DIGEST_SENDER_LIFETIME_MS = 5_000
+MAX_SHARES, MAX_SPILLS = 30, 5  # of one advice, the slowest first; fit a datagram
+MAX_DIGEST_SENDERS = 64  # bounds what forged digests can fill
+
+
+class LoadSharing:
+    """A balancer's part in sharing load, and its reader's.
+
+    Args:
+        data_centre: This balancer's data centre.
+        view: The ``View``.
+        health: The ``Health``.
+
+    Attributes:
+        log: The ``AnswerLog`` of this balancer.
+        advice: The ``AdviceInForce``.
+        speeds: The ``TargetSpeeds``, of use in a reader.
+        demand: The ``DataCentreDemand``, of use in a reader.
+        spills: Parts by data centre, by service; set by a reader.
+    """
+
+    def __init__(self, *, data_centre, view, health):
+        self.data_centre = data_centre
+        self.view = view
+        self.health = health
+        self.log = AnswerLog()
+        self.advice = AdviceInForce()
+        self.spills = {}
+        self._digest_senders = {}
+        self._reset_reader()
+
+    def on_report(self, report, host, now_ms):
+        """Handle the ``LoadReport`` of a member, or this balancer's own."""
+        self.demand.on_arrivals(report.arrivals)
+        self.speeds.on_answers(host, report.answers, now_ms)
+
+    def on_digest(self, digest, host, now_ms):
+        """Handle a ``DemandDigest`` from a reader, or passed on by a seed.
+
+        Returns:
+            Hosts to pass it on to: the readers of other data centres that have lately
+            sent one here. Readers that send none are not loaded and don't need it.
+        """
+        if digest.data_centre != self.data_centre:
+            self.demand.on_digest(digest, now_ms)
+        if digest.passed_on:
+            return []
+        senders = self._digest_senders
+        if len(senders) >= MAX_DIGEST_SENDERS:
+            senders.clear()
+        senders[host] = (digest.data_centre, now_ms)
+        return [
+            other
+            for other, (data_centre, sent_ms) in senders.items()
+            if data_centre != digest.data_centre
+            and now_ms - sent_ms <= DIGEST_SENDER_LIFETIME_MS
+        ]
+
+    def advise(self, now_ms, *, reader):
+        """Return what a reader sends, when it is due.
+
+        Args:
+            now_ms: Current time.
+            reader: Whether this balancer reads for its data centre.
+
+        Returns:
+            A ``LoadAdvice`` for the members or None, a ``DemandDigest`` for the seeds
+            or None, and ``LogEvent`` records for what changed.
+        """
+        if not reader:
+            if self._is_reader:
+                self._reset_reader()
+            return None, None, []
+        self._is_reader = True
+        if now_ms < self._next_ms:
+            return None, None, []
+        self._next_ms = now_ms + ADVICE_INTERVAL_MS
+        shares_before, spills_before = self.speeds.shares, self.spills
+        targets = [one for one in self.view.targets.values() if not one.leaving]
+        self.speeds.judge(targets, now_ms)
+        digest = self._update_demand(targets, now_ms)
+        events = self._share_events(shares_before) + self._spill_events(spills_before)
+        if not (self.speeds.shares or self.spills or shares_before or spills_before):
+            return None, digest, events
+        advice = self._advice()
+        self.advice.on_advice(advice, now_ms)
+        return advice, digest, events
+
+    def gauges(self):
+        """Return a reader's gauges by name."""
+        return {
+            "targets_set_aside": len(self.speeds.shares),
+            "services_spilling": len(self.spills),
+        }
+
+    def _update_demand(self, targets, now_ms):
+        """Update demand and spills; return the ``DemandDigest`` to send, or None."""
+        local = {}
+        for target in targets:
+            if target.data_centre == self.data_centre:
+                local.setdefault(target.service, []).append(target.cookie)
+        waits = {
+            service: self.speeds.usual_wait_ms(cookies)
+            for service, cookies in local.items()
+        }
+        waits = {name: wait for name, wait in waits.items() if wait is not None}
+        if not self.demand.update(waits, now_ms):
+            return None
+        capacities = self._capacities(targets)
+        self.spills = {}
+        for service, sizes in capacities.items():
+            parts = self._spill(service, sizes, now_ms)
+            if parts:
+                self.spills[service] = parts
+        told = self.demand.to_tell(
+            {name: sizes.get(self.data_centre, 0) for name, sizes in capacities.items()}
+        )
+        return DemandDigest(self.data_centre, told, False) if told else None
+
+    def _spill(self, service, sizes, now_ms):
+        demands = self.demand.by_data_centre(service, self.data_centre, now_ms)
+        least = STOP_LOAD if service in self._spilling else START_LOAD
+        if demands[self.data_centre] <= least * sizes.get(self.data_centre, 0):
+            self._spilling.discard(service)
+            return {}
+        self._spilling.add(service)
+        return spill_parts(self.data_centre, sizes, demands)
+
+    def _capacities(self, targets):
+        """Return usable slots by data centre, by service."""
+        capacities = {}
+        for target in targets:
+            if self.health.is_dead(target.cookie):
+                continue
+            sizes = capacities.setdefault(target.service, {})
+            share = self.speeds.shares.get(target.cookie, 1.0)
+            size = sizes.get(target.data_centre, 0) + target.slots * share
+            sizes[target.data_centre] = size
+        return capacities
+
+    def _advice(self):
+        slowest = sorted(self.speeds.shares.items(), key=lambda item: item[1])
+        shares = [(cookie, round(100 * share)) for cookie, share in slowest]
+        spills = [
+            (service, [(name, round(100 * part)) for name, part in parts.items()])
+            for service, parts in self.spills.items()
+        ]
+        return LoadAdvice(shares[:MAX_SHARES], spills[:MAX_SPILLS])
+
+    def _share_events(self, before):
+        events = []
+        for cookie in self.speeds.shares.keys() - before.keys():
+            wait_ms, share = self.speeds.waits.get(cookie), self.speeds.shares[cookie]
+            fields = (("share", round(share, 2)), ("wait_ms", wait_ms))
+            events.append(self._target_event("target_set_aside", cookie, fields))
+        for cookie in before.keys() - self.speeds.shares.keys():
+            events.append(self._target_event("target_restored", cookie, ()))
+        return events
+
+    def _target_event(self, event, cookie, fields):
+        target = self.view.by_cookie.get(cookie)
+        name = target.name.hex() if target else f"unknown-{cookie:08x}"
+        return LogEvent(event, (("target", name), *fields))
+
+    def _spill_events(self, before):
+        events = []
+        for service in self.spills.keys() - before.keys():
+            parts = {
+                name: round(part, 2) for name, part in self.spills[service].items()
+            }
+            busy = round(self.demand.busy.get(service, 0), 1)
+            fields = (("service", service), ("busy", busy), ("parts", parts))
+            events.append(LogEvent("spill_started", fields))
+        for service in before.keys() - self.spills.keys():
+            events.append(LogEvent("spill_ended", (("service", service),)))
+        return events
+
+    def _reset_reader(self):
+        """Drop what only a reader keeps."""
+        self.speeds = TargetSpeeds()
+        self.demand = DataCentreDemand()
+        self.spills = {}
+        self._spilling = set()
+        self._is_reader = False
+        self._next_ms = 0
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -0,0 +1,123 @@
+"""Which targets are slow, by the answers that a data centre's balancers saw.
+
+Covers targets that turn slow, for a while or for good, and long requests among short
+ones. A target is compared with those of its service in its own data centre, since
+answers from others take longer on the way.
+"""
+
+SAMPLES = 16  # latest answers of a target
+SAMPLE_LIFETIME_MS = 3_000
+MIN_SAMPLES = 8  # of which half are slow by chance once in a million, if 3% are
+MIN_REPORTERS = 2  # one balancer may be slow itself
+USUAL_QUANTILE = 0.33  # leaves two thirds of the targets that may be slow
+SLOW_FACTOR = 2.5  # a target of usual speed is below it, with a queue too
+NORMAL_FACTOR = 1.6
+MIN_EXCESS_MS = 15  # less is lost among delays of the network
+MIN_SHARE = 0.1  # keeps answers coming, which show that it is fast again
+STEP_FACTOR, STEP = 1.4, 0.05  # back from ``MIN_SHARE`` in 7 steps
+MAX_SET_ASIDE = 0.5  # of a service in a data centre
+
+
+class TargetSpeeds:
+    """Answer times by target, and the shares of slow targets.
+
+    Attributes:
+        shares: Share of a usual target's flows by cookie, of slow targets only.
+        waits: Median answer time in milliseconds by cookie, as last judged.
+    """
+
+    def __init__(self):
+        self.shares = {}
+        self.waits = {}
+        self._samples = {}
+
+    def on_answers(self, host, answers, now_ms):
+        """Record the answers in a balancer's report.
+
+        Args:
+            host: The balancer's host.
+            answers: Pairs of a cookie and an answer time.
+            now_ms: Current time.
+        """
+        for cookie, waited_ms in answers:
+            samples = self._samples.setdefault(cookie, [])
+            samples.append((now_ms, host, waited_ms))
+            if len(samples) > SAMPLES:
+                del samples[0]
+
+    def judge(self, targets, now_ms):
+        """Update ``shares``.
+
+        Args:
+            targets: The listed ``Target`` records; all others are forgotten.
+            now_ms: Current time.
+        """
+        groups = {}
+        for target in targets:
+            group = groups.setdefault((target.service, target.data_centre), [])
+            group.append(target.cookie)
+        self._forget_all_but(
+            {cookie for cookies in groups.values() for cookie in cookies}, now_ms
+        )
+        self.waits = {
+            cookie: _median([waited_ms for _, _, waited_ms in samples])
+            for cookie, samples in self._samples.items()
+            if _is_enough(samples)
+        }
+        shares = {}
+        for cookies in groups.values():
+            shares.update(self._judge_group(cookies))
+        self.shares = shares
+
+    def usual_wait_ms(self, cookies):
+        """Return the usual answer time of a group of targets, None if unknown."""
+        waits = sorted(self.waits[one] for one in cookies if one in self.waits)
+        return waits[int(USUAL_QUANTILE * len(waits))] if waits else None
+
+    def _judge_group(self, cookies):
+        """Return the shares of the slow targets among a service's in a data centre."""
+        usual_ms = self.usual_wait_ms(cookies)
+        shares = {}
+        for cookie in cookies:
+            share = self._share(cookie, usual_ms)
+            if share < 1.0:
+                shares[cookie] = share
+        allowed = MAX_SET_ASIDE * len(cookies)
+        kept = {}
+        for cookie in sorted(shares, key=shares.get):
+            allowed -= 1.0 - shares[cookie]
+            if allowed < 0:
+                break
+            kept[cookie] = shares[cookie]
+        return kept
+
+    def _share(self, cookie, usual_ms):
+        """Return the new share of a target, 1 if it isn't slow."""
+        share = self.shares.get(cookie, 1.0)
+        wait_ms = self.waits.get(cookie)
+        if wait_ms is not None and usual_ms is not None:
+            slow = wait_ms >= SLOW_FACTOR * usual_ms
+            if slow and wait_ms - usual_ms >= MIN_EXCESS_MS:
+                return max(MIN_SHARE, usual_ms / wait_ms)
+            if share < 1.0 and wait_ms >= NORMAL_FACTOR * usual_ms:
+                return share
+        return min(1.0, share * STEP_FACTOR + STEP)
+
+    def _forget_all_but(self, listed, now_ms):
+        oldest_ms = now_ms - SAMPLE_LIFETIME_MS
+        for cookie, samples in list(self._samples.items()):
+            recent = [sample for sample in samples if sample[0] >= oldest_ms]
+            if recent and cookie in listed:
+                self._samples[cookie] = recent
+            else:
+                del self._samples[cookie]
+
+
+def _is_enough(samples):
+    """Return whether a target can be judged by its samples."""
+    reporters = {host for _, host, _ in samples}
+    return len(samples) >= MIN_SAMPLES and len(reporters) >= MIN_REPORTERS
+
+
+def _median(values):
+    return sorted(values)[len(values) // 2]
--- a/libs/flows/src/lagoontally_flows/_placing/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_placing/__init__.py
@@ -2,6 +2,8 @@
 
 from ._demand import Demand, is_cut_off
 from ._flow_placer import STALL_AFTER_MS, FlowPlacer
+from ._placement import select_target
+from ._target_order import target_order
 from ._target_selector import TargetSelector
 
 __all__ = [
@@ -10,4 +12,6 @@
     "FlowPlacer",
     "TargetSelector",
     "is_cut_off",
+    "select_target",
+    "target_order",
 ]
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -15,6 +15,7 @@
         half_open_flows: The ``HalfOpenFlows``.
         target_selector: The ``TargetSelector``.
         demand: The ``Demand`` that counts SYNs.
+        answer_log: The ``AnswerLog`` that counts them for the reader.
         effects: List to which ``Probe`` records are added.
     """
 
@@ -27,6 +28,7 @@
         half_open_flows,
         target_selector,
         demand,
+        answer_log,
         effects,
     ):
         self.view = view
@@ -35,6 +37,7 @@
         self.half_open_flows = half_open_flows
         self.target_selector = target_selector
         self.demand = demand
+        self.answer_log = answer_log
         self.effects = effects
 
     def on_syn(self, packet, route, now_ms):
@@ -83,6 +86,7 @@
             avoid=self.half_open_flows.possibly_refused_by(caller, now_ms),
         ) or self.target_selector.select(route, now_ms)
         self.demand.on_syn(route.shares, served=target is not None)
+        self.answer_log.on_arrival(target.service if target else route.shares[0][0])
         if target is None:
             return Reset("no_target", packet.acknowledgement)
         flow = self.flows.add(packet.flow, target.cookie, now_ms)
--- a/libs/flows/src/lagoontally_flows/_placing/_placement.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_placement.py
@@ -4,7 +4,8 @@
 target with the fewest flows per slot, where a target that warms up counts as having
 fewer slots. Targets of the local data centre are preferred, since their flows survive
 a cut between data centres. A data centre with less than its share of all slots sends
-some of its flows to those that have more, or its few targets would be overloaded.
+some of its flows to those that have more, or its few targets would be overloaded. If
+demand was measured and the local targets can't bear it, measured parts apply instead.
 """
 
 WARM_UP_WEIGHT = 1.6  # requests take this much longer on a cold target
@@ -28,7 +29,9 @@
     return _weighted_pick(usable, draw)
 
 
-def select_target(candidates, *, load, data_centre, data_centres, draw, tie_break):
+def select_target(
+    candidates, *, load, data_centre, data_centres, draw, tie_break, spill=()
+):
     """Return the target for a new flow.
 
     Args:
@@ -39,6 +42,8 @@
         draw: Random number in the interval [0, 1).
         tie_break: Function of a target that orders equally loaded ones, differently
             on each balancer.
+        spill: Pairs of another data centre and the percentage of flows that goes there
+            by measured demand; empty if nothing was measured that matters.
 
     Returns:
         A ``Target``, or None without candidates.
@@ -49,15 +54,25 @@
         capacity[location] = capacity.get(location, 0) + _capacity(target)
     if not capacity:
         return None
-    location = _weighted_pick(
-        _data_centre_shares(capacity, data_centre, len(data_centres)), draw
+    shares = _spill_shares(capacity, data_centre, spill) or _data_centre_shares(
+        capacity, data_centre, len(data_centres)
     )
+    location = _weighted_pick(shares, draw)
     return min(
         (target for target in candidates if target.data_centre == location),
         key=lambda target: ((load(target) + 1) / _capacity(target), tie_break(target)),
     )
 
 
+def _spill_shares(capacity, data_centre, spill):
+    """Return pairs of a data centre and its share by measured demand, if any."""
+    parts = [(name, percent) for name, percent in spill if name in capacity]
+    local = 100 - sum(percent for _, percent in parts)
+    if parts and local > 0 and data_centre in capacity:
+        parts.append((data_centre, local))
+    return parts
+
+
 def _data_centre_shares(capacity, data_centre, count):
     """Return pairs of a data centre and its share of the flows of ``data_centre``.
 
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_order.py
@@ -0,0 +1,69 @@
+"""Division of targets among the balancers of a data centre.
+
+Covers many balancers before few slots: each sees few flows, so most targets look
+equally free to it, and most of its flows go to the first ones of its order. Orders
+drawn at random leave some targets first for many balancers and others for none. Here
+each target is first, second and so on for as many balancers as any other; own flows
+that are still open move a balancer on to its next target.
+"""
+
+STRIDE_STEP = 7  # between the orders of balancers that share their first target
+
+
+def target_order(rank, cookies):
+    """Return each target's place in a balancer's order, by cookie.
+
+    Args:
+        rank: The balancer's place among those of its data centre, from 0.
+        cookies: Cookies of the targets.
+    """
+    cookies = sorted(cookies)
+    count = len(cookies)
+    round_, start = divmod(rank, count)
+    stride = 1 + STRIDE_STEP * (round_ + 1) % count
+    while _common_divisor(stride, count) > 1:
+        stride += 1  # otherwise the order would leave out targets
+    return {cookies[(start + stride * place) % count]: place for place in range(count)}
+
+
+def _common_divisor(one, other):
+    while other:
+        one, other = other, one % other
+    return one
+
+
+class TargetOrder:
+    """This balancer's order of the targets of each service and data centre.
+
+    Args:
+        view: The ``View``.
+        rank: A random rank, until the members of the data centre are known.
+
+    Attributes:
+        rank: This balancer's place among those of its data centre, from 0.
+    """
+
+    def __init__(self, view, rank):
+        self.view = view
+        self.rank = rank
+        self._orders = {}
+        self._valid_for = None
+
+    def place(self, target):
+        """Return a target's place in the order, from 0."""
+        if self._valid_for != (self.view.generation, self.rank):
+            self._orders = {}
+            self._valid_for = (self.view.generation, self.rank)
+        key = (target.service, target.data_centre)
+        order = self._orders.get(key)
+        if order is None:
+            order = self._orders[key] = target_order(
+                self.rank,
+                [
+                    one.cookie
+                    for one in self.view.by_cookie.values()
+                    if (one.service, one.data_centre) == key and not one.leaving
+                ]
+                or [target.cookie],
+            )
+        return order.get(target.cookie, len(order))
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -1,8 +1,9 @@
 """Selection of targets by view, health and load."""
 
 from ._placement import select_service, select_target
+from ._target_order import TargetOrder
 
-TIE_HASH_MULTIPLIER = 2_654_435_761  # Knuth's multiplicative hash
+MAX_RANDOM_RANK = 1 << 16
 
 
 class TargetSelector:
@@ -15,16 +16,31 @@
         flows: The ``FlowTable``, whose counts are the load.
         data_centre: This balancer's data centre.
         random: Random number generator, as ``random.Random``.
+        load_advice: The ``AdviceInForce`` on slow targets and spill.
+
+    Attributes:
+        order: The ``TargetOrder`` that divides equally loaded targets.
     """
 
-    def __init__(self, *, view, health, stuck_targets, flows, data_centre, random):
+    def __init__(
+        self,
+        *,
+        view,
+        health,
+        stuck_targets,
+        flows,
+        data_centre,
+        random,
+        load_advice,
+    ):
         self.view = view
         self.health = health
         self.stuck_targets = stuck_targets
         self.flows = flows
         self.data_centre = data_centre
         self.random = random
-        self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
+        self.load_advice = load_advice
+        self.order = TargetOrder(view, int(random.random() * MAX_RANDOM_RANK))
 
     def select(self, route, now_ms, avoid=()):
         """Return the target for a new flow, None if there is none.
@@ -44,12 +60,13 @@
         if service is None:
             return None
         return select_target(
-            targets_by_service[service],
+            self.load_advice.admitted(targets_by_service[service], now_ms, self.random),
             load=lambda target: self.flows.open_flows.get(target.cookie, 0),
             data_centre=self.data_centre,
             data_centres=self.view.data_centres() | {self.data_centre},
             draw=self.random.random(),
-            tie_break=self._tie_break,
+            tie_break=self.order.place,
+            spill=self.load_advice.spill(service, now_ms),
         )
 
     def control_target(self, cookie):
@@ -84,6 +101,3 @@
             if not self.stuck_targets.is_stuck(target.cookie)
         ]
         return responsive or healthy
-
-    def _tie_break(self, target):
-        return (target.cookie ^ self._tie_salt) * TIE_HASH_MULTIPLIER & 0xFFFFFFFF
--- a/libs/flows/src/lagoontally_flows/_records.py
+++ b/libs/flows/src/lagoontally_flows/_records.py
@@ -99,6 +99,20 @@
     __slots__ = ()
 
 
+class Answer(Record, fields="flow cookie service waited_ms length"):
+    """The first acknowledgement of new bytes by a caller after its request.
+
+    Attributes:
+        flow: Flow key.
+        cookie: Cookie of the target that answered.
+        service: Name of its service, empty if the target isn't known.
+        waited_ms: Time since the first packet of the request.
+        length: Bytes newly acknowledged.
+    """
+
+    __slots__ = ()
+
+
 class Forward(Record, fields="target reason"):
     """Forward the packet to a target, with the target's cookie."""
 
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -12,9 +12,12 @@
     ConfigurationDelta,
     DealtAnew,
     Delta,
+    DemandDigest,
     Hello,
     InForce,
     Joined,
+    LoadAdvice,
+    LoadReport,
     Members,
     Membership,
     Position,
@@ -59,6 +62,9 @@
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
     DealtAnew(),
+    LoadReport([("desk", 4)], [(TARGET.cookie, 21), (77, 0)]),
+    LoadAdvice([(TARGET.cookie, 17)], [("desk", [("camilla", 20), ("pelham", 25)])]),
+    DemandDigest("tifton", [("desk", 30.5)], False),
 )
 FIELDS = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -149,3 +155,14 @@
 def check_message(name, fields):
     """Decode one message, which must not raise an error."""
     decode_message(json.dumps([name, *fields]).encode())
+
+
+@then("the fullest report and the fullest advice on load are encoded")
+def step_full_load(context):
+    """Names are as long as platforms use."""
+    names = [f"{number:02d}-parcel-service" for number in range(12)]
+    places = [(f"ee-north-{number}", 20) for number in range(5)]
+    answers = [((1 << 32) - 1 - number, 60_000) for number in range(40)]
+    report = LoadReport([(name, 1_000) for name in names], answers)
+    advice = LoadAdvice(answers[:30], [(name, places) for name in names[:5]])
+    assert encode_message(report) and encode_message(advice)
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -8,9 +8,12 @@
     ConfigurationDelta,
     DealtAnew,
     Delta,
+    DemandDigest,
     Hello,
     InForce,
     Joined,
+    LoadAdvice,
+    LoadReport,
     Members,
     Position,
     Route,
@@ -29,6 +32,9 @@
 MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
 MAX_ROUTES_PER_DELTA = 7  # a route takes about 85 bytes, with two services 115
 MAX_PARTS = 256  # of a list of members
+MAX_COOKIE = (1 << 32) - 1
+MAX_WAIT_MS = 60_000  # longest flow lifetime that the platform guarantees
+MAX_ARRIVALS = 1_000_000  # of a report, and slots of a service
 MAX_VERSION = (1 << 63) - 1  # that is passed on; longer ones might not fit
 
 
@@ -256,6 +262,59 @@
     return Verdict(int(cookie), bool(dead), str(evidence), int(age_ms))
 
 
+def _decode_load_report(fields):
+    arrivals, answers = fields
+    return LoadReport(
+        [
+            (_name(service), _bounded(count, MAX_ARRIVALS))
+            for service, count in arrivals
+        ],
+        [
+            (_bounded(cookie, MAX_COOKIE), _bounded(waited_ms, MAX_WAIT_MS))
+            for cookie, waited_ms in answers
+        ],
+    )
+
+
+def _decode_load_advice(fields):
+    shares, spills = fields
+    return LoadAdvice(
+        [
+            (_bounded(cookie, MAX_COOKIE), _bounded(percent, 100))
+            for cookie, percent in shares
+        ],
+        [(_name(service), _decode_parts(parts)) for service, parts in spills],
+    )
+
+
+def _decode_parts(parts):
+    decoded = [(_name(place), _bounded(percent, 100)) for place, percent in parts]
+    if sum(percent for _, percent in decoded) > 100:
+        raise ValueError("the parts are more than the whole")
+    return decoded
+
+
+def _decode_demand_digest(fields):
+    data_centre, demands, passed_on = fields
+    return DemandDigest(
+        _name(data_centre),
+        [(_name(service), _bounded(busy, MAX_ARRIVALS)) for service, busy in demands],
+        bool(passed_on),
+    )
+
+
+def _name(value):
+    if not isinstance(value, str):
+        raise ValueError("a name is not a string")
+    return value
+
+
+def _bounded(value, most):
+    if isinstance(value, bool) or not 0 <= value <= most:
+        raise ValueError("a number is out of range")
+    return value
+
+
 _DECODERS = {
     "Hello": _decode_hello,
     "InForce": _decode_in_force,
@@ -264,6 +323,9 @@
     "Beacon": _decode_beacon,
     "ConfigurationDelta": _decode_configuration_delta,
     "Delta": _decode_delta,
+    "DemandDigest": _decode_demand_digest,
+    "LoadAdvice": _decode_load_advice,
+    "LoadReport": _decode_load_report,
     "Verdict": _decode_verdict,
     "DealtAnew": lambda _fields: DealtAnew(),
 }
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -5,9 +5,12 @@
     ConfigurationDelta,
     DealtAnew,
     Delta,
+    DemandDigest,
     Hello,
     InForce,
     Joined,
+    LoadAdvice,
+    LoadReport,
     Members,
     Membership,
     Verdict,
@@ -19,6 +22,7 @@
 MAX_MESSAGES_PER_READ = 64
 RECEIVE_BYTES = 2_048
 STATE_MESSAGES = (Beacon, ConfigurationDelta, DealtAnew, Delta, Verdict)
+LOAD_MESSAGES = (LoadAdvice, LoadReport)  # only from members
 EPOCH_BITS = 31
 
 
@@ -34,6 +38,7 @@
             sender's host.
 
     Attributes:
+        on_load_message: Called with a message about load and the sender's host.
         membership: The ``Membership``.
         version: Version of the configuration in force here; 0 before the first.
     """
@@ -43,6 +48,7 @@
         self.settings = settings
         self.metrics = metrics
         self.on_message = on_message
+        self.on_load_message = None
         self.membership = Membership(
             host=settings.host,
             data_centre=settings.data_centre,
@@ -80,8 +86,17 @@
         return True
 
     def send(self, message, host):
-        """Send a short message to one balancer."""
-        self._send(encode_message(message), (host, self._port))
+        """Send a message to one balancer, unless it is too long for a datagram."""
+        data = encode_message(message)
+        if data is None:
+            self.metrics.add("peer_unsent", "too_long")
+        else:
+            self._send(data, (host, self._port))
+
+    def send_to_seeds(self, message):
+        """Send a message to each seed, in whichever data centre."""
+        for seed in dict(self.settings.seeds):
+            self.send(message, seed)
 
     def _send_version(self, address):
         """Send the version in force to a balancer in any data centre."""
@@ -122,3 +137,7 @@
         elif isinstance(message, STATE_MESSAGES):
             self.membership.on_message(host, now_ms)
             self.on_message(message, host)
+        elif isinstance(message, DemandDigest) or (
+            isinstance(message, LOAD_MESSAGES) and host in self.members
+        ):
+            self.on_load_message(message, host)
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -4,7 +4,7 @@
 from _signal import SIGHUP, SIGTERM, set_wakeup_fd, signal
 from _socket import socketpair
 from binascii import crc32
-from posix import environ, stat  # ``os`` adds 1 ms to startup
+from posix import stat  # ``os`` adds 1 ms to startup
 
 from lagoontally_flows import (
     ANSWERED,
@@ -27,10 +27,11 @@
     Verdict,
     VersionCheck,
 )
-from lagoontally_platform import READINESS_PATH, SETTINGS_VARIABLE
+from lagoontally_platform import READINESS_PATH
 
 from ._clock import now_ms
 from ._http_server import HttpServer
+from ._load_messenger import LoadMessenger
 from ._log import Log
 from ._loop import PROBING_TICK_MS, TICK_MS, Loop
 from ._metrics import Metrics
@@ -48,7 +49,6 @@
 )
 CONFIGURATION_WAIT_MS = 2_000  # a large one takes 1 s on a slow link
 METRICS_PATH = b"/metrics"
-EXIT_INVALID_SETTINGS = 2
 
 
 class Process:
@@ -100,6 +100,9 @@
             log=self.log,
             metrics=self.metrics,
         )
+        self.load_messenger = LoadMessenger(
+            self.balancer, peers=self.peers, log=self.log
+        )
         self.prober = Prober(self.loop, self._on_probe_result)
         self.servers = [
             HttpServer(self.loop, settings.ready_address, self._serve_readiness),
@@ -137,6 +140,7 @@
         self.store_reader.on_tick(time_ms)
         self._check_version(time_ms)
         self.peers.on_tick(time_ms)
+        self.load_messenger.on_tick(time_ms, reader=self.store_sync.reader)
         self.prober.on_tick(time_ms)
         self.balancer.on_tick(time_ms)
         self.balancer.view_confirmed_ms = self.store_sync.confirmed_ms
@@ -233,6 +237,7 @@
 
     def _on_beacon(self, beacon, host, time_ms):
         """Handle a reader's beacon, and tell it of a newer version."""
+        self.load_messenger.reader_host = host
         digest = self.balancer.view.digest
         self.store_sync.on_beacon(beacon, host, time_ms, digest=digest)
         notice = self.version_check.notice(
@@ -319,7 +324,7 @@
         return document
 
     def _gauges(self):
-        gauges = self.balancer.state_summary(now_ms())
+        gauges = self.balancer.state_summary(now_ms()) | self.load_messenger.gauges()
         position = self.store_sync.history.position
         return gauges | {
             "flows": len(self.balancer.flows.flows),
@@ -374,24 +379,3 @@
         self.peers.settings = settings
         self.lifecycle.grace_ms = settings.grace_s * 1_000
         self.log.line("reload", outcome="taken", changed=changed)
-
-
-def main():
-    """Run a balancer with the settings file that the environment names.
-
-    Returns:
-        The exit status.
-    """
-    path = environ.get(SETTINGS_VARIABLE.encode(), b"").decode()
-    if not path:
-        print(f"{SETTINGS_VARIABLE} is not set", flush=True)
-        return EXIT_INVALID_SETTINGS
-    try:
-        with open(path) as file:
-            settings = parse_settings(file.read())
-    except OSError as error:
-        settings = InvalidSettings([str(error)])
-    if isinstance(settings, InvalidSettings):
-        print("{}: {}".format(path, "; ".join(settings.findings)), flush=True)
-        return EXIT_INVALID_SETTINGS
-    return Process(settings, path).run()
