--- a/libs/bench/src/lagoontally_bench/_policies.py
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -3,10 +3,18 @@
 from collections import deque
 
 from lagoontally_core import rendezvous_pick
-from lagoontally_flows import Target, select_target, target_order
+from lagoontally_flows import (
+    LoadAdvice,
+    LoadReport,
+    LoadSharing,
+    Target,
+    select_target,
+    target_order,
+)
 
 REPORT_HALF_LIFE_MS = 1_000.0
 PREFERRED_TARGETS = 5
+ADVICE_INTERVAL_MS = 500
 
 
 class Policy:
@@ -191,11 +199,13 @@
             target that was selected last comes last.
         preferred: Number of targets in a balancer's order that it uses alone while
             one of them has a free slot by its own count, 0 for all.
+        advised: Whether a reader tells all balancers which targets are slow.
     """
 
-    def __init__(self, order, preferred=0):
+    def __init__(self, order, *, preferred=0, advised=False):
         self.order = order
         self.preferred = preferred
+        self.advised = advised
 
     def start(self, model):
         """Describe the targets as the packet balancers see them."""
@@ -207,6 +217,23 @@
             self._first_order(balancer.number, model) for balancer in model.balancers
         ]
         self.turns = 0
+        self.sharing = LoadSharing(data_centre="", view=None, health=None)
+        self.advise_ms = 0.0
+
+    def on_release(self, job, model, *, answered):
+        """Record how long an answer took."""
+        if answered and self.advised:
+            answers = [(job.target.number, model.now_ms - job.arrived_ms)]
+            report = LoadReport([], answers)
+            self.sharing.on_report(report, job.sender.number, model.now_ms)
+
+    def _advise(self, now_ms):
+        """Update the advice as a reader does."""
+        self.advise_ms = now_ms + ADVICE_INTERVAL_MS
+        speeds = self.sharing.speeds
+        speeds.judge(self.records, now_ms)
+        shares = [(number, 100 * share) for number, share in speeds.shares.items()]
+        self.sharing.advice.on_advice(LoadAdvice(shares, []), now_ms)
 
     def _first_order(self, rank, model):
         numbers = [target.number for target in model.targets]
@@ -219,7 +246,13 @@
         """Return the target that ``select_target`` selects."""
         order = self.orders[balancer.number]
         load = balancer.in_flight
-        records = [self.records[target.number] for target in usable]
+        if self.advised and model.now_ms >= self.advise_ms:
+            self._advise(model.now_ms)
+        records = self.sharing.advice.admitted(
+            [self.records[target.number] for target in usable],
+            model.now_ms,
+            model.random,
+        )
         preferred = [
             record
             for record in records
@@ -318,6 +351,7 @@
     "packet-rotation": lambda: PacketBalancer("rotation"),
     "packet-subset": lambda: PacketBalancer("divided", preferred=PREFERRED_TARGETS),
     "packet-divided": lambda: PacketBalancer("divided"),
+    "packet-advised": lambda: PacketBalancer("divided", advised=True),
     "one-queue": OneQueue,
     "dispatcher": lambda: Dispatcher("all"),
     "dispatcher-hold-500": lambda: Dispatcher("all", 500.0),
