Flows: judge targets by several balancers; spill no less than without a measurement

A slow balancer sees most of the answers of the targets that it comes first for, and made them look slow. Reports that reach a former reader are dropped, or it would take them for a burst when it reads again. Trace shows when a target was set aside.

--- a/libs/bench/src/lagoontally_bench/_policies.py
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -5,7 +5,6 @@
 from lagoontally_core import rendezvous_pick
 from lagoontally_flows import (
     LoadAdvice,
-    LoadReport,
     LoadSharing,
     Target,
     select_target,
@@ -224,8 +223,7 @@
         """Record how long an answer took."""
         if answered and self.advised:
             answers = [(job.target.number, model.now_ms - job.arrived_ms)]
-            report = LoadReport([], answers)
-            self.sharing.on_report(report, job.sender.number, model.now_ms)
+            self.sharing.speeds.on_answers(job.sender.number, answers, model.now_ms)
 
     def _advise(self, now_ms):
         """Update the advice as a reader does."""
--- a/libs/cli/features/steps/trace_steps.py
+++ b/libs/cli/features/steps/trace_steps.py
@@ -78,6 +78,11 @@
         line(1.0, "store_era", era=2, previous=1),
         *flow_reset("no_route"),
     ],
+    "slow target": [
+        line(0.2, "spill_started", service="desk", busy=31.5, parts={"camilla": 0.2}),
+        line(0.5, "target_set_aside", target=TARGET, share=0.17, wait_ms=120),
+        line(4.5, "target_restored", target=TARGET),
+    ],
     "served request": [],
 }
 
--- a/libs/cli/features/trace.feature
+++ b/libs/cli/features/trace.feature
@@ -33,6 +33,11 @@
     When the target is traced
     Then the events are start, trial, target_dead
 
+  Scenario: A slow target's lines say when it was set aside
+    Given the logs of a slow target
+    When the target is traced
+    Then the events are start, spill_started, target_set_aside, target_restored
+
   Scenario: Unreadable lines are skipped and counted
     Given the logs of a silent target
     And the logs hold a cut line and a line of another program
--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -10,6 +10,8 @@
     "target_stuck",
     "target_answers",
     "target_lapsed",
+    "target_set_aside",
+    "target_restored",
 )
 INSTANCE_EVENTS = (
     "start",
@@ -28,6 +30,8 @@
     "store_change_missed",
     "configuration_behind",
     "configuration_in_force",
+    "spill_started",
+    "spill_ended",
 )
 END_EVENTS = ("reset", "drop")
 TARGET_FAULTS = {
--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -15,6 +15,7 @@
     """Let members report and the reader advise, then pass half a second."""
     world = context.world
     sharing = world.balancer.load_sharing
+    sharing.advise(world.now_ms - REPORT_MS, reader=True)
     for host in hosts:
         sharing.on_report(LoadReport(list(arrivals), list(answers)), host, world.now_ms)
     advice, digest, events = sharing.advise(world.now_ms, reader=True)
@@ -66,6 +67,19 @@
     report_for(context, seconds, waits, hosts=HOSTS[:1])
 
 
+@when(
+    "one balancer says that 1 target takes {factor:d} times as long for {seconds:d} s, "
+    "others that it doesn't"
+)
+def step_slow_balancer(context, factor, seconds):
+    """It saw most of the answers."""
+    slow = waits_of(context, context.targets[:1], factor)
+    usual = waits_of(context, (), 1)
+    for _ in range(seconds):
+        report_for(context, 1, slow, hosts=HOSTS[:1])
+        report(context, usual.items(), hosts=HOSTS[1:2])
+
+
 @when("each target takes {factor:d} times as long for 1 request in {count:d}")
 def step_tail(context, factor, count):
     """Some requests are long."""
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -38,6 +38,11 @@
     When one balancer says that 1 target takes 6 times as long for 1 s
     Then no target is set aside
 
+  Scenario: A slow balancer doesn't set a target aside
+    Given a balancer with 10 targets
+    When one balancer says that 1 target takes 6 times as long for 1 s, others that it doesn't
+    Then no target is set aside
+
   Scenario: A target that is fast again comes back in steps
     Given a balancer with 10 targets
     When 1 target takes 6 times as long as the others for 1 s
@@ -79,6 +84,12 @@
     Then between 100% and 100% of them are local
     And neither advice nor digests were sent
 
+  Scenario: A data centre that has few targets sends no less than before
+    Given a balancer with 2 targets and 18 remote ones
+    When callers keep 4 slots busy for 3 s
+    And 400 flows come and go
+    Then between 20% and 30% of them are local
+
   Scenario: A burst ends
     Given a balancer with 10 targets and 10 remote ones
     When callers keep 30 slots busy for 3 s
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -46,6 +46,8 @@
 
     def on_report(self, report, host, now_ms):
         """Handle the ``LoadReport`` of a member, or this balancer's own."""
+        if not self._is_reader:
+            return  # of a member that doesn't know the present reader yet
         self.demand.on_arrivals(report.arrivals)
         self.speeds.on_answers(host, report.answers, now_ms)
 
@@ -135,7 +137,8 @@
     def _spill(self, service, sizes, now_ms):
         demands = self.demand.by_data_centre(service, self.data_centre, now_ms)
         least = STOP_LOAD if service in self._spilling else START_LOAD
-        if demands[self.data_centre] <= least * sizes.get(self.data_centre, 0):
+        own = sizes.get(self.data_centre, 0)
+        if not own or demands[self.data_centre] <= least * own:
             self._spilling.discard(service)
             return {}
         self._spilling.add(service)
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -60,7 +60,7 @@
             {cookie for cookies in groups.values() for cookie in cookies}, now_ms
         )
         self.waits = {
-            cookie: _median([waited_ms for _, _, waited_ms in samples])
+            cookie: _usual_wait_ms(samples)
             for cookie, samples in self._samples.items()
             if _is_enough(samples)
         }
@@ -119,5 +119,21 @@
     return len(samples) >= MIN_SAMPLES and len(reporters) >= MIN_REPORTERS
 
 
-def _median(values):
-    return sorted(values)[len(values) // 2]
+def _usual_wait_ms(samples):
+    """Return the median answer time of a target.
+
+    It is no more than the lower median of its reporters' medians: a slow balancer that
+    saw most of the answers would make a good target look slow.
+    """
+    by_host = {}
+    for _, host, waited_ms in samples:
+        by_host.setdefault(host, []).append(waited_ms)
+    medians = sorted(map(_lower_median, by_host.values()))
+    return min(
+        _lower_median([waited_ms for _, _, waited_ms in samples]),
+        _lower_median(medians),
+    )
+
+
+def _lower_median(values):
+    return sorted(values)[(len(values) - 1) // 2]
--- a/libs/flows/src/lagoontally_flows/_placing/_placement.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_placement.py
@@ -54,9 +54,9 @@
         capacity[location] = capacity.get(location, 0) + _capacity(target)
     if not capacity:
         return None
-    shares = _spill_shares(capacity, data_centre, spill) or _data_centre_shares(
-        capacity, data_centre, len(data_centres)
-    )
+    shares = _data_centre_shares(capacity, data_centre, len(data_centres))
+    if spill:
+        shares = _spill_shares(capacity, data_centre, spill, shares)
     location = _weighted_pick(shares, draw)
     return min(
         (target for target in candidates if target.data_centre == location),
@@ -64,13 +64,21 @@
     )
 
 
-def _spill_shares(capacity, data_centre, spill):
-    """Return pairs of a data centre and its share by measured demand, if any."""
-    parts = [(name, percent) for name, percent in spill if name in capacity]
-    local = 100 - sum(percent for _, percent in parts)
-    if parts and local > 0 and data_centre in capacity:
-        parts.append((data_centre, local))
-    return parts
+def _spill_shares(capacity, data_centre, spill, unmeasured):
+    """Return pairs of a data centre and its share by measured demand.
+
+    Args:
+        capacity: Capacity by data centre.
+        data_centre: Data centre of the callers.
+        spill: Pairs of another data centre and its percentage.
+        unmeasured: Pairs of a data centre and its share without a measurement, which
+            are returned if they keep fewer flows local.
+    """
+    parts = [(name, percent / 100) for name, percent in spill if name in capacity]
+    local = 1.0 - sum(part for _, part in parts)
+    if not parts or local >= dict(unmeasured).get(data_centre, 0.0):
+        return unmeasured
+    return [*parts, (data_centre, local)]
 
 
 def _data_centre_shares(capacity, data_centre, count):
--- a/libs/flows/src/lagoontally_flows/_placing/_target_order.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_order.py
@@ -8,6 +8,7 @@
 """
 
 STRIDE_STEP = 7  # between the orders of balancers that share their first target
+MAX_PLACE = 1_000_003  # a prime, so that targets that aren't listed are spread
 
 
 def target_order(rank, cookies):
@@ -19,6 +20,8 @@
     """
     cookies = sorted(cookies)
     count = len(cookies)
+    if not count:
+        return {}
     round_, start = divmod(rank, count)
     stride = 1 + STRIDE_STEP * (round_ + 1) % count
     while _common_divisor(stride, count) > 1:
@@ -57,13 +60,12 @@
         key = (target.service, target.data_centre)
         order = self._orders.get(key)
         if order is None:
+            listed = self.view.targets.values()
             order = self._orders[key] = target_order(
                 self.rank,
-                [
-                    one.cookie
-                    for one in self.view.by_cookie.values()
-                    if (one.service, one.data_centre) == key and not one.leaving
-                ]
-                or [target.cookie],
+                [one.cookie for one in listed if key == (one.service, one.data_centre)],
             )
-        return order.get(target.cookie, len(order))
+        place = order.get(target.cookie)
+        if place is None:  # delisted, and may return
+            place = len(order) + target.cookie * (self.rank + 1) % MAX_PLACE
+        return place
