--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -126,6 +126,13 @@
     report_for(context, seconds, local, arrivals=arrivals)
 
 
+@when("demand varies between {least:d} and {most:d} slots for {seconds:d} s")
+def step_varies(context, least, most, seconds):
+    """A second each."""
+    for second in range(seconds):
+        step_busy(context, (least, most)[second % 2], 1)
+
+
 @when("{count:d} flows come and go")
 def step_come_and_go(context, count):
     """Through many balancers, each flow closed before the next opens."""
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -84,6 +84,14 @@
     Then between 100% and 100% of them are local
     And neither advice nor digests were sent
 
+  Scenario: Demand that varies a little doesn't make a spill come and go
+    Given a balancer with 10 targets and 10 remote ones
+    When callers keep 17 slots busy for 3 s
+    And demand varies between 14 and 15 slots for 10 s
+    Then "spill_started" is logged once
+    When demand varies between 13 and 15 slots for 10 s
+    Then "spill_started" is logged once
+
   Scenario: A data centre that has few targets sends no less than before
     Given a balancer with 2 targets and 18 remote ones
     When callers keep 4 slots busy for 3 s
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -9,7 +9,7 @@
 from ._data_centre_demand import DataCentreDemand
 from ._load_advice import AdviceInForce
 from ._load_messages import DemandDigest, LoadAdvice
-from ._spill import START_LOAD, STOP_LOAD, spill_parts
+from ._spill import FULL_LOAD, START_LOAD, spill_parts
 from ._target_speeds import TargetSpeeds
 
 ADVICE_INTERVAL_MS = 500
@@ -136,7 +136,7 @@
 
     def _spill(self, service, sizes, now_ms):
         demands = self.demand.by_data_centre(service, self.data_centre, now_ms)
-        least = STOP_LOAD if service in self._spilling else START_LOAD
+        least = FULL_LOAD if service in self._spilling else START_LOAD
         own = sizes.get(self.data_centre, 0)
         if not own or demands[self.data_centre] <= least * own:
             self._spilling.discard(service)
--- a/libs/flows/src/lagoontally_flows/_load/_spill.py
+++ b/libs/flows/src/lagoontally_flows/_load/_spill.py
@@ -9,7 +9,6 @@
 FULL_LOAD = 0.7  # of the slots; above it requests begin to wait for each other
 UNKNOWN_LOAD = 0.4  # of the slots of a data centre that wasn't heard of
 START_LOAD = 0.75
-STOP_LOAD = 0.6
 
 
 def spill_parts(own, capacities, demands):
