--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -10,6 +10,8 @@
     "target_stuck",
     "target_answers",
     "target_lapsed",
+    "target_set_aside",
+    "target_restored",
 )
 INSTANCE_EVENTS = (
     "start",
@@ -29,6 +31,8 @@
     "configuration_behind",
     "configuration_in_force",
     "evacuations_contradicted",
+    "spill_started",
+    "spill_ended",
 )
 EVACUATION_EVENTS = ("evacuation_began", "evacuation_ended")
 END_EVENTS = ("reset", "drop")
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -7,6 +7,7 @@
 
 from ._admission import Admission
 from ._effects import DealtAnew, FlowReset, entry_event, evacuation_event
+from ._load import LoadSharing
 from ._placing import (
     STALL_AFTER_MS,
     Demand,
@@ -58,6 +59,7 @@
         warm_up_budgets: Limits the new flows of targets that warm up.
         half_open_flows: Flows whose handshake isn't complete.
         admission: Decides which SYNs are refused for lack of room.
+        load_sharing: What is told and known of uneven load.
         target_selector: Selects the targets of new flows.
         demand: Recent SYNs by service.
         placer: Decides on SYNs.
@@ -85,6 +87,9 @@
             warm_ups=self.warm_ups, data_centre=data_centre
         )
         self.admission = Admission(random=random)
+        self.load_sharing = LoadSharing(
+            data_centre=data_centre, view=self.view, health=self.health
+        )
         self.target_selector = TargetSelector(
             view=self.view,
             health=self.health,
@@ -95,6 +100,7 @@
             admission=self.admission,
             data_centre=data_centre,
             random=random,
+            load_advice=self.load_sharing.advice,
         )
         self.demand = Demand()
         self.effects = []
@@ -107,6 +113,7 @@
             warm_up_budgets=self.warm_up_budgets,
             admission=self.admission,
             demand=self.demand,
+            answer_log=self.load_sharing.log,
             effects=self.effects,
         )
         self.cut_off = False
@@ -312,8 +319,9 @@
         if flow.record(packet, now_ms):
             self.health.on_response(cookie, now_ms)
             if flow.request_sent_ms is not None:
-                length = (packet.acknowledgement - acknowledged) & SEQUENCE_MASK
-                self._on_answer(packet.flow, flow, length, now_ms)
+                self._on_answer(
+                    self._answer(packet, cookie, flow, acknowledged, now_ms), now_ms
+                )
                 self.flows.complete_request(packet.flow, flow)
                 self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
         if packet.flags & FIN:
@@ -322,12 +330,21 @@
         elif packet.length:
             self.flows.start_request(packet.flow, flow, now_ms)
 
-    def _on_answer(self, key, flow, length, now_ms):
-        """Tell of the answer to the pending request of a flow."""
-        service = self.view.by_cookie[flow.cookie].service
-        waited_ms = now_ms - flow.request_sent_ms
-        answer = Answer(key, flow.cookie, service, waited_ms, length)
+    def _answer(self, packet, cookie, flow, acknowledged, now_ms):
+        """Return the ``Answer`` to a flow's pending request."""
+        target = self.view.by_cookie.get(cookie)
+        return Answer(
+            packet.flow,
+            cookie,
+            target.service if target else "",
+            now_ms - flow.request_sent_ms,
+            (packet.acknowledgement - acknowledged) & SEQUENCE_MASK,
+        )
+
+    def _on_answer(self, answer, now_ms):
+        """Hand an answer on to the decisions that learn from it."""
         self.admission.on_answer(answer, now_ms)
+        self.load_sharing.log.on_answer(answer.cookie, answer.waited_ms)
 
     def _on_rehashed_flow(self, packet, cookie, now_ms):
         """Handle the first packet of a flow that came from another balancer.
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -19,6 +19,7 @@
         warm_up_budgets: The ``WarmUpBudgets`` that count the SYNs of cold targets.
         admission: The ``Admission``, asked before a target is selected.
         demand: The ``Demand`` that counts SYNs.
+        answer_log: The ``AnswerLog`` that counts them for the reader.
         effects: List to which ``Probe`` records are added.
     """
 
@@ -33,6 +34,7 @@
         warm_up_budgets,
         admission,
         demand,
+        answer_log,
         effects,
     ):
         self.view = view
@@ -43,6 +45,7 @@
         self.warm_up_budgets = warm_up_budgets
         self.admission = admission
         self.demand = demand
+        self.answer_log = answer_log
         self.effects = effects
 
     def on_syn(self, packet, route, now_ms):
@@ -106,6 +109,7 @@
             now_ms,
             avoid=self.half_open_flows.possibly_refused_by(caller, now_ms),
         ) or self.target_selector.select(route, now_ms)
+        self.answer_log.on_arrival(target.service if target else route.shares[0][0])
         if target is None:
             return self._refuse(packet, route, now_ms)
         self.demand.on_syn(route.shares, served=True)
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -2,12 +2,13 @@
 
 from ._placement import select_service, select_target
 from ._regions import in_allowed_regions
+from ._target_order import TargetOrder
 
 NO_TARGET = "no_target"
 EVACUATED = "evacuated"
 REST_UNREACHABLE = "evacuated_rest_unreachable"
 WARMING_UP = "warming_up"
-TIE_HASH_MULTIPLIER = 2_654_435_761  # Knuth's multiplicative hash
+MAX_RANDOM_RANK = 1 << 16
 
 
 class TargetSelector:
@@ -24,9 +25,11 @@
             no others are left.
         data_centre: This balancer's data centre.
         random: Random number generator, as ``random.Random``.
+        load_advice: The ``AdviceInForce`` on slow targets and spill.
 
     Attributes:
         regions: Region by data centre, as far as they are known.
+        order: The ``TargetOrder`` that divides equally loaded targets.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         admission,
         data_centre,
         random,
+        load_advice,
     ):
         self.view = view
         self.health = health
@@ -52,7 +56,8 @@
         self.data_centre = data_centre
         self.random = random
         self.regions = {}
-        self._tie_salt = int(random.random() * 0xFFFFFFFF) | 1
+        self.load_advice = load_advice
+        self.order = TargetOrder(view, int(random.random() * MAX_RANDOM_RANK))
 
     def select(self, route, now_ms, avoid=()):
         """Return the target for a new flow, None if there is none.
@@ -72,12 +77,13 @@
         if service is None:
             return None
         return select_target(
-            targets_by_service[service],
+            self.load_advice.admitted(targets_by_service[service], now_ms, self.random),
             load=lambda target: self.flows.open_flows.get(target.cookie, 0),
             data_centre=self.data_centre,
             data_centres=self.view.data_centres() | {self.data_centre},
             draw=self.random.random(),
-            tie_break=self._tie_break,
+            tie_break=self.order.place,
+            spill=self.load_advice.spill(service, now_ms),
         )
 
     def is_evacuated(self, target):
@@ -150,6 +156,3 @@
             if not leaves_out(target, open_flows.get(target.cookie, 0), now_ms)
         ]
         return roomy or candidates
-
-    def _tie_break(self, target):
-        return (target.cookie ^ self._tie_salt) * TIE_HASH_MULTIPLIER & 0xFFFFFFFF
--- a/libs/flows/src/lagoontally_flows/_records.py
+++ b/libs/flows/src/lagoontally_flows/_records.py
@@ -26,20 +26,6 @@
     __slots__ = ()
 
 
-class Answer(Record, fields="flow cookie service waited_ms length"):
-    """The first acknowledgement of an answer by a caller.
-
-    Attributes:
-        flow: Flow key.
-        cookie: Cookie of the flow's target.
-        service: Name of the target's service.
-        waited_ms: Time since the request's first packet.
-        length: Bytes newly acknowledged.
-    """
-
-    __slots__ = ()
-
-
 class Target(
     Record,
     fields="name born cookie address data_centre service slots leaving warm_up_ms",
@@ -113,6 +99,20 @@
     __slots__ = ()
 
 
+class Answer(Record, fields="flow cookie service waited_ms length"):
+    """The first acknowledgement of new bytes by a caller after its request.
+
+    Attributes:
+        flow: Flow key.
+        cookie: Cookie of the target that answered.
+        service: Name of its service, empty if the target isn't known.
+        waited_ms: Time since the first packet of the request.
+        length: Bytes newly acknowledged.
+    """
+
+    __slots__ = ()
+
+
 class Forward(Record, fields="target reason"):
     """Forward the packet to a target, with the target's cookie."""
 
