--- a/libs/core/src/lagoontally_core/__init__.py
+++ b/libs/core/src/lagoontally_core/__init__.py
@@ -44,6 +44,7 @@
     Tick,
     UpstreamReply,
 )
+from ._member_status import MemberStatus
 from ._peer_messages import (
     PEER_MESSAGES,
     HandoverAck,
@@ -51,7 +52,6 @@
     Join,
     LineRecord,
     MemberRecord,
-    MemberStatus,
     Origin,
     Ping,
     PingAck,
--- a/libs/core/src/lagoontally_core/_ingress.py
+++ b/libs/core/src/lagoontally_core/_ingress.py
@@ -13,7 +13,7 @@
     relay_to_any_peer,
     serve_at_home,
 )
-from ._members import MemberStatus
+from ._member_status import MemberStatus
 from ._notifications import (
     COUNTER_BITS,
     home_slot,
--- a/libs/core/src/lagoontally_core/_inherit.py
+++ b/libs/core/src/lagoontally_core/_inherit.py
@@ -5,7 +5,7 @@
 from ._actions import Forwarded, Refused, SendPeer, Unknown
 from ._home import ForgetRequest
 from ._lines import adopt_line
-from ._members import MemberStatus
+from ._member_status import MemberStatus
 from ._peer_messages import (
     HandoverAck,
     HandoverPart,
--- a/libs/core/src/lagoontally_core/_leave.py
+++ b/libs/core/src/lagoontally_core/_leave.py
@@ -6,7 +6,7 @@
 from ._events import LeaveRequested
 from ._exchanges import finish
 from ._inherit import awaits_succession
-from ._members import MemberStatus
+from ._member_status import MemberStatus
 from ._peer_messages import (
     HandoverAck,
     HandoverPart,
--- a/libs/core/src/lagoontally_core/_members.py
+++ b/libs/core/src/lagoontally_core/_members.py
@@ -8,7 +8,8 @@
 
 from typing import NamedTuple
 
-from ._peer_messages import MemberRecord, MemberStatus
+from ._member_status import MemberStatus
+from ._peer_messages import MemberRecord
 
 INDIRECT_PROBES = 3
 MAX_UPDATES_PER_MESSAGE = 6
--- a/libs/core/src/lagoontally_core/_operator.py
+++ b/libs/core/src/lagoontally_core/_operator.py
@@ -1,6 +1,6 @@
 """Answers to operators' queries, as JSON-ready data."""
 
-from ._members import MemberStatus
+from ._member_status import MemberStatus
 from ._state import Identity
 
 MAX_EXPLAINED_DECISIONS = 200
--- a/libs/core/src/lagoontally_core/_peer_messages.py
+++ b/libs/core/src/lagoontally_core/_peer_messages.py
@@ -4,20 +4,10 @@
 Incarnations are random 64-bit numbers, drawn when a balancer starts.
 """
 
-from enum import IntEnum
 from typing import NamedTuple
 
 from ._events import Flow, Request
-
-
-class MemberStatus(IntEnum):
-    """Status of a balancer; a higher value wins at the same revision."""
-
-    ALIVE = 0
-    LEAVING = 1
-    SUSPECT = 2
-    DEAD = 3
-    LEFT = 4
+from ._member_status import MemberStatus
 
 
 class MemberRecord(NamedTuple):
--- a/libs/core/src/lagoontally_core/_probing.py
+++ b/libs/core/src/lagoontally_core/_probing.py
@@ -3,7 +3,8 @@
 from ._actions import SendPeer
 from ._events import Tick
 from ._inherit import learn_succession
-from ._members import INDIRECT_PROBES, MemberStatus
+from ._member_status import MemberStatus
+from ._members import INDIRECT_PROBES
 from ._peer_messages import (
     Join,
     Ping,
