Caller: a part of an answer isn't reported as a whole one

Cause: a command or a store whose answer came in several blocks was Answered with the first block as its body; a notification of one block looked complete. Change: such a request ends as Unknown, since it ran but its answer isn't known; a notification says whether it is complete. Shown by: three scenarios in libs/caller/features, which failed first.

--- a/libs/caller/features/exchange.feature
+++ b/libs/caller/features/exchange.feature
@@ -15,6 +15,17 @@
       | 5.04 | Unknown  |
       | 5.00 | Unknown  |
 
+  Scenario Outline: A part of an answer isn't reported as a whole one
+    Given a command with 10 s to its deadline
+    When the current round is answered by 2.04 with <blocks>
+    Then the outcome is <outcome>
+
+    Examples:
+      | blocks                   | outcome  |
+      | the first of more blocks | Unknown  |
+      | the last of more blocks  | Unknown  |
+      | the only block           | Answered |
+
   Scenario Outline: A second answer changes nothing
     Given a command with 10 s to its deadline
     When the current round is answered by <first>
--- a/libs/caller/features/line.feature
+++ b/libs/caller/features/line.feature
@@ -15,6 +15,11 @@
       | 5        | 8388612  | delivered |
       | 5        | 8388614  | ignored   |
 
+  Scenario: A notification that holds only a part of the body says so
+    Given a line with sequence number 5
+    When the first block of notification 6 arrives
+    Then it is delivered as incomplete
+
   Scenario: A lower sequence number is accepted after 128 s
     Given a line with sequence number 5
     When 129 s pass in which renewals fail
--- a/libs/caller/features/steps/exchange_steps.py
+++ b/libs/caller/features/steps/exchange_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 from fixtures import RESULTS, VirtualTime, decoded, reply
 
-from lagoontally_caller._codec import POST, PUT, TIME_LEFT_OPTION, Request
+from lagoontally_caller._codec import POST, PUT, TIME_LEFT_OPTION, Block, Request
 from lagoontally_caller._exchange import Exchange
 
 
@@ -58,6 +58,14 @@
     answer(context, code)
 
 
+@when("the current round is answered by {code:S} with the {which} block")
+@when("the current round is answered by {code:S} with the {which} of more blocks")
+def step_answered_block(context, code, which):
+    """Answer with a block of 16 bytes."""
+    block = Block(int(which == "last"), which == "first", 0)
+    answer(context, code, block=block, payload=bytes(16))
+
+
 @when('the current round is answered by {code:S} with Echo "{echo}"')
 def step_answered_echo(context, code, echo):
     """Answer the current round with an Echo."""
--- a/libs/caller/features/steps/line_steps.py
+++ b/libs/caller/features/steps/line_steps.py
@@ -4,7 +4,7 @@
 from fixtures import VirtualTime, decoded, reply
 
 from lagoontally_caller import LineStatus
-from lagoontally_caller._codec import NON
+from lagoontally_caller._codec import NON, Block
 from lagoontally_caller._line import ChangeSocket, Deliver, LineState, SendDatagram
 
 
@@ -16,6 +16,7 @@
             context.registrations.append(decoded(action.datagram))
         elif isinstance(action, Deliver):
             context.delivered.append(action.notification.sequence)
+            context.notification = action.notification
         elif isinstance(action, ChangeSocket):
             execute(context, line.register(time.echo_store, time.now_s))
 
@@ -56,6 +57,18 @@
     receive(context, "2.05", type=NON, observe=sequence)
 
 
+@when("the first block of notification {sequence:d} arrives")
+def step_first_block(context, sequence):
+    """The body takes more blocks."""
+    receive(context, "2.05", type=NON, observe=sequence, block=Block(0, True, 0))
+
+
+@then("it is delivered as incomplete")
+def step_incomplete(context):
+    """The caller can fetch the whole."""
+    assert not context.notification.complete, context.notification
+
+
 @when("its registration is answered by notification {sequence:d}")
 def step_registered(context, sequence):
     """Answer the newest registration with a notification."""
--- a/libs/caller/src/lagoontally_caller/_exchange.py
+++ b/libs/caller/src/lagoontally_caller/_exchange.py
@@ -93,12 +93,20 @@
         self.echo_store.keep(reply.echo, now_s=now_s)
         if reply.code_class == SUCCESS_CLASS:
             # A success of any round means that the request was run.
-            self._finish(Answered(reply.dotted, reply.payload), reply)
+            self._finish(self._success(reply), reply)
             return []
         if reply.token != self.tokens[-1]:
             return []
         return self._on_refusal(reply, now_s)
 
+    def _success(self, reply):
+        """Return the outcome of a reply that reports a success."""
+        in_blocks = reply.block is not None and (reply.block.more or reply.block.start)
+        if in_blocks and self.request.block is None:
+            size = len(reply.payload)
+            return Unknown(f"only {size} bytes of the answer {reply.dotted} arrived")
+        return Answered(reply.dotted, reply.payload)
+
     def _on_refusal(self, reply, now_s):
         """Handle a reply to the current round that isn't a success."""
         if reply.code == UNAUTHORIZED and reply.echo:
--- a/libs/caller/src/lagoontally_caller/_line.py
+++ b/libs/caller/src/lagoontally_caller/_line.py
@@ -47,11 +47,14 @@
         code: The response code, such as ``2.05``.
         sequence: The Observe sequence number.
         body: The payload.
+        complete: Whether that is the whole body; the rest of a longer one can be
+            fetched.
     """
 
     code: str
     sequence: int
     body: bytes
+    complete: bool = True
 
 
 class SendDatagram(NamedTuple):
@@ -216,7 +219,11 @@
         self._record_receipt(answers, now_s)
         if repeated:
             return []
-        return [Deliver(Notification(reply.dotted, reply.observe, reply.payload))]
+        complete = reply.block is None or not (reply.block.more or reply.block.start)
+        notification = Notification(
+            reply.dotted, reply.observe, reply.payload, complete
+        )
+        return [Deliver(notification)]
 
     def _is_newer(self, reply, answers, now_s):
         """Return whether a reply is newer than the last notification.
