HTTP client: a second copy of a response isn't taken for the next one

Cause: bytes that arrived between two requests on a connection kept open were read as the answer to the next request; a copy of an empty listing would have delisted all targets. Change: what waits on an idle connection before a request, or follows a response, closes the connection. Shown by: http.feature; 'just before the next request' failed before.

--- a/libs/forwarder/features/http.feature
+++ b/libs/forwarder/features/http.feature
@@ -26,3 +26,20 @@
       | 25000   | 1000     | 4050     | the response |
       | 25000   | 1500     | 1200     | timeout      |
       | 500     | 100      | 10000    | timeout      |
+
+  Scenario Outline: A second copy of a response isn't taken for the next one
+    Given a client whose first request was answered
+    When a second copy of the response arrives <time>
+    And the client makes another request, which is answered
+    Then it gets the answer to that request
+
+    Examples:
+      | time                            |
+      | together with the first         |
+      | while no request is in progress |
+      | just before the next request    |
+
+  Scenario: A response that breaks off fails the request
+    Given a client whose first request was answered
+    When the answer to the next request breaks off
+    Then the client reports a failure
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -81,6 +81,8 @@
         self._deadline_ms = self.loop.clock() + timeout_ms
         self._transfer_end_ms = None
         self._on_done = on_done
+        if self._sock is not None and not self._is_silent():
+            self.close()
         self._reused = self._sock is not None
         self._start_request()
 
@@ -101,6 +103,20 @@
             self._sock.close()
             self._sock = None
 
+    def _is_silent(self):
+        """Return whether an idle connection is open and has nothing to read.
+
+        What arrives between two requests isn't the answer to the next one: it may be
+        a second copy of the one before.
+        """
+        try:
+            self._sock.recv(1)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass  # the connection is of no use
+        return False
+
     def _start_request(self):
         self._received.clear()
         self._unsent = self._request
@@ -148,6 +164,9 @@
         if isinstance(response, HttpFailure):
             self._fail(response.reason)
         elif response is not None:
+            size = self._received.find(b"\r\n\r\n") + 4 + len(response.body)
+            if len(self._received) > size:
+                self.close()  # the rest may be a second copy
             self._finish(response)
 
     def _extend_deadline(self):
