--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -26,7 +26,7 @@
 class Client:
     """Stands in for ``HttpClient``; see there."""
 
-    def __init__(self, loop, address):
+    def __init__(self, loop, address, *, on_error=None):
         self.loop = loop
         self.address = address
         self.number = 0
