Start: a data centre that knows nothing asks the others

Cause: a balancer that starts while the store is away asks the reader of its data centre; if all of it restarted, there is none, although balancers elsewhere have targets and configuration and answer its hello. Change: while the store fails and no reader is heard, it fetches both from the balancer that last told which version it has in force.

--- a/libs/flows/src/lagoontally_flows/_store/_reads.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reads.py
@@ -30,6 +30,7 @@
         self.call_cancelled = False
         self._reader_is_next = True
         self._reader_host = None
+        self._informed_host = None
         self._listed = False
         self._first_listing = True
         self._next_call_ms = 0
@@ -39,6 +40,10 @@
         fresh_ms = FRESH_MS if self.reader else 2 * FRESH_MS  # beacons report it later
         return self.confirmed_ms is not None and now_ms - self.confirmed_ms <= fresh_ms
 
+    def on_informed(self, host):
+        """Record a balancer that has a configuration in force, of any data centre."""
+        self._informed_host = host
+
     def reread(self):
         """Read the store again, as a change may have been missed.
 
@@ -71,22 +76,31 @@
         if has_version and needs_position and not self.failures:
             return ReadConfiguration(may_be_old=False)
         if self._take_reader_turn(now_ms):
-            return FetchConfiguration(self._reader_host)
+            return FetchConfiguration(self._host_to_ask())
         # All balancers poll until the operator publishes the first configuration.
         # Beacons correct an outdated one, as they do for the first listing.
         nothing_known = self.announced_version == self.configuration_version == 0
         return ReadConfiguration(nothing_known and not self.history.stale_refused)
 
     def _first_call(self, now_ms):
-        """Try the store first; while it fails, alternate with a known reader."""
+        """Try the store first; while it fails, alternate with a balancer that knows."""
         if self.failures and self._take_reader_turn(now_ms):
-            return FetchTargets(self._reader_host)
+            return FetchTargets(self._host_to_ask())
         nothing_known = self._first_listing and self.history.targets is None
         return ListTargets(nothing_known and not self.history.stale_refused)
 
     def _take_reader_turn(self, now_ms):
         self._reader_is_next = not self._reader_is_next
-        if self._reader_is_next or self._reader_host is None:
+        if self._reader_is_next or self._host_to_ask() is None:
             return False
         self._next_call_ms = now_ms + FETCH_RETRY_MS
         return True
+
+    def _host_to_ask(self):
+        """Return the reader's host, without a reader and store that of another.
+
+        All balancers of a data centre may have restarted while the store is away.
+        """
+        if self._reader_host is None and self.failures:
+            return self._informed_host
+        return self._reader_host
--- a/libs/flows/src/lagoontally_flows/_store/_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -76,7 +76,7 @@
         if self._targets_outdated:
             reader_turn = self._take_reader_turn(now_ms)
             return (
-                FetchTargets(self._reader_host) if reader_turn else ListTargets(False)
+                FetchTargets(self._host_to_ask()) if reader_turn else ListTargets(False)
             )
         if self._uninformed and self._reader_host is not None:
             self._next_call_ms = now_ms + FETCH_RETRY_MS
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -221,6 +221,7 @@
         if isinstance(message, Beacon):
             self._on_beacon(message, host, time_ms)
         elif isinstance(message, InForce):
+            self.store_sync.on_informed(host)
             self.version_check.on_version(message.version, host, time_ms)
         elif isinstance(message, Delta):
             self.store_reader.on_delta(message, time_ms)
