--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -65,8 +65,7 @@
         self.loop = Loop(now_ms)
         self.log = Log(settings.instance, now_ms)
         self.metrics = Metrics()
-        self.guard = Guard(clock=now_ms, log=self.log, metrics=self.metrics)
-        self.loop.guard = self.guard
+        self.loop.guard = Guard(clock=now_ms, log=self.log, metrics=self.metrics)
         random = Random()
         self.balancer = Balancer(data_centre=settings.data_centre, random=random)
         self.lifecycle = Lifecycle(grace_ms=settings.grace_s * 1_000)
@@ -120,12 +119,12 @@
         """Run until a signal stops the process and return the exit status."""
         self.log.line("start", data_centre=self.settings.data_centre)
         while True:
-            self.guard.run_essential("tick", self._tick, now_ms())
+            self.loop.guard.run_essential("tick", self._tick, now_ms())
             if self.lifecycle.may_end(now_ms()):
                 self.log.line("stop", **self.balancer.state_summary(now_ms()))
                 return 0
             self.loop.run_once(PROBING_TICK_MS if self.prober.running else TICK_MS)
-            self.guard.run("effects", self._execute_effects)
+            self.loop.guard.run("effects", self._execute_effects)
 
     def _tick(self, time_ms):
         if time_ms - self._last_tick_ms > PAUSE_THRESHOLD_MS:
