--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -64,8 +64,7 @@
         self.loop = Loop(now_ms)
         self.log = Log(settings.instance, now_ms)
         self.metrics = Metrics()
-        self.guard = Guard(clock=now_ms, log=self.log, metrics=self.metrics)
-        self.loop.guard = self.guard
+        self.loop.guard = Guard(clock=now_ms, log=self.log, metrics=self.metrics)
         random = Random()
         priority = crc32(settings.host.encode())
         slow_link = settings.link_mbps < SLOW_LINK_MBPS
@@ -135,12 +134,12 @@
         """Run until a signal stops the process and return the exit status."""
         self.log.line("start", data_centre=self.settings.data_centre)
         while True:
-            self.guard.run_essential("tick", self._tick, now_ms())
+            self.loop.guard.run_essential("tick", self._tick, now_ms())
             if self.lifecycle.may_end(now_ms()):
                 self.log.line("stop", **self.balancer.state_summary(now_ms()))
                 return 0
             self.loop.run_once(PROBING_TICK_MS if self.prober.running else TICK_MS)
-            self.guard.run("effects", self._execute_effects)
+            self.loop.guard.run("effects", self._execute_effects)
 
     def _tick(self, time_ms):
         if time_ms - self._last_tick_ms > PAUSE_THRESHOLD_MS:
@@ -225,6 +224,7 @@
         if isinstance(message, Beacon):
             self._on_beacon(message, host, time_ms)
         elif isinstance(message, InForce):
+            self.store_sync.on_informed(host)
             self.version_check.on_version(message.version, host, time_ms)
         elif isinstance(message, Delta):
             self.store_reader.on_delta(message, time_ms)
