--- a/libs/forwarder/features/deployments.py
+++ b/libs/forwarder/features/deployments.py
@@ -13,8 +13,14 @@
 LOCAL, OTHER = "tifton", "camilla"
 
 
-def start(context, invalid_entries=0):
-    """Start a deployment that is stopped after the scenario."""
+def start(context, invalid_entries=0, **settings):
+    """Start a deployment that is stopped after the scenario.
+
+    Args:
+        context: The scenario's context.
+        invalid_entries: Number of entries that no balancer can use.
+        settings: Further settings of every balancer.
+    """
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.folder = folder.name
@@ -23,6 +29,9 @@
         Path(folder.name), network, data_centres=(LOCAL, OTHER), balancers=2, targets=2
     )
     context.add_cleanup(context.deployment.stop)
+    for balancer in context.deployment.balancers.values():
+        balancer.settings.update(settings)
+        balancer.write_settings()
     for number in range(invalid_entries):
         context.deployment.store.put(f"servers/i-{number:04x}ffff", {"service": 5})
     assert context.deployment.start(), "the balancers didn't get into rotation"
--- a/libs/standins/src/lagoontally_standins/packets/_target.py
+++ b/libs/standins/src/lagoontally_standins/packets/_target.py
@@ -50,6 +50,7 @@
     Attributes:
         first_syns: ``FirstSyn`` of each flow.
         silent: Whether the target drops all packets.
+        warm_up_ms: What its entry states of its warm-up.
         started_at: When it started, on the loop's clock.
     """
 
@@ -64,6 +65,7 @@
         self.first_syns = {}
         self.resets = 0
         self.silent = False
+        self.warm_up_ms = 0
         self.started_at = loop.now
         self.work_s = 0.005
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -83,7 +85,7 @@
             "version": "v1",
             "max-concurrency": 2,
             "state": state,
-            "warmup-left-ms": 0,
+            "warmup-left-ms": self.warm_up_ms,
             "seq-no": 1,
             "born": 1_790_000_000_000,
         }
