--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -10,10 +10,24 @@
 
 from lost_changes_store import Store
 
-from lagoontally_flows import Balancer, Beacon, ConfigurationDelta, Delta, StoreSync
+from lagoontally_flows import (
+    BY_READER,
+    Balancer,
+    Beacon,
+    ConfigurationDelta,
+    Delta,
+    Evacuated,
+    StoreSync,
+    VersionCheck,
+)
 from lagoontally_forwarder import _store_reader
 from lagoontally_forwarder._http_client import HttpFailure, HttpResponse
-from lagoontally_forwarder._messages import decode_message, encode_message
+from lagoontally_forwarder._messages import (
+    decode_message,
+    encode_message,
+    split_evacuated,
+)
+from lagoontally_forwarder._rereads import Rereads
 from lagoontally_forwarder._view_document import encode_configuration, encode_targets
 
 TICK_MS = 50
@@ -88,8 +102,10 @@
         self.held = None
         self.joined_ms = fleet.now_ms + fleet.random.choice((20, 300))
         random = Random(seed)
-        self.balancer = Balancer(data_centre="z0", random=random)
         self.store_sync = StoreSync(priority=priority, random=random)
+        self.balancer = Balancer(
+            data_centre="z0", random=random, evacuations=self.store_sync.evacuations
+        )
         self.store_reader = _store_reader.StoreReader(
             self,
             SimpleNamespace(
@@ -101,6 +117,14 @@
             log=self,
             metrics=self,
         )
+        self.version = 0
+        self.rereads = Rereads(
+            store_sync=self.store_sync,
+            version_check=VersionCheck(random=random),
+            peers=self,
+            log=self,
+            metrics=self,
+        )
         self._periodic()
 
     def clock(self):
@@ -149,6 +173,8 @@
         if isinstance(message, Beacon):
             digest = self.balancer.view.digest
             self.store_sync.on_beacon(message, host, now_ms, digest=digest)
+        elif isinstance(message, Evacuated):
+            self.store_sync.evacuations.on_message(message, host, now_ms)
         elif isinstance(message, Delta):
             before = self.store_sync.history.view
             self.store_reader.on_delta(message, now_ms)
@@ -175,9 +201,16 @@
         now_ms = self.clock()
         self.store_sync.members = len(self.fleet.living())
         self.store_reader.on_tick(now_ms)
+        self.rereads.on_tick(now_ms)
+        for news in self.balancer.evacuations.take_news():
+            self.fleet.evacuation_news.append((now_ms, self.name, news))
         beacon = self.store_sync.beacon(now_ms, digest=self.balancer.view.digest)
         if beacon is not None:
             self.broadcast(beacon)
+            if beacon.evacuated:
+                told = self.store_sync.evacuations.message(BY_READER, now_ms)
+                for part in split_evacuated(told):
+                    self.broadcast(part)
 
     def _periodic(self):
         if self.alive:
@@ -206,6 +239,7 @@
         draw_age: Returns the age of the copy that answers a read that may be old.
         draw_latency: Returns how long a request to the store or its response takes.
         draw_loss: Returns whether a message from one process to another is lost.
+        evacuation_news: Time, name of the process and ``EvacuationNews``.
         requests: Name of the process and path of each request.
         log: Lines of the processes if they are kept, else None.
     """
@@ -225,6 +259,7 @@
         self.draw_age = self._any_age
         self.draw_latency = self._any_latency
         self.draw_loss = self._any_loss
+        self.evacuation_news = []
         self.requests = []
         self.log = None
         self._copies = {}
--- a/libs/flows/features/steps/cold_target_steps.py
+++ b/libs/flows/features/steps/cold_target_steps.py
@@ -14,7 +14,6 @@
 
 from lagoontally_flows import Drop, Forward, Reset, Service
 from lagoontally_flows._placing import WarmUpBudgets
-from lagoontally_flows._targets import WarmUps
 
 WARM_UP_MS = 2_000
 PER_S, EXCESS, SLACK = 12.0, 1.5, 5
@@ -24,9 +23,8 @@
 
 def budgets_of(host, data_centre):
     """Return the budgets of one balancer, with a target that stays cold."""
-    warm_ups = WarmUps()
-    warm_ups.services = {SERVICE: Service(SERVICE, 0, PER_S, 0)}
-    budgets = WarmUpBudgets(warm_ups=warm_ups, data_centre=data_centre)
+    budgets = WarmUpBudgets(data_centre)
+    budgets.warm_ups.services = {SERVICE: Service(SERVICE, 0, PER_S, 0)}
     budgets.host, budgets.excess, budgets.slack = host, EXCESS, SLACK
     return budgets
 
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -3,6 +3,10 @@
 from ._placement import select_service, select_target
 from ._regions import in_allowed_regions
 
+NO_TARGET = "no_target"
+WARMING_UP = "warming_up"
+EVACUATED = "evacuated"
+REST_UNREACHABLE = "evacuated_rest_unreachable"
 TIE_HASH_MULTIPLIER = 2_654_435_761  # Knuth's multiplicative hash
 
 
@@ -15,6 +19,7 @@
         stuck_targets: The ``StuckTargets``; suspects are used only as a last resort.
         flows: The ``FlowTable``, whose counts are the load.
         warm_up_budgets: The ``WarmUpBudgets`` that limit the flows of cold targets.
+        evacuations: The ``Evacuations``.
         data_centre: This balancer's data centre.
         random: Random number generator, as ``random.Random``.
 
@@ -30,6 +35,7 @@
         stuck_targets,
         flows,
         warm_up_budgets,
+        evacuations,
         data_centre,
         random,
     ):
@@ -38,6 +44,7 @@
         self.stuck_targets = stuck_targets
         self.flows = flows
         self.warm_up_budgets = warm_up_budgets
+        self.evacuations = evacuations
         self.data_centre = data_centre
         self.random = random
         self.regions = {}
@@ -69,12 +76,29 @@
             tie_break=self._tie_break,
         )
 
+    def is_evacuated(self, target):
+        """Return whether a target's data centre is emptied."""
+        return self.evacuations.is_evacuated(target.data_centre)
+
     def refusal(self, route, now_ms):
-        """Return why no target can be selected: ``warming_up`` or ``no_target``."""
-        held_back = any(
-            self._healthy(service, route, now_ms) for service, _ in route.shares
-        )
-        return "warming_up" if held_back else "no_target"
+        """Return why there is no target for a new flow.
+
+        Returns:
+            ``NO_TARGET``, ``WARMING_UP`` if all usable targets warm up and get no more
+            for now, ``EVACUATED`` if there are targets, all in data centres that are
+            emptied, or ``REST_UNREACHABLE`` if there are others as well.
+        """
+        services = [service for service, _ in route.shares]
+        if any(self._healthy(service, route, now_ms) for service in services):
+            return WARMING_UP
+        if not self.evacuations.since_ms:
+            return NO_TARGET
+        listed = [
+            one for name in services for one in self.view.candidates(name, now_ms)
+        ]
+        if not any(map(self.is_evacuated, listed)):
+            return NO_TARGET
+        return EVACUATED if all(map(self.is_evacuated, listed)) else REST_UNREACHABLE
 
     def control_target(self, cookie):
         """Return the control target for a probe, None if there is none.
@@ -101,7 +125,9 @@
         return self.warm_up_budgets.admitted(healthy, now_ms)
 
     def _healthy(self, service, route, now_ms, avoid=()):
-        candidates = self.view.candidates(service, now_ms)
+        evacuations = self.evacuations
+        is_evacuated = evacuations.is_evacuated if evacuations.since_ms else None
+        candidates = self.view.candidates(service, now_ms, is_evacuated)
         healthy = [
             target
             for target in in_allowed_regions(candidates, route.regions, self.regions)
--- a/libs/flows/src/lagoontally_flows/_placing/_warm_up_budgets.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_warm_up_budgets.py
@@ -13,6 +13,8 @@
 
 from _blake2 import blake2s  # ``hashlib`` loads OpenSSL at startup
 
+from .._targets import WarmUps
+
 WINDOW_MS = 1_050  # a second, and the time between a reading of the clock and a SYN
 
 
@@ -24,10 +26,10 @@
     only used sparingly: they still get flows that no other target can take.
 
     Args:
-        warm_ups: The ``WarmUps``.
         data_centre: This balancer's data centre.
 
     Attributes:
+        warm_ups: How long targets warm up.
         host: This balancer's host.
         excess: Factor by which the requests of a target may exceed the rate that its
             service states, None for no bound.
@@ -35,8 +37,8 @@
         held_back: Number of selections in which targets were left out.
     """
 
-    def __init__(self, *, warm_ups, data_centre):
-        self.warm_ups = warm_ups
+    def __init__(self, data_centre):
+        self.warm_ups = WarmUps()
         self.data_centre = data_centre
         self.host = ""
         self.excess = None
@@ -95,7 +97,7 @@
         return True
 
     def warming_up(self, targets, now_ms):
-        """Return the number of targets whose new flows are limited."""
+        """Return how many of the targets, which are alive, are limited."""
         return sum(self._is_limited(target, now_ms) for target in targets)
 
     def on_tick(self, now_ms):
