--- a/libs/flows/features/steps/cold_target_steps.py
+++ b/libs/flows/features/steps/cold_target_steps.py
@@ -25,7 +25,7 @@
     """Return the budgets of one balancer, with a target that stays cold."""
     budgets = WarmUpBudgets(data_centre)
     budgets.warm_ups.services = {SERVICE: Service(SERVICE, 0, PER_S, 0)}
-    budgets.host, budgets.excess, budgets.slack = host, EXCESS, SLACK
+    budgets.set_bounds(host, excess=EXCESS, slack=SLACK)
     return budgets
 
 
@@ -63,7 +63,7 @@
     context.world = World()
     balancer = context.world.balancer
     budgets = balancer.warm_up_budgets
-    budgets.host, budgets.excess, budgets.slack = "10.0.0.1", EXCESS, SLACK
+    budgets.set_bounds("10.0.0.1", excess=EXCESS, slack=SLACK)
     budgets.on_members([], settled=settled)
     balancer.warm_ups.unix_offset_ms = 0
     context.version = 1
@@ -201,7 +201,7 @@
 @given("the settings state no bound")
 def step_no_bound(context):
     """As those of earlier deployments."""
-    context.world.balancer.warm_up_budgets.excess = None
+    context.world.balancer.warm_up_budgets.set_bounds("", excess=None, slack=None)
 
 
 @given("the service states a rate of 0")
--- a/libs/flows/src/lagoontally_flows/_placing/_warm_up_budgets.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_warm_up_budgets.py
@@ -49,6 +49,11 @@
         self._shares_for = None
         self._sent_ms = {}
 
+    def set_bounds(self, host, *, excess, slack):
+        """Take over this balancer's host and the bounds that its settings state."""
+        self.host, self.excess, self.slack = host, excess, slack or 0
+        self._shares.clear()
+
     def on_members(self, members, *, settled):
         """Take over the hosts of the other balancers in this data centre.
 
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -168,10 +168,11 @@
 
     def _take_bounds(self, settings):
         """Take over what the settings state of targets that warm up and of regions."""
-        budgets = self.balancer.warm_up_budgets
-        budgets.host = settings.host
-        budgets.excess = settings.warm_up_excess
-        budgets.slack = settings.warm_up_slack or 0
+        self.balancer.warm_up_budgets.set_bounds(
+            settings.host,
+            excess=settings.warm_up_excess,
+            slack=settings.warm_up_slack,
+        )
         self.balancer.target_selector.regions = settings.regions
 
     def _update_warm_ups(self, time_ms):
