--- a/libs/flows/features/cold_targets.feature
+++ b/libs/flows/features/cold_targets.feature
@@ -126,6 +126,15 @@
     When 2100 ms pass
     Then the target is warm
 
+  Scenario: Targets of a data centre that was emptied are cold before their entries say so
+    Given a balancer with 0 cold and 2 warm targets
+    When "tifton" is emptied
+    And 60000 ms pass
+    And "tifton" is no longer emptied
+    Then the target warms up
+    When 2100 ms pass
+    Then the target is warm
+
   Scenario Outline: A route's flows stay in its regions
     Given a balancer with 2 targets and 2 remote ones
     And the local data centre is in <local> and the remote one in <remote>
--- a/libs/flows/features/steps/cold_target_steps.py
+++ b/libs/flows/features/steps/cold_target_steps.py
@@ -14,7 +14,6 @@
 
 from lagoontally_flows import Drop, Forward, Reset, Service
 from lagoontally_flows._placing import WarmUpBudgets
-from lagoontally_flows._targets import WarmUps
 
 WARM_UP_MS = 2_000
 PER_S, EXCESS, SLACK = 12.0, 1.5, 5
@@ -24,10 +23,9 @@
 
 def budgets_of(host, data_centre):
     """Return the budgets of one balancer, with a target that stays cold."""
-    warm_ups = WarmUps()
-    warm_ups.services = {SERVICE: Service(SERVICE, 0, PER_S, 0)}
-    budgets = WarmUpBudgets(warm_ups=warm_ups, data_centre=data_centre)
-    budgets.host, budgets.excess, budgets.slack = host, EXCESS, SLACK
+    budgets = WarmUpBudgets(data_centre)
+    budgets.warm_ups.services = {SERVICE: Service(SERVICE, 0, PER_S, 0)}
+    budgets.set_bounds(host, excess=EXCESS, slack=SLACK)
     return budgets
 
 
@@ -65,7 +63,7 @@
     context.world = World()
     balancer = context.world.balancer
     budgets = balancer.warm_up_budgets
-    budgets.host, budgets.excess, budgets.slack = "10.0.0.1", EXCESS, SLACK
+    budgets.set_bounds("10.0.0.1", excess=EXCESS, slack=SLACK)
     budgets.on_members([], settled=settled)
     balancer.warm_ups.unix_offset_ms = 0
     context.version = 1
@@ -203,7 +201,7 @@
 @given("the settings state no bound")
 def step_no_bound(context):
     """As those of earlier deployments."""
-    context.world.balancer.warm_up_budgets.excess = None
+    context.world.balancer.warm_up_budgets.set_bounds("", excess=None, slack=None)
 
 
 @given("the service states a rate of 0")
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -27,7 +27,6 @@
     Health,
     StuckTargets,
     View,
-    WarmUps,
     reset_flows,
     should_reset_flows,
 )
@@ -82,10 +81,8 @@
         self.health = Health()
         self.stuck_targets = StuckTargets(self.flows)
         self.half_open_flows = HalfOpenFlows()
-        self.warm_ups = WarmUps()
-        self.warm_up_budgets = WarmUpBudgets(
-            warm_ups=self.warm_ups, data_centre=data_centre
-        )
+        self.warm_up_budgets = WarmUpBudgets(data_centre)
+        self.warm_ups = self.warm_up_budgets.warm_ups
         self.admission = Admission(random=random)
         self.load_sharing = LoadSharing(
             data_centre=data_centre, view=self.view, health=self.health
@@ -285,6 +282,7 @@
     def take_effects(self):
         """Return and clear the effects requested since the last call."""
         news = self.evacuations.take_news()
+        self.warm_ups.on_evacuations(news, self.view.targets.values())
         events = [evacuation_event(one, self.view.targets) for one in news]
         effects = [*events, *self.effects]
         self.effects.clear()  # the placer adds to the same list
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -1,7 +1,7 @@
 """Places new flows, and moves those whose target doesn't answer their SYN."""
 
 from .._records import Drop, Forward, Reset
-from ._target_selector import EVACUATED
+from ._target_selector import EVACUATED, WARMING_UP
 
 LATE_COPY_MS = 2_000  # copies may overtake each other by as much
 STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
@@ -64,7 +64,7 @@
         if not isinstance(action, Forward):
             return action
         admitted = self.warm_up_budgets.take(action.target, now_ms)
-        return action if admitted else Drop("warming_up")
+        return action if admitted else Drop(WARMING_UP)
 
     def _decide(self, packet, route, now_ms):
         flow = self.flows.flows.get(packet.flow)
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -94,9 +94,9 @@
         """Return why there is no target for a new flow.
 
         Returns:
-            ``WARMING_UP`` if targets get no more for now, ``EVACUATED`` if there are
-            targets, all in data centres that are emptied, ``REST_UNREACHABLE`` if
-            there are others as well, else ``NO_TARGET``.
+            ``NO_TARGET``, ``WARMING_UP`` if all usable targets warm up and get no more
+            for now, ``EVACUATED`` if there are targets, all in data centres that are
+            emptied, or ``REST_UNREACHABLE`` if there are others as well.
         """
         services = [service for service, _ in route.shares]
         if any(self._healthy(service, route, now_ms) for service in services):
--- a/libs/flows/src/lagoontally_flows/_placing/_warm_up_budgets.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_warm_up_budgets.py
@@ -13,6 +13,8 @@
 
 from _blake2 import blake2s  # ``hashlib`` loads OpenSSL at startup
 
+from .._targets import WarmUps
+
 WINDOW_MS = 1_050  # a second, and the time between a reading of the clock and a SYN
 
 
@@ -24,10 +26,10 @@
     only used sparingly: they still get flows that no other target can take.
 
     Args:
-        warm_ups: The ``WarmUps``.
         data_centre: This balancer's data centre.
 
     Attributes:
+        warm_ups: How long targets warm up.
         host: This balancer's host.
         excess: Factor by which the requests of a target may exceed the rate that its
             service states, None for no bound.
@@ -35,8 +37,8 @@
         held_back: Number of selections in which targets were left out.
     """
 
-    def __init__(self, *, warm_ups, data_centre):
-        self.warm_ups = warm_ups
+    def __init__(self, data_centre):
+        self.warm_ups = WarmUps()
         self.data_centre = data_centre
         self.host = ""
         self.excess = None
@@ -47,6 +49,11 @@
         self._shares_for = None
         self._sent_ms = {}
 
+    def set_bounds(self, host, *, excess, slack):
+        """Take over this balancer's host and the bounds that its settings state."""
+        self.host, self.excess, self.slack = host, excess, slack or 0
+        self._shares.clear()
+
     def on_members(self, members, *, settled):
         """Take over the hosts of the other balancers in this data centre.
 
@@ -95,7 +102,7 @@
         return True
 
     def warming_up(self, targets, now_ms):
-        """Return the number of targets whose new flows are limited."""
+        """Return how many of the targets, which are alive, are limited."""
         return sum(self._is_limited(target, now_ms) for target in targets)
 
     def on_tick(self, now_ms):
--- a/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
@@ -38,8 +38,8 @@
         self.services = {}
         self.unix_offset_ms = None
         self._statements = {}
-        self._refused = set()
-        self._revived_until_ms = {}
+        self._started_anew = set()
+        self._warm_ms = {}
         self._latest_ms = LONG_AGO_MS
 
     def on_entry(self, target, now_ms):
@@ -76,22 +76,36 @@
         new entry may arrive later than that.
         """
         if evidence == REFUSED:
-            self._refused.add(cookie)
-            self._revived_until_ms.pop(cookie, None)
+            self._on_started_anew(cookie)
+
+    def on_evacuations(self, news, targets):
+        """Handle evacuations that began or ended.
+
+        Targets of a data centre that returns may have become cold meanwhile, and their
+        entries may tell it later than the operator's request ends.
+
+        Args:
+            news: ``EvacuationNews`` records.
+            targets: All ``Target`` records.
+        """
+        returned = {one.evacuation.data_centre for one in news if not one.began}
+        for target in targets if returned else ():
+            if target.data_centre in returned:
+                self._on_started_anew(target.cookie)
 
     def may_warm_up(self, now_ms):
         """Return whether any target may be warming up."""
-        return now_ms < self._latest_ms or bool(self._refused)
+        return now_ms < self._latest_ms or bool(self._started_anew)
 
     def cookies(self):
         """Return the cookies of the targets that may be warming up."""
-        return self._statements.keys() | self._refused
+        return self._statements.keys() | self._started_anew
 
     def left_ms(self, target, now_ms):
         """Return what is left of the warm-up of a target that is alive."""
         until_ms = self._stated_until_ms(target)
-        if target.cookie in self._refused:
-            until_ms = max(until_ms, self._revival_until_ms(target, now_ms))
+        if target.cookie in self._started_anew:
+            until_ms = max(until_ms, self._start_until_ms(target, now_ms))
         return max(0, until_ms - now_ms)
 
     def left_by_cookie(self, targets, now_ms):
@@ -105,8 +119,12 @@
     def forget(self, cookie):
         """Drop all state of a target."""
         self._statements.pop(cookie, None)
-        self._refused.discard(cookie)
-        self._revived_until_ms.pop(cookie, None)
+        self._started_anew.discard(cookie)
+        self._warm_ms.pop(cookie, None)
+
+    def _on_started_anew(self, cookie):
+        self._started_anew.add(cookie)
+        self._warm_ms.pop(cookie, None)
 
     def _record(self, target, now_ms, *, left_ms):
         age_ms = None
@@ -138,12 +156,12 @@
                 longest_ms = min(longest_ms, since_start_ms)
         return min(statement.until_ms, statement.received_ms + longest_ms)
 
-    def _revival_until_ms(self, target, now_ms):
+    def _start_until_ms(self, target, now_ms):
         """Return when a target that has started anew is warm; forget it then."""
-        until_ms = self._revived_until_ms.setdefault(
+        until_ms = self._warm_ms.setdefault(
             target.cookie, now_ms + self._warm_up_ms(target)
         )
         if until_ms <= now_ms:
-            self._refused.discard(target.cookie)
-            del self._revived_until_ms[target.cookie]
+            self._started_anew.discard(target.cookie)
+            del self._warm_ms[target.cookie]
         return until_ms
--- a/libs/forwarder/features/deployments.py
+++ b/libs/forwarder/features/deployments.py
@@ -13,13 +13,14 @@
 LOCAL, OTHER = "tifton", "camilla"
 
 
-def start(context, invalid_entries=0, command=None):
+def start(context, invalid_entries=0, command=None, **settings):
     """Start a deployment that is stopped after the scenario.
 
     Args:
         context: The scenario's context.
-        invalid_entries: Number of entries in the store that can't be used.
+        invalid_entries: Number of entries that no balancer can use.
         command: Command line of the balancers, None for the program.
+        settings: Further settings of every balancer.
     """
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
@@ -29,6 +30,9 @@
         Path(folder.name), network, data_centres=(LOCAL, OTHER), balancers=2, targets=2
     )
     context.add_cleanup(context.deployment.stop)
+    for balancer in context.deployment.balancers.values():
+        balancer.settings.update(settings)
+        balancer.write_settings()
     for number in range(invalid_entries):
         context.deployment.store.put(f"servers/i-{number:04x}ffff", {"service": 5})
     for balancer in context.deployment.balancers.values():
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -172,10 +172,11 @@
 
     def _take_bounds(self, settings):
         """Take over what the settings state of targets that warm up and of regions."""
-        budgets = self.balancer.warm_up_budgets
-        budgets.host = settings.host
-        budgets.excess = settings.warm_up_excess
-        budgets.slack = settings.warm_up_slack or 0
+        self.balancer.warm_up_budgets.set_bounds(
+            settings.host,
+            excess=settings.warm_up_excess,
+            slack=settings.warm_up_slack,
+        )
         self.balancer.target_selector.regions = settings.regions
 
     def _update_warm_ups(self, time_ms):
@@ -311,11 +312,14 @@
     def _gauges(self):
         gauges = self.balancer.state_summary(now_ms()) | self.load_messenger.gauges()
         position = self.store_sync.history.position
+        alive = [
+            target
+            for target in self.balancer.view.targets.values()
+            if not self.balancer.health.is_dead(target.cookie)
+        ]
         return gauges | {
             "flows": len(self.balancer.flows.flows),
-            "warming_up": self.balancer.warm_up_budgets.warming_up(
-                self.balancer.view.targets.values(), now_ms()
-            ),
+            "warming_up": self.balancer.warm_up_budgets.warming_up(alive, now_ms()),
             "held_back": self.balancer.warm_up_budgets.held_back,
             "members": self.store_sync.members,
             "reader": self.store_sync.reader,
