Admission: judge by the answers of the last quarter of a second

With half a second the rate fell after a burst's first refusals and took 1.5 s to rise: slots 0.79 busy.

--- a/libs/flows/src/lagoontally_flows/_admission/_evidence.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_evidence.py
@@ -7,7 +7,7 @@
 
 from ._decaying import DecayingCount
 
-HALF_LIFE_MS = 500
+HALF_LIFE_MS = 250
 SHORT_HALF_LIFE_MS = 150
 MAX_REFUSAL_BYTES = 180  # headers of a success alone are longer
 MIN_SERVED_SHARE = 0.05  # a service whose answers are all short may serve them all
