--- a/libs/cli/features/steps/trace_steps.py
+++ b/libs/cli/features/steps/trace_steps.py
@@ -56,6 +56,7 @@
     "silent target": dead_target("silent"),
     "refusing target": dead_target("refused"),
     "cut data centre": flow_reset("no_target"),
+    "full service": flow_reset("no_room"),
     "dropped route": flow_reset("route_removed"),
     "killed balancer": [line(2.5, "start")],
     "paused balancer": [line(2.5, "resumed", stood_still_ms=4000)],
--- a/libs/cli/features/trace.feature
+++ b/libs/cli/features/trace.feature
@@ -10,6 +10,7 @@
       | silent target     | found dead: it answers nothing                     |
       | refusing target   | found dead: its host refuses connections           |
       | cut data centre   | no target of the service was believed alive        |
+      | full service      | targets of the service had refused flows for lack of room |
       | dropped route     | a configuration removed the route                  |
       | killed balancer   | its balancer tifton-1 ended and started again      |
       | paused balancer   | its balancer tifton-1 stood still, 4000 ms        |
--- a/libs/flows/features/admission.feature
+++ b/libs/flows/features/admission.feature
@@ -34,6 +34,7 @@
     And 10 callers a second come for 1 s and targets serve all after 20 ms
     Then nobody is refused in the last second
     And shedding was logged from its begin to its end
+    And refusals were counted by kind and reason
 
   Scenario: A copy of a SYN that was let in is never refused
     Given lookups and confirmations to 4 targets
--- a/libs/flows/features/steps/admission_steps.py
+++ b/libs/flows/features/steps/admission_steps.py
@@ -122,6 +122,15 @@
     assert names.count("shedding_began") == names.count("shedding_ended"), names
 
 
+@then("refusals were counted by kind and reason")
+def step_counted(context):
+    """Operators see whom the balancer refused, and why."""
+    refusals = context.world.balancer.admission.refusals
+    assert (SERVICE, "priority-2-repeatable", "no_room") in refusals, refusals
+    refused = len(_refused(context.seconds))
+    assert sum(refusals.values()) == refused, (refusals, refused)
+
+
 @then("a copy of a SYN that came another way is let in")
 def step_copy(context):
     """The first SYN may have opened the flow through another balancer."""
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -304,6 +304,7 @@
 def step_invalid_settings(context):
     """Start with several invalid settings at once."""
     invalid = dict(SETTINGS, packet_address="nowhere", seeds=["x"], grace_s=0)
+    invalid["admission"] = "sometimes"
     del invalid["instance"]
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings.json"
@@ -324,7 +325,7 @@
 def step_errors(context, status):
     assert context.done.returncode == status, context.done
     (line,) = context.done.stdout.splitlines()
-    for name in ("instance", "packet_address", "seeds[0]", "grace_s"):
+    for name in ("instance", "packet_address", "seeds[0]", "grace_s", "admission"):
         assert name in line, line
 
 
