--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -49,6 +49,8 @@
     "evacuated_rest_unreachable": "targets of the service were in data centres that "
     "were emptied, or not believed alive and reachable",
     "warming_up": "all targets that could take the flow warm up, and get no more now",
+    "no_room": "targets of the service had refused flows for lack of room",
+    "wait_exceeds_deadline": "answers of the service took longer than the deadline",
     "target_gone": "the flow's target is unknown to the platform",
     "target_dead": "the flow's target had been found dead",
     "target_refused": "the flow's target was found dead: its host refuses connections",
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -26,6 +26,7 @@
 )
 from lagoontally_platform import READINESS_PATH
 
+from ._admission_metrics import admission_gauges
 from ._clock import now_ms, unix_ms
 from ._guard import Guard
 from ._http_server import HttpServer
@@ -156,6 +157,7 @@
         self.prober.on_tick(time_ms)
         self._update_warm_ups(time_ms)
         self.balancer.on_tick(time_ms)
+        self.balancer.admission.members = self.store_sync.members
         self.balancer.view_confirmed_ms = self.store_sync.confirmed_ms
         self.balancer.platform_heard_ms = self.store_sync.heard_ms
         self.balancer.configuration_confirmed = self.store_sync.configuration_confirmed
@@ -171,13 +173,14 @@
         self._update_readiness(time_ms)
 
     def _take_bounds(self, settings):
-        """Take over what the settings state of targets that warm up and of regions."""
+        """Take over what the settings state of warm-ups, regions and admission."""
         self.balancer.warm_up_budgets.set_bounds(
             settings.host,
             excess=settings.warm_up_excess,
             slack=settings.warm_up_slack,
         )
         self.balancer.target_selector.regions = settings.regions
+        self.balancer.admission.enabled = settings.admission
 
     def _update_warm_ups(self, time_ms):
         self.balancer.warm_ups.unix_offset_ms = unix_ms() - time_ms
@@ -311,6 +314,7 @@
 
     def _gauges(self):
         gauges = self.balancer.state_summary(now_ms()) | self.load_messenger.gauges()
+        gauges |= admission_gauges(self.balancer.admission, now_ms())
         position = self.store_sync.history.position
         alive = [
             target
