Flows: let targets that refuse at once not make others look slow, nor end a spill

Refusals are fast answers. Where most targets refuse, the usual answer time fell to that of refusals: up to half of the service that still served was set aside, and measured demand fell while callers were refused. The usual time falls slowly now.

--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -7,6 +7,7 @@
 from lagoontally_flows._load import spill_parts
 
 USUAL_MS = 20
+REFUSED_MS = 3  # the way to the target and back
 REPORT_MS = 500
 HOSTS = ("10.1.0.1", "10.1.0.2", "10.1.0.3")
 
@@ -80,6 +81,19 @@
         report(context, usual.items(), hosts=HOSTS[1:2])
 
 
+@when(
+    "{count:d} targets refuse at once and {rest:d} take {factor:d} times as long "
+    "for {seconds:d} s"
+)
+def step_refuse(context, count, rest, factor, seconds):
+    """Their queues are full."""
+    waits = waits_of(context, context.targets[count:], factor)
+    for target in context.targets[:count]:
+        waits[target.cookie] = REFUSED_MS
+    assert len(context.targets) == count + rest
+    report_for(context, seconds, waits)
+
+
 @when("each target takes {factor:d} times as long for 1 request in {count:d}")
 def step_tail(context, factor, count):
     """Some requests are long."""
@@ -95,7 +109,7 @@
 def step_fast(context, seconds):
     """The slow ones have recovered."""
     shares = report_for(context, seconds, waits_of(context, (), 1))
-    context.steps = [one[context.slow[0].cookie] for one in shares if one]
+    context.steps = [share for one in shares for share in one.values()]
 
 
 @when("no answer is reported for {seconds:d} s")
@@ -121,8 +135,21 @@
 @when("callers keep {slots:d} slots busy for {seconds:d} s")
 def step_busy(context, slots, seconds):
     """New flows come at the rate that takes these slots."""
+    keep_busy(context, slots, seconds, USUAL_MS)
+
+
+@when(
+    "callers keep {slots:d} slots busy for {seconds:d} s while targets refuse at once"
+)
+def step_busy_refused(context, slots, seconds):
+    """Most answers are refusals."""
+    keep_busy(context, slots, seconds, REFUSED_MS)
+
+
+def keep_busy(context, slots, seconds, waited_ms):
+    """Report arrivals, and answers that took this long."""
     arrivals = [(SERVICE, round(slots / USUAL_MS * REPORT_MS / len(HOSTS)))]
-    local = {target.cookie: USUAL_MS for target in context.targets}
+    local = {target.cookie: waited_ms for target in context.targets}
     report_for(context, seconds, local, arrivals=arrivals)
 
 
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -43,6 +43,12 @@
     When one balancer says that 1 target takes 6 times as long for 2 s, others that it doesn't
     Then no target is set aside
 
+  Scenario: Targets that refuse at once don't make those that serve look slow
+    Given a balancer with 10 targets
+    When all targets are equally fast for 4 s
+    And 6 targets refuse at once and 4 take 2 times as long for 4 s
+    Then no target is set aside
+
   Scenario: A target that is fast again comes back in steps
     Given a balancer with 10 targets
     When 1 target takes 6 times as long as the others for 2 s
@@ -92,6 +98,13 @@
     When demand varies between 13 and 15 slots for 10 s
     Then "spill_started" is logged once
 
+  Scenario: A spill goes on while most targets refuse at once
+    Given a balancer with 10 targets and 10 remote ones
+    When callers keep 30 slots busy for 4 s
+    And callers keep 30 slots busy for 10 s while targets refuse at once
+    And 400 flows come and go
+    Then between 50% and 75% of them are local
+
   Scenario: A data centre that has few targets sends no less than before
     Given a balancer with 2 targets and 18 remote ones
     When callers keep 4 slots busy for 3 s
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -112,15 +112,11 @@
 
     def _update_demand(self, targets, now_ms):
         """Update demand and spills; return the ``DemandDigest`` to send, or None."""
-        local = {}
-        for target in targets:
-            if target.data_centre == self.data_centre:
-                local.setdefault(target.service, []).append(target.cookie)
         waits = {
-            service: self.speeds.usual_wait_ms(cookies)
-            for service, cookies in local.items()
+            service: usual_ms
+            for (service, place), usual_ms in self.speeds.usual_ms.items()
+            if place == self.data_centre
         }
-        waits = {name: wait for name, wait in waits.items() if wait is not None}
         if not self.demand.update(waits, now_ms):
             return None
         capacities = self._capacities(targets)
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -14,6 +14,7 @@
 SLOW_FACTOR = 2.5  # a target of usual speed is below it, with a queue too
 NORMAL_FACTOR = 1.6
 MIN_EXCESS_MS = 15  # less is lost among delays of the network
+LONG_RUN_SMOOTHING = 0.02  # each half second; refusals may come for ten seconds
 MIN_SHARE = 0.1  # keeps answers coming, which show that it is fast again
 STEP_FACTOR, STEP = 1.4, 0.05  # back from ``MIN_SHARE`` in 7 steps
 MAX_SET_ASIDE = 0.5  # of a service in a data centre
@@ -25,13 +26,17 @@
     Attributes:
         shares: Share of a usual target's flows by cookie, of slow targets only.
         waits: Median answer time in milliseconds by cookie, as last judged.
+        usual_ms: Answer time in milliseconds that targets are compared with, by pairs
+            of a service and a data centre.
     """
 
     def __init__(self):
         self.shares = {}
         self.waits = {}
+        self.usual_ms = {}
         self._samples = {}
         self._suspects = set()
+        self._long_run_ms = {}
 
     def on_answers(self, host, answers, now_ms):
         """Record the answers in a balancer's report.
@@ -67,8 +72,12 @@
             if self._can_be_judged(cookie, samples)
         }
         shares, suspects = {}, set()
-        for cookies in groups.values():
-            found = self._judge_group(cookies)
+        self.usual_ms = {}
+        for place, cookies in groups.items():
+            usual_ms = self._usual_ms(place, cookies)
+            if usual_ms is not None:
+                self.usual_ms[place] = usual_ms
+            found = self._judge_group(cookies, usual_ms)
             suspects.update(found)
             shares.update(found)
         # A queue that passes makes a target look slow once.
@@ -76,14 +85,23 @@
         self.shares = {one: shares[one] for one in shares if one in known}
         self._suspects = suspects
 
-    def usual_wait_ms(self, cookies):
-        """Return the usual answer time of a group of targets, None if unknown."""
-        waits = sorted(self.waits[one] for one in cookies if one in self.waits)
-        return waits[int(USUAL_QUANTILE * len(waits))] if waits else None
+    def _usual_ms(self, place, cookies):
+        """Return the usual answer time of a group of targets, None if unknown.
 
-    def _judge_group(self, cookies):
+        It doesn't fall at once: targets that refuse what they can't queue answer fast,
+        which must not make those that serve look slow.
+        """
+        waits = sorted(self.waits[one] for one in cookies if one in self.waits)
+        if not waits:
+            return self._long_run_ms.get(place)
+        usual_ms = waits[int(USUAL_QUANTILE * len(waits))]
+        before_ms = self._long_run_ms.get(place, usual_ms)
+        long_run_ms = before_ms + LONG_RUN_SMOOTHING * (usual_ms - before_ms)
+        self._long_run_ms[place] = long_run_ms
+        return max(usual_ms, long_run_ms)
+
+    def _judge_group(self, cookies, usual_ms):
         """Return the shares of the slow targets among a service's in a data centre."""
-        usual_ms = self.usual_wait_ms(cookies)
         shares = {}
         for cookie in cookies:
             share = self._share(cookie, usual_ms)
