--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -101,7 +101,7 @@
   Scenario: A spill goes on while most targets refuse at once
     Given a balancer with 10 targets and 10 remote ones
     When callers keep 30 slots busy for 4 s
-    And callers keep 30 slots busy for 10 s while targets refuse at once
+    And callers keep 30 slots busy for 15 s while targets refuse at once
     And 400 flows come and go
     Then between 50% and 75% of them are local
 
