--- a/libs/soak/src/lagoontally_soak/_evacuations.py
+++ b/libs/soak/src/lagoontally_soak/_evacuations.py
@@ -7,6 +7,7 @@
 
 EVACUATE_S = 3.0
 EXCUSE_WINDOW_S = 4.0  # a disturbance this long before an opening excuses it
+PROMISE = "an emptied data centre gets no new flow"
 MIN_PAUSE_S, MAX_PAUSE_S = 1.0, 6.0
 
 
@@ -81,7 +82,7 @@
                     continue
                 after_s = opening.at - request.began
                 detail = f"{target_id} got {flow} from {opening.host} {after_s:.2f} s"
-                yield Violation("an emptied data centre gets no new flow", detail)
+                yield Violation(PROMISE, detail)
 
     def _broken_at(self, data_centre, at):
         return next(
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -11,7 +11,7 @@
 from lagoontally_standins.packets import Deployment, Outcome
 
 from ._checks import Checks, SentRequest
-from ._evacuations import Evacuations
+from ._evacuations import PROMISE, Evacuations
 from ._explain import Failure
 from ._faults import Faults
 from ._mutations import MUTATIONS
@@ -95,7 +95,8 @@
             self._send_requests()
             self._inject_faults()
             self._inject_series()
-            self._change_evacuations()
+            if self.mutation is None or self.mutation.promise == PROMISE:
+                self._change_evacuations()  # others keep their seeds' course
             if self._run_for(seconds):
                 return self.violations
             self.injecting_faults = False
