--- a/libs/bench/features/room.feature
+++ b/libs/bench/features/room.feature
@@ -25,6 +25,7 @@
     Examples:
       | load |
       | 0.8  |
+      | 1.0  |
 
   Scenario Outline: Nobody is refused where there is room
     Given 30 balancers, 60 targets, 0 of them slow, and calls for <load> of the slots
