Demand: an emptied data centre that is cut off leaves the rotation at once

The state says enough: nothing but dead targets outside emptied data centres, and a silent platform. One of the two new scenarios fails without the change; the other guards a target still in reach.

--- a/libs/flows/features/evacuation.feature
+++ b/libs/flows/features/evacuation.feature
@@ -46,6 +46,24 @@
     Then 10 SYNs are reset as "evacuated_rest_unreachable"
     And the balancer leaves the rotation
 
+  Scenario: A balancer of an emptied data centre knows of the cut before its callers
+    Given a balancer with 2 targets and 2 remote ones
+    When 1 flows are opened
+    And "tifton" is emptied
+    And the platform doesn't answer for 2000 ms
+    And all remote targets are found dead
+    And 100 ms pass
+    Then the balancer leaves the rotation
+
+  Scenario: One of the remote targets is reached from an emptied data centre
+    Given a balancer with 2 targets and 2 remote ones
+    When 1 flows are opened
+    And "tifton" is emptied
+    And the platform doesn't answer for 2000 ms
+    And one remote target is found dead
+    And 100 ms pass
+    Then the balancer stays in the rotation
+
   Scenario: Delisted targets of an emptied data centre
     Given a balancer with 4 targets and 2 remote ones
     When "tifton" is emptied
--- a/libs/flows/features/steps/cut_steps.py
+++ b/libs/flows/features/steps/cut_steps.py
@@ -33,6 +33,14 @@
     context.world.collect()
 
 
+@when("one remote target is found dead")
+def step_one_dead(context):
+    """The other may be alive."""
+    world = context.world
+    world.balancer.on_probe_result(context.remote[0].cookie, "silent", world.now_ms)
+    world.collect()
+
+
 @when("{count:d} SYNs are refused")
 def step_refused(context, count):
     """No target can take them."""
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -258,7 +258,12 @@
         self.effects.extend(self.admission.on_tick(now_ms))
         self.demand.on_tick(now_ms)
         self.cut_off = is_cut_off(
-            self.demand, self.platform_heard_ms, now_ms, was_cut_off=self.cut_off
+            self.demand,
+            self.platform_heard_ms,
+            now_ms,
+            was_cut_off=self.cut_off,
+            out_of_reach=bool(self.demand.syns)
+            and self.target_selector.is_out_of_reach(self.demand.syns, now_ms),
         )
 
     def target_id(self, cookie):
--- a/libs/flows/src/lagoontally_flows/_placing/_demand.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_demand.py
@@ -1,7 +1,7 @@
 """Demand for each service, and whether it can be served here.
 
-Covers a data centre that is cut off and has no targets of a service: its balancers
-leave the rotation, so that routers send the callers elsewhere.
+Covers a data centre that is cut off and has no targets of a service, or whose targets
+are emptied: its balancers leave the rotation, so that routers send the callers elsewhere.
 """
 
 HALF_LIFE_MS = 1_000
@@ -46,7 +46,7 @@
         return refused >= MIN_REFUSED_SYNS and refused > REFUSED_TO_SERVED * served
 
 
-def is_cut_off(demand, heard_ms, now_ms, *, was_cut_off):
+def is_cut_off(demand, heard_ms, now_ms, *, was_cut_off, out_of_reach=False):
     """Return whether callers are better served through another data centre.
 
     Args:
@@ -55,7 +55,10 @@
         now_ms: Current time.
         was_cut_off: The previous result. Once true, it stays true until the platform
             answers again: out of the rotation no SYNs arrive to judge by.
+        out_of_reach: Whether the only targets that may be used are dead as seen from
+            here. Routers use all balancers of a data centre while half of them are
+            in the rotation, so none waits for SYNs of its own then.
     """
     if heard_ms is not None and now_ms - heard_ms < CONTACT_LOST_MS:
         return False
-    return was_cut_off or demand.mostly_refused()
+    return was_cut_off or out_of_reach or demand.mostly_refused()
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -90,6 +90,26 @@
         """Return whether a target's data centre is emptied."""
         return self.evacuations.is_evacuated(target.data_centre)
 
+    def is_out_of_reach(self, services, now_ms):
+        """Return whether all targets outside emptied data centres are dead from here.
+
+        Args:
+            services: Names of services.
+            now_ms: Current time.
+
+        Returns:
+            False if no data centre is emptied, or if a service has no such target.
+        """
+        if not self.evacuations.since_ms:
+            return False
+        usable = [
+            self.view.candidates(service, now_ms, self.evacuations.is_evacuated)
+            for service in services
+        ]
+        return all(usable) and all(
+            self.health.is_dead(target.cookie) for one in usable for target in one
+        )
+
     def refusal(self, route, now_ms):
         """Return why there is no target for a new flow.
 
