--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -6,21 +6,19 @@
 """
 
 from ._admission import Admission
-from ._effects import DealtAnew, FlowReset, entry_event, evacuation_event
+from ._effects import FlowReset, entry_event, evacuation_event
 from ._load import LoadSharing
 from ._placing import (
-    STALL_AFTER_MS,
     Demand,
     FlowPlacer,
     TargetSelector,
     WarmUpBudgets,
     is_cut_off,
 )
-from ._records import FIN, RST, SYN, Answer, Drop, Forward, Hold, Reset
+from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
 from ._store import ALL_CHANGES, Evacuations, StoreHistory
 from ._targets import (
     ANSWERED,
-    LONG_AGO_MS,
     NO_COOKIE,
     STUCK,
     UNANSWERED,
@@ -30,13 +28,12 @@
     reset_flows,
     should_reset_flows,
 )
-from ._tracking import SEQUENCE_MASK, FlowTable, HalfOpenFlows
+from ._tracking import FlowTable, HalfOpenFlows, PacketRecorder
 
 UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
 MAX_UNKNOWN_COOKIES = 1_024
 STALE_SYN_MS = 500  # two missed probes, half a second apart, turn routers away
 LATE_TICK_MS = 250  # ticks are 50 ms apart; a longer gap means a paused process
-REHASH_NOTICE_INTERVAL_MS = 200  # answers in transit arrive in this time
 
 
 class Balancer:
@@ -62,6 +59,7 @@
         target_selector: Selects the targets of new flows.
         demand: Recent SYNs by service.
         placer: Decides on SYNs.
+        recorder: Learns from the packets of open flows.
         cut_off: Whether callers are better served through another data centre.
         in_rotation: Whether readiness tells routers to send packets here.
         effects: ``FlowReset``, ``Probe``, ``Verdict``, ``DealtAnew`` and
@@ -113,6 +111,14 @@
             answer_log=self.load_sharing.log,
             effects=self.effects,
         )
+        self.recorder = PacketRecorder(
+            view=self.view,
+            health=self.health,
+            flows=self.flows,
+            stuck_targets=self.stuck_targets,
+            answer_listeners=(self.admission, self.load_sharing.log),
+            effects=self.effects,
+        )
         self.cut_off = False
         self.in_rotation = True
         self.view_confirmed_ms = None
@@ -120,7 +126,6 @@
         self.configuration_confirmed = False
         self._is_first_listing = False
         self._unknown_since_ms = {}
-        self._rehashed_ms = LONG_AGO_MS
         self.ticked_ms = None
 
     def configure(self, configuration):
@@ -170,7 +175,7 @@
             cookie = self.flows.holder(flow, packet)
         self.half_open_flows.remove(packet.flow)
         if packet.flags & (RST | FIN):
-            self._on_abandoned_request(packet, flow, now_ms)
+            self.recorder.on_abandoned_request(packet, flow, now_ms)
         if packet.flags & RST:
             target = self.view.by_cookie.get(cookie)
             self.flows.remove(packet.flow)
@@ -187,7 +192,7 @@
             return self._end_flow(packet, "target_dead")
         if packet.length and self._should_reset(packet, cookie, now_ms):
             return self._end_flow(packet, "target_stuck")
-        self._record_packet(packet, flow, cookie, now_ms)
+        self.recorder.record(packet, flow, cookie, now_ms)
         if self.health.is_dead(cookie):
             self.effects.extend(self.health.request_probe(cookie, now_ms))
         return Forward(target, "open_flow")
@@ -234,8 +239,7 @@
 
     def on_flows_rehashed(self, now_ms):
         """Handle a peer's notice that routers rehashed the flows."""
-        self._rehashed_ms = now_ms
-        self.flows.forget_pending()
+        self.recorder.on_flows_rehashed(now_ms)
 
     def on_tick(self, now_ms):
         """Start due probes, report and reset stuck targets and drop old state."""
@@ -303,68 +307,6 @@
             return Reset("no_route", packet.acknowledgement)
         return self.placer.on_syn(packet, route, now_ms)
 
-    def _record_packet(self, packet, flow, cookie, now_ms):
-        if flow is None or flow.cookie != cookie:
-            self._on_rehashed_flow(packet, cookie, now_ms)
-            flow = self.flows.add(packet.flow, cookie, now_ms)
-        stalled = (
-            packet.length
-            and not flow.is_new_data(packet)
-            and now_ms - flow.progress_ms >= STALL_AFTER_MS
-            and packet.acknowledgement == flow.acknowledged
-        )
-        if stalled:
-            flow.last_packet_ms = now_ms
-            probes = self.health.on_stall(cookie, flow.progress_ms, now_ms)
-            self.effects.extend(probes)
-            return
-        acknowledged = flow.acknowledged
-        if flow.record(packet, now_ms):
-            self.health.on_response(cookie, now_ms)
-            if flow.request_sent_ms is not None:
-                self._on_answer(
-                    self._answer(packet, cookie, flow, acknowledged, now_ms), now_ms
-                )
-                self.flows.complete_request(packet.flow, flow)
-                self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
-        if packet.flags & FIN:
-            self.flows.complete_request(packet.flow, flow)
-            self.flows.close(flow)
-        elif packet.length:
-            self.flows.start_request(packet.flow, flow, now_ms)
-
-    def _answer(self, packet, cookie, flow, acknowledged, now_ms):
-        """Return the ``Answer`` to a flow's pending request."""
-        target = self.view.by_cookie.get(cookie)
-        return Answer(
-            packet.flow,
-            cookie,
-            target.service if target else "",
-            now_ms - flow.request_sent_ms,
-            (packet.acknowledgement - acknowledged) & SEQUENCE_MASK,
-        )
-
-    def _on_answer(self, answer, now_ms):
-        """Hand an answer on to the decisions that learn from it."""
-        self.admission.on_answer(answer, now_ms)
-        self.load_sharing.log.on_answer(answer.cookie, answer.waited_ms)
-
-    def _on_rehashed_flow(self, packet, cookie, now_ms):
-        """Handle the first packet of a flow that came from another balancer.
-
-        Routers have rehashed flows, so answers to pending requests may be acknowledged
-        through other balancers. A bare acknowledgement follows an answer to a
-        request sent through another balancer, so the rehash has just happened. The
-        flow of a new request may have been rehashed long ago, while it was idle.
-        """
-        self.flows.forget_pending()
-        if packet.length or packet.flags & FIN:
-            return
-        self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
-        if now_ms - self._rehashed_ms >= REHASH_NOTICE_INTERVAL_MS:
-            self._rehashed_ms = now_ms
-            self.effects.append(DealtAnew())
-
     def _reset_stuck_flows(self, now_ms):
         """Report overdue requests and reset the flows of confirmed stuck targets."""
         self.effects.extend(self.stuck_targets.on_tick(now_ms))
@@ -380,13 +322,6 @@
                     )
                 )
 
-    def _on_abandoned_request(self, packet, flow, now_ms):
-        """Report a request that was pending when the caller ended the flow."""
-        if flow is None or flow.request_sent_ms is None:
-            return
-        if packet.acknowledgement == flow.acknowledged:
-            self.effects.extend(self.stuck_targets.on_abandoned_request(flow, now_ms))
-
     def _should_reset(self, packet, cookie, now_ms):
         """Return whether to reset the flow so that its request goes elsewhere."""
         should_reset = should_reset_flows(
--- a/libs/flows/src/lagoontally_flows/_load/_answer_log.py
+++ b/libs/flows/src/lagoontally_flows/_load/_answer_log.py
@@ -24,10 +24,10 @@
         if len(self._arrivals) < MAX_SERVICES or service in self._arrivals:
             self._arrivals[service] = self._arrivals.get(service, 0) + 1
 
-    def on_answer(self, cookie, waited_ms):
-        """Record an answer and how long its request took."""
+    def on_answer(self, answer, _now_ms):
+        """Record an ``Answer``."""
         if len(self._answers) < MAX_ANSWERS:
-            self._answers.append((cookie, round(waited_ms)))
+            self._answers.append((answer.cookie, round(answer.waited_ms)))
 
     def take_report(self, now_ms, *, members):
         """Return the ``LoadReport`` that is due, None if there is none.
--- a/libs/flows/src/lagoontally_flows/_placing/_demand.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_demand.py
@@ -1,7 +1,7 @@
 """Demand for each service, and whether it can be served here.
 
-Covers a data centre that is cut off and has no targets of a service, or that is emptied:
-its balancers leave the rotation, so that routers send the callers elsewhere.
+Covers a data centre that is cut off and has no targets of a service, or is emptied: its
+balancers leave the rotation, so that routers send the callers elsewhere.
 """
 
 HALF_LIFE_MS = 1_000
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -1,10 +1,10 @@
 """Places new flows, and moves those whose target doesn't answer their SYN."""
 
 from .._records import Drop, Forward, Reset
+from .._tracking import STALL_AFTER_MS
 from ._target_selector import EVACUATED, WARMING_UP
 
 LATE_COPY_MS = 2_000  # copies may overtake each other by as much
-STALL_AFTER_MS = 150  # less than a caller's first retransmission at 200 ms
 
 
 class FlowPlacer:
--- a/libs/flows/src/lagoontally_flows/_tracking/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_tracking/__init__.py
@@ -1,10 +1,12 @@
 """Flows that this balancer has seen lately."""
 
-from ._flow_table import SEQUENCE_MASK, FlowTable
+from ._flow_table import FlowTable
 from ._half_open_flows import HalfOpenFlows
+from ._packet_recorder import STALL_AFTER_MS, PacketRecorder
 
 __all__ = [
-    "SEQUENCE_MASK",
+    "STALL_AFTER_MS",
     "FlowTable",
     "HalfOpenFlows",
+    "PacketRecorder",
 ]
