--- a/libs/bench/src/lagoontally_bench/_policies.py
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -216,7 +216,9 @@
             self._first_order(balancer.number, model) for balancer in model.balancers
         ]
         self.turns = 0
-        self.sharing = LoadSharing(data_centre="", view=None, health=None)
+        self.sharing = LoadSharing(
+            data_centre="", view=None, health=None, evacuations=None
+        )
         self.advise_ms = 0.0
 
     def on_release(self, job, model, *, answered):
--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -217,6 +217,12 @@
     assert names.count(event) == 1, names
 
 
+@then('"{event}" is never logged')
+def step_not_logged(context, event):
+    """Nothing of the kind happened."""
+    assert event not in [one.event for one in context.events], context.events
+
+
 @then("neither advice nor digests were sent")
 def step_silent(context):
     """Bytes between data centres are dear."""
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -83,6 +83,12 @@
     Then between 55% and 70% of them are local
     And "spill_started" is logged once
 
+  Scenario: A burst doesn't spill to an emptied data centre
+    Given a balancer with 10 targets and 10 remote ones
+    When "camilla" is emptied
+    And callers keep 30 slots busy for 3 s
+    Then "spill_started" is never logged
+
   Scenario: Calm demand stays, and nothing is sent about it
     Given a balancer with 10 targets and 10 remote ones
     When callers keep 6 slots busy for 3 s
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -83,7 +83,10 @@
         self.warm_ups = self.warm_up_budgets.warm_ups
         self.admission = Admission(random=random)
         self.load_sharing = LoadSharing(
-            data_centre=data_centre, view=self.view, health=self.health
+            data_centre=data_centre,
+            view=self.view,
+            health=self.health,
+            evacuations=self.evacuations,
         )
         self.target_selector = TargetSelector(
             view=self.view,
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -25,6 +25,7 @@
         data_centre: This balancer's data centre.
         view: The ``View``.
         health: The ``Health``.
+        evacuations: The ``Evacuations``; emptied data centres have no capacity.
 
     Attributes:
         log: The ``AnswerLog`` of this balancer.
@@ -34,10 +35,11 @@
         spills: Parts by data centre, by service; set by a reader.
     """
 
-    def __init__(self, *, data_centre, view, health):
+    def __init__(self, *, data_centre, view, health, evacuations):
         self.data_centre = data_centre
         self.view = view
         self.health = health
+        self.evacuations = evacuations
         self.log = AnswerLog()
         self.advice = AdviceInForce()
         self.spills = {}
@@ -144,7 +146,8 @@
         """Return usable slots by data centre, by service."""
         capacities = {}
         for target in targets:
-            if self.health.is_dead(target.cookie):
+            emptied = self.evacuations.is_evacuated(target.data_centre)
+            if emptied or self.health.is_dead(target.cookie):
                 continue
             sizes = capacities.setdefault(target.service, {})
             share = self.speeds.shares.get(target.cookie, 1.0)
