Features: feed a balancer with the new messages, too

The reads are in pages, and the regular work moved with the reading for other data centres. Evacuations, load reports, advice and digests are generated besides.

--- a/libs/forwarder/features/steps/any_input_steps.py
+++ b/libs/forwarder/features/steps/any_input_steps.py
@@ -15,14 +15,25 @@
 from lagoontally_forwarder._clock import now_ms
 from lagoontally_forwarder._http_client import HttpResponse
 from lagoontally_forwarder._messages import decode_message
+from lagoontally_forwarder._pages import Pages
 from lagoontally_forwarder._process import Process
 from lagoontally_forwarder._settings import parse_settings
+from lagoontally_platform import ENTRY_PREFIX, OPERATOR_PREFIX
 from lagoontally_standins.packets import find_free_network
 
 NETWORKS = (30 + (os.getpid() * 17 + n) % 100 for n in itertools.count())
 HUGE = 10**400
 PEER = "127.0.0.3"
-NAMES = ("tifton", "servers/i-1", "op/config", "stuck", "answered", PEER)
+NAMES = (
+    "tifton",
+    "servers/i-1",
+    "op/config",
+    "op/evacuate/tifton",
+    "reader",
+    "stuck",
+    "answered",
+    PEER,
+)
 NUMBERS = st.integers(-2, 6) | st.sampled_from((2**63, -(2**63), HUGE, 0.5, True))
 TEXTS = st.sampled_from(NAMES) | st.text(max_size=4)
 ANY = st.recursive(
@@ -55,12 +66,13 @@
     st.lists(TEXTS, max_size=2),
 )
 PART = (st.sampled_from((0, 1, -1)), st.sampled_from((1, 2, HUGE)))
+PAIRS = st.lists(st.tuples(TEXTS | NUMBERS, NUMBERS) | ANY, max_size=2)
 FIELDS = {
     "Hello": (TEXTS, NUMBERS, NUMBERS),
     "InForce": (NUMBERS,),
     "Joined": (TEXTS,),
     "Members": (NUMBERS, NUMBERS, ANY, *PART, NUMBERS, st.lists(TEXTS), ANY),
-    "Beacon": (NUMBERS, POSITIONS, POSITIONS, *(NUMBERS,) * 6),
+    "Beacon": (NUMBERS, POSITIONS, POSITIONS, *(NUMBERS,) * 6, POSITIONS, NUMBERS),
     "Delta": (
         NUMBERS,
         *(POSITIONS,) * 3,
@@ -76,6 +88,15 @@
         st.lists(st.tuples(NUMBERS, NUMBERS, ROUTES), max_size=2),
         NUMBERS,
     ),
+    "Evacuated": (
+        TEXTS,
+        POSITIONS,
+        *PART,
+        st.lists(st.tuples(TEXTS, NUMBERS, NUMBERS, NUMBERS) | ANY, max_size=2),
+    ),
+    "LoadReport": (PAIRS, PAIRS),
+    "LoadAdvice": (PAIRS, st.lists(st.tuples(TEXTS, PAIRS) | ANY, max_size=2)),
+    "DemandDigest": (TEXTS, PAIRS, ANY),
     "Verdict": (NUMBERS, ANY, TEXTS, NUMBERS),
     "DealtAnew": (),
 }
@@ -131,13 +152,14 @@
     context.process.log.descriptor = os.open(os.devnull, os.O_WRONLY)
     entries = [item("servers/i-1", ENTRY), item("op/config", CONFIGURATION)]
     respond(context, "_on_page", page(entries[:1]))
-    respond(context, "_on_configuration", page(entries[1:]))
+    respond(context, "_on_operator_page", page(entries[1:]))
 
 
 def respond(context, handler, body):
     """Pass a response to one of the reader's handlers, as the HTTP client does."""
     reader = context.process.store_reader
-    reader._page_revision = None
+    prefix = OPERATOR_PREFIX if handler == "_on_operator_page" else ENTRY_PREFIX
+    reader._pages = Pages(prefix, may_be_old=False)
     reader._peer_client = reader._startup_client
     getattr(reader, handler)(HttpResponse(200, b"", body))
     tick(context)
@@ -185,7 +207,7 @@
 @when("it gets {count:d} random responses of stores")
 def step_responses(context, count):
     """To each of the calls."""
-    handlers = ("_on_page", "_on_changes", "_on_configuration")
+    handlers = ("_on_page", "_on_changes", "_on_operator_page")
 
     def consume(pair):
         respond(context, pair[0], json.dumps(pair[1]).encode())
@@ -238,7 +260,7 @@
     """The balancer compares it with what it knew already."""
     newer = item("op/config", dict(CONFIGURATION, version=9))
     del newer["revision"]
-    respond(context, "_on_configuration", page([newer]))
+    respond(context, "_on_operator_page", page([newer]))
 
 
 @then("it still serves its state")
--- a/libs/forwarder/features/steps/unexpected_error_steps.py
+++ b/libs/forwarder/features/steps/unexpected_error_steps.py
@@ -12,7 +12,7 @@
 PARTS = {
     "message of a peer": ("_process", "Process._on_beacon"),
     "watch's response": ("_store_reader", "StoreReader._on_changes"),
-    "tick": ("_process", "Process._check_version"),
+    "tick": ("_rereads", "Rereads.on_tick"),
 }
 FAULT = """
 from lagoontally_forwarder.{module} import {owner}
