--- a/libs/flows/src/lagoontally_flows/_admission/_evidence.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_evidence.py
@@ -59,7 +59,7 @@
     def mean_wait_ms(self, now_ms):
         """Return how long served answers took, 0 where too few are known."""
         served = self.served.value(now_ms)
-        if served < 1.0:
+        if served < MIN_ANSWERS:
             return 0.0
         return self.waited_ms.value(now_ms) / served
 
