--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -8,6 +8,7 @@
 from unittest.mock import patch
 from urllib.parse import parse_qs, urlsplit
 
+from lost_changes_client import Client
 from lost_changes_store import Store
 
 from lagoontally_flows import (
@@ -37,54 +38,6 @@
 SILENT, BUSY, RESETTING = "silent", "busy", "resetting"
 
 
-class Client:
-    """Stands in for ``HttpClient``; see there."""
-
-    def __init__(self, loop, address, *, on_error=None):
-        self.loop = loop
-        self.address = address
-        self.number = 0
-        self.path = ""
-        self._on_done = None
-        self._deadline_ms = 0
-
-    @property
-    def busy(self):
-        """Whether a request is in progress."""
-        return self._on_done is not None
-
-    def get(self, path, timeout_ms, on_done):
-        """Start a request."""
-        self.number += 1
-        self.path = path
-        self._on_done = on_done
-        self._deadline_ms = self.loop.clock() + timeout_ms
-        self.loop.fleet.request(self.loop, self, path)
-
-    def on_tick(self, now_ms):
-        """Fail a request that has timed out."""
-        if self.busy and now_ms >= self._deadline_ms:
-            self.finish(self.number, HttpFailure("timeout"))
-
-    def cancel(self):
-        """Drop the request."""
-        self._on_done = None
-
-    def close(self):
-        """Close the connection."""
-
-    def await_until(self, due_ms):
-        """Extend the deadline, as the bytes of a slow response do."""
-        self._deadline_ms = max(self._deadline_ms, due_ms + 1)
-
-    def finish(self, number, result):
-        """Hand over the result of a request unless it was dropped."""
-        if self.busy and number == self.number:
-            self.loop.line("answer", path=self.path, result=result)
-            on_done, self._on_done = self._on_done, None
-            on_done(result)
-
-
 class Process:
     """One balancer process; its loop, its peers, its log and its metrics.
 
@@ -202,8 +155,8 @@
         self.store_sync.members = len(self.fleet.living())
         self.store_reader.on_tick(now_ms)
         self.rereads.on_tick(now_ms)
-        for news in self.balancer.evacuations.take_news():
-            self.fleet.evacuation_news.append((now_ms, self.name, news))
+        for update in self.balancer.evacuations.take_updates():
+            self.fleet.evacuation_updates.append((now_ms, self.name, update))
         beacon = self.store_sync.beacon(now_ms, digest=self.balancer.view.digest)
         if beacon is not None:
             self.broadcast(beacon)
@@ -239,7 +192,7 @@
         draw_age: Returns the age of the copy that answers a read that may be old.
         draw_latency: Returns how long a request to the store or its response takes.
         draw_loss: Returns whether a message from one process to another is lost.
-        evacuation_news: Time, name of the process and ``EvacuationNews``.
+        evacuation_updates: Time, name of the process and ``EvacuationUpdate``.
         requests: Name of the process and path of each request.
         log: Lines of the processes if they are kept, else None.
     """
@@ -259,7 +212,7 @@
         self.draw_age = self._any_age
         self.draw_latency = self._any_latency
         self.draw_loss = self._any_loss
-        self.evacuation_news = []
+        self.evacuation_updates = []
         self.requests = []
         self.log = None
         self._copies = {}
--- a/libs/flows/features/lost_changes_search.py
+++ b/libs/flows/features/lost_changes_search.py
@@ -39,8 +39,8 @@
     fleet.run(RESTORED_AFTERMATH_MS if run.restored else AFTERMATH_MS)
     wrong = run.lacking() + [
         f"{name}: evacuation undone"
-        for _, name, news in fleet.evacuation_news
-        if news.evacuation.data_centre == EMPTIED and not news.began
+        for _, name, update in fleet.evacuation_updates
+        if update.evacuation.data_centre == EMPTIED and not update.began
     ]
     for change in (run.change_target, lambda: run.publish(2)) if not wrong else ():
         took_ms = run.measure(change, QUIET_MS)
--- a/libs/flows/features/steps/evacuation_steps.py
+++ b/libs/flows/features/steps/evacuation_steps.py
@@ -222,9 +222,9 @@
 def step_never_ended(context, data_centre):
     """Not even for a moment."""
     ended = [
-        news
-        for _, _, news in context.fleet.evacuation_news
-        if news.evacuation.data_centre == data_centre and not news.began
+        update
+        for _, _, update in context.fleet.evacuation_updates
+        if update.evacuation.data_centre == data_centre and not update.began
     ]
     assert not ended, ended
 
@@ -234,8 +234,8 @@
     """None goes back and forth."""
     ended = [
         name
-        for _, name, news in context.fleet.evacuation_news
-        if news.evacuation.data_centre == data_centre and not news.began
+        for _, name, update in context.fleet.evacuation_updates
+        if update.evacuation.data_centre == data_centre and not update.began
     ]
     assert sorted(ended) == sorted(context.fleet.processes), ended
 
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -293,9 +293,9 @@
 
     def take_effects(self):
         """Return and clear the effects requested since the last call."""
-        news = self.evacuations.take_news()
-        self.warm_ups.on_evacuations(news, self.view.targets.values())
-        events = [evacuation_event(one, self.view.targets) for one in news]
+        updates = self.evacuations.take_updates()
+        self.warm_ups.on_evacuations(updates, self.view.targets.values())
+        events = [evacuation_event(one, self.view.targets) for one in updates]
         effects = [*events, *self.effects]
         self.effects.clear()  # the placer adds to the same list
         return effects
--- a/libs/flows/src/lagoontally_flows/_effects.py
+++ b/libs/flows/src/lagoontally_flows/_effects.py
@@ -50,21 +50,21 @@
     return LogEvent("target_listed" if listed else "target_lapsed", fields)
 
 
-def evacuation_event(news, targets):
+def evacuation_event(update, targets):
     """Return the ``LogEvent`` for an evacuation that began or ended.
 
     Args:
-        news: The ``EvacuationNews``.
+        update: The ``EvacuationUpdate``.
         targets: Listed ``Target`` by key; where none is in the data centre, its name
             may be wrong.
     """
-    name, era, revision, _ = news.evacuation
+    name, era, revision, _ = update.evacuation
     count = sum(target.data_centre == name for target in targets.values())
     fields = (
         ("data_centre", name),
         ("era", era),
         ("revision", revision),
-        ("source", news.source),
+        ("source", update.source),
         ("targets", count),
     )
-    return LogEvent("evacuation_began" if news.began else "evacuation_ended", fields)
+    return LogEvent("evacuation_began" if update.began else "evacuation_ended", fields)
--- a/libs/flows/src/lagoontally_flows/_store/_evacuations.py
+++ b/libs/flows/src/lagoontally_flows/_store/_evacuations.py
@@ -59,7 +59,7 @@
     __slots__ = ()
 
 
-class EvacuationNews(Record, fields="evacuation began source"):
+class EvacuationUpdate(Record, fields="evacuation began source"):
     """An evacuation that began or ended here.
 
     Attributes:
@@ -83,7 +83,7 @@
         kept: Those that were known before the store came back from a copy, and when
             they may be dropped, by data centre.
         since_ms: When each began here, by data centre.
-        news: ``EvacuationNews`` that wait for ``take_news``.
+        updates: ``EvacuationUpdate`` that wait for ``take_updates``.
         generation: Incremented by each change.
         check: The ``EvacuationCheck`` of what other data centres tell.
     """
@@ -93,7 +93,7 @@
         self.listed = {}
         self.kept = {}
         self.since_ms = {}
-        self.news = []
+        self.updates = []
         self.generation = 0
         self.check = EvacuationCheck()
         self._active = {}
@@ -104,10 +104,10 @@
         """Return whether targets of a data centre get no new flows."""
         return data_centre in self.since_ms
 
-    def take_news(self):
+    def take_updates(self):
         """Return and clear what began and ended since the last call."""
-        news, self.news = self.news, []
-        return news
+        updates, self.updates = self.updates, []
+        return updates
 
     def on_read(self, changes, revision, now_ms, *, may_be_old):
         """Handle a complete list from the store.
@@ -287,10 +287,10 @@
         self.generation += 1
         for name in active.keys() - before.keys():
             self.since_ms[name] = now_ms
-            self.news.append(EvacuationNews(active[name], True, source))
+            self.updates.append(EvacuationUpdate(active[name], True, source))
         for name in before.keys() - active.keys():
             del self.since_ms[name]
-            self.news.append(EvacuationNews(before[name], False, source))
+            self.updates.append(EvacuationUpdate(before[name], False, source))
 
 
 def _is_after(evacuation, position):
--- a/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
@@ -78,17 +78,17 @@
         if evidence == REFUSED:
             self._on_started_anew(cookie)
 
-    def on_evacuations(self, news, targets):
+    def on_evacuations(self, updates, targets):
         """Handle evacuations that began or ended.
 
         Targets of a data centre that returns may have become cold meanwhile, and their
         entries may tell it later than the operator's request ends.
 
         Args:
-            news: ``EvacuationNews`` records.
+            updates: ``EvacuationUpdate`` records.
             targets: All ``Target`` records.
         """
-        returned = {one.evacuation.data_centre for one in news if not one.began}
+        returned = {one.evacuation.data_centre for one in updates if not one.began}
         for target in targets if returned else ():
             if target.data_centre in returned:
                 self._on_started_anew(target.cookie)
