--- a/libs/forwarder/features/deployments.py
+++ b/libs/forwarder/features/deployments.py
@@ -37,7 +37,7 @@
         context.deployment.store.put(f"servers/i-{number:04x}ffff", {"service": 5})
     for balancer in context.deployment.balancers.values():
         balancer.command = command or balancer.command
-    assert context.deployment.start(), "the balancers didn't get into rotation"
+    assert context.deployment.start(), state_of(context.deployment)
     context.flows = []
     context.numbers = itertools.count()
 
@@ -87,3 +87,12 @@
     context.route = (next(iter(context.deployment.routes))[0], 9_443)
     context.deployment.routes[context.route] = "usage-ledger"
     context.deployment.publish()
+
+
+def state_of(deployment):
+    """Describe why the balancers of a deployment didn't get into rotation."""
+    states = [
+        f"{name}: alive {balancer.alive()}, log ends {balancer.read_log()[-2:]}"
+        for name, balancer in deployment.balancers.items()
+    ]
+    return "the balancers didn't get into rotation; " + "; ".join(states)
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -111,7 +111,10 @@
     """Send SIGKILL and wait until the routers notice."""
     first_balancer(context).kill()
     router = context.deployment.routers[LOCAL]
-    assert context.deployment.loop.run_until(lambda: len(router.in_rotation()) == 1, 5)
+    noticed = context.deployment.loop.run_until(
+        lambda: len(router.in_rotation()) == 1, 5
+    )
+    assert noticed, router.misses
 
 
 @when("a balancer receives SIGTERM")
--- a/libs/forwarder/features/steps/restore_steps.py
+++ b/libs/forwarder/features/steps/restore_steps.py
@@ -91,4 +91,7 @@
         for line in balancer.read_log()
         if line["event"] == "configuration_in_force"
     }
+    assert versions, {
+        name: balancer.read_log()[:3] for name, balancer in deployment.balancers.items()
+    }
     assert max(versions) == context.deployment.published["version"], versions
