--- a/libs/flows/src/lagoontally_flows/_load/_load_advice.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_advice.py
@@ -4,7 +4,7 @@
 counts of flows decide alone.
 """
 
-ADVICE_LIFETIME_MS = 2_000  # two are lost by chance once in a million
+ADVICE_LIFETIME_MS = 2_000  # four intervals of the reader
 
 
 class AdviceInForce:
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -96,7 +96,7 @@
             self._inject_faults()
             self._inject_series()
             if self.mutation is None or self.mutation.promise == PROMISE:
-                self._change_evacuations()  # others keep their seeds' course
+                self._change_evacuations()  # last, so that the other faults of a seed stay as they were
             if self._run_for(seconds):
                 return self.violations
             self.injecting_faults = False
