--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -96,7 +96,8 @@
             self._inject_faults()
             self._inject_series()
             if self.mutation is None or self.mutation.promise == PROMISE:
-                self._change_evacuations()  # last, so that the other faults of a seed stay as they were
+                # Last, so that the other faults of a seed stay as they were.
+                self._change_evacuations()
             if self._run_for(seconds):
                 return self.violations
             self.injecting_faults = False
