Features: the processes of any_input.feature hold their network

Balancers of later scenarios ended at their start, "Address already in use", as the new messages of failed starts show (a whole run beside another one: 1197 passed, 2 failed; the run before it on: 1200 passed, 0 failed). The processes kept their sockets while the port by which a network is found to be in use was free. any_input.feature: 8 passed.

--- a/libs/forwarder/features/steps/any_input_steps.py
+++ b/libs/forwarder/features/steps/any_input_steps.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import os
+import socket
 import tempfile
 from pathlib import Path
 
@@ -20,8 +21,10 @@
 from lagoontally_forwarder._settings import parse_settings
 from lagoontally_platform import ENTRY_PREFIX, OPERATOR_PREFIX
 from lagoontally_standins.packets import find_free_network
+from lagoontally_standins.packets._deployment import STORE_PORT
 
 NETWORKS = (30 + (os.getpid() * 17 + n) % 100 for n in itertools.count())
+RESERVED = []
 HUGE = 10**400
 PEER = "127.0.0.3"
 NAMES = (
@@ -141,7 +144,10 @@
     """A balancer's process object, without its loop and with nobody to call."""
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
-    host = f"127.{find_free_network(NETWORKS)}.1.1"
+    network = find_free_network(NETWORKS)
+    # The process keeps its sockets, so no deployment may get the network.
+    RESERVED.append(socket.create_server((f"127.{network}.0.1", STORE_PORT)))
+    host = f"127.{network}.1.1"
     document = dict(SETTINGS, host=host, seeds=[])
     for name in ("packet", "ready", "peer", "store"):
         port = SETTINGS[f"{name}_address"].rpartition(":")[2]
