--- a/libs/daemon/src/lagoontally_daemon/_task_guard.py
+++ b/libs/daemon/src/lagoontally_daemon/_task_guard.py
@@ -7,7 +7,7 @@
 from lagoontally_core import Count, LogChange
 from lagoontally_edges import log_change, monotonic_ms
 
-MAX_FAILING_MS = 2_000  # of a task that does nothing but fail
+MAX_FAILING_MS = 2_000  # a task that fails for so long ends the process
 PAUSE_S = 0.05  # before a task that has failed goes on
 STABLE_MS = 500  # a run that lasts this long has done its work
 LOG_INTERVAL_MS = 1_000
--- a/libs/flows/src/lagoontally_flows/_admission/_ranks.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_ranks.py
@@ -5,7 +5,7 @@
 starves however many of a higher rank come.
 """
 
-RESERVED = 0.35  # share of the kept tokens that only the highest rank may use
+RESERVED = 0.35  # share of the tokens that the lowest rank must leave
 FLOOR = 0.1  # flows of a lower rank for each flow that a higher one gets
 MAX_CREDIT = 2.0
 
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -297,7 +297,7 @@
         self.warm_ups.on_evacuations(updates, self.view.targets.values())
         events = [evacuation_event(one, self.view.targets) for one in updates]
         effects = [*events, *self.effects]
-        self.effects.clear()  # the placer adds to the same list
+        self.effects.clear()  # in place: the placer holds the same list
         return effects
 
     def _route(self, flow):
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -15,7 +15,7 @@
 ADVICE_INTERVAL_MS = 500
 DIGEST_SENDER_LIFETIME_MS = 5_000
 MAX_SHARES, MAX_SPILLS = 30, 5  # of one advice, the slowest first; fit a datagram
-MAX_DIGEST_SENDERS = 64  # bounds what forged digests can fill
+MAX_DIGEST_SENDERS = 64  # anyone can send a digest from a forged address
 
 
 class LoadSharing:
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -8,15 +8,15 @@
 SAMPLES = 32  # latest answers of a target
 SAMPLE_LIFETIME_MS = 3_000
 MIN_SAMPLES = 8  # fewer may all be of long requests
-MIN_LATER_SAMPLES = 4  # of a target that is set aside, and gets few flows
+MIN_LATER_SAMPLES = 4  # to judge a target that is set aside
 MIN_REPORTERS = 2  # one balancer may be slow itself
 USUAL_QUANTILE = 0.33  # leaves two thirds of the targets that may be slow
-SLOW_FACTOR = 2.5  # more than a queue causes
+SLOW_FACTOR = 2.5  # a target is slow from this multiple of the usual time on
 NORMAL_FACTOR = 1.6
 MIN_EXCESS_MS = 15  # more than delays of the network
 LONG_RUN_SMOOTHING = 0.02  # at each judgement, every half second
 MIN_SHARE = 0.1  # keeps answers coming, which show that it is fast again
-STEP_FACTOR, STEP = 1.4, 0.05  # back from ``MIN_SHARE`` in 7 steps
+STEP_FACTOR, STEP = 1.4, 0.05  # the next share is share * STEP_FACTOR + STEP
 MAX_SET_ASIDE = 0.5  # of a service in a data centre
 
 
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -4,7 +4,7 @@
 from .._tracking import STALL_AFTER_MS
 from ._target_selector import EVACUATED, WARMING_UP
 
-LATE_COPY_MS = 2_000  # copies may overtake each other by as much
+LATE_COPY_MS = 2_000  # a copy of a SYN may arrive this long after it
 
 
 class FlowPlacer:
--- a/libs/flows/src/lagoontally_flows/_placing/_target_order.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_order.py
@@ -7,7 +7,7 @@
 that are still open move a balancer on to its next target.
 """
 
-STRIDE_STEP = 7  # between the orders of balancers that share their first target
+STRIDE_STEP = 7  # stride difference of balancers with the same first target
 MAX_PLACE = 1_000_003  # a prime, so that targets that aren't listed are spread
 
 
--- a/libs/flows/src/lagoontally_flows/_store/_evacuations.py
+++ b/libs/flows/src/lagoontally_flows/_store/_evacuations.py
@@ -134,7 +134,7 @@
         if known is not None and known._replace(step=0) > position:
             return  # the reader's list arrived while the call was running
         if known is not None and known._replace(step=0) == position:
-            differs = found != self.listed  # a watch has missed a change
+            differs = found != self.listed  # then a watch has missed a change
             position = known._replace(step=known.step + differs)
         self.history.evacuations = position
         self.check.on_read(now_ms)
--- a/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
@@ -10,7 +10,7 @@
 
 from ._health import LONG_AGO_MS, REFUSED
 
-CLOCK_TOLERANCE_MS = 3_000  # clocks of instances differ, and are set while they run
+CLOCK_TOLERANCE_MS = 3_000  # allowed difference between two instances' clocks
 
 
 class Statement(Record, fields="stated_ms received_ms until_ms age_ms"):
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -114,7 +114,7 @@
         except BlockingIOError:
             return True
         except OSError:
-            pass  # the connection is of no use
+            pass  # the connection is closed in any case
         return False
 
     def _start_request(self):
@@ -166,7 +166,7 @@
         elif response is not None:
             size = self._received.find(b"\r\n\r\n") + 4 + len(response.body)
             if len(self._received) > size:
-                self.close()  # the rest may be a second copy
+                self.close()  # bytes after a response may be a second copy of it
             self._finish(response)
 
     def _extend_deadline(self):
