Stand-ins: hold a loopback network from its choice on

Cause: find_free_network tried the store's port and closed it, so two test processes could choose one network before either listened there; processes without a store (any_input.feature) never showed as taken. A listening socket on a port of its own now reserves a network until it is released or the process ends. A deployment that stops closes its sockets, which stayed open until the interpreter collected them.

--- a/libs/forwarder/features/deployments.py
+++ b/libs/forwarder/features/deployments.py
@@ -5,7 +5,12 @@
 import tempfile
 from pathlib import Path
 
-from lagoontally_standins.packets import Deployment, Outcome, find_free_network
+from lagoontally_standins.packets import (
+    Deployment,
+    Outcome,
+    release_network,
+    reserve_network,
+)
 
 # The soak uses the networks above these, since both suites run at the same time.
 NETWORKS = (30 + (os.getpid() * 13 + n) % 100 for n in itertools.count())
@@ -25,7 +30,8 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.folder = folder.name
-    network = find_free_network(NETWORKS)
+    network = reserve_network(NETWORKS)
+    context.add_cleanup(release_network, network)
     context.deployment = Deployment(
         Path(folder.name), network, data_centres=(LOCAL, OTHER), balancers=2, targets=2
     )
--- a/libs/forwarder/features/steps/any_input_steps.py
+++ b/libs/forwarder/features/steps/any_input_steps.py
@@ -3,7 +3,6 @@
 import itertools
 import json
 import os
-import socket
 import tempfile
 from pathlib import Path
 
@@ -20,11 +19,9 @@
 from lagoontally_forwarder._process import Process
 from lagoontally_forwarder._settings import parse_settings
 from lagoontally_platform import ENTRY_PREFIX, OPERATOR_PREFIX
-from lagoontally_standins.packets import find_free_network
-from lagoontally_standins.packets._deployment import STORE_PORT
+from lagoontally_standins.packets import reserve_network
 
 NETWORKS = (30 + (os.getpid() * 17 + n) % 100 for n in itertools.count())
-RESERVED = []
 HUGE = 10**400
 PEER = "127.0.0.3"
 NAMES = (
@@ -144,9 +141,8 @@
     """A balancer's process object, without its loop and with nobody to call."""
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
-    network = find_free_network(NETWORKS)
-    # The process keeps its sockets, so no deployment may get the network.
-    RESERVED.append(socket.create_server((f"127.{network}.0.1", STORE_PORT)))
+    # The process keeps its sockets, so its network isn't released.
+    network = reserve_network(NETWORKS)
     host = f"127.{network}.1.1"
     document = dict(SETTINGS, host=host, seeds=[])
     for name in ("packet", "ready", "peer", "store"):
--- a/libs/soak/features/steps/series_steps.py
+++ b/libs/soak/features/steps/series_steps.py
@@ -9,7 +9,7 @@
 
 from lagoontally_soak._faults import Faults
 from lagoontally_soak._series import Series
-from lagoontally_standins.packets import Deployment, find_free_network
+from lagoontally_standins.packets import Deployment, reserve_network
 
 CENTRES = ("tifton", "camilla")
 DRAWS = 12
@@ -29,7 +29,7 @@
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(
             Path(folder),
-            find_free_network(NETWORKS),
+            reserve_network(NETWORKS),
             data_centres=CENTRES,
             balancers=3,
             targets=2,
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -19,7 +19,7 @@
     Loop,
     Proxy,
     Store,
-    find_free_network,
+    reserve_network,
 )
 
 HOST = "127.0.0.1"
@@ -37,14 +37,14 @@
 @when("seed {seed:d} is run for {seconds:d} s")
 def step_run(context, seed, seconds):
     """Inject faults while callers send requests."""
-    network = find_free_network(NETWORKS)
+    network = reserve_network(NETWORKS)
     context.run = soak(seed=seed, seconds=seconds, network=network)
 
 
 @when('seed {seed:d} is run with "{mutation}"')
 def step_mutation(context, seed, mutation):
     """Run the broken build in all balancers."""
-    network = find_free_network(NETWORKS)
+    network = reserve_network(NETWORKS)
     context.run = soak(
         seed=seed, seconds=MAX_MUTATION_RUN_S, network=network, mutation=mutation
     )
@@ -53,7 +53,7 @@
 @when('seed {seed:d} is run for {seconds:d} s with "{mutation}"')
 def step_short_mutation(context, seed, seconds, mutation):
     """What the broken build leaves behind shows once the faults are over."""
-    network = find_free_network(NETWORKS)
+    network = reserve_network(NETWORKS)
     context.run = soak(seed=seed, seconds=seconds, network=network, mutation=mutation)
 
 
@@ -67,7 +67,7 @@
 @when("a soak test is run whose balancers exit at once")
 def step_no_start(context):
     """Run balancers that fail as if a library couldn't be imported."""
-    network = find_free_network(NETWORKS)
+    network = reserve_network(NETWORKS)
     with tempfile.TemporaryDirectory() as folder:
         context.run = Soak(seed=1, network=network, balancers=1, folder=Path(folder))
         for balancer in context.run.deployment.balancers.values():
--- a/libs/soak/src/lagoontally_soak/__main__.py
+++ b/libs/soak/src/lagoontally_soak/__main__.py
@@ -7,6 +7,8 @@
 
 import click
 
+from lagoontally_standins.packets import release_network, reserve_network
+
 from ._explain import unexplained_failures
 from ._mutations import MUTATIONS
 from ._run import soak
@@ -16,7 +18,7 @@
 
 def run_seed(seed, seconds, balancers, keep, explain, mutation):
     """Run one seed and return its report."""
-    network = FIRST_NETWORK + seed % NETWORK_COUNT
+    network = reserve_network([FIRST_NETWORK + seed % NETWORK_COUNT])
     folder = keep and Path(keep) / f"seed-{seed}"
     run = soak(
         seed=seed,
@@ -26,6 +28,7 @@
         keep=folder,
         mutation=mutation,
     )
+    release_network(network)
     report = {
         "seed": seed,
         "requests": len(run.sent_requests),
--- a/libs/standins/src/lagoontally_standins/packets/__init__.py
+++ b/libs/standins/src/lagoontally_standins/packets/__init__.py
@@ -3,7 +3,7 @@
 from ._caller import Callers, Outcome
 from ._deployment import GRACE_S, PEER_PORT, SERVICES, Deployment
 from ._loop import Loop
-from ._network import find_free_network
+from ._network import release_network, reserve_network
 from ._process import BALANCER_PROGRAM
 from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT, Proxy
 from ._store import ANSWERING, BUSY, RESETTING, Store
@@ -34,5 +34,6 @@
     "Store",
     "Target",
     "encode_packet",
-    "find_free_network",
+    "release_network",
+    "reserve_network",
 ]
--- a/libs/standins/src/lagoontally_standins/packets/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/packets/_deployment.py
@@ -223,9 +223,10 @@
         return not any(misses)
 
     def stop(self):
-        """Kill every balancer."""
+        """Kill every balancer and close the sockets of all others."""
         for balancer in self.balancers.values():
             balancer.kill()
+        self.loop.close()
 
     def _add_balancers(self, folder, centre_index, data_centre, count):
         addresses = {}
--- a/libs/standins/src/lagoontally_standins/packets/_loop.py
+++ b/libs/standins/src/lagoontally_standins/packets/_loop.py
@@ -48,6 +48,12 @@
         self.selector.unregister(sock)
         sock.close()
 
+    def close(self):
+        """Close every watched socket; the loop can't run afterwards."""
+        for key in list(self.selector.get_map().values()):
+            key.fileobj.close()
+        self.selector.close()
+
     def after(self, delay_s, callback):
         """Call ``callback`` once after a delay."""
         heapq.heappush(self.timers, (self.now + delay_s, next(self.order), callback))
--- a/libs/standins/src/lagoontally_standins/packets/_network.py
+++ b/libs/standins/src/lagoontally_standins/packets/_network.py
@@ -2,11 +2,15 @@
 
 import socket
 
-from ._deployment import STORE_PORT
+RESERVATION_PORT = 8160
 
+_reservations = {}
 
-def find_free_network(networks):
-    """Return the first network in which no other deployment has a store.
+
+def reserve_network(networks):
+    """Return the first network that nobody on this machine has reserved.
+
+    The network stays reserved until it is released or the process ends.
 
     Args:
         networks: Candidates for the second octet of addresses, in order.
@@ -16,8 +20,18 @@
     """
     for network in networks:
         try:
-            socket.create_server((f"127.{network}.0.1", STORE_PORT)).close()
+            reservation = socket.create_server((f"127.{network}.0.1", RESERVATION_PORT))
         except OSError:
-            continue  # another deployment's store listens there
+            continue
+        _reservations[network] = reservation
         return network
-    raise LookupError("every candidate loopback network is in use")
+    raise LookupError("every candidate loopback network is reserved")
+
+
+def release_network(network):
+    """Give up a network reserved by this process.
+
+    Args:
+        network: What ``reserve_network`` returned.
+    """
+    _reservations.pop(network).close()
