Settings: numbers too large to calculate with are refused

Cause: a settings file with warm_up_excess 1e999 or a number of 400 digits was taken; products with rates are then infinite or raise OverflowError in each selection. Numbers end at 1e9 now, and the error names the bound.

--- a/libs/forwarder/src/lagoontally_forwarder/_settings.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_settings.py
@@ -43,6 +43,7 @@
 
 _ADDRESSES = ("packet_address", "ready_address", "peer_address", "store_address")
 _STRINGS = ("instance", "data_centre", "host")
+MAX_NUMBER = 1_000_000_000  # products with rates and times are finite
 
 
 def parse_settings(text):
@@ -111,10 +112,10 @@
     value = document.get(name)
     if value is None:
         return None
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        findings.append(f"{name}: must be a number, 0 or above")
-        return None
-    return value
+    if _is_number(value) and 0 <= value <= MAX_NUMBER:
+        return value
+    findings.append(f"{name}: must be a number from 0 to {MAX_NUMBER:,}")
+    return None
 
 
 def _switch(document, name, findings):
@@ -138,7 +139,11 @@
 
 def _number(document, name, findings):
     value = document.get(name)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
-        findings.append(f"{name}: must be a number above 0")
-        return None
-    return value
+    if _is_number(value) and 0 < value <= MAX_NUMBER:
+        return value
+    findings.append(f"{name}: must be a number above 0, {MAX_NUMBER:,} at most")
+    return None
+
+
+def _is_number(value):
+    return isinstance(value, int | float) and not isinstance(value, bool)
