Store reader: a page of keys that weren't asked for is refused

Cause: a response names neither its request nor its prefix. A second copy of the targets' page that arrives while the operator's keys are read was taken for their page: no evacuation holds, so an emptied data centre got flows again; the other way round all targets were dropped. A copy of a first page was taken for the second. Empty pages can't be told apart.

--- a/libs/forwarder/features/steps/any_input_steps.py
+++ b/libs/forwarder/features/steps/any_input_steps.py
@@ -18,7 +18,7 @@
 from lagoontally_forwarder._pages import Pages
 from lagoontally_forwarder._process import Process
 from lagoontally_forwarder._settings import parse_settings
-from lagoontally_platform import ENTRY_PREFIX, OPERATOR_PREFIX
+from lagoontally_platform import ENTRY_PREFIX, OPERATOR_PREFIX, InvalidResponse
 from lagoontally_standins.packets import reserve_network
 
 NETWORKS = (30 + (os.getpid() * 17 + n) % 100 for n in itertools.count())
@@ -267,6 +267,46 @@
     respond(context, "_on_operator_page", page([newer]))
 
 
+@given("its data centre is emptied")
+def step_emptied(context):
+    """The operator's keys hold the request."""
+    body = page([item("op/config", CONFIGURATION), item("op/evacuate/tifton", {})])
+    respond(context, "_on_operator_page", body)
+    assert context.process.balancer.evacuations.is_evacuated("tifton")
+    context.responses = {
+        "targets": ("_on_page", page([item("servers/i-1", ENTRY)])),
+        "the operator's keys": ("_on_operator_page", body),
+    }
+
+
+@when("the read of {read} gets the response to that of {other}")
+def step_other_response(context, read, other):
+    """The connection is in use again when the copy arrives."""
+    respond(context, context.responses[read][0], context.responses[other][1])
+
+
+@then("it knows what it knew")
+def step_knows(context):
+    """Targets, configuration and the request."""
+    balancer = context.process.balancer
+    assert balancer.view.targets and balancer.configuration is not None
+    assert balancer.evacuations.is_evacuated("tifton")
+
+
+@when("a read gets the first of two pages twice")
+def step_page_twice(context):
+    """The store names the last key of the first page in the call for the next."""
+    pages = Pages(ENTRY_PREFIX, may_be_old=False)
+    first = page([item("servers/i-1", ENTRY)], more=True)
+    assert pages.add(pages.decode(first), era=1)
+    context.second = pages.decode(first)
+
+
+@then("the second copy isn't usable")
+def step_unusable(context):
+    assert isinstance(context.second, InvalidResponse), context.second
+
+
 @then("it still serves its state")
 def step_serves(context):
     """Peers and operators read it."""
--- a/libs/forwarder/src/lagoontally_forwarder/_pages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_pages.py
@@ -1,6 +1,6 @@
 """Collects the pages of a read of the store."""
 
-from lagoontally_platform import page_path
+from lagoontally_platform import decode_page, page_path
 
 
 class Pages:
@@ -12,6 +12,7 @@
 
     Attributes:
         path: Path of the call for the next page, None after the last.
+        after: Key after which that page starts, None for the first page.
         entries: Pairs of a key and a ``Target`` or None.
         evacuations: ``EvacuationChange`` records.
         configuration: The ``Configuration``, or None.
@@ -25,6 +26,7 @@
         self.prefix = prefix
         self.may_be_old = may_be_old
         self.path = page_path(prefix, may_be_old=may_be_old)
+        self.after = None
         self.entries = []
         self.evacuations = []
         self.configuration = self.configuration_revision = None
@@ -32,6 +34,10 @@
         self.newest = 0
         self._era = None
 
+    def decode(self, body):
+        """Return the ``Listing`` in a response or an ``InvalidResponse``."""
+        return decode_page(body, self.prefix, self.after)
+
     def add(self, listing, era):
         """Add the next page.
 
@@ -52,9 +58,7 @@
             self.configuration = listing.configuration
             self.configuration_revision = listing.configuration_revision
         self.newest = max(self.newest, listing.newest)
-        self.path = None
-        if listing.next_key is not None:
-            self.path = page_path(
-                self.prefix, listing.next_key, may_be_old=self.may_be_old
-            )
+        self.path, self.after = None, listing.next_key
+        if self.after is not None:
+            self.path = page_path(self.prefix, self.after, may_be_old=self.may_be_old)
         return True
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -23,7 +23,6 @@
     changes_path,
     decode_changes,
     decode_era,
-    decode_page,
 )
 
 from ._http_client import HttpClient, HttpFailure, header_value
@@ -209,7 +208,7 @@
         is_first = pages.revision is None
         if self._is_void(result, endings=endings, may_begin_era=is_first):
             return False
-        listing = self._decode_result(result, decode_page)
+        listing = self._decode_result(result, pages.decode)
         return listing is not None and pages.add(listing, self.store_sync.history.era)
 
     def _check_known(self, prefix, written, known):
