--- a/libs/forwarder/features/deployments.py
+++ b/libs/forwarder/features/deployments.py
@@ -3,6 +3,7 @@
 import itertools
 import os
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from lagoontally_standins.packets import (
@@ -57,6 +58,22 @@
     )
 
 
+def assert_answered(context, flows):
+    """Check that the latest request of each flow was answered."""
+    outcomes = Counter(flow.outcome for flow in flows)
+    assert set(outcomes) == {Outcome.ANSWERED}, (outcomes, refusals(context))
+
+
+def refusals(context):
+    """Return the latest log lines of each balancer about resets and drops."""
+    return {
+        name: [
+            line for line in balancer.read_log() if line["event"] in ("reset", "drop")
+        ][-3:]
+        for name, balancer in context.deployment.balancers.items()
+    }
+
+
 def open_flows(context, count):
     """Open flows, alternating between the routes."""
     callers = context.deployment.callers[LOCAL]
--- a/libs/forwarder/features/steps/process_steps.py
+++ b/libs/forwarder/features/steps/process_steps.py
@@ -20,6 +20,7 @@
     OTHER,
     add_route,
     add_target,
+    assert_answered,
     eventually,
     first_balancer,
     open_flows,
@@ -34,7 +35,6 @@
     BUSY,
     PASS,
     PEER_PORT,
-    Outcome,
 )
 
 BUILD = Path(__file__).parents[4] / "deploy/build.py"
@@ -85,8 +85,7 @@
 
 @then("every request is answered")
 def step_answered(context):
-    outcomes = {flow.outcome for flow in context.flows}
-    assert outcomes == {Outcome.ANSWERED}, outcomes
+    assert_answered(context, context.flows)
 
 
 @then("every flow gets an answer to its next request")
@@ -141,7 +140,7 @@
 def step_new_answered(context):
     flows = open_flows(context, 10)
     request_all(context, flows)
-    assert {flow.outcome for flow in flows} == {Outcome.ANSWERED}
+    assert_answered(context, flows)
 
 
 @then("every flow of the crashed target is reset")
@@ -183,7 +182,7 @@
         callers = context.deployment.callers[data_centre]
         flows = [callers.open(context.route) for _ in range(12)]
         request_all(context, flows)
-        assert {flow.outcome for flow in flows} == {Outcome.ANSWERED}
+        assert_answered(context, flows)
 
 
 @when("the store is {mode} for every balancer")
