Targets: use full ones before refusing a flow that no cold target may take

Cause: targets that admission leaves out for a while (two SYNs unanswered within a second, or a refusal) were left out before the budgets of cold targets were asked. Where only a cold target was left, it counted as one with room although it might get no more flows, so SYNs were reset as "warming_up" while warm targets were up. Change: budgets are asked first; full targets are left out among those that remain.

--- a/libs/flows/features/cold_targets.feature
+++ b/libs/flows/features/cold_targets.feature
@@ -45,6 +45,18 @@
     And 40 flows are opened at once
     Then the cold target has 22 flows
 
+  Scenario Outline: A warm target that is slow or full takes what no cold one may take
+    Given a balancer that has just started, with 1 cold and 1 warm targets
+    When the warm target <pauses>
+    And 10 flows are opened at once
+    Then 0 of them are reset as "warming_up"
+    And the cold target has 0 flows
+
+    Examples:
+      | pauses                   |
+      | leaves 2 SYNs unanswered |
+      | refuses a request        |
+
   Scenario: Cold targets of another data centre are left to its balancers
     Given a balancer with 1 cold targets elsewhere and 1 warm ones
     When 10 flows are opened
--- a/libs/flows/features/steps/cold_target_steps.py
+++ b/libs/flows/features/steps/cold_target_steps.py
@@ -14,6 +14,7 @@
 
 from lagoontally_flows import Drop, Forward, Reset, Service
 from lagoontally_flows._placing import WarmUpBudgets
+from lagoontally_flows._tracking._half_open_flows import OVERDUE_MS
 
 WARM_UP_MS = 2_000
 PER_S, EXCESS, SLACK = 12.0, 1.5, 5
@@ -233,6 +234,22 @@
             world.send(flow, cookie=action.target.cookie, ack=5_000)
 
 
+@when("the warm target leaves {count:d} SYNs unanswered")
+def step_unanswered(context, count):
+    """Callers or the target are slow."""
+    for _ in range(count):
+        context.world.syn(context.world.new_flow())
+    context.world.wait(OVERDUE_MS)
+
+
+@when("the warm target refuses a request")
+def step_full(context):
+    """Its slots and its queue are full."""
+    world = context.world
+    [target] = context.targets
+    world.balancer.admission.full_targets.on_refused(target.cookie, world.now_ms)
+
+
 @when("a SYN and {count:d} copies of it arrive at once")
 def step_copies(context, count):
     """Copies that were queued on their way."""
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -152,7 +152,16 @@
 
     def _usable(self, service, route, now_ms, avoid):
         healthy = self._healthy(service, route, now_ms, avoid)
-        return self.warm_up_budgets.admitted(healthy, now_ms)
+        # Before the full ones are left out: a cold target that may get no more isn't
+        # another one that is left.
+        admitted = self.warm_up_budgets.admitted(healthy, now_ms)
+        leaves_out, open_flows = self.admission.leaves_out, self.flows.open_flows
+        roomy = [
+            target
+            for target in admitted
+            if not leaves_out(target, open_flows.get(target.cookie, 0), now_ms)
+        ]
+        return roomy or admitted
 
     def _healthy(self, service, route, now_ms, avoid=()):
         evacuations = self.evacuations
@@ -168,11 +177,4 @@
             for target in healthy
             if not self.stuck_targets.is_stuck(target.cookie)
         ]
-        candidates = responsive or healthy
-        leaves_out, open_flows = self.admission.leaves_out, self.flows.open_flows
-        roomy = [
-            target
-            for target in candidates
-            if not leaves_out(target, open_flows.get(target.cookie, 0), now_ms)
-        ]
-        return roomy or candidates
+        return responsive or healthy
