--- a/libs/standins/features/packets.feature
+++ b/libs/standins/features/packets.feature
@@ -37,3 +37,14 @@
     Given a store that keeps its history for 20 s
     When 1000 items are written
     Then a watch from before them gets 1000 changes
+
+  Scenario: No two processes use the same loopback network at the same time
+    Given networks that two processes choose from at the same time
+    Then they get different ones
+    When one of the processes ends
+    Then its network can be reserved again
+
+  Scenario: The network of a deployment that has stopped can be used at once
+    Given a packet deployment that has stopped
+    When another one is started in its network
+    Then its store answers
--- a/libs/standins/features/steps/packets_steps.py
+++ b/libs/standins/features/steps/packets_steps.py
@@ -3,18 +3,35 @@
 import base64
 import json
 import socket
+import subprocess
+import sys
+import tempfile
 import threading
 import time
+from pathlib import Path
 
 from behave import given, then, when
 
-from lagoontally_standins.packets import Loop, Proxy, Store
+from lagoontally_standins.packets import (
+    Deployment,
+    Loop,
+    Proxy,
+    Store,
+    release_network,
+    reserve_network,
+)
 
 HOST = "127.0.0.1"
 DOCUMENT_BYTES = 12_000_000  # 16 MB in base64, more than socket buffers hold
 KEEP_UNREAD_S = 2.0
 RUN_S = 0.5
 ANSWER_S = 5.0
+NETWORKS = range(240, 250)  # other suites use those below
+RESERVING_PROGRAM = f"""
+from lagoontally_standins.packets import reserve_network
+print(reserve_network(range({NETWORKS.start}, {NETWORKS.stop})), flush=True)
+input()
+"""
 
 
 class Client:
@@ -213,3 +230,86 @@
     """None is missing."""
     status, document = watch(context, context.first_revision)
     assert (status, len(document["events"])) == (200, count)
+
+
+def reserve(context):
+    """Reserve a network until the scenario ends."""
+    network = reserve_network(NETWORKS)
+    context.add_cleanup(release_network, network)
+    return network
+
+
+@given("networks that two processes choose from at the same time")
+def step_choose(context):
+    """This process and another one."""
+    context.other = subprocess.Popen(
+        [sys.executable, "-c", RESERVING_PROGRAM],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(context.other.communicate)
+    context.networks = [int(context.other.stdout.readline()), reserve(context)]
+
+
+@then("they get different ones")
+def step_different(context):
+    """Each of the two holds its own."""
+    assert len(set(context.networks)) == 2, context.networks
+
+
+@when("one of the processes ends")
+def step_ends(context):
+    """It releases nothing itself."""
+    context.other.kill()
+    context.other.wait()
+
+
+@then("its network can be reserved again")
+def step_reserved_again(context):
+    """Its sockets were closed with it."""
+
+    def is_free():
+        try:
+            release_network(reserve_network(context.networks[:1]))
+        except LookupError:
+            return False  # the same scenario in another run may have it for a moment
+        return True
+
+    assert Loop().run_until(is_free, ANSWER_S)
+
+
+def start_sockets(context):
+    """Open the sockets of a deployment without balancers."""
+    return Deployment(
+        Path(context.folder),
+        context.network,
+        data_centres=("tifton",),
+        balancers=0,
+        targets=1,
+    )
+
+
+@given("a packet deployment that has stopped")
+def step_stopped(context):
+    """It is still referred to, so that no sockets are collected."""
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder, context.network = folder.name, reserve(context)
+    context.stopped = start_sockets(context)
+    context.stopped.stop()
+
+
+@when("another one is started in its network")
+def step_started(context):
+    """With the same addresses."""
+    context.running = start_sockets(context)
+    context.add_cleanup(context.running.stop)
+
+
+@then("its store answers")
+def step_store_answers(context):
+    """By sockets of its own."""
+    store = context.running.store
+    status, _ = call(context.running.loop, store.address, "/api/kv-range?prefix=op/")
+    assert status == 200
