Soak: name the seed and the network that is in use

Cause: a seed has a fixed loopback network, and a test or another run may have reserved it; the command then ended with a traceback of LookupError, and a network stayed reserved in its worker if a run raised an error. It ends with one line now.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -40,6 +40,11 @@
     When a soak test is run whose balancers exit at once
     Then the only broken promise is "balancers start"
 
+  Scenario: A seed whose loopback network is in use is refused by name
+    Given a loopback network that another process has reserved
+    When the command is run with a seed that needs it
+    Then it exits with status 1 and names the seed and the network
+
   Scenario: The proxy disturbs connections in each of its modes
     Then a call through the proxy is answered, dropped, reset or delayed by its mode
 
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -7,9 +7,12 @@
 import tempfile
 from pathlib import Path
 
-from behave import then, when
+from behave import given, then, when
+from click.testing import CliRunner
 
 from lagoontally_soak import Soak, soak
+from lagoontally_soak.__main__ import FIRST_NETWORK as FIRST_SEED_NETWORK
+from lagoontally_soak.__main__ import main
 from lagoontally_standins.packets import (
     DELAYED,
     ONE_WAY,
@@ -19,6 +22,7 @@
     Loop,
     Proxy,
     Store,
+    release_network,
     reserve_network,
 )
 
@@ -93,6 +97,28 @@
     assert context.run.outcomes["answered"] >= count, context.run.outcomes
 
 
+@given("a loopback network that another process has reserved")
+def step_reserved(context):
+    """The command runs its seeds in processes of their own."""
+    context.network = reserve_network(NETWORKS)
+    context.add_cleanup(release_network, context.network)
+
+
+@when("the command is run with a seed that needs it")
+def step_command(context):
+    """Nothing is started."""
+    context.seed = context.network - FIRST_SEED_NETWORK
+    context.result = CliRunner().invoke(main, ["--seed", str(context.seed)])
+
+
+@then("it exits with status {status:d} and names the seed and the network")
+def step_refused(context, status):
+    """In one line."""
+    assert context.result.exit_code == status, context.result
+    for text in (f"seed {context.seed} ", f"127.{context.network}.0.0/16"):
+        assert text in context.result.output, context.result.output
+
+
 @then("a call through the proxy is answered, dropped, reset or delayed by its mode")
 def step_proxy(context):
     """Make a call in each mode."""
--- a/libs/soak/src/lagoontally_soak/__main__.py
+++ b/libs/soak/src/lagoontally_soak/__main__.py
@@ -16,19 +16,35 @@
 FIRST_NETWORK, NETWORK_COUNT = 2, 250
 
 
+def reserve_seed_network(seed):
+    """Reserve the loopback network of a seed.
+
+    Raises:
+        click.ClickException: It is in use.
+    """
+    network = FIRST_NETWORK + seed % NETWORK_COUNT
+    try:
+        return reserve_network([network])
+    except LookupError:
+        text = f"seed {seed} needs the network 127.{network}.0.0/16, which is in use"
+        raise click.ClickException(text) from None
+
+
 def run_seed(seed, seconds, balancers, keep, explain, mutation):
     """Run one seed and return its report."""
-    network = reserve_network([FIRST_NETWORK + seed % NETWORK_COUNT])
+    network = reserve_seed_network(seed)
     folder = keep and Path(keep) / f"seed-{seed}"
-    run = soak(
-        seed=seed,
-        seconds=seconds,
-        network=network,
-        balancers=balancers,
-        keep=folder,
-        mutation=mutation,
-    )
-    release_network(network)
+    try:
+        run = soak(
+            seed=seed,
+            seconds=seconds,
+            network=network,
+            balancers=balancers,
+            keep=folder,
+            mutation=mutation,
+        )
+    finally:
+        release_network(network)
     report = {
         "seed": seed,
         "requests": len(run.sent_requests),
