Stand-ins: time in which their loop stood still isn't part of a timeout

Cause: run_until compared the clock with its end before it ran anything. A process that got no processor time for the whole timeout gave up at once, before a router could probe or a caller read.

--- a/libs/standins/features/packets.feature
+++ b/libs/standins/features/packets.feature
@@ -48,3 +48,10 @@
     Given a packet deployment that has stopped
     When another one is started in its network
     Then its store answers
+
+  Scenario: Time in which the stand-ins stood still isn't part of a timeout
+    Given a loop that stands still for 1500 ms and reaches a condition 300 ms later
+    When it runs until the condition holds, 1 s at most
+    Then the condition holds
+    When it runs until another condition holds, 1 s at most
+    Then it gave up after 1 s
--- a/libs/standins/features/steps/packets_steps.py
+++ b/libs/standins/features/steps/packets_steps.py
@@ -313,3 +313,36 @@
     store = context.running.store
     status, _ = call(context.running.loop, store.address, "/api/kv-range?prefix=op/")
     assert status == 200
+
+
+@given(
+    "a loop that stands still for {pause_ms:d} ms and reaches a condition"
+    " {delay_ms:d} ms later"
+)
+def step_standstill(context, pause_ms, delay_ms):
+    """As a process that gets no processor time."""
+    context.loop, context.reached = Loop(), []
+    context.loop.after(0.0, lambda: time.sleep(pause_ms / 1_000))
+    context.loop.after(delay_ms / 1_000, lambda: context.reached.append(True))
+
+
+@when("it runs until {which} holds, {timeout_s:d} s at most")
+def step_run_until(context, which, timeout_s):
+    """The other condition never holds."""
+    reached = context.reached if which == "the condition" else []
+    started_s = time.monotonic()
+    context.holds = context.loop.run_until(lambda: reached, timeout_s)
+    context.took_s = time.monotonic() - started_s
+
+
+@then("the condition holds")
+def step_holds(context):
+    """The loop had time to reach it."""
+    assert context.holds, context.took_s
+
+
+@then("it gave up after {timeout_s:d} s")
+def step_gave_up(context, timeout_s):
+    """As long as it runs, its time counts."""
+    assert not context.holds
+    assert timeout_s <= context.took_s < timeout_s + RUN_S, context.took_s
