Example of a controller: send a stop again that wasn't run

Cause: the page on explain shows "stopped (2.04)", but the example gave up at the first refusal, which is how a balancer that resumes or targets that are full answer a stop. It sends the stop again, under its id, when the refusal allows it and until its 10 s have passed; a stop of unknown outcome is never sent again.

Shown: the scenario failed before with "not run (shed by the target): send it again after 1 s".

--- a/examples/pivot_controller.py
+++ b/examples/pivot_controller.py
@@ -21,19 +21,28 @@
 
 
 def stop_pivot(caller, pivot):
-    """Send one stop command and return its result as text."""
+    """Stop a pivot and return the result as text.
+
+    A stop that wasn't run is sent again, one whose outcome isn't known never.
+    """
     command = {"id": str(uuid.uuid4()), "command": "stop"}
     payload = json.dumps(command).encode()
     path = f"/pivot/{pivot}/command"
-    match caller.command(path, payload, timeout_s=STOP_TIMEOUT_S):
-        case Answered(code=code):
-            return f"stopped ({code})"
-        case NotRun(retry_after_s=wait_s, reason=reason):
-            return f"not run ({reason}): send it again after {wait_s:.0f} s"
-        case Unknown(reason=reason):
-            return f"unknown ({reason}): read the pivot's status before a new stop"
-        case Failed(code=code, reason=reason):
-            return f"refused as it stands ({code} {reason})"
+    deadline_s = time.monotonic() + STOP_TIMEOUT_S
+    while True:
+        left_s = deadline_s - time.monotonic()
+        match caller.command(path, payload, timeout_s=left_s):
+            case Answered(code=code):
+                return f"stopped ({code})"
+            case NotRun(retry_after_s=wait_s, reason=reason):
+                print(f"not run ({reason})")
+                if time.monotonic() + wait_s >= deadline_s:
+                    return f"gave up: send it again after {wait_s:.0f} s"
+                time.sleep(wait_s)
+            case Unknown(reason=reason):
+                return f"unknown ({reason}): read the pivot's status before a new stop"
+            case Failed(code=code, reason=reason):
+                return f"refused as it stands ({code} {reason})"
 
 
 def main(entry, pivot):
--- a/libs/cli/features/docs.feature
+++ b/libs/cli/features/docs.feature
@@ -18,6 +18,12 @@
       | docs/operators/data-centre-cut-off.md  |
       | docs/PROTOCOLS.md                      |
 
+  Scenario: The example of a controller sends a stop again that wasn't run
+    Given a copy of the repository's layout for the deployment
+    And targets of "pivot-link" that shed all work
+    When they take work again as soon as the example says that its stop wasn't run
+    Then it says that the pivot stopped
+
   Scenario: Every page with commands is tested
     Then every page with console blocks is among the examples
     And the JSON examples of the protocols page are accepted and list every interval
--- a/libs/cli/features/steps/console.py
+++ b/libs/cli/features/steps/console.py
@@ -144,21 +144,31 @@
 
     def run(self, command):
         """Run a command; return its exit status and its output with docs addresses."""
+        process = self.start(command.text)
+        if command.text.endswith("&"):
+            self.process_groups.append(process.pid)
+        output, _ = process.communicate(timeout=COMMAND_TIMEOUT_S)
+        return process.returncode, output.replace(self.prefix, DOCS_PREFIX)
+
+    def lines(self, text):
+        """Run a command and yield the lines of its output as they come."""
+        with self.start(text) as process:
+            for line in process.stdout:
+                yield line.rstrip("\n")
+
+    def start(self, text):
+        """Start a command in a process group of its own."""
         paths = f"{self.folder / 'bin'}{os.pathsep}{os.environ['PATH']}"
-        process = subprocess.Popen(
-            ["bash", "-c", command.text.replace(DOCS_PREFIX, self.prefix)],
+        return subprocess.Popen(
+            ["bash", "-c", text.replace(DOCS_PREFIX, self.prefix)],
             cwd=self.folder,
-            env=os.environ | {"PATH": paths},
+            env=os.environ | {"PATH": paths, "PYTHONUNBUFFERED": "1"},
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
             start_new_session=True,
         )
-        if command.text.endswith("&"):
-            self.process_groups.append(process.pid)
-        output, _ = process.communicate(timeout=COMMAND_TIMEOUT_S)
-        return process.returncode, output.replace(self.prefix, DOCS_PREFIX)
 
     def close(self):
         """Terminate the background processes of commands."""
--- a/libs/cli/features/steps/docs_steps.py
+++ b/libs/cli/features/steps/docs_steps.py
@@ -13,6 +13,7 @@
     parse_template,
 )
 
+CONTROLLER = "python examples/pivot_controller.py 127.20.1.1:5701 pivot-3"
 # Languages whose blocks hold no commands.
 PLAIN_LANGUAGES = ("json", "text")
 
@@ -51,6 +52,39 @@
     assert not wrong, "\n".join(wrong)
 
 
+@given('targets of "{service}" that shed all work')
+def step_shedding(context, service):
+    """They take work again after the scenario."""
+    context.service = service
+    context.started.callback(set_targets, context, "up")
+    set_targets(context, "shed")
+
+
+def set_targets(context, mode):
+    """Set the mode of all targets of the service."""
+    deployment = context.deployment
+    for record in deployment.sorted_records():
+        if record.role == "upstream" and record.name.startswith(context.service):
+            deployment.set_upstream(record.name, {"mode": mode})
+
+
+@when("they take work again as soon as the example says that its stop wasn't run")
+def step_recover(context):
+    """Read its output line by line."""
+    context.lines = []
+    for line in context.shell.lines(CONTROLLER):
+        context.lines.append(line)
+        if line.startswith("not run"):
+            set_targets(context, "up")
+
+
+@then("it says that the pivot stopped")
+def step_stopped(context):
+    """After at least one refusal."""
+    assert any(line.startswith("not run") for line in context.lines), context.lines
+    assert context.lines[-1] == "stopped (2.04)", context.lines
+
+
 @then("the JSON examples of the protocols page are accepted and list every interval")
 def step_protocol_examples(context):
     """Check the template, the settings and the table of intervals."""
