Stand-ins: read what arrived during a standstill before timers that are due

Cause: after a time without processor the loop handled one round of sockets and then every timer that was due. An answer needs several rounds from the balancer over the target to the caller, so a caller's timeout ended flows that were open or being opened.

--- a/libs/standins/features/packets.feature
+++ b/libs/standins/features/packets.feature
@@ -55,3 +55,8 @@
     Then the condition holds
     When it runs until another condition holds, 1 s at most
     Then it gave up after 1 s
+
+  Scenario: What arrived while the stand-ins stood still comes before timers
+    Given an answer that passes two sockets of a loop, and a timer after 1000 ms
+    When the loop stands still for 1500 ms
+    Then it has the answer before the timer ends
--- a/libs/standins/features/steps/packets_steps.py
+++ b/libs/standins/features/steps/packets_steps.py
@@ -346,3 +346,36 @@
     """As long as it runs, its time counts."""
     assert not context.holds
     assert timeout_s <= context.took_s < timeout_s + RUN_S, context.took_s
+
+
+@given("an answer that passes two sockets of a loop, and a timer after {delay_ms:d} ms")
+def step_answer_on_its_way(context, delay_ms):
+    """As a target's answer to a SYN that a balancer forwarded."""
+    context.loop, context.order = Loop(), []
+    first, second = socket.socketpair(), socket.socketpair()
+    for sock in (*first, *second):
+        context.add_cleanup(sock.close)
+
+    def pass_on():
+        second[0].send(first[1].recv(1))
+
+    def arrive():
+        context.order.append(second[1].recv(1))
+
+    context.loop.watch(first[1], pass_on)
+    context.loop.watch(second[1], arrive)
+    context.loop.after(delay_ms / 1_000, lambda: context.order.append("timer"))
+    first[0].send(b"x")
+
+
+@when("the loop stands still for {pause_ms:d} ms")
+def step_stand_still(context, pause_ms):
+    """Before it has read anything."""
+    time.sleep(pause_ms / 1_000)
+    context.loop.run_until(lambda: len(context.order) == 2, ANSWER_S)
+
+
+@then("it has the answer before the timer ends")
+def step_answer_first(context):
+    """A caller doesn't give up while its answer waits."""
+    assert context.order == [b"x", "timer"], context.order
--- a/libs/standins/src/lagoontally_standins/packets/_loop.py
+++ b/libs/standins/src/lagoontally_standins/packets/_loop.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 MAX_ROUND_S = 0.5  # as long as between two probes of a router
+CATCH_UP_WAIT_S = 0.02  # balancers forward what waited for them
+CATCH_UP_ROUNDS = 50
 
 
 class Callbacks(NamedTuple):
@@ -21,13 +23,14 @@
 
     Attributes:
         now: Monotonic time in seconds, updated in each iteration.
+        read_at: When sockets were last read.
     """
 
     def __init__(self):
         self.selector = selectors.DefaultSelector()
         self.timers = []
         self.order = itertools.count()
-        self.now = time.monotonic()
+        self.now = self.read_at = time.monotonic()
 
     def watch(self, sock, callback):
         """Call ``callback`` whenever a socket is readable."""
@@ -92,13 +95,30 @@
 
     def _run_once(self, end):
         due = min(self.timers[0][0] if self.timers else end, end)
-        wait_s = max(0.0, min(due - self.now, 0.05))
-        for key, events in self.selector.select(wait_s):
+        self._handle_sockets(max(0.0, min(due - self.now, 0.05)))
+        if time.monotonic() - self.read_at > MAX_ROUND_S:
+            self._catch_up()
+        self.now = self.read_at = time.monotonic()
+        while self.timers and self.timers[0][0] <= self.now:
+            heapq.heappop(self.timers)[2]()
+
+    def _catch_up(self):
+        """Handle what arrived while the loop stood still, before timers that are due.
+
+        A timeout would otherwise end what has been answered already.
+        """
+        for _ in range(CATCH_UP_ROUNDS):
+            self.now = time.monotonic()
+            if not self._handle_sockets(CATCH_UP_WAIT_S):
+                return
+
+    def _handle_sockets(self, wait_s):
+        """Run the callbacks of ready sockets; return whether there were any."""
+        ready = self.selector.select(wait_s)
+        for key, events in ready:
             # A callback may have closed any of the sockets.
             if events & selectors.EVENT_READ and key.fileobj.fileno() >= 0:
                 key.data.on_readable()
             if events & selectors.EVENT_WRITE and key.fileobj.fileno() >= 0:
                 key.data.on_writable()
-        self.now = time.monotonic()
-        while self.timers and self.timers[0][0] <= self.now:
-            heapq.heappop(self.timers)[2]()
+        return bool(ready)
