Soak: targets that start or return are cold, and get no more than they bear

Cause: the soak drew evacuations, but no warm-ups, so nothing checked under faults that cold targets get what their services state over all balancers. Change: services state a rate, settings the excess; targets that start or whose data centre returns say how long they are cold; while one is, callers open more flows. SYNs in any sliding second, copies too, are counted at the stand-ins. Two broken builds break the promise. The new part draws from a Random of its own.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -26,6 +26,8 @@
       | 1    | flows go to any service             |
       | 1    | balancers name a target differently |
       | 1    | new routes are ignored              |
+      | 2    | every balancer takes the whole budget |
+      | 2    | a warm-up counts from a target's arrival |
 
   Scenario Outline: A build that goes on from the position of an old read is detected
     When seed <seed> is run for <seconds> s with "a read that may be old gives a position"
@@ -101,6 +103,26 @@
       | store         | 98    | 100 | tifton      | 103.9 | 0     |
       | store, partly | 98    | 100 | tifton      | 103.9 | 0     |
 
+  Scenario Outline: A cold target that gets more than it bears is reported
+    Given a target that <change> at 100 s and bears 4 flows in a second
+    And "<subject>" was disturbed from <start> s to <end> s
+    When <flows> flows, <apart> s apart from <at> s, open through "tifton-1"
+    Then <count> cold targets with too many flows are reported
+
+    Examples:
+      | change   | subject  | start | end | flows | apart | at    | count |
+      | started  | nothing  | 0     | 0   | 5     | 0.1   | 100.0 | 1     |
+      | started  | nothing  | 0     | 0   | 4     | 0.1   | 100.0 | 0     |
+      | started  | nothing  | 0     | 0   | 5     | 0.1   | 101.8 | 1     |
+      | started  | nothing  | 0     | 0   | 10    | 0.3   | 100.0 | 0     |
+      | started  | nothing  | 0     | 0   | 5     | 0.1   | 104.0 | 0     |
+      | started  | tifton-1 | 98    | 100 | 5     | 0.1   | 101.0 | 1     |
+      | returned | nothing  | 0     | 0   | 5     | 0.1   | 101.0 | 1     |
+      | returned | tifton-1 | 98    | 100 | 5     | 0.1   | 101.0 | 0     |
+      | returned | tifton-1 | 98    | 100 | 5     | 0.1   | 103.0 | 0     |
+      | returned | tifton-1 | 96    | 97  | 5     | 0.1   | 101.5 | 1     |
+      | returned | tifton-2 | 98    | 100 | 5     | 0.1   | 101.0 | 1     |
+
   Scenario Outline: A reset of an open flow is reported unless its target was disturbed
     Given a route that was added at <route> s and a target that started at <target> s
     And "<subject>" was disturbed from <start> s to <end> s
--- a/libs/soak/features/steps/checks_steps.py
+++ b/libs/soak/features/steps/checks_steps.py
@@ -1,10 +1,12 @@
 """Steps for the checks, on records made by hand."""
 
+from random import Random
 from types import SimpleNamespace
 
 from behave import given, then, when
 
 from lagoontally_soak._checks import Checks, SentRequest
+from lagoontally_soak._cold_returns import ColdReturns, ColdSpell
 from lagoontally_soak._disturbances import Disturbances
 from lagoontally_soak._evacuations import Evacuations, Request
 from lagoontally_soak._route_history import RouteHistory
@@ -18,9 +20,10 @@
 
 
 def checks(deployment, faults):
-    """Return checks of a run in which no data centre was emptied."""
+    """Return checks of a run without evacuations and cold targets."""
     evacuations = Evacuations(deployment, faults.disturbances, None)
-    return Checks(deployment, faults, evacuations)
+    cold_returns = ColdReturns(deployment, faults.disturbances, Random(1))
+    return Checks(deployment, faults, evacuations, cold_returns)
 
 
 @given("a route that was moved at {moved_at:d} s")
@@ -45,7 +48,7 @@
         for number, other in enumerate(("tifton-1", "tifton-2"))
     }
     run = SimpleNamespace(request="q1", target="i-1", service=FORMER, at=at + 0.02)
-    deployment = SimpleNamespace(ledger=[run], balancers=balancers)
+    deployment = SimpleNamespace(ledger=[run], balancers=balancers, targets={})
     faults = SimpleNamespace(
         route_history=context.history,
         disturbances=context.disturbances,
@@ -200,3 +203,32 @@
 def step_emptied_reported(context, count):
     """Each names the target."""
     assert len(list(context.violations)) == count
+
+
+@given("a target that {change} at {at:d} s and bears {limit:d} flows in a second")
+def step_cold(context, change, at, limit):
+    """It is cold for 4 s."""
+    context.disturbances = Disturbances()
+    deployment = SimpleNamespace(targets={})
+    context.cold_returns = ColdReturns(deployment, context.disturbances, Random(1))
+    context.cold_returns.limit = limit
+    spell = ColdSpell("i-1", at, at + 4, change == "returned")
+    context.cold_returns.spells.append(spell)
+
+
+@when('{count:d} flows, {apart:f} s apart from {at:f} s, open through "{name}"')
+def step_flows_open(context, count, apart, at, name):
+    """Their SYNs are what the target saw."""
+    arrivals = [
+        SimpleNamespace(at=at + number * apart, host="127.0.1.0")
+        for number in range(count)
+    ]
+    context.violations = context.cold_returns.violations(
+        {"i-1": SimpleNamespace(syns=arrivals)}, lambda _host: name
+    )
+
+
+@then("{count:d} cold targets with too many flows are reported")
+def step_cold_reported(context, count):
+    """Each is named."""
+    assert len(list(context.violations)) == count
--- a/libs/soak/src/lagoontally_soak/_checks.py
+++ b/libs/soak/src/lagoontally_soak/_checks.py
@@ -33,12 +33,14 @@
         deployment: The ``Deployment``.
         faults: The ``Faults`` injected into it.
         evacuations: The ``Evacuations``.
+        cold_returns: The ``ColdReturns``.
     """
 
-    def __init__(self, deployment, faults, evacuations):
+    def __init__(self, deployment, faults, evacuations, cold_returns):
         self.deployment = deployment
         self.faults = faults
         self.evacuations = evacuations
+        self.cold_returns = cold_returns
 
     def violations_of_run(self, sent_requests, targets, data_centres):
         """Return every ``Violation`` of the whole run.
@@ -54,6 +56,7 @@
             *self._old_configuration_violations(sent_requests, targets),
             *self._drain_violations(targets),
             *self.evacuations.violations(located, self._balancer_at),
+            *self.cold_returns.violations(targets, self._balancer_at),
         ]
 
     def _run_violations(self, sent_requests):
@@ -151,6 +154,7 @@
         now = self.deployment.loop.now
         excused = self._is_excused(flow, sent_at, now, added_at)
         excused = excused or self._has_target_ended(sent_at)
+        excused = excused or self._were_targets_cold(route, sent_at, now)
         if refused and settled and not excused:
             detail = f"{flow.flow} sent {flow.request}"
             return [Violation("a route in force takes flows", detail)]
@@ -219,6 +223,12 @@
         stretched = end <= changed_at + CONFIGURATION_S + MAX_STRETCH_S
         return stretched and disturbances.any_between((STORE_PARTLY,), start, end)
 
+    def _were_targets_cold(self, route, sent_at, now):
+        """Return whether only cold targets may have been left to a route's flows."""
+        service = self.deployment.routes.get(route)
+        start = sent_at - EXCUSE_WINDOW_S
+        return self.cold_returns.was_scarce(service, start, now)
+
     def _has_target_ended(self, moment):
         """Return whether a target's host may have refused a flow at a moment.
 
--- a/libs/soak/src/lagoontally_soak/_evacuations.py
+++ b/libs/soak/src/lagoontally_soak/_evacuations.py
@@ -48,21 +48,27 @@
         return self.random.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
 
     def change(self):
-        """Empty a data centre, or take the emptied one back."""
+        """Empty a data centre, or take the emptied one back.
+
+        Returns:
+            Names of the data centres that return.
+        """
         if self.deployment.evacuated:
-            self.end()
-            return
+            return self.end()
         data_centre = self.random.choice(self.deployment.data_centres)
         self.deployment.evacuate(data_centre)
         now = self.deployment.loop.now
         self.requests.append(Request(data_centre, now, float("inf")))
+        return []
 
     def end(self):
-        """Take the emptied data centre back."""
-        for data_centre in list(self.deployment.evacuated):
+        """Take the emptied data centre back, and return its name in a list."""
+        returned = list(self.deployment.evacuated)
+        for data_centre in returned:
             self.deployment.evacuate(data_centre, requested=False)
             ended = self.deployment.loop.now
             self.requests[-1] = self.requests[-1]._replace(ended=ended)
+        return returned
 
     def violations(self, targets, balancer_at):
         """Yield a violation for each new flow at a target of an emptied data centre.
--- a/libs/soak/src/lagoontally_soak/_mutations.py
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -112,6 +112,27 @@
     evacuations.history.evacuations = None
     on_read(evacuations, changes, revision, now_ms, may_be_old=False)
 Evacuations.on_read = read_any
+""",
+    ),
+    "every balancer takes the whole budget": Mutation(
+        "a cold target gets no more than it bears",
+        """
+from lagoontally_flows._placing import _warm_up_budgets
+_warm_up_budgets._share = lambda host, members, cookie, total: total
+""",
+    ),
+    "a warm-up counts from a target's arrival": Mutation(
+        "a cold target gets no more than it bears",
+        """
+from lagoontally_flows._targets import WarmUps
+on_entry, left_ms, arrived_ms = WarmUps.on_entry, WarmUps.left_ms, {}
+def note_arrival(warm_ups, target, now_ms):
+    arrived_ms.setdefault(target.cookie, now_ms)
+    on_entry(warm_ups, target, now_ms)
+def left_since_arrival(warm_ups, target, now_ms):
+    until_ms = arrived_ms.get(target.cookie, now_ms) + warm_ups._warm_up_ms(target)
+    return max(0, min(left_ms(warm_ups, target, now_ms), until_ms - now_ms))
+WarmUps.on_entry, WarmUps.left_ms = note_arrival, left_since_arrival
 """,
     ),
     "a restored store isn't noticed": Mutation(
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -11,7 +11,10 @@
 from lagoontally_standins.packets import Deployment, Outcome
 
 from ._checks import Checks, SentRequest
-from ._evacuations import PROMISE, Evacuations
+from ._cold_returns import PROMISE as BOUND_PROMISE
+from ._cold_returns import ColdReturns
+from ._evacuations import PROMISE as EVACUATION_PROMISE
+from ._evacuations import Evacuations
 from ._explain import Failure
 from ._faults import Faults
 from ._mutations import MUTATIONS
@@ -25,6 +28,7 @@
 CHANGED_ROUTE_SHARE = 0.4  # of new flows, to routes that were changed recently
 CHANGED_RECENTLY_S = 12.0
 NEW_FLOW_SHARE = 0.3  # of requests, that open a flow as downloads do
+NEW_FLOW_SHARE_WHILE_COLD = 0.9  # more than cold targets bear
 REQUEST_DEADLINE_S = 2.0
 FAULT_INTERVAL_S = (0.2, 2.5)
 RECOVERY_S = 9.0  # stopped balancers exit and routers detect all changes in this time
@@ -70,7 +74,12 @@
         self.evacuations = Evacuations(
             self.deployment, self.faults.disturbances, Random(f"evacuations {seed}")
         )
-        self.checks = Checks(self.deployment, self.faults, self.evacuations)
+        self.cold_returns = ColdReturns(
+            self.deployment, self.faults.disturbances, Random(f"cold returns {seed}")
+        )
+        self.checks = Checks(
+            self.deployment, self.faults, self.evacuations, self.cold_returns
+        )
         self.request_numbers = itertools.count()
         self.sent_requests = {}
         self.opened_at = {}
@@ -85,7 +94,10 @@
 
     def run(self, seconds):
         """Inject faults for some seconds and return the violations."""
+        promise = self.mutation and self.mutation.promise
         try:
+            if promise in (None, BOUND_PROMISE):
+                self.cold_returns.set_up()
             if not self.deployment.start():
                 self.violations.append(
                     Violation("balancers start", "not all balancers got into rotation")
@@ -95,7 +107,7 @@
             self._send_requests()
             self._inject_faults()
             self._inject_series()
-            if self.mutation is None or self.mutation.promise == PROMISE:
+            if promise in (None, EVACUATION_PROMISE, BOUND_PROMISE):
                 # Last, so that the other faults of a seed stay as they were.
                 self._change_evacuations()
             if self._run_for(seconds):
@@ -104,7 +116,7 @@
             self.series.inject_last()
             if self._run_for(RECOVERY_S):
                 return self.violations
-            self.evacuations.end()
+            self.cold_returns.on_return(self.evacuations.end())
             self.series.end_all()
             self.faults.end_all()
             if self._run_for(RECOVERY_S):
@@ -148,12 +160,14 @@
     def _change_evacuations(self):
         if self.injecting_faults:
             self.loop.after(self.evacuations.next_pause_s(), self._change_evacuations)
-            self.evacuations.change()
+            returned = self.evacuations.change()
+            self.cold_returns.on_return(returned)
 
     def _send_requests(self):
         for target_id, (index, target) in self.deployment.targets.items():
             self.targets.setdefault(target_id, target)
             self.target_centres[target_id] = DATA_CENTRES[index]
+        self.cold_returns.on_tick()
         self._collect_outcomes()
         self._record_exits()
         for data_centre in DATA_CENTRES:
@@ -164,7 +178,9 @@
         pool = self.pools[data_centre]
         pool[:] = [flow for flow in pool if not flow.closed]
         idle = [flow for flow in pool if flow not in self.pending_since]
-        if idle and self.random.random() < NEW_FLOW_SHARE:
+        is_any_cold = self.cold_returns.is_any_cold()
+        share = NEW_FLOW_SHARE_WHILE_COLD if is_any_cold else NEW_FLOW_SHARE
+        if idle and self.random.random() < share:
             closing = self.random.choice(idle)
             closing.close()
             pool.remove(closing)
