Soak: emptied data centres restart and read copies from before the request

Old reads rarely met a data centre that was emptied and restarted as a whole, requests ended 1 to 6 s after they were made, and the consistent read that follows within a second mended the list before the restart ceased to excuse it. Change: after three quarters of the requests the data centre restarts, reads copies from before the request, and the request holds for longer. The draws have a Random of their own. The broken build takes the first copy for the store's word and no later read.

--- a/libs/soak/src/lagoontally_soak/_cold_returns.py
+++ b/libs/soak/src/lagoontally_soak/_cold_returns.py
@@ -76,7 +76,7 @@
         deployment.warm_up_s = self.warm_up_s
 
     def on_tick(self):
-        """Record targets that started, and count down what entries will state."""
+        """Record targets that started."""
         deployment, now = self.deployment, self.deployment.loop.now
         if not deployment.warm_up_s:
             return
@@ -85,11 +85,8 @@
         self._ticked_at = now
         for target_id in deployment.targets.keys() - self._started:
             self._started.add(target_id)
-            self._begin(target_id, deployment.targets[target_id][1].started_at)
-        for spell in self.spells:
-            if spell.target_id in deployment.targets:
-                target = deployment.targets[spell.target_id][1]
-                target.warm_up_ms = round(1_000 * max(0.0, spell.ended - now))
+            started_at = deployment.targets[target_id][1].started_at
+            self._begin(target_id, started_at, delay_s=HEARTBEAT_S)
         self._record_scarcity(now)
 
     def on_return(self, data_centres):
@@ -103,15 +100,13 @@
                 continue
             if any(arrival.at > now - IDLE_S for arrival in target.syns):
                 continue
-            self._begin(target_id, now, returned=True)
-            target.warm_up_ms = round(1_000 * self.warm_up_s)
             delay_s = self.random.uniform(0.0, HEARTBEAT_S)
-            deployment.loop.after(delay_s, lambda one=target_id: self._register(one))
+            self._begin(target_id, now, delay_s=delay_s, returned=True)
 
     def is_any_cold(self):
         """Return whether a target is cold."""
         now = self.deployment.loop.now
-        return any(spell.began <= now < spell.ended for spell in self.spells[-8:])
+        return any(spell.began <= now < spell.ended for spell in self.spells)
 
     def was_scarce(self, service, start, end):
         """Return whether a service had only cold targets between two times."""
@@ -142,15 +137,25 @@
             detail += "returned" if spell.returned else "started"
             yield Violation(PROMISE, detail)
 
-    def _begin(self, target_id, at, *, returned=False):
+    def _begin(self, target_id, at, *, delay_s, returned=False):
         spell = ColdSpell(target_id, at, at + self.warm_up_s, returned)
         self.spells.append(spell)
+        self.deployment.loop.after(delay_s, lambda: self._write(spell))
 
-    def _register(self, target_id):
-        deployment = self.deployment
-        known = target_id in deployment.targets
-        if known and deployment.targets[target_id][1].sock is not None:
-            deployment.register(target_id, deployment.states[target_id])
+    def _write(self, spell):
+        """State what is left of a warm-up in the target's entry, until it is over."""
+        deployment, target_id = self.deployment, spell.target_id
+        if target_id not in deployment.targets:
+            return
+        target = deployment.targets[target_id][1]
+        if target.sock is None:
+            return
+        ends = [one.ended for one in self.spells if one.target_id == target_id]
+        left_s = max(0.0, max(ends) - deployment.loop.now)
+        target.warm_up_ms = round(1_000 * left_s)
+        deployment.register(target_id, deployment.states[target_id])
+        if left_s:
+            deployment.loop.after(HEARTBEAT_S, lambda: self._write(spell))
 
     def _is_excused(self, spell, balancer, arrival):
         """Return whether a balancer may not know that the target returned.
--- a/libs/soak/src/lagoontally_soak/_mutations.py
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -108,10 +108,10 @@
         """
 from lagoontally_flows import Evacuations
 on_read = Evacuations.on_read
-def read_any(evacuations, changes, revision, now_ms, *, may_be_old):
-    evacuations.history.evacuations = None
-    on_read(evacuations, changes, revision, now_ms, may_be_old=False)
-Evacuations.on_read = read_any
+def read_once(evacuations, changes, revision, now_ms, *, may_be_old):
+    if may_be_old or not evacuations.history.knows_evacuations:
+        on_read(evacuations, changes, revision, now_ms, may_be_old=False)
+Evacuations.on_read = read_once
 """,
     ),
     "every balancer takes the whole budget": Mutation(
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -18,6 +18,7 @@
 from ._explain import Failure
 from ._faults import Faults
 from ._mutations import MUTATIONS
+from ._old_copies import OldCopies
 from ._series import Series
 from ._views import view_violations
 from ._violation import Violation
@@ -74,6 +75,9 @@
         self.evacuations = Evacuations(
             self.deployment, self.faults.disturbances, Random(f"evacuations {seed}")
         )
+        self.old_copies = OldCopies(
+            self.deployment, self.series, Random(f"old copies {seed}")
+        )
         self.cold_returns = ColdReturns(
             self.deployment, self.faults.disturbances, Random(f"cold returns {seed}")
         )
@@ -158,10 +162,13 @@
             self.loop.after(self.series.next_pause_s(), self._inject_series)
 
     def _change_evacuations(self):
-        if self.injecting_faults:
-            self.loop.after(self.evacuations.next_pause_s(), self._change_evacuations)
-            returned = self.evacuations.change()
-            self.cold_returns.on_return(returned)
+        if not self.injecting_faults:
+            return
+        pause_s = self.evacuations.next_pause_s()
+        self.cold_returns.on_return(self.evacuations.change())
+        for data_centre in self.deployment.evacuated:
+            pause_s += self.old_copies.on_request(data_centre)
+        self.loop.after(pause_s, self._change_evacuations)
 
     def _send_requests(self):
         for target_id, (index, target) in self.deployment.targets.items():
--- a/libs/soak/src/lagoontally_soak/_series.py
+++ b/libs/soak/src/lagoontally_soak/_series.py
@@ -113,22 +113,24 @@
         centres = deployment.data_centres
         if random.random() < 0.7:
             centres = (random.choice(centres),)
-        balancers = self._balancers_of(centres)
+        balancers = self.balancers_of(centres)
         away_s = random.uniform(0.0, MAX_AWAY_S)
         if random.random() < OLD_READS_SHARE:
             self.read_old_copies()
         self.change_routes(random)
         delay_s = random.uniform(0.0, MAX_KILL_DELAY_S)
-        self.loop.after(delay_s, lambda: self._restart(balancers, away_s))
+        self.loop.after(delay_s, lambda: self.restart(balancers, away_s))
 
-    def _balancers_of(self, centres):
+    def balancers_of(self, centres):
+        """Return the balancers of some data centres."""
         return [
             balancer
             for balancer in self.deployment.balancers.values()
             if balancer.settings["data_centre"] in centres
         ]
 
-    def _restart(self, balancers, away_s):
+    def restart(self, balancers, away_s):
+        """Kill balancers and start them again after a while."""
         names = [balancer.name for balancer in balancers]
         self.faults.restarting.update(names)
         for balancer in balancers:
@@ -199,7 +201,7 @@
     def harm_paths(self):
         """Disturb the paths of one or all balancers of a data centre for long."""
         random = self.random
-        balancers = self._balancers_of((random.choice(self.deployment.data_centres),))
+        balancers = self.balancers_of((random.choice(self.deployment.data_centres),))
         if random.random() < 0.5:
             balancers = [random.choice(balancers)]
         mode = random.choice((SILENT, ONE_WAY, RESET, DELAYED))
@@ -221,7 +223,7 @@
         mode = random.choice((BUSY, STORE_SILENT, RESETTING))
         hosts = []
         for centre in self.deployment.data_centres:
-            balancers = self._balancers_of((centre,))
+            balancers = self.balancers_of((centre,))
             for balancer in random.sample(
                 balancers, random.randint(0, len(balancers) - 1)
             ):
