Readers tell what changed of a target in 18 bytes, not the whole target

Cause: a target's entry changes with each heartbeat while it warms up, and each change went to every member as a whole target, some 125 bytes. Change: a Delta names the cookie, whether it is leaving and the warm-up where nothing else has changed; a member that doesn't know the target drops the delta and compares with the reader as after a lost one. Deltas are split by bytes, not by entries. Programs without this refuse the message and fetch the targets.

--- a/libs/flows/src/lagoontally_flows/_store/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_store/__init__.py
@@ -35,6 +35,7 @@
     ReadConfiguration,
     Watch,
 )
+from ._target_updates import TargetUpdate, expand, shorten
 from ._version_check import Heard, InForce, VersionCheck
 
 __all__ = [
@@ -65,7 +66,10 @@
     "SLOW_LINK_MBPS",
     "StoreHistory",
     "StoreSync",
+    "TargetUpdate",
     "VersionCheck",
     "Watch",
     "configuration_delta",
+    "expand",
+    "shorten",
 ]
--- a/libs/flows/src/lagoontally_flows/_store/_sync_records.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync_records.py
@@ -88,7 +88,7 @@
         configuration_version: Newest configuration known to the reader.
         part: Index of this part, from 0.
         parts: Number of parts that the changes are split into.
-        entries: Pairs of a key and a ``Target`` or None.
+        entries: Pairs of a key and a ``Target``, a ``TargetUpdate`` or None.
         digest: Digest of the reader's targets after these changes.
         settling: As in ``Beacon``.
     """
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -22,83 +22,30 @@
     Members,
     Position,
     Route,
-    Target,
     Verdict,
-    target_cookie,
 )
 from lagoontally_lean import dumps, loads
-from lagoontally_platform import NAME_BYTES, parse_address, parse_host
+from lagoontally_platform import parse_host
+
+from ._target_codec import (
+    MAX_COOKIE,
+    MAX_VERSION,
+    bounded,
+    decode_change,
+    decode_position,
+    encode_change,
+)
 
 MAX_MESSAGE_BYTES = 1_200  # below the usual MTU
 # What decoding an untrusted document may raise, such as for numbers that are
 # infinite or too large.
 DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError, OverflowError)
 MAX_VERDICT_AGE_MS = 60_000  # longest flow lifetime that the platform guarantees
-MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
 MAX_ROUTES_PER_DELTA = 7  # a route takes about 85 bytes, with two services 115
 MAX_EVACUATED_BYTES = 1_000  # of the evacuations in a message
 MAX_PARTS = 256  # of a list of members
-MAX_COOKIE = (1 << 32) - 1
 MAX_WAIT_MS = 60_000  # longest flow lifetime that the platform guarantees
 MAX_ARRIVALS = 1_000_000  # of a report, and slots of a service
-MAX_VERSION = (1 << 63) - 1  # also of revisions; longer ones might not fit
-
-
-def encode_target(target):
-    """Return a target as a JSON array, or None for None."""
-    return target and [target.name.hex(), *target[1:]]
-
-
-def decode_target(document):
-    """Return the target in a document that ``encode_target`` made.
-
-    Raises:
-        ValueError, TypeError, OverflowError: It isn't a valid target.
-    """
-    if document is None:
-        return None
-    name, born, cookie, address, data_centre, service, slots, leaving, warm_up_ms = (
-        document
-    )
-    name = bytes.fromhex(name)
-    if len(name) != NAME_BYTES or cookie != target_cookie(name, born):
-        raise ValueError("a target's name is malformed or doesn't match its cookie")
-    host, port = address
-    address = parse_address(f"{host}:{port}")
-    if address is None:
-        raise ValueError("a target's address is not host:port")
-    if not isinstance(data_centre, str) or not isinstance(service, str):
-        raise ValueError("a target's data centre or service is not a string")
-    if not isinstance(slots, int) or not isinstance(warm_up_ms, int) or slots < 1:
-        raise ValueError("a target's slots or warm-up is not a valid integer")
-    return Target(
-        name,
-        born,
-        cookie,
-        address,
-        data_centre,
-        service,
-        slots,
-        bool(leaving),
-        warm_up_ms,
-    )
-
-
-def decode_position(document):
-    """Return the ``Position`` in a JSON array.
-
-    Raises:
-        ValueError, TypeError, OverflowError: It isn't a valid position.
-    """
-    position = Position(*map(int, document))
-    if not 0 <= min(position) <= max(position) <= MAX_VERSION:
-        raise ValueError("a position is out of range")
-    return position
-
-
-def split_delta(delta):
-    """Split a ``Delta`` into parts that fit into datagrams."""
-    return _split(delta, "entries", MAX_ENTRIES_PER_DELTA)
 
 
 def split_configuration_delta(delta):
@@ -178,7 +125,7 @@
     """Return a message as a datagram, None if it is too long for one."""
     name = type(message).__name__
     if isinstance(message, Delta):
-        entries = [[key, encode_target(target)] for key, target in message.entries]
+        entries = [encode_change(key, target) for key, target in message.entries]
         message = message._replace(entries=entries)
     elif isinstance(message, ConfigurationDelta):
         routes = [[*key, encode_route(route)] for key, route in message.routes]
@@ -284,7 +231,7 @@
         int(version),
         int(part),
         int(parts),
-        [(str(key), decode_target(target)) for key, target in entries],
+        [decode_change(entry) for entry in entries],
         int(digest),
         bool(settling),
     )
@@ -322,12 +269,9 @@
 def _decode_load_report(fields):
     arrivals, answers = fields
     return LoadReport(
+        [(_name(service), bounded(count, MAX_ARRIVALS)) for service, count in arrivals],
         [
-            (_name(service), _bounded(count, MAX_ARRIVALS))
-            for service, count in arrivals
-        ],
-        [
-            (_bounded(cookie, MAX_COOKIE), _bounded(waited_ms, MAX_WAIT_MS))
+            (bounded(cookie, MAX_COOKIE), bounded(waited_ms, MAX_WAIT_MS))
             for cookie, waited_ms in answers
         ],
     )
@@ -337,7 +281,7 @@
     shares, spills = fields
     return LoadAdvice(
         [
-            (_bounded(cookie, MAX_COOKIE), _bounded(percent, 100))
+            (bounded(cookie, MAX_COOKIE), bounded(percent, 100))
             for cookie, percent in shares
         ],
         [(_name(service), _decode_parts(parts)) for service, parts in spills],
@@ -345,7 +289,7 @@
 
 
 def _decode_parts(parts):
-    decoded = [(_name(place), _bounded(percent, 100)) for place, percent in parts]
+    decoded = [(_name(place), bounded(percent, 100)) for place, percent in parts]
     if sum(percent for _, percent in decoded) > 100:
         raise ValueError("the parts are more than the whole")
     return decoded
@@ -355,7 +299,7 @@
     data_centre, demands, passed_on = fields
     return DemandDigest(
         _name(data_centre),
-        [(_name(service), _bounded(busy, MAX_ARRIVALS)) for service, busy in demands],
+        [(_name(service), bounded(busy, MAX_ARRIVALS)) for service, busy in demands],
         bool(passed_on),
     )
 
@@ -366,12 +310,6 @@
     return value
 
 
-def _bounded(value, most):
-    if isinstance(value, bool) or not 0 <= value <= most:
-        raise ValueError("a number is out of range")
-    return value
-
-
 _DECODERS = {
     "Hello": _decode_hello,
     "InForce": _decode_in_force,
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -11,6 +11,8 @@
     Watch,
     configuration_delta,
     digest,
+    expand,
+    shorten,
 )
 from lagoontally_platform import (
     ALL_KEYS_PREFIX,
@@ -27,9 +29,10 @@
 )
 
 from ._http_client import HttpClient, HttpFailure, header_value
-from ._messages import split_configuration_delta, split_delta
+from ._messages import split_configuration_delta
 from ._pages import Pages
 from ._store_log import StoreLog
+from ._target_codec import split_delta
 from ._view_document import decode_configuration, decode_targets
 
 CALL_TIMEOUT_MS = 1_200  # a slow store takes 250 ms
@@ -112,9 +115,12 @@
 
     def on_delta(self, delta, now_ms):
         """Handle changes that a reader sent."""
-        previous = self.store_sync.history.view
+        previous, view = self.store_sync.history.view, self.balancer.view
+        entries = expand(delta.entries, view.targets)
+        if entries is None:
+            return  # a beacon shows that something is missing here
         entries = self.store_sync.on_delta(
-            delta, now_ms, digest_after=self.balancer.view.digest_after
+            delta._replace(entries=entries), now_ms, digest_after=view.digest_after
         )
         if entries is not None:
             self.balancer.on_entries(entries, now_ms)
@@ -193,6 +199,7 @@
         entries = {key: target for key, target in dict(pages.entries).items() if target}
         rules = self.store_sync.listing_rules()
         previous, missing = history.view, self.balancer.view.targets.keys() - entries
+        known = dict(self.balancer.view.targets)
         changes = self.balancer.on_listing(entries, now_ms, rules)
         if any(target for _, target in changes):
             self._check_known(ENTRY_PREFIX, pages.newest, history.targets)
@@ -202,7 +209,7 @@
             previous, changed=len(changes), kept=kept, source="store"
         )
         if history.view != previous:
-            self._announce(None, changes)
+            self._announce(None, shorten(changes, known))
 
     def _add_page(self, pages, result, *, endings):
         """Add a page to a read; return whether it is usable."""
@@ -224,7 +231,7 @@
         Args:
             previous: ``Position`` after which these are all changes, None if they
                 were found by a listing.
-            changes: Pairs of a key and a ``Target`` or None.
+            changes: Pairs of a key and a ``Target``, a ``TargetUpdate`` or None.
         """
         if not self.store_sync.reader:
             return
@@ -267,6 +274,7 @@
         entries = listing.entries
         if self.store_sync.history.is_outdated(listing.revision):
             entries = []  # a reader has sent these changes and later ones
+        known = dict(self.balancer.view.targets)
         self.balancer.on_entries(entries, now_ms)
         self.store_sync.on_changes(
             listing.revision,
@@ -276,7 +284,7 @@
             evacuations=listing.evacuations,
         )
         if self.store_sync.history.view != previous:
-            self._announce(previous, entries)
+            self._announce(previous, shorten(entries, known))
 
     def _on_operator_page(self, result):
         pages = self._pages
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -3,15 +3,8 @@
 from lagoontally_flows import Configuration, Service
 from lagoontally_lean import Record, dumps, loads
 
-from ._messages import (
-    DECODE_ERRORS,
-    MAX_VERSION,
-    decode_position,
-    decode_route,
-    decode_target,
-    encode_route,
-    encode_target,
-)
+from ._messages import DECODE_ERRORS, decode_route, encode_route
+from ._target_codec import MAX_VERSION, decode_position, decode_target, encode_target
 
 
 class TargetsCopy(Record, fields="position entries warm_ups"):
