Members fetch only the targets that differ from their reader's

Cause: a member that missed one change fetched all targets, some 150 bytes each: 450 KB at 3,000, times the members where many missed one. Change: the request holds a digest for each of 256 buckets of targets, the answer only the buckets that differ, and the digest of all. The member puts the reader's list together and takes it over as before, with its position; what differs is compared by content, so eras and older copies of the store need no case of their own. A program before this answers 404, and all targets are requested the next time.

--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -29,7 +29,8 @@
     split_evacuated,
 )
 from lagoontally_forwarder._rereads import Rereads
-from lagoontally_forwarder._view_document import encode_configuration, encode_targets
+from lagoontally_forwarder._targets_exchange import TargetsServer
+from lagoontally_forwarder._view_document import encode_configuration
 
 TICK_MS = 50
 STORE_ADDRESS = ("store", 1)
@@ -70,6 +71,7 @@
             log=self,
             metrics=self,
         )
+        self.targets_server = TargetsServer(self.balancer.view, self.balancer.warm_ups)
         self.version = 0
         self.rereads = Rereads(
             store_sync=self.store_sync,
@@ -139,11 +141,12 @@
     def serve(self, path):
         """Return the response to a peer's request, as the process does."""
         configuration, history = self.balancer.configuration, self.store_sync.history
-        if path == _store_reader.TARGETS_PATH and self.store_sync.has_targets:
-            targets = self.balancer.view.targets
-            warm_ups = self.balancer.warm_ups
-            left_ms = warm_ups.left_by_cookie(targets.values(), self.clock())
-            body = encode_targets(history.announced_view, targets, left_ms)
+        body = None
+        if self.store_sync.has_targets:
+            body = self.targets_server.document(
+                path, history.announced_view, self.clock()
+            )
+        if body is not None:
             return HttpResponse(200, b"", body)
         if path == _store_reader.CONFIGURATION_PATH and configuration is not None:
             return HttpResponse(200, b"", encode_configuration(configuration))
--- a/libs/flows/features/steps/target_changes_steps.py
+++ b/libs/flows/features/steps/target_changes_steps.py
@@ -24,16 +24,21 @@
 
 
 def count_bytes(context):
-    """Count the bytes of changed targets that are sent from now on."""
+    """Count the bytes of changes and of answers that are sent from now on."""
     fleet = context.fleet
-    usual, context.sent_bytes = fleet.broadcast, 0
+    usual, context.sent_bytes, context.answered_bytes = fleet.broadcast, 0, 0
+    usual_answer = fleet._answer_peer
 
     def broadcast(sender, message, data):
         if isinstance(message, Delta):
             context.sent_bytes += len(data)
         usual(sender, message, data)
 
-    fleet.broadcast = broadcast
+    def answer(peer, process, client, number, path):
+        context.answered_bytes += len(path) + len(peer.serve(path).body)
+        usual_answer(peer, process, client, number, path)
+
+    fleet.broadcast, fleet._answer_peer = broadcast, answer
 
 
 @when("each of them tells that {warm_up_ms:d} ms are left")
--- a/libs/flows/src/lagoontally_flows/_store/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_store/__init__.py
@@ -35,12 +35,20 @@
     ReadConfiguration,
     Watch,
 )
+from ._target_buckets import (
+    BUCKETS,
+    bucket_digests,
+    differing,
+    in_buckets,
+    replace_buckets,
+)
 from ._target_updates import TargetUpdate, expand, shorten
 from ._version_check import Heard, InForce, VersionCheck
 
 __all__ = [
     "ALL_CHANGES",
     "BEGAN",
+    "BUCKETS",
     "BY_PEER",
     "BY_READER",
     "BY_REPLY",
@@ -69,7 +77,11 @@
     "TargetUpdate",
     "VersionCheck",
     "Watch",
+    "bucket_digests",
     "configuration_delta",
+    "differing",
     "expand",
+    "in_buckets",
+    "replace_buckets",
     "shorten",
 ]
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -39,9 +39,10 @@
 from ._prober import Prober
 from ._rereads import Rereads
 from ._settings import InvalidSettings, parse_settings
-from ._store_reader import CONFIGURATION_PATH, TARGETS_PATH, StoreReader
+from ._store_reader import CONFIGURATION_PATH, StoreReader
+from ._targets_exchange import TargetsServer
 from ._verdict_log import log_verdict
-from ._view_document import encode_configuration, encode_targets
+from ._view_document import encode_configuration
 
 SETTINGS_CHECK_INTERVAL_MS = 2_000  # the file may change without a signal
 WEAK_PRIORITY_OFFSET = 1 << 32  # sorts after every instance with a fast link
@@ -116,6 +117,7 @@
         self.load_messenger = LoadMessenger(
             self.balancer, peers=self.peers, log=self.log
         )
+        self.targets_server = TargetsServer(self.balancer.view, self.balancer.warm_ups)
         self.prober = Prober(self.loop, self._on_probe_result)
         self.servers = [
             HttpServer(self.loop, settings.ready_address, self._serve_readiness),
@@ -296,10 +298,12 @@
             return 200, self.metrics.render(self._gauges()).encode()
         configuration = self.balancer.configuration
         history = self.store_sync.history
-        if path == TARGETS_PATH.encode() and self.store_sync.has_targets:
-            targets = self.balancer.view.targets
-            warm_ups = self.balancer.warm_ups.left_by_cookie(targets.values(), now_ms())
-            return 200, encode_targets(history.announced_view, targets, warm_ups)
+        if self.store_sync.has_targets:
+            document = self.targets_server.document(
+                path.decode("latin-1"), history.announced_view, now_ms()
+            )
+            if document is not None:
+                return 200, document
         if path == CONFIGURATION_PATH.encode() and configuration is not None:
             return 200, self._configuration_document(configuration)
         return 404, b""
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -33,11 +33,11 @@
 from ._pages import Pages
 from ._store_log import StoreLog
 from ._target_codec import split_delta
-from ._view_document import decode_configuration, decode_targets
+from ._targets_exchange import TARGETS_PATH, TargetsRequest
+from ._view_document import decode_configuration
 
 CALL_TIMEOUT_MS = 1_200  # a slow store takes 250 ms
 WATCH_MARGIN_MS = 1_000
-TARGETS_PATH = "/targets"
 CONFIGURATION_PATH = "/configuration"
 
 
@@ -67,6 +67,7 @@
         self.store = HttpClient(loop, settings.store_address, on_error=failed)
         self._peer_port = settings.peer_address[1]
         self._peer_client = None
+        self._targets_request = TargetsRequest(balancer.view)
         self._configuration_deltas = ConfigurationDeltas()
         self._configuration_digest = 0
         self._pages = None
@@ -107,7 +108,8 @@
             self._pages = Pages(OPERATOR_PREFIX, may_be_old=call.may_be_old)
             self._get(self._pages.path, CALL_TIMEOUT_MS, self._on_operator_page)
         elif isinstance(call, FetchTargets):
-            self._fetch_from_peer(call.host, TARGETS_PATH, self._on_peer_targets)
+            path = self._targets_request.path()
+            self._fetch_from_peer(call.host, path, self._on_peer_targets)
         elif isinstance(call, FetchConfiguration):
             self._fetch_from_peer(
                 call.host, CONFIGURATION_PATH, self._on_peer_configuration
@@ -333,8 +335,10 @@
         self._peer_client.get(path, CALL_TIMEOUT_MS, on_done)
 
     def _on_peer_targets(self, result):
-        copy = self._decode_peer_copy(result, TARGETS_PATH, decode_targets)
+        request = self._targets_request
+        copy = self._decode_peer_copy(result, TARGETS_PATH, request.decode)
         if copy is None:
+            request.on_failure(result)
             return
         now_ms, previous = self.loop.clock(), self.store_sync.history.view
         if self.store_sync.on_targets(copy.position, now_ms):
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -7,19 +7,23 @@
 from ._target_codec import MAX_VERSION, decode_position, decode_target, encode_target
 
 
-class TargetsCopy(Record, fields="position entries warm_ups"):
+class TargetsCopy(
+    Record, fields="position entries warm_ups buckets digest", defaults=(None, 0)
+):
     """The targets that a peer knows.
 
     Attributes:
         position: ``Position`` of the store at which they last changed.
         entries: ``Target`` by key.
         warm_ups: What is left of warm-ups in milliseconds, by cookie.
+        buckets: The buckets that ``entries`` are the content of, None for all.
+        digest: Digest of all targets of the peer if ``buckets`` are stated.
     """
 
     __slots__ = ()
 
 
-def encode_targets(position, entries, warm_ups):
+def encode_targets(position, entries, warm_ups, **options):
     """Return the document of targets as bytes.
 
     Args:
@@ -27,11 +31,12 @@
         entries: ``Target`` by key.
         warm_ups: What is left of warm-ups in milliseconds, by cookie. The entries
             state what was left when they were written.
+        **options: ``buckets`` and ``digest``, as in ``TargetsCopy``.
     """
     targets = {key: encode_target(target) for key, target in entries.items()}
-    return _encode(
-        {"position": position, "targets": targets, "warm_ups": list(warm_ups.items())}
-    )
+    warm_ups = list(warm_ups.items())
+    document = {"position": position, "targets": targets, "warm_ups": warm_ups}
+    return _encode(document | options)
 
 
 def decode_targets(body):
@@ -47,7 +52,13 @@
             int(cookie): max(0, int(left_ms))
             for cookie, left_ms in document.get("warm_ups", ())
         }
-        return TargetsCopy(decode_position(document["position"]), entries, warm_ups)
+        position = decode_position(document["position"])
+        if "buckets" not in document:
+            return TargetsCopy(position, entries, warm_ups)
+        buckets = {int(bucket) for bucket in document["buckets"]}
+        return TargetsCopy(
+            position, entries, warm_ups, buckets, int(document["digest"])
+        )
     except DECODE_ERRORS:
         return None  # the caller counts it
 
