Large data centres: members pass a reader's changes of targets on

Cause: the reader sent each change to each member, so its traffic grew with changes times members. A member that doesn't know the others yet doesn't acknowledge, nor does a program before this. Changes of the configuration go to each member directly as before.

--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/flows/features/lost_changes_fleet.py
@@ -106,6 +106,10 @@
             self.fleet.broadcast(self, message, data)
         return data is not None
 
+    def send_change(self, delta):
+        """Send a change of the targets; so few processes need no relays."""
+        self.broadcast(delta)
+
     def deliver(self, action, *arguments):
         """Run an action as soon as the process can, unless it has ended."""
         if not self.alive:
--- a/libs/flows/src/lagoontally_flows/_store/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_store/__init__.py
@@ -25,6 +25,7 @@
     StoreHistory,
 )
 from ._parts import PartCollector
+from ._relays import RelayAck, Relayed, Relays
 from ._sync import StoreSync
 from ._sync_records import (
     Beacon,
@@ -71,6 +72,9 @@
     "PartCollector",
     "Position",
     "ReadConfiguration",
+    "RelayAck",
+    "Relayed",
+    "Relays",
     "SLOW_LINK_MBPS",
     "StoreHistory",
     "StoreSync",
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -23,8 +23,11 @@
     Members,
     Membership,
     Position,
+    RelayAck,
+    Relayed,
     Route,
     Target,
+    TargetUpdate,
     Verdict,
     target_cookie,
 )
@@ -46,6 +49,7 @@
 VIEW, KNOWN = Position(2, 10, 1), Position(2, 9, 0)
 ENTRIES = [("servers/i-1", TARGET), ("servers/i-2", None)]
 DELTA = Delta(3, KNOWN, VIEW, KNOWN, 2, 0, 1, ENTRIES, 77, True)
+UPDATES = [(None, TargetUpdate(TARGET.cookie, True, 800)), ("servers/i-2", None)]
 MESSAGES = (
     Hello("tifton", 7, 2),
     InForce(14),
@@ -54,6 +58,9 @@
     Beacon(3, VIEW, KNOWN, 2, 13, 40, True, False, 77, KNOWN, 1),
     Evacuated("reader", KNOWN, 0, 1, [Evacuation("tifton", 2, 8, 0)]),
     DELTA,
+    DELTA._replace(entries=UPDATES),
+    Relayed(4, ["10.0.0.1", "10.0.0.2"], DELTA),
+    RelayAck(4),
     ConfigurationDelta(
         3,
         4,
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -21,6 +21,8 @@
     LoadReport,
     Members,
     Position,
+    RelayAck,
+    Relayed,
     Route,
     Verdict,
 )
@@ -43,6 +45,7 @@
 MAX_VERDICT_AGE_MS = 60_000  # longest flow lifetime that the platform guarantees
 MAX_ROUTES_PER_DELTA = 7  # a route takes about 85 bytes, with two services 115
 MAX_EVACUATED_BYTES = 1_000  # of the evacuations in a message
+MAX_RELAYED_HOSTS = 16
 MAX_PARTS = 256  # of a list of members
 MAX_WAIT_MS = 60_000  # longest flow lifetime that the platform guarantees
 MAX_ARRIVALS = 1_000_000  # of a report, and slots of a service
@@ -123,6 +126,11 @@
 
 def encode_message(message):
     """Return a message as a datagram, None if it is too long for one."""
+    data = dumps(_encode(message)).encode()
+    return data if len(data) <= MAX_MESSAGE_BYTES else None
+
+
+def _encode(message):
     name = type(message).__name__
     if isinstance(message, Delta):
         entries = [encode_change(key, target) for key, target in message.entries]
@@ -130,8 +138,9 @@
     elif isinstance(message, ConfigurationDelta):
         routes = [[*key, encode_route(route)] for key, route in message.routes]
         message = message._replace(routes=routes)
-    data = dumps([name, *message]).encode()
-    return data if len(data) <= MAX_MESSAGE_BYTES else None
+    elif isinstance(message, Relayed):
+        message = message._replace(message=_encode(message.message))
+    return [name, *message]
 
 
 def decode_message(data):
@@ -259,6 +268,26 @@
     )
 
 
+def _decode_relayed(fields):
+    number, hosts, (name, *content) = fields
+    if name != Delta.__name__ or len(hosts) > MAX_RELAYED_HOSTS:
+        raise ValueError("a message isn't one that is passed on, or to too many")
+    return Relayed(
+        _bounded_integer(number), _decode_hosts(hosts), _decode_delta(content)
+    )
+
+
+def _decode_relay_ack(fields):
+    (number,) = fields
+    return RelayAck(_bounded_integer(number))
+
+
+def _bounded_integer(value):
+    if type(value) is not int or not 0 <= value <= MAX_VERSION:
+        raise ValueError("a number is not an integer in range")
+    return value
+
+
 def _decode_verdict(fields):
     cookie, dead, evidence, age_ms = fields
     if not 0 <= age_ms <= MAX_VERDICT_AGE_MS:
@@ -323,5 +352,7 @@
     "LoadReport": _decode_load_report,
     "Evacuated": _decode_evacuated,
     "Verdict": _decode_verdict,
+    "RelayAck": _decode_relay_ack,
+    "Relayed": _decode_relayed,
     "DealtAnew": lambda _fields: DealtAnew(),
 }
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -17,6 +17,9 @@
     LoadReport,
     Members,
     Membership,
+    RelayAck,
+    Relayed,
+    Relays,
     Verdict,
 )
 
@@ -26,6 +29,8 @@
 MAX_MESSAGES_PER_READ = 64
 RECEIVE_BYTES = 2_048
 STATE_MESSAGES = (Beacon, ConfigurationDelta, DealtAnew, Delta, Verdict)
+MEMBERSHIP_MESSAGES = (Hello, Joined, Members)
+RELAY_MESSAGES = (RelayAck, Relayed)
 LOAD_MESSAGES = (LoadAdvice, LoadReport)  # only from members
 EPOCH_BITS = 31
 
@@ -45,6 +50,7 @@
     Attributes:
         on_load_message: Called with a message about load and the sender's host.
         membership: The ``Membership``.
+        relays: The ``Relays`` that pass this balancer's changes on.
         version: Version of the configuration in force here; 0 before the first.
     """
 
@@ -61,6 +67,7 @@
             epoch=random.getrandbits(EPOCH_BITS) + 1,  # 0 stands for no list
         )
         self.version = 0
+        self.relays = Relays()
         self._port = settings.peer_address[1]
         self._sock = datagram_socket(settings.peer_address)
         loop.watch(self._sock, self._on_readable)
@@ -71,7 +78,10 @@
         return self.membership.members
 
     def on_tick(self, now_ms):
-        """Send ``Hello`` to the seeds when it is due and remove expired members."""
+        """Send what is due: ``Hello`` to the seeds, and what relays are late with."""
+        for host, message in self.relays.on_tick(now_ms):
+            self.metrics.add("relays", "late")
+            self.send(message, host)
         addresses = dict(self.settings.seeds)
         for seed, hello in self.membership.on_tick(addresses, now_ms):
             self._send(encode_message(hello), (seed, addresses[seed]))
@@ -99,6 +109,13 @@
         self.metrics.add("peer_messages_sent", type(message).__name__)
         return True
 
+    def send_change(self, delta):
+        """Send a ``Delta`` to every member, in a large data centre through relays."""
+        now_ms = self.loop.clock()
+        for host, message in self.relays.send(delta, self.members, now_ms):
+            self.send(message, host)
+        self.metrics.add("peer_messages_sent", type(delta).__name__)
+
     def send(self, message, host):
         """Send a message to one balancer, unless it is too long for a datagram."""
         data = encode_message(message)
@@ -154,16 +171,13 @@
 
     def _on_message(self, message, host):
         now_ms = self.loop.clock()
-        if isinstance(message, Hello):
-            self._on_hello(message, host, now_ms)
-        elif isinstance(message, Members):
-            for member, joined in self.membership.on_members(message, host, now_ms):
-                self.send(joined, member)
-        elif isinstance(message, Joined):
-            self.membership.on_joined(message, host, now_ms)
+        if isinstance(message, MEMBERSHIP_MESSAGES):
+            self._on_membership_message(message, host, now_ms)
         elif isinstance(message, Evacuated):
             if self.evacuations.on_message(message, host, now_ms):
                 self._tell_evacuations(BY_REPLY, (host, self._port), now_ms)
+        elif isinstance(message, RELAY_MESSAGES):
+            self._on_relay_message(message, host, now_ms)
         elif isinstance(message, InForce):
             self.on_message(message, host)
         elif isinstance(message, STATE_MESSAGES):
@@ -173,3 +187,30 @@
             isinstance(message, LOAD_MESSAGES) and host in self.members
         ):
             self.on_load_message(message, host)
+
+    def _on_membership_message(self, message, host, now_ms):
+        if isinstance(message, Hello):
+            self._on_hello(message, host, now_ms)
+        elif isinstance(message, Members):
+            for member, joined in self.membership.on_members(message, host, now_ms):
+                self.send(joined, member)
+        else:
+            self.membership.on_joined(message, host, now_ms)
+
+    def _on_relay_message(self, message, host, now_ms):
+        """Handle a reader's change and pass it on, or an acknowledgement of that.
+
+        Without an acknowledgement the reader sends the change itself, as it should if
+        this balancer doesn't know all of the members yet.
+        """
+        if isinstance(message, RelayAck):
+            self.relays.on_ack(message, host)
+            return
+        self.membership.on_message(host, now_ms)
+        if all(member in self.members for member in message.hosts):
+            self.send(RelayAck(message.number), host)
+            for member in message.hosts:
+                self.send(message.message, member)
+        else:
+            self.metrics.add("relays", "unknown_member")
+        self.on_message(message.message, host)
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -241,7 +241,7 @@
             previous, changes, digest=self.balancer.view.digest
         )
         for part in split_delta(delta):
-            self.peers.broadcast(part)
+            self.peers.send_change(part)
 
     def _announce_configuration(self, previous, configuration):
         """Send a change to the members if this balancer is the reader."""
--- a/libs/forwarder/src/lagoontally_forwarder/_target_codec.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_target_codec.py
@@ -4,7 +4,7 @@
 from lagoontally_lean import dumps
 from lagoontally_platform import NAME_BYTES, parse_address
 
-MAX_DELTA_BYTES = 900  # of the entries in a message
+MAX_DELTA_BYTES = 800  # of the entries in a message, which may be in a Relayed
 MAX_COOKIE = (1 << 32) - 1
 MAX_VERSION = (1 << 63) - 1  # also of revisions; longer ones might not fit
 
