--- a/libs/flows/features/lost_changes_client.py
+++ b/libs/flows/features/lost_changes_client.py
@@ -6,7 +6,7 @@
 class Client:
     """Stands in for ``HttpClient``; see there."""
 
-    def __init__(self, loop, address, *, on_error=None):
+    def __init__(self, loop, address, *, on_error=None, count=None):
         self.loop = loop
         self.address = address
         self.number = 0
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -9,6 +9,7 @@
 from lagoontally_lean import Record
 
 from ._sockets import connect, connect_error
+from ._traffic import UNCOUNTED
 
 RECEIVE_BYTES = 65_536
 STATUS_DIGITS = 3
@@ -43,12 +44,14 @@
         address: Host and port.
         on_error: Called with the time when ``on_done`` has raised an error, so that
             the request isn't made again at once; None for nothing.
+        count: Functions that count bytes sent and received.
     """
 
-    def __init__(self, loop, address, *, on_error=None):
+    def __init__(self, loop, address, *, on_error=None, count=UNCOUNTED):
         self.loop = loop
         self.address = address
         self._on_error = on_error
+        self._count_sent, self._count_received = count
         self._sock = None
         self._request = b""
         self._unsent = b""
@@ -140,6 +143,7 @@
         except OSError as failure:
             self._on_connection_lost(f"send: {failure}")
             return
+        self._count_sent(sent)
         self._unsent = self._unsent[sent:]
         if not self._unsent:
             self.loop.watch(self._sock, self._on_readable, EPOLLIN)
@@ -155,6 +159,7 @@
         if not data:
             self._on_connection_lost("closed by the peer")
             return
+        self._count_received(len(data))
         self._received += data
         if not self.busy:
             self.close()  # data without a request
--- a/libs/forwarder/src/lagoontally_forwarder/_http_server.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_server.py
@@ -3,6 +3,7 @@
 from select import EPOLLIN, EPOLLOUT
 
 from ._sockets import accept, listening_socket
+from ._traffic import UNCOUNTED
 
 MAX_REQUEST_BYTES = 4_096
 MAX_CONNECTIONS = 64
@@ -19,11 +20,13 @@
         loop: The ``Loop`` that watches the connections.
         address: Host and port to listen on.
         handler: Function that takes a path and returns a status and a body.
+        count: Functions that count bytes sent and received.
     """
 
-    def __init__(self, loop, address, handler):
+    def __init__(self, loop, address, handler, *, count=UNCOUNTED):
         self.loop = loop
         self.handler = handler
+        self.count_sent, self.count_received = count
         self.connections = {}
         self.listener = listening_socket(address)
         loop.watch(self.listener, self._on_connection)
@@ -60,6 +63,7 @@
             return
         except OSError:
             data = b""  # a connection that the client reset is treated as closed
+        self.server.count_received(len(data))
         self.received += data
         if not data or len(self.received) > MAX_REQUEST_BYTES:
             self.close()
@@ -91,6 +95,7 @@
         except OSError:
             self.close()  # the client has disconnected
             return
+        self.server.count_sent(sent)
         self.unsent = self.unsent[sent:]
         events = EPOLLOUT if self.unsent else EPOLLIN
         self.server.loop.watch(self.sock, self.on_event, events)
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -25,6 +25,7 @@
 
 from ._messages import decode_message, encode_message, split_evacuated
 from ._sockets import datagram_socket
+from ._traffic import Traffic
 
 MAX_MESSAGES_PER_READ = 64
 RECEIVE_BYTES = 2_048
@@ -58,6 +59,7 @@
         self.loop = loop
         self.settings = settings
         self.metrics = metrics
+        self.traffic = Traffic(metrics)
         self.evacuations = evacuations
         self.on_message = on_message
         self.on_load_message = None
@@ -84,7 +86,7 @@
             self.send(message, host)
         addresses = dict(self.settings.seeds)
         for seed, hello in self.membership.on_tick(addresses, now_ms):
-            self._send(encode_message(hello), (seed, addresses[seed]))
+            self._send(hello, (seed, addresses[seed]))
             self._send_version((seed, addresses[seed]))
             if self.evacuations.since_ms:
                 self._tell_evacuations(BY_PEER, (seed, addresses[seed]), now_ms)
@@ -105,7 +107,7 @@
         if data is None:
             return False
         for host in self.members:
-            self._send(data, (host, self._port))
+            self._send(message, (host, self._port), data)
         self.metrics.add("peer_messages_sent", type(message).__name__)
         return True
 
@@ -118,11 +120,7 @@
 
     def send(self, message, host):
         """Send a message to one balancer, unless it is too long for a datagram."""
-        data = encode_message(message)
-        if data is None:
-            self.metrics.add("peer_unsent", "too_long")
-        else:
-            self._send(data, (host, self._port))
+        self._send(message, (host, self._port))
 
     def send_to_seeds(self, message):
         """Send a message to each seed, in whichever data centre."""
@@ -132,7 +130,7 @@
     def _send_version(self, address):
         """Send the version in force to a balancer in any data centre."""
         if self.version:
-            self._send(encode_message(InForce(self.version)), address)
+            self._send(InForce(self.version), address)
 
     def send_evacuated(self, message, host):
         """Send an ``Evacuated`` to one balancer, in parts."""
@@ -142,13 +140,20 @@
     def _tell_evacuations(self, source, address, now_ms):
         """Tell a balancer in any data centre which ones are emptied."""
         for part in split_evacuated(self.evacuations.message(source, now_ms)):
-            self._send(encode_message(part), address)
+            self._send(part, address)
 
-    def _send(self, data, address):
+    def _send(self, message, address, data=None):
+        """Send a message, or the datagram that it was encoded to before."""
+        data = data or encode_message(message)
+        if data is None:
+            self.metrics.add("peer_unsent", "too_long")
+            return
         try:
             self._sock.sendto(data, address)
         except OSError as error:
             self.metrics.add("peer_unsent", type(error).__name__)
+        else:
+            self.traffic.message_sent(message, data)
 
     def _on_readable(self, _events):
         for _ in range(MAX_MESSAGES_PER_READ):
@@ -157,6 +162,7 @@
             except OSError:
                 return  # no more datagrams
             message = decode_message(data)
+            self.traffic.message_received(message, data)
             if message is None:
                 self.metrics.add("peer_messages_bad", "unreadable")
                 continue
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -41,6 +41,7 @@
 from ._settings import InvalidSettings, parse_settings
 from ._store_reader import CONFIGURATION_PATH, StoreReader
 from ._targets_exchange import TargetsServer
+from ._traffic import FETCHES, READINESS, Traffic
 from ._verdict_log import log_verdict
 from ._view_document import encode_configuration
 
@@ -119,13 +120,17 @@
         )
         self.targets_server = TargetsServer(self.balancer.view, self.balancer.warm_ups)
         self.prober = Prober(self.loop, self._on_probe_result)
+        traffic = Traffic(self.metrics)
+        readiness, fetches = traffic.of(READINESS), traffic.of(FETCHES)
+        ready = (settings.ready_address, self._serve_readiness, readiness)
+        addresses = [ready, (settings.peer_address, self._serve_view, fetches)]
+        if settings.metrics_address is not None:
+            metrics = (settings.metrics_address, self._serve_view, fetches)
+            addresses.append(metrics)
         self.servers = [
-            HttpServer(self.loop, settings.ready_address, self._serve_readiness),
-            HttpServer(self.loop, settings.peer_address, self._serve_view),
+            HttpServer(self.loop, address, handler, count=count)
+            for address, handler, count in addresses
         ]
-        if settings.metrics_address is not None:
-            server = HttpServer(self.loop, settings.metrics_address, self._serve_view)
-            self.servers.append(server)
         self._settings_mtime = stat(path).st_mtime_ns
         self._next_settings_check_ms = self.started_ms + SETTINGS_CHECK_INTERVAL_MS
         self._last_tick_ms = self.started_ms
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -34,6 +34,7 @@
 from ._store_log import StoreLog
 from ._target_codec import split_delta
 from ._targets_exchange import TARGETS_PATH, TargetsRequest
+from ._traffic import FETCHES, STORE, Traffic
 from ._view_document import decode_configuration
 
 CALL_TIMEOUT_MS = 1_200  # a slow store takes 250 ms
@@ -63,8 +64,9 @@
         self.store_log = StoreLog(
             log=log, metrics=metrics, history=store_sync.history, balancer=balancer
         )
+        address, count = settings.store_address, Traffic(metrics).of(STORE)
         failed = store_sync.on_failure
-        self.store = HttpClient(loop, settings.store_address, on_error=failed)
+        self.store = HttpClient(loop, address, on_error=failed, count=count)
         self._peer_port = settings.peer_address[1]
         self._peer_client = None
         self._targets_request = TargetsRequest(balancer.view)
@@ -77,7 +79,7 @@
         self._known_before = None
         # At startup, targets and configuration are read at the same time: open
         # flows need only the targets, and a configuration may be large.
-        self._startup_client = HttpClient(loop, settings.store_address)
+        self._startup_client = HttpClient(loop, address, count=count)
         self._startup_pages = Pages(OPERATOR_PREFIX, may_be_old=True)
         self._startup_client.get(
             self._startup_pages.path, CALL_TIMEOUT_MS, self._on_startup_page
@@ -331,7 +333,8 @@
             self._check_known(OPERATOR_PREFIX, written, known)
 
     def _fetch_from_peer(self, host, path, on_done):
-        self._peer_client = HttpClient(self.loop, (host, self._peer_port))
+        address, count = (host, self._peer_port), Traffic(self.metrics).of(FETCHES)
+        self._peer_client = HttpClient(self.loop, address, count=count)
         self._peer_client.get(path, CALL_TIMEOUT_MS, on_done)
 
     def _on_peer_targets(self, result):
