--- a/libs/flows/features/steps/lost_changes_steps.py
+++ b/libs/bench/features/steps/lost_changes_steps.py
@@ -3,11 +3,17 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from lost_changes_fleet import SILENT
-from lost_changes_plan import HONEST, PRESENT, START_MS, Plan, make_plan
-from lost_changes_run import PORTS, Run
-from lost_changes_search import play
 
+from lagoontally_bench._lost_changes_fleet import SILENT
+from lagoontally_bench._lost_changes_plan import (
+    HONEST,
+    PRESENT,
+    START_MS,
+    Plan,
+    make_plan,
+)
+from lagoontally_bench._lost_changes_run import PORTS, Run
+from lagoontally_bench._lost_changes_search import play
 from lagoontally_flows import Beacon, ConfigurationDelta, Delta, StoreSync
 from lagoontally_platform import ENTRY_PREFIX, OPERATOR_PREFIX
 
--- a/libs/bench/src/lagoontally_bench/__main__.py
+++ b/libs/bench/src/lagoontally_bench/__main__.py
@@ -7,6 +7,7 @@
 from ._commands_explore import explore_command
 from ._commands_golden import golden_command
 from ._commands_matrix import matrix, mutations
+from ._lost_changes_command import lost_changes
 
 
 @click.group()
@@ -18,6 +19,7 @@
 main.add_command(capacity)
 main.add_command(explore_command)
 main.add_command(golden_command)
+main.add_command(lost_changes)
 main.add_command(matrix)
 main.add_command(mutations)
 
--- a/libs/flows/features/lost_changes_fleet.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_fleet.py
@@ -8,9 +8,6 @@
 from unittest.mock import patch
 from urllib.parse import parse_qs, urlsplit
 
-from lost_changes_client import Client
-from lost_changes_store import Store
-
 from lagoontally_flows import (
     BY_READER,
     Balancer,
@@ -32,6 +29,9 @@
 from lagoontally_forwarder._targets_exchange import TargetsServer
 from lagoontally_forwarder._view_document import encode_configuration
 
+from ._lost_changes_client import Client
+from ._lost_changes_store import Store
+
 TICK_MS = 50
 STORE_ADDRESS = ("store", 1)
 PEER_PORT = 2
--- a/libs/flows/features/lost_changes_plan.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_plan.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import NamedTuple
 
-from lost_changes_fleet import BUSY, RESETTING, SILENT
+from ._lost_changes_fleet import BUSY, RESETTING, SILENT
 
 HONEST, PRESENT = "the revision of their copy", "the newest revision"
 START_MS = 3_000
--- a/libs/flows/features/lost_changes_run.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_run.py
@@ -2,13 +2,13 @@
 
 from random import Random
 
-from lost_changes_fleet import Fleet
-from lost_changes_plan import PRESENT
-from lost_changes_store import CONFIGURATION_KEY, EVACUATION_PREFIX, LONG_AGO_MS
-
 from lagoontally_platform import ENTRY_PREFIX
 from lagoontally_platform._documents import decode_configuration, decode_target
 
+from ._lost_changes_fleet import Fleet
+from ._lost_changes_plan import PRESENT
+from ._lost_changes_store import CONFIGURATION_KEY, EVACUATION_PREFIX, LONG_AGO_MS
+
 REWRITE_MS = 2_000
 EXPIRY_MS = 6_000
 PUBLISH_AGAIN_MS = 300
--- a/libs/flows/features/lost_changes_search.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_search.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
-from lost_changes_fleet import Fleet
-from lost_changes_plan import EMPTIED, START_MS
-from lost_changes_run import Run
+from ._lost_changes_fleet import Fleet
+from ._lost_changes_plan import EMPTIED, START_MS
+from ._lost_changes_run import Run
 
 AFTERMATH_MS = 6_000
 RESTORED_AFTERMATH_MS = 14_000  # until what a restored copy lists wrongly has expired
