--- a/libs/bench/features/lost_changes.feature
+++ b/libs/bench/features/lost_changes.feature
@@ -169,6 +169,10 @@
   Scenario: Any order of changes and faults, with old reads that name the newest revision
     Then with 60 seeds no change is lost, old reads come from one copy and name the newest revision
 
+  Scenario: Any order of changes and faults, where members pass changes on
+    Given data centres of 2 members and more have relays
+    Then with 30 seeds no change is lost, old reads come from several copies and name the revision of their copy
+
   Scenario: Orders in which changes were lost once
     Then with the seeds 91, 224, 242, 264, 346, 363, 498, 524, 525, 562, 639, 644 no change is lost
     And with the seeds 666, 714, 738, 778, 787, 794, 868, 895, 956, 977 no change is lost
--- a/libs/bench/features/steps/lost_changes_steps.py
+++ b/libs/bench/features/steps/lost_changes_steps.py
@@ -15,6 +15,7 @@
 from lagoontally_bench._lost_changes_run import PORTS, Run
 from lagoontally_bench._lost_changes_search import play
 from lagoontally_flows import Beacon, ConfigurationDelta, Delta, StoreSync
+from lagoontally_flows._store import _relays
 from lagoontally_platform import ENTRY_PREFIX, OPERATOR_PREFIX
 
 LATENCY_MS = 2
@@ -346,6 +347,15 @@
     assert not context.run.lacking(), context.run.lacking()
 
 
+@given("data centres of {count:d} members and more have relays")
+def step_relays(context, count):
+    """One for each two members."""
+    for name, value in (("MIN_MEMBERS", count), ("GROUP_SIZE", 2)):
+        patched = patch.object(_relays, name, value)
+        patched.start()
+        context.add_cleanup(patched.stop)
+
+
 @then("with {seeds:d} seeds no change is lost, old reads {sources} and name {named}")
 def step_search(context, seeds, sources, named):
     """Random faults among changes, up to five balancers."""
--- a/libs/bench/src/lagoontally_bench/_lost_changes_fleet.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_fleet.py
@@ -1,184 +1,23 @@
-"""Balancers of one data centre with their real store readers on a virtual clock."""
+"""Balancers of one data centre, their store and their network on a virtual clock."""
 
 from heapq import heappop, heappush
 from itertools import count
 from json import dumps
 from random import Random
-from types import SimpleNamespace
 from unittest.mock import patch
 from urllib.parse import parse_qs, urlsplit
 
-from lagoontally_flows import (
-    BY_READER,
-    Balancer,
-    Beacon,
-    ConfigurationDelta,
-    Delta,
-    Evacuated,
-    StoreSync,
-    VersionCheck,
-)
 from lagoontally_forwarder import _store_reader
 from lagoontally_forwarder._http_client import HttpFailure, HttpResponse
-from lagoontally_forwarder._messages import (
-    decode_message,
-    encode_message,
-    split_evacuated,
-)
-from lagoontally_forwarder._rereads import Rereads
-from lagoontally_forwarder._targets_exchange import TargetsServer
-from lagoontally_forwarder._view_document import encode_configuration
 
 from ._lost_changes_client import Client
+from ._lost_changes_process import STORE_ADDRESS, Process
 from ._lost_changes_store import Store
 
-TICK_MS = 50
-STORE_ADDRESS = ("store", 1)
-PEER_PORT = 2
 MAX_AGE_MS = 6_000
 SILENT, BUSY, RESETTING = "silent", "busy", "resetting"
 
 
-class Process:
-    """One balancer process; its loop, its peers, its log and its metrics.
-
-    Attributes:
-        alive: Whether it runs.
-        held: What has reached it while it stands still, None while it runs on.
-        joined_ms: From when on its messages reach the others.
-    """
-
-    def __init__(self, fleet, name, priority, seed):
-        self.fleet = fleet
-        self.name = name
-        self.priority = priority
-        self.alive = True
-        self.held = None
-        self.joined_ms = fleet.now_ms + fleet.random.choice((20, 300))
-        random = Random(seed)
-        self.store_sync = StoreSync(priority=priority, random=random)
-        self.balancer = Balancer(
-            data_centre="z0", random=random, evacuations=self.store_sync.evacuations
-        )
-        self.store_reader = _store_reader.StoreReader(
-            self,
-            SimpleNamespace(
-                store_address=STORE_ADDRESS, peer_address=(name, PEER_PORT)
-            ),
-            store_sync=self.store_sync,
-            balancer=self.balancer,
-            peers=self,
-            log=self,
-            metrics=self,
-        )
-        self.targets_server = TargetsServer(self.balancer.view, self.balancer.warm_ups)
-        self.version = 0
-        self.rereads = Rereads(
-            store_sync=self.store_sync,
-            version_check=VersionCheck(random=random),
-            peers=self,
-            log=self,
-            metrics=self,
-        )
-        self._periodic()
-
-    def clock(self):
-        """Return the time."""
-        return self.fleet.now_ms
-
-    def line(self, event, **fields):
-        """Log a line."""
-        self.fleet.trace(self.name, event, fields)
-
-    def add(self, name, label):
-        """Count nothing."""
-
-    def observe_ms(self, name, value):
-        """Measure nothing."""
-
-    def broadcast(self, message):
-        """Send a message to the other processes."""
-        if isinstance(message, Delta):
-            changes = [(key, bool(target)) for key, target in message.entries]
-            self.line("delta_sent", of=message._replace(entries=()), changes=changes)
-        data = encode_message(message)
-        if data is not None and self.clock() >= self.joined_ms:
-            self.fleet.broadcast(self, message, data)
-        return data is not None
-
-    def send_change(self, delta):
-        """Send a change of the targets; so few processes need no relays."""
-        self.broadcast(delta)
-
-    def deliver(self, action, *arguments):
-        """Run an action as soon as the process can, unless it has ended."""
-        if not self.alive:
-            return
-        if self.held is not None:
-            self.held.append((action, arguments))
-            return
-        action(*arguments)
-        self.tick()
-
-    def resume(self):
-        """Go on after a pause with all that has arrived."""
-        held, self.held = self.held or (), None
-        for action, arguments in held:
-            self.deliver(action, *arguments)
-
-    def receive(self, data, host):
-        """Handle a message of a peer."""
-        message, now_ms = decode_message(data), self.clock()
-        if isinstance(message, Beacon):
-            digest = self.balancer.view.digest
-            self.store_sync.on_beacon(message, host, now_ms, digest=digest)
-        elif isinstance(message, Evacuated):
-            self.store_sync.evacuations.on_message(message, host, now_ms)
-        elif isinstance(message, Delta):
-            before = self.store_sync.history.view
-            self.store_reader.on_delta(message, now_ms)
-            position, view = message.position, self.store_sync.history.view
-            self.line("delta", host=host, position=position, before=before, view=view)
-        elif isinstance(message, ConfigurationDelta):
-            self.store_reader.on_configuration_delta(message)
-
-    def serve(self, path):
-        """Return the response to a peer's request, as the process does."""
-        configuration, history = self.balancer.configuration, self.store_sync.history
-        body = None
-        if self.store_sync.has_targets:
-            body = self.targets_server.document(
-                path, history.announced_view, self.clock()
-            )
-        if body is not None:
-            return HttpResponse(200, b"", body)
-        if path == _store_reader.CONFIGURATION_PATH and configuration is not None:
-            return HttpResponse(200, b"", encode_configuration(configuration))
-        return HttpResponse(404, b"", b"")
-
-    def tick(self):
-        """Do what is due."""
-        now_ms = self.clock()
-        self.store_sync.members = len(self.fleet.living())
-        self.store_reader.on_tick(now_ms)
-        self.rereads.on_tick(now_ms)
-        for update in self.balancer.evacuations.take_updates():
-            self.fleet.evacuation_updates.append((now_ms, self.name, update))
-        beacon = self.store_sync.beacon(now_ms, digest=self.balancer.view.digest)
-        if beacon is not None:
-            self.broadcast(beacon)
-            if beacon.evacuated:
-                told = self.store_sync.evacuations.message(BY_READER, now_ms)
-                for part in split_evacuated(told):
-                    self.broadcast(part)
-
-    def _periodic(self):
-        if self.alive:
-            self.fleet.at(self.clock() + TICK_MS, self._periodic)
-            if self.held is None:
-                self.tick()
-
-
 class Fleet:
     """The processes, the store and the network between them.
 
@@ -309,9 +148,13 @@
     def broadcast(self, sender, message, data):
         """Send a datagram to the other processes; some overtake others."""
         for process in self.living():
-            apart = {sender.name, process.name} & self.peer_cuts
-            if process is sender or apart or self.draw_loss(sender, process, message):
-                continue
+            if process is not sender:
+                self.send(sender, process, message, data)
+
+    def send(self, sender, process, message, data):
+        """Send a datagram to one process."""
+        apart = {sender.name, process.name} & self.peer_cuts
+        if not apart and not self.draw_loss(sender, process, message):
             due_ms = self.now_ms + self.random.choice((1, 1, 2, 30))
             self.at(due_ms, process.deliver, process.receive, data, sender.name)
 
