--- a/libs/bench/features/steps/target_fetch_steps.py
+++ b/libs/bench/features/steps/target_fetch_steps.py
@@ -41,6 +41,20 @@
     )
 
 
+@given("the reader states another digest in its answers")
+def step_other_digest(context):
+    """As if digests of buckets agreed by chance."""
+    reader = context.fleet.processes[context.reader]
+    serve = reader.serve
+
+    def serve_wrong(path):
+        result = serve(path)
+        body = result.body.replace(b'"digest":', b'"digest":1')
+        return HttpResponse(result.status, result.head, body)
+
+    reader.serve = serve_wrong
+
+
 @then("readers have answered members with at most {most:d} bytes")
 def step_answered(context, most):
     """Of at least one answer."""
--- a/libs/bench/features/target_fetch.feature
+++ b/libs/bench/features/target_fetch.feature
@@ -26,6 +26,11 @@
     And the store comes back from its copy of 500 ms ago
     Then after 14000 ms no balancer lacks a change
 
+  Scenario: An answer that doesn't lead to the reader's targets
+    Given the reader states another digest in its answers
+    When a target starts whose entry doesn't reach a member
+    Then after 6000 ms no balancer lacks a change
+
   Scenario: A reader whose program sends all targets only
     Given the reader's program is the one before
     When a target starts whose entry doesn't reach a member
