--- a/libs/flows/src/lagoontally_flows/_store/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_store/__init__.py
@@ -25,6 +25,7 @@
     StoreHistory,
 )
 from ._parts import PartCollector
+from ._relays import RelayAck, Relayed, Relays
 from ._sync import StoreSync
 from ._sync_records import (
     Beacon,
@@ -35,11 +36,20 @@
     ReadConfiguration,
     Watch,
 )
+from ._target_buckets import (
+    BUCKETS,
+    bucket_digests,
+    differing,
+    in_buckets,
+    replace_buckets,
+)
+from ._target_updates import TargetUpdate, expand, shorten
 from ._version_check import Heard, InForce, VersionCheck
 
 __all__ = [
     "ALL_CHANGES",
     "BEGAN",
+    "BUCKETS",
     "BY_PEER",
     "BY_READER",
     "BY_REPLY",
@@ -62,10 +72,20 @@
     "PartCollector",
     "Position",
     "ReadConfiguration",
+    "RelayAck",
+    "Relayed",
+    "Relays",
     "SLOW_LINK_MBPS",
     "StoreHistory",
     "StoreSync",
+    "TargetUpdate",
     "VersionCheck",
     "Watch",
+    "bucket_digests",
     "configuration_delta",
+    "differing",
+    "expand",
+    "in_buckets",
+    "replace_buckets",
+    "shorten",
 ]
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -21,84 +21,34 @@
     LoadReport,
     Members,
     Position,
+    RelayAck,
+    Relayed,
     Route,
-    Target,
     Verdict,
-    target_cookie,
 )
 from lagoontally_lean import dumps, loads
-from lagoontally_platform import NAME_BYTES, parse_address, parse_host
+from lagoontally_platform import parse_host
+
+from ._target_codec import (
+    MAX_COOKIE,
+    MAX_VERSION,
+    bounded,
+    decode_change,
+    decode_position,
+    encode_change,
+)
 
 MAX_MESSAGE_BYTES = 1_200  # below the usual MTU
 # What decoding an untrusted document may raise, such as for numbers that are
 # infinite or too large.
 DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError, OverflowError)
 MAX_VERDICT_AGE_MS = 60_000  # longest flow lifetime that the platform guarantees
-MAX_ENTRIES_PER_DELTA = 6  # an entry takes about 150 bytes
 MAX_ROUTES_PER_DELTA = 7  # a route takes about 85 bytes, with two services 115
 MAX_EVACUATED_BYTES = 1_000  # of the evacuations in a message
+MAX_RELAYED_HOSTS = 16
 MAX_PARTS = 256  # of a list of members
-MAX_COOKIE = (1 << 32) - 1
 MAX_WAIT_MS = 60_000  # longest flow lifetime that the platform guarantees
 MAX_ARRIVALS = 1_000_000  # of a report, and slots of a service
-MAX_VERSION = (1 << 63) - 1  # also of revisions; longer ones might not fit
-
-
-def encode_target(target):
-    """Return a target as a JSON array, or None for None."""
-    return target and [target.name.hex(), *target[1:]]
-
-
-def decode_target(document):
-    """Return the target in a document that ``encode_target`` made.
-
-    Raises:
-        ValueError, TypeError, OverflowError: It isn't a valid target.
-    """
-    if document is None:
-        return None
-    name, born, cookie, address, data_centre, service, slots, leaving, warm_up_ms = (
-        document
-    )
-    name = bytes.fromhex(name)
-    if len(name) != NAME_BYTES or cookie != target_cookie(name, born):
-        raise ValueError("a target's name is malformed or doesn't match its cookie")
-    host, port = address
-    address = parse_address(f"{host}:{port}")
-    if address is None:
-        raise ValueError("a target's address is not host:port")
-    if not isinstance(data_centre, str) or not isinstance(service, str):
-        raise ValueError("a target's data centre or service is not a string")
-    if not isinstance(slots, int) or not isinstance(warm_up_ms, int) or slots < 1:
-        raise ValueError("a target's slots or warm-up is not a valid integer")
-    return Target(
-        name,
-        born,
-        cookie,
-        address,
-        data_centre,
-        service,
-        slots,
-        bool(leaving),
-        warm_up_ms,
-    )
-
-
-def decode_position(document):
-    """Return the ``Position`` in a JSON array.
-
-    Raises:
-        ValueError, TypeError, OverflowError: It isn't a valid position.
-    """
-    position = Position(*map(int, document))
-    if not 0 <= min(position) <= max(position) <= MAX_VERSION:
-        raise ValueError("a position is out of range")
-    return position
-
-
-def split_delta(delta):
-    """Split a ``Delta`` into parts that fit into datagrams."""
-    return _split(delta, "entries", MAX_ENTRIES_PER_DELTA)
 
 
 def split_configuration_delta(delta):
@@ -176,15 +126,21 @@
 
 def encode_message(message):
     """Return a message as a datagram, None if it is too long for one."""
+    data = dumps(_encode(message)).encode()
+    return data if len(data) <= MAX_MESSAGE_BYTES else None
+
+
+def _encode(message):
     name = type(message).__name__
     if isinstance(message, Delta):
-        entries = [[key, encode_target(target)] for key, target in message.entries]
+        entries = [encode_change(key, target) for key, target in message.entries]
         message = message._replace(entries=entries)
     elif isinstance(message, ConfigurationDelta):
         routes = [[*key, encode_route(route)] for key, route in message.routes]
         message = message._replace(routes=routes)
-    data = dumps([name, *message]).encode()
-    return data if len(data) <= MAX_MESSAGE_BYTES else None
+    elif isinstance(message, Relayed):
+        message = message._replace(message=_encode(message.message))
+    return [name, *message]
 
 
 def decode_message(data):
@@ -284,7 +240,7 @@
         int(version),
         int(part),
         int(parts),
-        [(str(key), decode_target(target)) for key, target in entries],
+        [decode_change(entry) for entry in entries],
         int(digest),
         bool(settling),
     )
@@ -312,6 +268,26 @@
     )
 
 
+def _decode_relayed(fields):
+    number, hosts, (name, *content) = fields
+    if name != Delta.__name__ or len(hosts) > MAX_RELAYED_HOSTS:
+        raise ValueError("a message isn't one that is passed on, or to too many")
+    return Relayed(
+        _bounded_integer(number), _decode_hosts(hosts), _decode_delta(content)
+    )
+
+
+def _decode_relay_ack(fields):
+    (number,) = fields
+    return RelayAck(_bounded_integer(number))
+
+
+def _bounded_integer(value):
+    if type(value) is not int or not 0 <= value <= MAX_VERSION:
+        raise ValueError("a number is not an integer in range")
+    return value
+
+
 def _decode_verdict(fields):
     cookie, dead, evidence, age_ms = fields
     if not 0 <= age_ms <= MAX_VERDICT_AGE_MS:
@@ -322,12 +298,9 @@
 def _decode_load_report(fields):
     arrivals, answers = fields
     return LoadReport(
+        [(_name(service), bounded(count, MAX_ARRIVALS)) for service, count in arrivals],
         [
-            (_name(service), _bounded(count, MAX_ARRIVALS))
-            for service, count in arrivals
-        ],
-        [
-            (_bounded(cookie, MAX_COOKIE), _bounded(waited_ms, MAX_WAIT_MS))
+            (bounded(cookie, MAX_COOKIE), bounded(waited_ms, MAX_WAIT_MS))
             for cookie, waited_ms in answers
         ],
     )
@@ -337,7 +310,7 @@
     shares, spills = fields
     return LoadAdvice(
         [
-            (_bounded(cookie, MAX_COOKIE), _bounded(percent, 100))
+            (bounded(cookie, MAX_COOKIE), bounded(percent, 100))
             for cookie, percent in shares
         ],
         [(_name(service), _decode_parts(parts)) for service, parts in spills],
@@ -345,7 +318,7 @@
 
 
 def _decode_parts(parts):
-    decoded = [(_name(place), _bounded(percent, 100)) for place, percent in parts]
+    decoded = [(_name(place), bounded(percent, 100)) for place, percent in parts]
     if sum(percent for _, percent in decoded) > 100:
         raise ValueError("the parts are more than the whole")
     return decoded
@@ -355,7 +328,7 @@
     data_centre, demands, passed_on = fields
     return DemandDigest(
         _name(data_centre),
-        [(_name(service), _bounded(busy, MAX_ARRIVALS)) for service, busy in demands],
+        [(_name(service), bounded(busy, MAX_ARRIVALS)) for service, busy in demands],
         bool(passed_on),
     )
 
@@ -366,12 +339,6 @@
     return value
 
 
-def _bounded(value, most):
-    if isinstance(value, bool) or not 0 <= value <= most:
-        raise ValueError("a number is out of range")
-    return value
-
-
 _DECODERS = {
     "Hello": _decode_hello,
     "InForce": _decode_in_force,
@@ -385,5 +352,7 @@
     "LoadReport": _decode_load_report,
     "Evacuated": _decode_evacuated,
     "Verdict": _decode_verdict,
+    "RelayAck": _decode_relay_ack,
+    "Relayed": _decode_relayed,
     "DealtAnew": lambda _fields: DealtAnew(),
 }
--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -17,15 +17,21 @@
     LoadReport,
     Members,
     Membership,
+    RelayAck,
+    Relayed,
+    Relays,
     Verdict,
 )
 
 from ._messages import decode_message, encode_message, split_evacuated
 from ._sockets import datagram_socket
+from ._traffic import Traffic
 
 MAX_MESSAGES_PER_READ = 64
 RECEIVE_BYTES = 2_048
 STATE_MESSAGES = (Beacon, ConfigurationDelta, DealtAnew, Delta, Verdict)
+MEMBERSHIP_MESSAGES = (Hello, Joined, Members)
+RELAY_MESSAGES = (RelayAck, Relayed)
 LOAD_MESSAGES = (LoadAdvice, LoadReport)  # only from members
 EPOCH_BITS = 31
 
@@ -45,6 +51,7 @@
     Attributes:
         on_load_message: Called with a message about load and the sender's host.
         membership: The ``Membership``.
+        relays: The ``Relays`` that pass this balancer's changes on.
         version: Version of the configuration in force here; 0 before the first.
     """
 
@@ -52,6 +59,7 @@
         self.loop = loop
         self.settings = settings
         self.metrics = metrics
+        self.traffic = Traffic(metrics)
         self.evacuations = evacuations
         self.on_message = on_message
         self.on_load_message = None
@@ -61,6 +69,7 @@
             epoch=random.getrandbits(EPOCH_BITS) + 1,  # 0 stands for no list
         )
         self.version = 0
+        self.relays = Relays()
         self._port = settings.peer_address[1]
         self._sock = datagram_socket(settings.peer_address)
         loop.watch(self._sock, self._on_readable)
@@ -71,10 +80,13 @@
         return self.membership.members
 
     def on_tick(self, now_ms):
-        """Send ``Hello`` to the seeds when it is due and remove expired members."""
+        """Send what is due: ``Hello`` to the seeds, and what relays are late with."""
+        for host, message in self.relays.on_tick(now_ms):
+            self.metrics.add("relays", "late")
+            self.send(message, host)
         addresses = dict(self.settings.seeds)
         for seed, hello in self.membership.on_tick(addresses, now_ms):
-            self._send(encode_message(hello), (seed, addresses[seed]))
+            self._send(hello, (seed, addresses[seed]))
             self._send_version((seed, addresses[seed]))
             if self.evacuations.since_ms:
                 self._tell_evacuations(BY_PEER, (seed, addresses[seed]), now_ms)
@@ -95,17 +107,20 @@
         if data is None:
             return False
         for host in self.members:
-            self._send(data, (host, self._port))
+            self._send(message, (host, self._port), data)
         self.metrics.add("peer_messages_sent", type(message).__name__)
         return True
 
+    def send_change(self, delta):
+        """Send a ``Delta`` to every member, in a large data centre through relays."""
+        now_ms = self.loop.clock()
+        for host, message in self.relays.send(delta, self.members, now_ms):
+            self.send(message, host)
+        self.metrics.add("peer_messages_sent", type(delta).__name__)
+
     def send(self, message, host):
         """Send a message to one balancer, unless it is too long for a datagram."""
-        data = encode_message(message)
-        if data is None:
-            self.metrics.add("peer_unsent", "too_long")
-        else:
-            self._send(data, (host, self._port))
+        self._send(message, (host, self._port))
 
     def send_to_seeds(self, message):
         """Send a message to each seed, in whichever data centre."""
@@ -115,7 +130,7 @@
     def _send_version(self, address):
         """Send the version in force to a balancer in any data centre."""
         if self.version:
-            self._send(encode_message(InForce(self.version)), address)
+            self._send(InForce(self.version), address)
 
     def send_evacuated(self, message, host):
         """Send an ``Evacuated`` to one balancer, in parts."""
@@ -125,13 +140,20 @@
     def _tell_evacuations(self, source, address, now_ms):
         """Tell a balancer in any data centre which ones are emptied."""
         for part in split_evacuated(self.evacuations.message(source, now_ms)):
-            self._send(encode_message(part), address)
+            self._send(part, address)
 
-    def _send(self, data, address):
+    def _send(self, message, address, data=None):
+        """Send a message, or the datagram that it was encoded to before."""
+        data = data or encode_message(message)
+        if data is None:
+            self.metrics.add("peer_unsent", "too_long")
+            return
         try:
             self._sock.sendto(data, address)
         except OSError as error:
             self.metrics.add("peer_unsent", type(error).__name__)
+        else:
+            self.traffic.message_sent(message, data)
 
     def _on_readable(self, _events):
         for _ in range(MAX_MESSAGES_PER_READ):
@@ -140,6 +162,7 @@
             except OSError:
                 return  # no more datagrams
             message = decode_message(data)
+            self.traffic.message_received(message, data)
             if message is None:
                 self.metrics.add("peer_messages_bad", "unreadable")
                 continue
@@ -154,16 +177,13 @@
 
     def _on_message(self, message, host):
         now_ms = self.loop.clock()
-        if isinstance(message, Hello):
-            self._on_hello(message, host, now_ms)
-        elif isinstance(message, Members):
-            for member, joined in self.membership.on_members(message, host, now_ms):
-                self.send(joined, member)
-        elif isinstance(message, Joined):
-            self.membership.on_joined(message, host, now_ms)
+        if isinstance(message, MEMBERSHIP_MESSAGES):
+            self._on_membership_message(message, host, now_ms)
         elif isinstance(message, Evacuated):
             if self.evacuations.on_message(message, host, now_ms):
                 self._tell_evacuations(BY_REPLY, (host, self._port), now_ms)
+        elif isinstance(message, RELAY_MESSAGES):
+            self._on_relay_message(message, host, now_ms)
         elif isinstance(message, InForce):
             self.on_message(message, host)
         elif isinstance(message, STATE_MESSAGES):
@@ -173,3 +193,30 @@
             isinstance(message, LOAD_MESSAGES) and host in self.members
         ):
             self.on_load_message(message, host)
+
+    def _on_membership_message(self, message, host, now_ms):
+        if isinstance(message, Hello):
+            self._on_hello(message, host, now_ms)
+        elif isinstance(message, Members):
+            for member, joined in self.membership.on_members(message, host, now_ms):
+                self.send(joined, member)
+        else:
+            self.membership.on_joined(message, host, now_ms)
+
+    def _on_relay_message(self, message, host, now_ms):
+        """Handle a reader's change and pass it on, or an acknowledgement of that.
+
+        Without an acknowledgement the reader sends the change itself, as it should if
+        this balancer doesn't know all of the members yet.
+        """
+        if isinstance(message, RelayAck):
+            self.relays.on_ack(message, host)
+            return
+        self.membership.on_message(host, now_ms)
+        if all(member in self.members for member in message.hosts):
+            self.send(RelayAck(message.number), host)
+            for member in message.hosts:
+                self.send(message.message, member)
+        else:
+            self.metrics.add("relays", "unknown_member")
+        self.on_message(message.message, host)
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -11,6 +11,8 @@
     Watch,
     configuration_delta,
     digest,
+    expand,
+    shorten,
 )
 from lagoontally_platform import (
     ALL_KEYS_PREFIX,
@@ -26,14 +28,16 @@
 )
 
 from ._http_client import HttpClient, HttpFailure, header_value
-from ._messages import split_configuration_delta, split_delta
+from ._messages import split_configuration_delta
 from ._pages import Pages
 from ._store_log import StoreLog
-from ._view_document import decode_configuration, decode_targets
+from ._target_codec import split_delta
+from ._targets_exchange import TARGETS_PATH, TargetsRequest
+from ._traffic import FETCHES, STORE, Traffic
+from ._view_document import decode_configuration
 
 CALL_TIMEOUT_MS = 1_200  # a slow store takes 250 ms
 WATCH_MARGIN_MS = 1_000
-TARGETS_PATH = "/targets"
 CONFIGURATION_PATH = "/configuration"
 
 
@@ -59,10 +63,12 @@
         self.store_log = StoreLog(
             log=log, metrics=metrics, history=store_sync.history, balancer=balancer
         )
+        address, count = settings.store_address, Traffic(metrics).of(STORE)
         failed = store_sync.on_failure
-        self.store = HttpClient(loop, settings.store_address, on_error=failed)
+        self.store = HttpClient(loop, address, on_error=failed, count=count)
         self._peer_port = settings.peer_address[1]
         self._peer_client = None
+        self._targets_request = TargetsRequest(balancer.view)
         self._configuration_deltas = ConfigurationDeltas()
         self._configuration_digest = 0
         self._pages = None
@@ -72,7 +78,7 @@
         self._known_before = None
         # At startup, targets and configuration are read at the same time: open
         # flows need only the targets, and a configuration may be large.
-        self._startup_client = HttpClient(loop, settings.store_address)
+        self._startup_client = HttpClient(loop, address, count=count)
         self._startup_pages = Pages(OPERATOR_PREFIX, may_be_old=True)
         self._startup_client.get(
             self._startup_pages.path, CALL_TIMEOUT_MS, self._on_startup_page
@@ -103,7 +109,8 @@
             self._pages = Pages(OPERATOR_PREFIX, may_be_old=call.may_be_old)
             self._get(self._pages.path, CALL_TIMEOUT_MS, self._on_operator_page)
         elif isinstance(call, FetchTargets):
-            self._fetch_from_peer(call.host, TARGETS_PATH, self._on_peer_targets)
+            path = self._targets_request.path()
+            self._fetch_from_peer(call.host, path, self._on_peer_targets)
         elif isinstance(call, FetchConfiguration):
             self._fetch_from_peer(
                 call.host, CONFIGURATION_PATH, self._on_peer_configuration
@@ -111,9 +118,12 @@
 
     def on_delta(self, delta, now_ms):
         """Handle changes that a reader sent."""
-        previous = self.store_sync.history.view
+        previous, view = self.store_sync.history.view, self.balancer.view
+        entries = expand(delta.entries, view.targets)
+        if entries is None:
+            return  # a beacon shows that something is missing here
         entries = self.store_sync.on_delta(
-            delta, now_ms, digest_after=self.balancer.view.digest_after
+            delta._replace(entries=entries), now_ms, digest_after=view.digest_after
         )
         if entries is not None:
             self.balancer.on_entries(entries, now_ms)
@@ -192,6 +202,7 @@
         entries = {key: target for key, target in dict(pages.entries).items() if target}
         rules = self.store_sync.listing_rules()
         previous, missing = history.view, self.balancer.view.targets.keys() - entries
+        known = dict(self.balancer.view.targets)
         changes = self.balancer.on_listing(entries, now_ms, rules)
         if any(target for _, target in changes):
             self._check_known(ENTRY_PREFIX, pages.newest, history.targets)
@@ -201,7 +212,7 @@
             previous, changed=len(changes), kept=kept, source="store"
         )
         if history.view != previous:
-            self._announce(None, changes)
+            self._announce(None, shorten(changes, known))
 
     def _add_page(self, pages, result, *, endings):
         """Add a page to a read; return whether it is usable."""
@@ -223,7 +234,7 @@
         Args:
             previous: ``Position`` after which these are all changes, None if they
                 were found by a listing.
-            changes: Pairs of a key and a ``Target`` or None.
+            changes: Pairs of a key and a ``Target``, a ``TargetUpdate`` or None.
         """
         if not self.store_sync.reader:
             return
@@ -231,7 +242,7 @@
             previous, changes, digest=self.balancer.view.digest
         )
         for part in split_delta(delta):
-            self.peers.broadcast(part)
+            self.peers.send_change(part)
 
     def _announce_configuration(self, previous, configuration):
         """Send a change to the members if this balancer is the reader."""
@@ -266,6 +277,7 @@
         entries = listing.entries
         if self.store_sync.history.is_outdated(listing.revision):
             entries = []  # a reader has sent these changes and later ones
+        known = dict(self.balancer.view.targets)
         self.balancer.on_entries(entries, now_ms)
         self.store_sync.on_changes(
             listing.revision,
@@ -275,7 +287,7 @@
             evacuations=listing.evacuations,
         )
         if self.store_sync.history.view != previous:
-            self._announce(previous, entries)
+            self._announce(previous, shorten(entries, known))
 
     def _on_operator_page(self, result):
         pages = self._pages
@@ -320,12 +332,15 @@
             self._check_known(OPERATOR_PREFIX, written, known)
 
     def _fetch_from_peer(self, host, path, on_done):
-        self._peer_client = HttpClient(self.loop, (host, self._peer_port))
+        address, count = (host, self._peer_port), Traffic(self.metrics).of(FETCHES)
+        self._peer_client = HttpClient(self.loop, address, count=count)
         self._peer_client.get(path, CALL_TIMEOUT_MS, on_done)
 
     def _on_peer_targets(self, result):
-        copy = self._decode_peer_copy(result, TARGETS_PATH, decode_targets)
+        request = self._targets_request
+        copy = self._decode_peer_copy(result, TARGETS_PATH, request.decode)
         if copy is None:
+            request.on_failure(result)
             return
         now_ms, previous = self.loop.clock(), self.store_sync.history.view
         if self.store_sync.on_targets(copy.position, now_ms):
