Load sharing: targets that fail repeatedly stay set aside longer

Cause: a target that dies and comes back, or turns slow and fast by turns, came back after the same time on each occasion, and each return sent it flows that the next fault broke or delayed. A reader now counts faults by service and address and holds a target at a tenth of its flows for 2 to 16 s from the second fault above the median of its service on. A single fault takes as long as before.

--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -3,7 +3,16 @@
 from behave import then, when
 from fixtures import LOCAL, REMOTE, SERVICE
 
-from lagoontally_flows import ACK, FIN, DemandDigest, LoadAdvice, LoadReport
+from lagoontally_flows import (
+    ACCEPTED,
+    ACK,
+    FIN,
+    REFUSED,
+    DemandDigest,
+    LoadAdvice,
+    LoadReport,
+    target_cookie,
+)
 from lagoontally_flows._load import spill_parts
 
 USUAL_MS = 20
@@ -118,6 +127,87 @@
     report_for(context, seconds, {})
 
 
+def flap_slow(context, targets):
+    """Let targets be slow for 2 s."""
+    report_for(context, 2, waits_of(context, targets, 6))
+
+
+def flap_dead(context, targets):
+    """Let probes find targets dead, for a second."""
+    balancer, now_ms = context.world.balancer, context.world.now_ms
+    for target in targets:
+        balancer.on_probe_result(target.cookie, REFUSED, now_ms)
+    report_for(context, 1, waits_of(context, (), 1))
+    for target in targets:
+        balancer.on_probe_result(target.cookie, ACCEPTED, context.world.now_ms)
+
+
+def flap_restart(context, targets):
+    """List targets with other ids at the same addresses."""
+    flap_dead(context, targets)
+    for target in targets:
+        name = bytes([target.name[0] + 1]) + target.name[1:]
+        restarted = target._replace(name=name, cookie=target_cookie(name, 0))
+        context.targets[context.targets.index(target)] = restarted
+    context.world.list_targets(*context.targets)
+
+
+FLAPS = {
+    "is slow and then fast again": flap_slow,
+    "dies and comes back": flap_dead,
+    "restarts with another id": flap_restart,
+}
+
+
+@when("{count:d} target {fault} {times:d} times")
+def step_flap(context, count, fault, times):
+    """They are listed and fast for at most 30 s between the faults."""
+    context.back_ms = []
+    for number in range(times):
+        FLAPS[fault](context, context.targets[:count])
+        since_ms = context.world.now_ms
+        shares = report_for(context, 1, waits_of(context, (), 1))[-1]
+        while (
+            shares and number < times - 1 and context.world.now_ms < since_ms + 30_000
+        ):
+            shares = report_for(context, 1, waits_of(context, (), 1))[-1]
+        context.back_ms.append(context.world.now_ms - since_ms)
+
+
+@when("{count:d} other targets die")
+def step_die(context, count):
+    """They are listed still."""
+    balancer, now_ms = context.world.balancer, context.world.now_ms
+    for target in context.targets[-count:]:
+        balancer.on_probe_result(target.cookie, REFUSED, now_ms)
+
+
+@when("another balancer reads for {seconds:d} s")
+def step_other_reads(context, seconds):
+    """This one drops what only a reader keeps."""
+    context.world.balancer.load_sharing.advise(context.world.now_ms, reader=False)
+    context.world.wait(1_000 * seconds)
+
+
+@then("each time takes longer to come back than the one before, up to {most:d} s")
+def step_longer(context, most):
+    """The last time is open, as its end isn't waited for."""
+    context.first_ms = context.back_ms[0]
+    first, *others = context.back_ms[:-1]
+    assert others == sorted(others) and others[0] > first, context.back_ms
+    assert others[1] > others[0] and others[-1] <= 1_000 * most, context.back_ms
+
+
+@then("its return takes as long as the first time")
+def step_as_first(context):
+    """Good time is worth as much as it was before the faults."""
+    shares = [context.world.balancer.load_sharing.speeds.shares]
+    while shares[-1] and context.back_ms[0] < 30_000:
+        shares += report_for(context, 1, waits_of(context, (), 1))
+        context.back_ms[0] += 1_000
+    assert context.back_ms == [context.first_ms], context.back_ms
+
+
 @when("a reader advises a share of {percent:d}% for a target")
 def step_advice(context, percent, cookie=None):
     """Its advice arrives once."""
@@ -203,6 +293,13 @@
     assert bool(shares) == bool(most), shares
 
 
+@then("{count:d} targets are set aside")
+def step_set_aside_exactly(context, count):
+    """By slowness or by faults."""
+    shares = context.world.balancer.load_sharing.speeds.shares
+    assert len(shares) == count, shares
+
+
 @then("its share rises in at least {count:d} steps")
 def step_steps(context, count):
     """It isn't flooded at once."""
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -63,6 +63,52 @@
     And no answer is reported for 8 s
     Then no target is set aside
 
+  Scenario Outline: A target that flaps stays set aside longer each time
+    Given a balancer with 10 targets
+    When 1 target <fault> 6 times
+    Then each time takes longer to come back than the one before, up to <most> s
+    When all targets are equally fast for 120 s
+    And 1 target <fault> 1 times
+    Then its return takes as long as the first time
+
+    Examples:
+      | fault                       | most |
+      | is slow and then fast again | 25   |
+      | dies and comes back         | 25   |
+      | restarts with another id    | 25   |
+
+  Scenario: A target that died once gets all its flows at once
+    Given a balancer with 10 targets
+    When 1 target dies and comes back 1 times
+    Then no target is set aside
+
+  Scenario: A new reader starts without what the former one knew
+    Given a balancer with 10 targets
+    When 1 target dies and comes back 4 times
+    And another balancer reads for 1 s
+    And all targets are equally fast for 1 s
+    Then no target is set aside
+
+  Scenario Outline: Where most targets flap, none is held back for it
+    Given a balancer with <count> targets
+    When <flapping> target dies and comes back 5 times
+    Then <held> targets are set aside
+
+    Examples:
+      | count | flapping | held |
+      | 10    | 10       | 0    |
+      | 10    | 6        | 0    |
+      | 10    | 5        | 5    |
+      | 2     | 1        | 1    |
+      | 1     | 1        | 0    |
+
+  Scenario: Held targets and dead ones together are no more than half
+    Given a balancer with 10 targets
+    When 4 target dies and comes back 5 times
+    And 3 other targets die
+    And all targets are equally fast for 4 s
+    Then 2 targets are set aside
+
   Scenario: Advice lapses when the reader is silent
     Given a balancer with 2 targets
     When a reader advises a share of 1% for a target
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -95,8 +95,10 @@
             return None, None, []
         self._next_ms = now_ms + ADVICE_INTERVAL_MS
         shares_before, spills_before = self.speeds.shares, self.spills
-        targets = [one for one in self.view.targets.values() if not one.leaving]
-        self.speeds.judge(targets, now_ms)
+        listed = self.view.targets.values()
+        targets = [one for one in listed if not one.leaving]
+        dead = {one.cookie for one in targets if self.health.is_dead(one.cookie)}
+        self.speeds.judge(listed, now_ms, dead=dead)
         digest = self._update_demand(targets, now_ms)
         events = self._share_events(shares_before) + self._spill_events(spills_before)
         if not (self.speeds.shares or self.spills or shares_before or spills_before):
@@ -168,7 +170,9 @@
         events = []
         for cookie in self.speeds.shares.keys() - before.keys():
             wait_ms, share = self.speeds.waits.get(cookie), self.speeds.shares[cookie]
+            faults = self.speeds.backoff.held.get(cookie, 0)
             fields = (("share", round(share, 2)), ("wait_ms", wait_ms))
+            fields += (("faults", faults),)
             events.append(self._target_event("target_set_aside", cookie, fields))
         for cookie in before.keys() - self.speeds.shares.keys():
             events.append(self._target_event("target_restored", cookie, ()))
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -5,6 +5,8 @@
 answers from others take longer on the way.
 """
 
+from ._flap_backoff import FlapBackoff
+
 SAMPLES = 32  # latest answers of a target
 SAMPLE_LIFETIME_MS = 3_000
 MIN_SAMPLES = 8  # fewer may all be of long requests
@@ -28,14 +30,17 @@
         waits: Median answer time in milliseconds by cookie, as last judged.
         usual_ms: Answer time in milliseconds that targets are compared with, by pairs
             of a service and a data centre.
+        backoff: The ``FlapBackoff``, whose targets don't come back yet.
     """
 
     def __init__(self):
+        self.backoff = FlapBackoff()
         self.shares = {}
         self.waits = {}
         self.usual_ms = {}
         self._samples = {}
         self._suspects = set()
+        self._slow = set()
         self._long_run_ms = {}
 
     def on_answers(self, host, answers, now_ms):
@@ -52,39 +57,62 @@
             if len(samples) > SAMPLES:
                 del samples[0]
 
-    def judge(self, targets, now_ms):
+    def judge(self, targets, now_ms, *, dead=frozenset()):
         """Update ``shares``.
 
         Args:
             targets: The listed ``Target`` records; all others are forgotten.
             now_ms: Current time.
+            dead: Cookies of those that are dead.
         """
         groups = {}
         for target in targets:
+            if target.leaving:
+                continue
             group = groups.setdefault((target.service, target.data_centre), [])
             group.append(target.cookie)
-        self._forget_all_but(
-            {cookie for cookies in groups.values() for cookie in cookies}, now_ms
-        )
+        listed = {cookie for cookies in groups.values() for cookie in cookies}
+        self._forget_all_but(listed, now_ms)
         self.waits = {
             cookie: _usual_wait_ms(samples)
             for cookie, samples in self._samples.items()
             if self._can_be_judged(cookie, samples)
         }
+        self.usual_ms = {
+            place: usual_ms
+            for place, cookies in groups.items()
+            if (usual_ms := self._usual_ms(place, cookies)) is not None
+        }
+        self._find_slow(groups)
+        self.backoff.update(
+            targets,
+            bad=dead | self._slow,
+            good=listed - dead - self._slow,
+            now_ms=now_ms,
+        )
         shares, suspects = {}, set()
-        self.usual_ms = {}
         for place, cookies in groups.items():
-            usual_ms = self._usual_ms(place, cookies)
-            if usual_ms is not None:
-                self.usual_ms[place] = usual_ms
-            found = self._judge_group(cookies, usual_ms)
+            found = self._judge_group(cookies, self.usual_ms.get(place), dead)
             suspects.update(found)
             shares.update(found)
         # A queue that passes makes a target look slow once.
-        known = self._suspects | self.shares.keys()
+        known = self._suspects | self.shares.keys() | self.backoff.held.keys()
         self.shares = {one: shares[one] for one in shares if one in known}
         self._suspects = suspects
 
+    def _find_slow(self, groups):
+        """Update which targets were slow when their answers last told."""
+        for place, cookies in groups.items():
+            usual_ms = self.usual_ms.get(place)
+            for cookie in cookies:
+                wait_ms = self.waits.get(cookie)
+                if wait_ms is None or usual_ms is None:
+                    continue
+                if cookie in self.shares and _is_slow(wait_ms, usual_ms):
+                    self._slow.add(cookie)
+                elif wait_ms < NORMAL_FACTOR * usual_ms:
+                    self._slow.discard(cookie)
+
     def _usual_ms(self, place, cookies):
         """Return the usual answer time of a group of targets, None if unknown.
 
@@ -100,8 +128,9 @@
         self._long_run_ms[place] = long_run_ms
         return max(usual_ms, long_run_ms)
 
-    def _judge_group(self, cookies, usual_ms):
+    def _judge_group(self, cookies, usual_ms, dead):
         """Return the shares of the slow targets among a service's in a data centre."""
+        held = self.backoff.held
         shares = {}
         for cookie in cookies:
             share = self._share(cookie, usual_ms)
@@ -114,6 +143,13 @@
             if allowed < 0:
                 break
             kept[cookie] = shares[cookie]
+        allowed = MAX_SET_ASIDE * len(cookies) - len(dead.intersection(cookies))
+        allowed -= sum(1.0 - share for share in kept.values())
+        for cookie in sorted(held.keys() & cookies, key=held.get, reverse=True):
+            allowed -= 0.0 if cookie in dead else kept.get(cookie, 1.0) - MIN_SHARE
+            if allowed < 0:
+                break
+            kept[cookie] = MIN_SHARE
         return kept
 
     def _can_be_judged(self, cookie, samples):
@@ -126,8 +162,7 @@
         share = self.shares.get(cookie, 1.0)
         wait_ms = self.waits.get(cookie)
         if wait_ms is not None and usual_ms is not None:
-            slow = wait_ms >= SLOW_FACTOR * usual_ms
-            if slow and wait_ms - usual_ms >= MIN_EXCESS_MS:
+            if _is_slow(wait_ms, usual_ms):
                 return max(MIN_SHARE, usual_ms / wait_ms)
             if share < 1.0 and wait_ms >= NORMAL_FACTOR * usual_ms:
                 return share
@@ -141,6 +176,12 @@
                 self._samples[cookie] = recent
             else:
                 del self._samples[cookie]
+        self._slow &= listed
+
+
+def _is_slow(wait_ms, usual_ms):
+    too_long = wait_ms >= SLOW_FACTOR * usual_ms
+    return too_long and wait_ms - usual_ms >= MIN_EXCESS_MS
 
 
 def _usual_wait_ms(samples):
