Load sharing: connections of a target are added up over the balancers

Cause: each balancer kept to twice its own share of max-conns, so that together they could pass a target's cap while others had room, and callers waited for their next copy. Members now report open flows of targets near their cap (half of their share), and the reader advises which targets are at theirs. Only where max-conns is stated and admission is switched on; below half of a share nothing is said. Data centres aren't added up: with three, their targets may get 1.5 times the cap together (written down as a limit).

--- a/libs/bench/src/lagoontally_bench/_policies.py
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -217,7 +217,12 @@
         ]
         self.turns = 0
         self.sharing = LoadSharing(
-            data_centre="", view=None, health=None, evacuations=None
+            data_centre="",
+            view=None,
+            health=None,
+            evacuations=None,
+            flows=None,
+            admission=None,
         )
         self.advise_ms = 0.0
 
@@ -233,7 +238,7 @@
         speeds = self.sharing.speeds
         speeds.judge(self.records, now_ms)
         shares = [(number, 100 * share) for number, share in speeds.shares.items()]
-        self.sharing.advice.on_advice(LoadAdvice(shares, []), now_ms)
+        self.sharing.advice.on_advice(LoadAdvice(shares, [], []), now_ms)
 
     def _first_order(self, rank, model):
         numbers = [target.number for target in model.targets]
--- a/libs/cli/src/lagoontally/_trace_log.py
+++ b/libs/cli/src/lagoontally/_trace_log.py
@@ -12,6 +12,7 @@
     "target_lapsed",
     "target_set_aside",
     "target_restored",
+    "target_at_cap",
 )
 INSTANCE_EVENTS = (
     "start",
--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -1,7 +1,7 @@
 """Steps for uneven demand and uneven targets."""
 
-from behave import then, when
-from fixtures import LOCAL, REMOTE, SERVICE
+from behave import given, then, when
+from fixtures import LOCAL, REMOTE, SERVICE, configuration
 
 from lagoontally_flows import (
     ACCEPTED,
@@ -11,6 +11,7 @@
     DemandDigest,
     LoadAdvice,
     LoadReport,
+    Service,
     target_cookie,
 )
 from lagoontally_flows._load import spill_parts
@@ -21,13 +22,15 @@
 HOSTS = ("10.1.0.1", "10.1.0.2", "10.1.0.3")
 
 
-def report(context, answers, arrivals=(), hosts=HOSTS):
+def report(context, answers, arrivals=(), hosts=HOSTS, flows=()):
     """Let members report and the reader advise, then pass half a second."""
     world = context.world
     sharing = world.balancer.load_sharing
     sharing.advise(world.now_ms - REPORT_MS, reader=True)
     for host in hosts:
-        sharing.on_report(LoadReport(list(arrivals), list(answers)), host, world.now_ms)
+        sharing.on_report(
+            LoadReport(list(arrivals), list(answers), list(flows)), host, world.now_ms
+        )
     advice, digest, events = sharing.advise(world.now_ms, reader=True)
     context.sent = [*getattr(context, "sent", ()), advice, digest]
     context.events = [*getattr(context, "events", ()), *events]
@@ -212,7 +215,7 @@
 def step_advice(context, percent, cookie=None):
     """Its advice arrives once."""
     cookie = cookie or context.targets[0].cookie
-    advice = LoadAdvice([(cookie, percent)], [])
+    advice = LoadAdvice([(cookie, percent)], [], [])
     context.world.balancer.load_sharing.advice.on_advice(advice, context.world.now_ms)
 
 
@@ -222,6 +225,56 @@
     step_advice(context, percent, cookie=77)
 
 
+@given("a target holds at most {most:d} connections")
+def step_cap(context, most):
+    """The configuration states it; as many balancers as hosts share them."""
+    services = {SERVICE: Service(SERVICE, 0, 0.0, most)}
+    balancer = context.world.balancer
+    balancer.configure(configuration(2)._replace(services=services))
+    balancer.admission.members = len(HOSTS)
+
+
+@given("admission is switched off")
+def step_no_admission(context):
+    """By the settings."""
+    context.world.balancer.admission.enabled = False
+
+
+@when("{members:d} members report {flows:d} flows to {count:d} target")
+def step_report_flows(context, members, flows, count):
+    """The others hold few of them."""
+    context.slow = context.targets[:count]
+    counts = [(target.cookie, flows) for target in context.slow]
+    for hosts, said in ((HOSTS[members:], ()), (HOSTS[:members], counts)):
+        report(context, (), hosts=hosts, flows=said)
+    report(context, (), hosts=())
+
+
+@when("3 members report {flows:d} flows to a remote target")
+def step_report_remote(context, flows):
+    """Callers of another data centre have theirs."""
+    report(context, (), flows=[(context.remote[0].cookie, flows)])
+    report(context, (), hosts=())
+
+
+@then("{count:d} target is at its cap")
+def step_at_cap(context, count):
+    """As the reader finds."""
+    full = context.world.balancer.load_sharing.connections.full
+    assert len(full) == count, full
+
+
+@then("this balancer with {flows:d} open flows reports {said} of them")
+def step_reports(context, flows, said):
+    """Caps that are far away cost no bytes."""
+    world, cookie = context.world, context.targets[0].cookie
+    world.balancer.flows.open_flows[cookie] = flows
+    world.wait(REPORT_MS)
+    sent = world.balancer.load_sharing.take_report(world.now_ms, members=len(HOSTS))
+    wanted = [] if said == "none" else [(cookie, int(said))]
+    assert (sent.flows if sent else []) == wanted, sent
+
+
 @when("callers keep {slots:d} slots busy for {seconds:d} s")
 def step_busy(context, slots, seconds):
     """New flows come at the rate that takes these slots."""
@@ -308,10 +361,11 @@
 
 
 @then('"{event}" is logged once')
-def step_logged(context, event):
+@then('"{event}" is logged {count:d} times')
+def step_logged(context, event, count=1):
     """Changes are logged, not states."""
     names = [one.event for one in context.events]
-    assert names.count(event) == 1, names
+    assert names.count(event) == count, names
 
 
 @then('"{event}" is never logged')
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -122,6 +122,67 @@
     And 40 flows come and go
     Then each target gets 20 flows
 
+  Scenario: A target at its cap of connections is left out while others have room
+    Given a balancer with 4 targets
+    And a target holds at most 60 connections
+    When 3 members report 18 flows to 1 target
+    And 40 flows come and go
+    Then the slow targets together get between 0 and 0 flows
+    When 3 members report 17 flows to 1 target
+    Then 1 target is at its cap
+    When 3 members report 15 flows to 1 target
+    Then 0 target is at its cap
+    And "target_at_cap" is logged 2 times
+
+  Scenario Outline: Flows are counted over all balancers of the data centre
+    Given a balancer with 4 targets and 4 remote ones
+    And a target holds at most <cap> connections
+    When <members> members report <flows> flows to <targets> target
+    Then <full> target is at its cap
+
+    Examples:
+      | cap | members | flows | targets | full |
+      | 60  | 3       | 17    | 1       | 0    |
+      | 60  | 2       | 30    | 1       | 1    |
+      | 60  | 1       | 900   | 1       | 0    |
+      | 60  | 0       | 0     | 1       | 0    |
+      | 0   | 3       | 900   | 1       | 0    |
+      | 60  | 3       | 20    | 4       | 4    |
+
+  Scenario: Targets elsewhere get a data centre's part of their connections
+    Given a balancer with 4 targets and 4 remote ones
+    And a target holds at most 60 connections
+    When 3 members report 9 flows to a remote target
+    Then 1 target is at its cap
+
+  Scenario: Where all targets are at their cap, all are used
+    Given a balancer with 4 targets
+    And a target holds at most 60 connections
+    When 3 members report 20 flows to 4 target
+    And 40 flows come and go
+    Then each target gets 10 flows
+
+  Scenario: Reports of connections that are lost count no longer
+    Given a balancer with 4 targets
+    And a target holds at most 60 connections
+    When 3 members report 20 flows to 1 target
+    And no answer is reported for 3 s
+    Then 0 target is at its cap
+
+  Scenario: Nothing is said about caps where admission is switched off
+    Given a balancer with 4 targets
+    And a target holds at most 60 connections
+    But admission is switched off
+    When 3 members report 20 flows to 1 target
+    Then 0 target is at its cap
+    And this balancer with 40 open flows reports none of them
+
+  Scenario: A balancer reports flows from half of its share on
+    Given a balancer with 1 targets
+    And a target holds at most 60 connections
+    Then this balancer with 9 open flows reports none of them
+    And this balancer with 10 open flows reports 10 of them
+
   Scenario: A burst spills to other data centres
     Given a balancer with 10 targets and 10 remote ones
     When callers keep 30 slots busy for 3 s
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -87,6 +87,8 @@
             view=self.view,
             health=self.health,
             evacuations=self.evacuations,
+            flows=self.flows,
+            admission=self.admission,
         )
         self.target_selector = TargetSelector(
             view=self.view,
--- a/libs/flows/src/lagoontally_flows/_load/_answer_log.py
+++ b/libs/flows/src/lagoontally_flows/_load/_answer_log.py
@@ -29,20 +29,23 @@
         if len(self._answers) < MAX_ANSWERS:
             self._answers.append((answer.cookie, round(answer.waited_ms)))
 
-    def take_report(self, now_ms, *, members):
+    def take_report(self, now_ms, *, members, flows=()):
         """Return the ``LoadReport`` that is due, None if there is none.
 
         Args:
             now_ms: Current time.
             members: Number of balancers that report to the same reader.
+            flows: Pairs of a target's cookie and the flows that it has, of targets
+                near their cap.
         """
         if now_ms < self._next_ms:
             return None
         self._next_ms = now_ms + max(
             REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_MEMBER_MS * members
         )
-        if not self._arrivals and not self._answers:
+        if not self._arrivals and not self._answers and not flows:
             return None
-        report = LoadReport(list(self._arrivals.items()), self._answers)
+        answers = self._answers[: MAX_ANSWERS - len(flows)]
+        report = LoadReport(list(self._arrivals.items()), answers, list(flows))
         self._arrivals, self._answers = {}, []
         return report
--- a/libs/flows/src/lagoontally_flows/_load/_load_advice.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_advice.py
@@ -13,23 +13,30 @@
     def __init__(self):
         self._shares = {}
         self._spills = {}
+        self._full = frozenset()
         self._received_ms = None
 
     def on_advice(self, advice, now_ms):
         """Replace the advice in force."""
         self._shares = {cookie: percent / 100 for cookie, percent in advice.shares}
         self._spills = {service: tuple(parts) for service, parts in advice.spills}
+        self._full = frozenset(advice.full)
         self._received_ms = now_ms
 
     def admitted(self, targets, now_ms, random):
         """Return the targets that a new flow may go to.
 
-        A slow target is left out of all flows but its share. If that leaves none, all
-        are returned, so the only target of a service is never set aside.
+        One that holds as many flows as it may is left out, and a slow one of all flows
+        but its share. If that leaves none, all are returned, so the only target of a
+        service is never set aside.
         """
-        if not self._shares or not self._is_fresh(now_ms):
+        if not self._is_fresh(now_ms):
+            return targets
+        full, shares = self._full, self._shares
+        if full:
+            targets = [one for one in targets if one.cookie not in full] or targets
+        if not shares:
             return targets
-        shares = self._shares
         return [
             target
             for target in targets
--- a/libs/flows/src/lagoontally_flows/_load/_load_messages.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_messages.py
@@ -3,19 +3,21 @@
 from lagoontally_lean import Record
 
 
-class LoadReport(Record, fields="arrivals answers"):
+class LoadReport(Record, fields="arrivals answers flows"):
     """What a balancer saw since its previous report; sent to its reader.
 
     Attributes:
         arrivals: Pairs of a service and its new flows.
         answers: Pairs of a target's cookie and how long an answer took, in
             milliseconds.
+        flows: Pairs of a target's cookie and the balancer's open flows to it, of
+            targets near their cap.
     """
 
     __slots__ = ()
 
 
-class LoadAdvice(Record, fields="shares spills"):
+class LoadAdvice(Record, fields="shares spills full"):
     """What a reader found; sent to its members while there is something to say.
 
     Attributes:
@@ -23,6 +25,7 @@
             flows, in percent.
         spills: Pairs of a service and its parts: pairs of a data centre and the
             percentage of new flows that goes there. The local one gets the rest.
+        full: Cookies of targets that hold as many flows as they may.
     """
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -6,6 +6,7 @@
 
 from .._effects import LogEvent
 from ._answer_log import AnswerLog
+from ._connection_counts import ConnectionCounts, reported_flows
 from ._data_centre_demand import DataCentreDemand
 from ._load_advice import AdviceInForce
 from ._load_messages import DemandDigest, LoadAdvice
@@ -15,6 +16,7 @@
 ADVICE_INTERVAL_MS = 500
 DIGEST_SENDER_LIFETIME_MS = 5_000
 MAX_SHARES, MAX_SPILLS = 30, 5  # of one advice, the slowest first; fit a datagram
+MAX_FULL = 20  # in place of as many shares
 MAX_DIGEST_SENDERS = 64  # anyone can send a digest from a forged address
 
 
@@ -26,32 +28,49 @@
         view: The ``View``.
         health: The ``Health``.
         evacuations: The ``Evacuations``; emptied data centres have no capacity.
+        flows: The ``FlowTable``.
+        admission: The ``Admission``, which knows the caps of connections. Unless it is
+            enabled, nothing is said about them.
 
     Attributes:
         log: The ``AnswerLog`` of this balancer.
         advice: The ``AdviceInForce``.
         speeds: The ``TargetSpeeds``, of use in a reader.
         demand: The ``DataCentreDemand``, of use in a reader.
+        connections: The ``ConnectionCounts``, of use in a reader.
         spills: Parts by data centre, by service; set by a reader.
     """
 
-    def __init__(self, *, data_centre, view, health, evacuations):
+    def __init__(self, *, data_centre, view, health, evacuations, flows, admission):
         self.data_centre = data_centre
         self.view = view
         self.health = health
         self.evacuations = evacuations
+        self.flows = flows
+        self.admission = admission
         self.log = AnswerLog()
         self.advice = AdviceInForce()
         self.spills = {}
         self._digest_senders = {}
         self._reset_reader()
 
+    def take_report(self, now_ms, *, members):
+        """Return the ``LoadReport`` that is due; see ``AnswerLog.take_report``."""
+        caps = self._caps()
+        flows = (
+            reported_flows(self.flows.open_flows, self.view, caps, members)
+            if caps
+            else ()
+        )
+        return self.log.take_report(now_ms, members=members, flows=flows)
+
     def on_report(self, report, host, now_ms):
         """Handle the ``LoadReport`` of a member, or this balancer's own."""
         if not self._is_reader:
             return  # of a member that doesn't know the present reader yet
         self.demand.on_arrivals(report.arrivals)
         self.speeds.on_answers(host, report.answers, now_ms)
+        self.connections.on_report(host, report.flows, now_ms)
 
     def on_digest(self, digest, host, now_ms):
         """Handle a ``DemandDigest`` from a reader, or passed on by a seed.
@@ -95,13 +114,23 @@
             return None, None, []
         self._next_ms = now_ms + ADVICE_INTERVAL_MS
         shares_before, spills_before = self.speeds.shares, self.spills
+        full_before = self.connections.full
         listed = self.view.targets.values()
         targets = [one for one in listed if not one.leaving]
         dead = {one.cookie for one in targets if self.health.is_dead(one.cookie)}
         self.speeds.judge(listed, now_ms, dead=dead)
         digest = self._update_demand(targets, now_ms)
+        self.connections.update(
+            targets,
+            self.data_centre,
+            max_connections=self._caps(),
+            members=self.admission.members,
+            now_ms=now_ms,
+        )
         events = self._share_events(shares_before) + self._spill_events(spills_before)
-        if not (self.speeds.shares or self.spills or shares_before or spills_before):
+        events += self._full_events(full_before)
+        said_before = shares_before or spills_before or full_before
+        if not (self._has_advice() or said_before):
             return None, digest, events
         advice = self._advice()
         self.advice.on_advice(advice, now_ms)
@@ -112,8 +141,19 @@
         return {
             "targets_set_aside": len(self.speeds.shares),
             "services_spilling": len(self.spills),
+            "targets_at_cap": len(self.connections.full),
         }
 
+    def _caps(self):
+        """Return the stated caps of connections by service, if they are kept."""
+        admission = self.admission
+        if not admission.enabled:
+            return {}
+        return {name: most for name, most in admission.max_connections.items() if most}
+
+    def _has_advice(self):
+        return bool(self.speeds.shares or self.spills or self.connections.full)
+
     def _update_demand(self, targets, now_ms):
         """Update demand and spills; return the ``DemandDigest`` to send, or None."""
         waits = {
@@ -164,7 +204,8 @@
             (service, [(name, round(100 * part)) for name, part in parts.items()])
             for service, parts in self.spills.items()
         ]
-        return LoadAdvice(shares[:MAX_SHARES], spills[:MAX_SPILLS])
+        full = sorted(self.connections.full)[:MAX_FULL]
+        return LoadAdvice(shares[: MAX_SHARES - len(full)], spills[:MAX_SPILLS], full)
 
     def _share_events(self, before):
         events = []
@@ -178,6 +219,13 @@
             events.append(self._target_event("target_restored", cookie, ()))
         return events
 
+    def _full_events(self, before):
+        full = self.connections.full
+        return [
+            self._target_event("target_at_cap", cookie, (("full", cookie in full),))
+            for cookie in sorted(full ^ before)
+        ]
+
     def _target_event(self, event, cookie, fields):
         target = self.view.by_cookie.get(cookie)
         name = target.name.hex() if target else f"unknown-{cookie:08x}"
@@ -200,6 +248,7 @@
         """Drop what only a reader keeps."""
         self.speeds = TargetSpeeds()
         self.demand = DataCentreDemand()
+        self.connections = ConnectionCounts()
         self.spills = {}
         self._spilling = set()
         self._is_reader = False
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -70,8 +70,10 @@
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
     DealtAnew(),
-    LoadReport([("desk", 4)], [(TARGET.cookie, 21), (77, 0)]),
-    LoadAdvice([(TARGET.cookie, 17)], [("desk", [("camilla", 20), ("pelham", 25)])]),
+    LoadReport([("desk", 4)], [(TARGET.cookie, 21), (77, 0)], [(77, 1_900)]),
+    LoadAdvice(
+        [(TARGET.cookie, 17)], [("desk", [("camilla", 20), ("pelham", 25)])], [77]
+    ),
     DemandDigest("tifton", [("desk", 30.5)], False),
 )
 FIELDS = st.recursive(
@@ -194,6 +196,11 @@
     names = [f"{number:02d}-parcel-service" for number in range(12)]
     places = [(f"ee-north-{number}", 20) for number in range(5)]
     answers = [((1 << 32) - 1 - number, 60_000) for number in range(40)]
-    report = LoadReport([(name, 1_000) for name in names], answers)
-    advice = LoadAdvice(answers[:30], [(name, places) for name in names[:5]])
+    arrivals = [(name, 1_000) for name in names]
+    report = LoadReport(arrivals, answers[:20], answers[:20])
+    cookies = [cookie for cookie, _ in answers[:20]]
+    spills = [(name, places) for name in names[:5]]
+    advice = LoadAdvice(answers[:10], spills, cookies)
+    assert encode_message(LoadReport(arrivals, answers, []))
+    assert encode_message(LoadAdvice(answers[:30], spills, []))
     assert encode_message(report) and encode_message(advice)
--- a/libs/forwarder/src/lagoontally_forwarder/_load_messenger.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_load_messenger.py
@@ -37,7 +37,7 @@
         if now_ms >= self._next_rank_ms:
             self._next_rank_ms = now_ms + RANK_INTERVAL_MS
             self._update_rank()
-        report = self.sharing.log.take_report(now_ms, members=members)
+        report = self.sharing.take_report(now_ms, members=members)
         if report is not None:
             if reader:
                 self.sharing.on_report(report, self.peers.settings.host, now_ms)
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -40,7 +40,7 @@
 MAX_PARTS = 256  # of a list of members
 MAX_COOKIE = (1 << 32) - 1
 MAX_WAIT_MS = 60_000  # longest flow lifetime that the platform guarantees
-MAX_ARRIVALS = 1_000_000  # of a report, and slots of a service
+MAX_ARRIVALS = 1_000_000  # of a report, also of its flows, and slots of a service
 MAX_VERSION = (1 << 63) - 1  # also of revisions; longer ones might not fit
 
 
@@ -320,27 +320,23 @@
 
 
 def _decode_load_report(fields):
-    arrivals, answers = fields
+    arrivals, answers, flows = fields
     return LoadReport(
         [
             (_name(service), _bounded(count, MAX_ARRIVALS))
             for service, count in arrivals
         ],
-        [
-            (_bounded(cookie, MAX_COOKIE), _bounded(waited_ms, MAX_WAIT_MS))
-            for cookie, waited_ms in answers
-        ],
+        _by_cookie(answers, MAX_WAIT_MS),
+        _by_cookie(flows, MAX_ARRIVALS),
     )
 
 
 def _decode_load_advice(fields):
-    shares, spills = fields
+    shares, spills, full = fields
     return LoadAdvice(
-        [
-            (_bounded(cookie, MAX_COOKIE), _bounded(percent, 100))
-            for cookie, percent in shares
-        ],
+        _by_cookie(shares, 100),
         [(_name(service), _decode_parts(parts)) for service, parts in spills],
+        [_bounded(cookie, MAX_COOKIE) for cookie in full],
     )
 
 
@@ -360,6 +356,13 @@
     )
 
 
+def _by_cookie(pairs, most):
+    return [
+        (_bounded(cookie, MAX_COOKIE), _bounded(number, most))
+        for cookie, number in pairs
+    ]
+
+
 def _name(value):
     if not isinstance(value, str):
         raise ValueError("a name is not a string")
