--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -63,6 +63,52 @@
     And no answer is reported for 8 s
     Then no target is set aside
 
+  Scenario Outline: A target that flaps stays set aside longer each time
+    Given a balancer with 10 targets
+    When 1 target <fault> 6 times
+    Then each time takes longer to come back than the one before, up to <most> s
+    When all targets are equally fast for 120 s
+    And 1 target <fault> 1 times
+    Then its return takes as long as the first time
+
+    Examples:
+      | fault                       | most |
+      | is slow and then fast again | 25   |
+      | dies and comes back         | 25   |
+      | restarts with another id    | 25   |
+
+  Scenario: A target that died once gets all its flows at once
+    Given a balancer with 10 targets
+    When 1 target dies and comes back 1 times
+    Then no target is set aside
+
+  Scenario: A new reader starts without what the former one knew
+    Given a balancer with 10 targets
+    When 1 target dies and comes back 4 times
+    And another balancer reads for 1 s
+    And all targets are equally fast for 1 s
+    Then no target is set aside
+
+  Scenario Outline: Where most targets flap, none is held back for it
+    Given a balancer with <count> targets
+    When <flapping> target dies and comes back 5 times
+    Then <held> targets are set aside
+
+    Examples:
+      | count | flapping | held |
+      | 10    | 10       | 0    |
+      | 10    | 6        | 0    |
+      | 10    | 5        | 5    |
+      | 2     | 1        | 1    |
+      | 1     | 1        | 0    |
+
+  Scenario: Held targets and dead ones together are no more than half
+    Given a balancer with 10 targets
+    When 4 target dies and comes back 5 times
+    And 3 other targets die
+    And all targets are equally fast for 4 s
+    Then 2 targets are set aside
+
   Scenario: Advice lapses when the reader is silent
     Given a balancer with 2 targets
     When a reader advises a share of 1% for a target
@@ -76,6 +122,67 @@
     And 40 flows come and go
     Then each target gets 20 flows
 
+  Scenario: A target at its cap of connections is left out while others have room
+    Given a balancer with 4 targets
+    And a target holds at most 60 connections
+    When 3 members report 18 flows to 1 target
+    And 40 flows come and go
+    Then the slow targets together get between 0 and 0 flows
+    When 3 members report 17 flows to 1 target
+    Then 1 target is at its cap
+    When 3 members report 15 flows to 1 target
+    Then 0 target is at its cap
+    And "target_at_cap" is logged 2 times
+
+  Scenario Outline: Flows are counted over all balancers of the data centre
+    Given a balancer with 4 targets and 4 remote ones
+    And a target holds at most <cap> connections
+    When <members> members report <flows> flows to <targets> target
+    Then <full> target is at its cap
+
+    Examples:
+      | cap | members | flows | targets | full |
+      | 60  | 3       | 17    | 1       | 0    |
+      | 60  | 2       | 30    | 1       | 1    |
+      | 60  | 1       | 900   | 1       | 0    |
+      | 60  | 0       | 0     | 1       | 0    |
+      | 0   | 3       | 900   | 1       | 0    |
+      | 60  | 3       | 20    | 4       | 4    |
+
+  Scenario: Targets elsewhere get a data centre's part of their connections
+    Given a balancer with 4 targets and 4 remote ones
+    And a target holds at most 60 connections
+    When 3 members report 9 flows to a remote target
+    Then 1 target is at its cap
+
+  Scenario: Where all targets are at their cap, all are used
+    Given a balancer with 4 targets
+    And a target holds at most 60 connections
+    When 3 members report 20 flows to 4 target
+    And 40 flows come and go
+    Then each target gets 10 flows
+
+  Scenario: Reports of connections that are lost count no longer
+    Given a balancer with 4 targets
+    And a target holds at most 60 connections
+    When 3 members report 20 flows to 1 target
+    And no answer is reported for 3 s
+    Then 0 target is at its cap
+
+  Scenario: Nothing is said about caps where admission is switched off
+    Given a balancer with 4 targets
+    And a target holds at most 60 connections
+    But admission is switched off
+    When 3 members report 20 flows to 1 target
+    Then 0 target is at its cap
+    And this balancer with 40 open flows reports none of them
+
+  Scenario: A balancer reports flows from half of its share on
+    Given a balancer with 1 targets
+    And a target holds at most 60 connections
+    Then this balancer with 9 open flows reports none of them
+    And this balancer with 10 open flows reports 10 of them
+
   Scenario: A burst spills to other data centres
     Given a balancer with 10 targets and 10 remote ones
     When callers keep 30 slots busy for 3 s
