Soak: the ages of a balancer's old reads don't depend on the order of reads

Cause: a series drew the age of the copy for each old read from one generator, so which balancer read how old a copy depended on timing. The build that goes on from the position of an old read breaks its promise only if a restarted balancer reads a copy from before the last change; where starts are late, the ages of seed 7 are too small. Change: one generator for each balancer and series. Other draws of a seed stay as they were, the ages change. The unbroken program keeps all promises in 8 and 13. libs/soak/features/soak.feature: the five scenarios that run seeds of these two outlines pass at load 20.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -34,7 +34,7 @@
     Examples:
       | seed | seconds |
       | 8    | 2       |
-      | 7    | 2       |
+      | 13   | 2       |
 
   Scenario: Balancers that can't start are reported as a violation
     When a soak test is run whose balancers exit at once
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -29,7 +29,7 @@
 HOST = "127.0.0.1"
 # The features of the forwarder use lower networks.
 FIRST_NETWORK, NETWORK_COUNT = 140, 100
-NETWORKS = (  # one for each run, whose sockets stay open
+NETWORKS = (  # one for each run
     FIRST_NETWORK + number % NETWORK_COUNT
     for number in itertools.count(os.getpid() * 7)
 )
--- a/libs/soak/src/lagoontally_soak/_series.py
+++ b/libs/soak/src/lagoontally_soak/_series.py
@@ -92,13 +92,17 @@
     def read_old_copies(self):
         """Answer reads that may be old from copies that differ in age."""
         random, store = self.random, self.deployment.store
-        copies = Random(random.random())  # its number of draws depends on timing
+        series, copies = random.random(), {}
         max_age_s = random.uniform(*COPY_AGE_S)
         min_age_s = random.choice((0.0, max_age_s))
         store.stale_as_of_present = random.random() < 0.5
 
-        def draw_age_s():
-            return copies.uniform(min_age_s, max_age_s)
+        def draw_age_s(host):
+            # By balancer, whatever the network: their order depends on timing.
+            balancer = host.split(".", 2)[2]
+            if balancer not in copies:
+                copies[balancer] = Random(f"{series} {balancer}")
+            return copies[balancer].uniform(min_age_s, max_age_s)
 
         def end():
             if store.stale_s is draw_age_s:
--- a/libs/standins/features/steps/packets_steps.py
+++ b/libs/standins/features/steps/packets_steps.py
@@ -183,7 +183,8 @@
 @when("reads that may be old are in turn {ages} s behind")
 def step_ages(context, ages):
     """As replicas that differ."""
-    context.store.stale_s = map(float, ages.split(", ")).__next__
+    drawn = map(float, ages.split(", "))
+    context.store.stale_s = lambda host: next(drawn)
 
 
 @then('a read that may be old shows "{name}" and names the revision of "{named}"')
--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -45,7 +45,7 @@
         delay_s: Delay of each response.
         history_s: How long the store keeps its history.
         stale_s: How old the copy is that answers a read with ``stale-ok``, or a
-            function that returns the age of the copy for each such read.
+            function of the client's host that returns the age for each such read.
         stale_as_of_present: Whether such a read names the store's present revision
             instead of the copy's.
         withheld: Prefix of the keys by client host whose changes watches lack.
@@ -156,15 +156,17 @@
     def _answer_range(self, connection, query):
         prefix, after = query.get("prefix", ""), query.get("after", "")
         may_be_old = query.get("stale-ok") == "1"
-        stored, as_of = self._read_old() if may_be_old else (self.items, self.revision)
+        stored, as_of = self.items, self.revision
+        if may_be_old:
+            stored, as_of = self._read_old(connection.host)
         keys = sorted(key for key in stored if key.startswith(prefix) and key > after)
         items = [_item(stored[key]) for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
         connection.send(200, {"items": items, "has-more": more, "as-of": as_of})
 
-    def _read_old(self):
+    def _read_old(self, host):
         """Return the items and the revision that a read with ``stale-ok`` gets."""
-        age_s = self.stale_s() if callable(self.stale_s) else self.stale_s
+        age_s = self.stale_s(host) if callable(self.stale_s) else self.stale_s
         if not age_s:
             return self.items, self.revision
         copy = self._copy_from(self.loop.now - age_s)
