Soak: a balancer that learns of a return late counts the whole warm-up from then

The trace: a request was withdrawn while the store came back from a copy, the data centre restarted as a whole and read a copy with the request, learnt of its end 1.7 s later, and counted the whole warm-up from there, as docs/design/cold-targets.md says. The other data centre had just been emptied, so nothing else could take the flow. Change: the excuse for services whose targets are all cold covers that warm-up.

--- a/libs/soak/src/lagoontally_soak/_cold_returns.py
+++ b/libs/soak/src/lagoontally_soak/_cold_returns.py
@@ -109,9 +109,12 @@
         return any(spell.began <= now < spell.ended for spell in self.spells)
 
     def was_scarce(self, service, start, end):
-        """Return whether a service had only cold targets between two times."""
-        subjects = (_scarcity(service),)
-        return self.disturbances.any_between(subjects, start, end)
+        """Return whether balancers may know only cold targets between two times.
+
+        One that learns of a return late counts the whole warm-up from then.
+        """
+        start -= self.warm_up_s
+        return self.disturbances.any_between((_scarcity(service),), start, end)
 
     def violations(self, targets, balancer_at):
         """Yield a violation for each spell in which a target got too much in a second.
