Warm-ups: the start bounds no entry of a target whose data centre returned since

The target had started 3.5 s before its data centre returned from an evacuation and was cold anew. Its entry stated 682 ms, but the bound by its start (warm-up plus 3 s) ended it 460 ms early. Change: where the data centre returned after the target's start, within 3 s for clocks that differ, the entry counts as it does for targets of old start. Tests: cold_targets.feature, 'Targets that are listed after their data centre returned'; 2 of 3 examples failed before. A balancer that restarts after the return doesn't know of it and still bounds such a target by its start.

--- a/libs/flows/features/cold_targets.feature
+++ b/libs/flows/features/cold_targets.feature
@@ -135,6 +135,26 @@
     When 2100 ms pass
     Then the target is warm
 
+  Scenario Outline: Targets that are listed after their data centre returned
+    Given a balancer with 0 cold and 1 warm targets
+    And the service's targets warm up for 30000 ms
+    When "tifton" is emptied
+    And 1000 ms pass
+    And "tifton" is no longer emptied
+    And <later> ms pass
+    And a target that started 28000 ms ago is listed with 28000 ms left
+    And 5100 ms pass
+    Then the target <state>
+
+    Examples: It started before, and the return may have made it cold anew
+      | later | state    |
+      | 5000  | warms up |
+      | 27000 | warms up |
+
+    Examples: It started after that
+      | later | state   |
+      | 40000 | is warm |
+
   Scenario Outline: A route's flows stay in its regions
     Given a balancer with 2 targets and 2 remote ones
     And the local data centre is in <local> and the remote one in <remote>
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -295,7 +295,9 @@
     def take_effects(self):
         """Return and clear the effects requested since the last call."""
         updates = self.evacuations.take_updates()
-        self.warm_ups.on_evacuations(updates, self.view.targets.values())
+        self.warm_ups.on_evacuations(
+            updates, self.view.targets.values(), self.ticked_ms or 0
+        )
         events = [evacuation_event(one, self.view.targets) for one in updates]
         effects = [*events, *self.effects]
         self.effects.clear()  # in place: the placer holds the same list
--- a/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
@@ -40,6 +40,7 @@
         self._statements = {}
         self._started_anew = set()
         self._warm_ms = {}
+        self._returned_ms = {}
         self._latest_ms = LONG_AGO_MS
 
     def on_entry(self, target, now_ms):
@@ -78,7 +79,7 @@
         if evidence == REFUSED:
             self._on_started_anew(cookie)
 
-    def on_evacuations(self, updates, targets):
+    def on_evacuations(self, updates, targets, now_ms):
         """Handle evacuations that began or ended.
 
         Targets of a data centre that returns may have become cold meanwhile, and their
@@ -87,8 +88,10 @@
         Args:
             updates: ``EvacuationUpdate`` records.
             targets: All ``Target`` records.
+            now_ms: Current time.
         """
         returned = {one.evacuation.data_centre for one in updates if not one.began}
+        self._returned_ms.update(dict.fromkeys(returned, now_ms))
         for target in targets if returned else ():
             if target.data_centre in returned:
                 self._on_started_anew(target.cookie)
@@ -148,7 +151,7 @@
         if not warm_up_ms:
             return statement.until_ms
         longest_ms = warm_up_ms
-        if statement.age_ms is not None:
+        if statement.age_ms is not None and not self._may_have_returned(target):
             since_start_ms = warm_up_ms + CLOCK_TOLERANCE_MS - statement.age_ms
             # A target that started long ago warms up for another reason, such as the
             # return of its data centre.
@@ -156,6 +159,15 @@
                 longest_ms = min(longest_ms, since_start_ms)
         return min(statement.until_ms, statement.received_ms + longest_ms)
 
+    def _may_have_returned(self, target):
+        """Return whether a target's data centre returned after the target's start."""
+        returned_ms = self._returned_ms.get(target.data_centre)
+        if returned_ms is None:
+            return False
+        statement = self._statements[target.cookie]
+        started_ms = statement.received_ms - statement.age_ms
+        return returned_ms + CLOCK_TOLERANCE_MS >= started_ms
+
     def _start_until_ms(self, target, now_ms):
         """Return when a target that has started anew is warm; forget it then."""
         until_ms = self._warm_ms.setdefault(
