--- a/libs/soak/src/lagoontally_soak/_cold_returns.py
+++ b/libs/soak/src/lagoontally_soak/_cold_returns.py
@@ -76,7 +76,7 @@
         deployment.warm_up_s = self.warm_up_s
 
     def on_tick(self):
-        """Record targets that started."""
+        """Record targets that started, and services that have only cold targets."""
         deployment, now = self.deployment, self.deployment.loop.now
         if not deployment.warm_up_s:
             return
