--- a/libs/bench/src/lagoontally_bench/_lost_changes_process.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_process.py
@@ -1,5 +1,6 @@
 """One balancer with its real store reader on a virtual clock."""
 
+from json import loads
 from random import Random
 from types import SimpleNamespace
 
@@ -143,7 +144,8 @@
             self.relays.on_ack(message, host)
         elif isinstance(message, Relayed):
             self._send([(host, RelayAck(message.number))])
-            self._send([(name, message.message) for name in message.hosts])
+            _, _, names, _ = loads(data)  # no hosts, so they were left out of it
+            self._send([(name, message.message) for name in names])
             self.receive(encode_message(message.message), host)
         elif isinstance(message, Delta):
             before = self.store_sync.history.view
