Large data centres: members wait for their relay before they fetch

Cause: a beacon comes straight from the reader, a change by a relay, so members took themselves for outdated and some fetched at once. On the virtual fleet, 60 members and 3,000 targets, 60 fetches of some 356 KB in the first 8 s, none without relays. Change: the random delay before a fetch begins at 200 ms where there are relays; its longest, 730 ms at 60 members, stays.

--- a/libs/flows/features/relays.feature
+++ b/libs/flows/features/relays.feature
@@ -41,3 +41,7 @@
     And a member acknowledges what the first relay was sent
     And 150 ms go by for the reader
     Then the first relay's group gets the change from the reader
+
+  Scenario: A member waits for its relay before it fetches what a beacon announces
+    Then members of 60 wait 200 ms to 730 ms
+    And members of 32 wait 0 ms to 506 ms
--- a/libs/flows/features/steps/relays_steps.py
+++ b/libs/flows/features/steps/relays_steps.py
@@ -1,8 +1,11 @@
 """Steps for the relays of a reader."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 
 from lagoontally_flows import RelayAck, Relayed, Relays
+from lagoontally_flows._store._call_timing import fetch_delay_ms
 
 CHANGE = ("a change",)
 MAX_TRIES = 20
@@ -97,3 +100,11 @@
 def step_used(context):
     """Again."""
     assert context.first[0] in {host for host, _ in context.relayed}
+
+
+@then("members of {count:d} wait {least:d} ms to {most:d} ms")
+def step_fetch_delay(context, count, least, most):
+    """Whatever is drawn."""
+    for drawn, expected in ((0.0, least), (1.0, most)):
+        random = SimpleNamespace(random=lambda drawn=drawn: drawn)
+        assert fetch_delay_ms(count, random) == expected
