Parts of the next change survive the last part of the one before

Cause: as a change was complete, all incomplete ones were dropped, also later ones whose first parts had overtaken it. Test: store_sync.feature, failed with the second change missing.

--- a/libs/flows/features/steps/store_sync_steps.py
+++ b/libs/flows/features/steps/store_sync_steps.py
@@ -192,7 +192,22 @@
 @when("part {part:d} of {parts:d} of reader {reader:d} for {revision:d} arrives")
 def step_part(context, part, parts, reader, revision):
     """Each reader splits its changes in its own way."""
-    previous = context.store_sync.history.view
+    receive_part(
+        context, part, parts, reader, context.store_sync.history.view, revision
+    )
+
+
+@when(
+    "part {part:d} of {parts:d} of reader {reader:d} from {previous:d} for {revision:d}"
+    " arrives"
+)
+def step_later_part(context, part, parts, reader, previous, revision):
+    """A change that continues another one."""
+    receive_part(context, part, parts, reader, Position(1, previous, 0), revision)
+
+
+def receive_part(context, part, parts, reader, previous, revision):
+    """Receive a part with one entry."""
     position = Position(1, revision, 0)
     entry = (f"{reader}-{part}", None)
     delta = Delta(
--- a/libs/flows/features/store_sync.feature
+++ b/libs/flows/features/store_sync.feature
@@ -68,6 +68,15 @@
     Then every balancer knows the targets
     And every balancer has the configuration
 
+  Scenario: The parts of two changes arrive mixed
+    Given a balancer whose targets are those of revision 10
+    When part 0 of 2 of reader 3 for 20 arrives
+    And part 0 of 2 of reader 3 from 20 for 30 arrives
+    And part 1 of 2 of reader 3 for 20 arrives
+    And part 1 of 2 of reader 3 from 20 for 30 arrives
+    Then 3-0, 3-1, 3-0, 3-1 are applied
+    And its targets are those of revision 30
+
   Scenario Outline: Parts of a delta are applied only if complete and from one reader
     Given a balancer whose targets are those of revision 10
     When part <first> of 2 of reader <one> for 20 arrives
--- a/libs/flows/src/lagoontally_flows/_store/_parts.py
+++ b/libs/flows/src/lagoontally_flows/_store/_parts.py
@@ -30,6 +30,11 @@
         del self._incomplete[message_id]
         return [item for index in sorted(received) for item in received[index]]
 
+    def keep(self, is_needed):
+        """Drop the incomplete messages for whose id a function returns false."""
+        found = self._incomplete.items()
+        self._incomplete = {key: parts for key, parts in found if is_needed(key)}
+
     def clear(self):
         """Drop all incomplete messages."""
         self._incomplete.clear()
--- a/libs/flows/src/lagoontally_flows/_store/_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -246,7 +246,8 @@
             return None
         if not self.history.follows(delta) and digest_after(entries) != delta.digest:
             return None
-        self._parts.clear()
+        # Parts of the next change may have overtaken the last one of this.
+        self._parts.keep(lambda one: one[2] > delta.position)
         self._targets_outdated = False
         self.history.on_copy(delta.position)
         if delta.settling:
