Target order: steps that leave out no target, in turn; model of uneven demand

Cause: balancers with the same first target took steps of 1 + 7k through the targets; with 7 targets in a data centre all took step 1, and a target that was set aside sent all its flows to one other. Now the steps that leave out no target are taken in turn.

--- a/libs/bench/features/experiments.feature
+++ b/libs/bench/features/experiments.feature
@@ -32,6 +32,19 @@
     Then "core" has recovered within 5 s
     And "core" sends at most 1.1 requests upstream per request
 
+  Scenario Outline: Uneven demand and slow targets make callers wait little longer
+    Given 21 targets in 3 data centres, <balancers> balancers and demand of 3 to 1 to 1
+    And 3 targets that turn slow by 5 when demand turns uneven
+    When "packet-random, packet-advised" and "one-queue" run with seed 1
+    Then p99 of the wait with "packet-advised" is at most 2 times that with "one-queue"
+    And p99 of the wait with "packet-advised" is at most 0.5 times that with "packet-random"
+
+    Examples:
+      | balancers |
+      | 30        |
+      | 99        |
+      | 300       |
+
   Scenario: Runs with the same seed give the same results
     Given 7 targets of 2 slots, 14 balancers and load 0.6
     When "core" and "two-own" run with seed 3
--- a/libs/bench/features/steps/experiments_steps.py
+++ b/libs/bench/features/steps/experiments_steps.py
@@ -7,6 +7,7 @@
 
 REQUESTS = 4_000
 REQUESTS_IN_STORM = 12_000
+REQUESTS_UNEVEN = 60_000
 
 
 def run_all(context, seed, condition=None):
@@ -15,8 +16,10 @@
     experiment = Experiment(
         name="test",
         seed=seed,
-        requests=REQUESTS_IN_STORM if condition.commands else REQUESTS,
-        fleets=[Fleet("dossier-desk", 7)],
+        requests=REQUESTS_IN_STORM if condition.commands else context.requests,
+        mean_work_ms=context.mean_work_ms,
+        queue=context.queue,
+        fleets=[context.fleet],
         loads=[context.load],
         work=["exponential"],
         policies=context.policies,
@@ -29,9 +32,36 @@
 def step_fleet(context, load):
     """Use the sizes of the franchise tenant's service."""
     context.load = load
+    context.fleet = Fleet("dossier-desk", 7)
+    context.requests, context.mean_work_ms, context.queue = REQUESTS, 100.0, 16
     context.condition = Condition("honest")
 
 
+@given("21 targets in 3 data centres, {count:d} balancers and demand of 3 to 1 to 1")
+def step_uneven(context, count):
+    """Work is short, as field lookups are."""
+    context.load = 0.7
+    context.fleet = Fleet(
+        "lookup", 21, balancers=count, centres=3, hop_ms=3.0, demand=(3, 1, 1)
+    )
+    context.requests, context.mean_work_ms, context.queue = REQUESTS_UNEVEN, 14.0, 8
+
+
+@given("{count:d} targets that turn slow by {factor:d} when demand turns uneven")
+def step_turn_slow(context, count, factor):
+    """Both after a third of the run."""
+    context.condition = Condition(
+        "slow", half_speed=count, slow_factor=factor, onset=0.33
+    )
+
+
+@then('p99 of the wait with "{one}" is at most {factor:g} times that with "{other}"')
+def step_wait(context, one, factor, other):
+    """Latency less the work at normal speed."""
+    waits = [context.results[name].wait_p99_ms for name in (one, other)]
+    assert waits[0] <= factor * waits[1], waits
+
+
 @given("a caller that sends {times:d} times the load of all others for a while")
 def step_storm(context, times):
     """Add a storm of reads; a fifth of the others' requests are commands."""
--- a/libs/bench/src/lagoontally_bench/_bench_command.py
+++ b/libs/bench/src/lagoontally_bench/_bench_command.py
@@ -10,7 +10,7 @@
 from ._runs import run_experiment
 
 ROW_FORMAT = (
-    "{:<12} {:>4} {:<11} {:<12} {:<18} {:>7} {:>7} {:>7} "
+    "{:<12} {:>4} {:<11} {:<12} {:<18} {:>7} {:>7} {:>7} {:>7} "
     "{:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>6}"
 )
 COLUMN_TITLES = (
@@ -22,6 +22,7 @@
     "p50",
     "p99",
     "p99.9",
+    "wait",
     "jobs",
     "busy",
     "shed",
@@ -64,6 +65,7 @@
                 item.p50_ms,
                 item.p99_ms,
                 item.p999_ms,
+                item.wait_p99_ms,
                 item.jobs_imbalance,
                 item.busy_imbalance,
                 item.shed,
--- a/libs/bench/src/lagoontally_bench/_experiment.py
+++ b/libs/bench/src/lagoontally_bench/_experiment.py
@@ -16,6 +16,8 @@
         balancers: Number of balancers.
         centres: Number of data centres over which targets and balancers are spread.
         hop_ms: One-way delay between two data centres.
+        demand: Relative demand of the data centres' callers, empty if it
+            is even.
     """
 
     name: str
@@ -24,6 +26,7 @@
     balancers: int = 14
     centres: int = 1
     hop_ms: float = 1.0
+    demand: tuple[float, ...] = ()
 
 
 class Condition(NamedTuple):
@@ -35,6 +38,7 @@
         liars: Number of targets that always report that they are idle.
         half_speed: Number of targets that take ``slow_factor`` times as long.
         slow_factor: Multiplier of their service time.
+        onset: Part of the run after which they are slow and demand is uneven.
         cold: Number of targets that restart a third into the run.
         cold_ms: How long a restarted target is slow.
         cold_factor: Multiplier of its service time while it is slow.
@@ -52,6 +56,7 @@
     liars: int = 0
     half_speed: int = 0
     slow_factor: float = 2.0
+    onset: float = 0.0
     cold: int = 0
     cold_ms: float = 10_000.0
     cold_factor: float = 5.0
--- a/libs/bench/src/lagoontally_bench/_policies.py
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -1,11 +1,12 @@
 """Target selection policies for the queueing model."""
 
 from collections import deque
+from random import Random
 
 from lagoontally_core import rendezvous_pick
 from lagoontally_flows import (
-    LoadAdvice,
-    LoadSharing,
+    Balancer,
+    LoadReport,
     Target,
     select_target,
     target_order,
@@ -13,7 +14,7 @@
 
 REPORT_HALF_LIFE_MS = 1_000.0
 PREFERRED_TARGETS = 5
-ADVICE_INTERVAL_MS = 500
+SERVICE = "modelled"
 
 
 class Policy:
@@ -153,8 +154,8 @@
         dispatcher = self._dispatcher_of(job.balancer, model)
         ask_ms = reply_ms = 0.0
         if dispatcher is not job.balancer:
-            ask_ms = model.hop_ms(job.balancer, dispatcher)
-            reply_ms = model.hop_ms(job.balancer, dispatcher)
+            ask_ms = model.peer_delay_ms(job.balancer, dispatcher)
+            reply_ms = model.peer_delay_ms(job.balancer, dispatcher)
         model.after(ask_ms, self._decide, job, dispatcher, reply_ms, model)
 
     def _decide(self, job, dispatcher, reply_ms, model):
@@ -181,7 +182,7 @@
         """Notify the dispatcher that placed the request."""
         if isinstance(job.flow, int):
             return
-        delay_ms = model.hop_ms(job.sender, job.flow)
+        delay_ms = model.peer_delay_ms(job.sender, job.flow)
         delay_ms += 0.0 if answered else self.release_delay_ms
         model.after(delay_ms, self._release, job.flow, job.target.number)
 
@@ -209,41 +210,68 @@
     def start(self, model):
         """Describe the targets as the packet balancers see them."""
         self.records = [
-            Target(b"", 0, target.number, None, "", "", target.slots, False, 0)
+            Target(
+                name=target.number.to_bytes(8, "big"),
+                born=0,
+                cookie=target.number,
+                address=(str(target.number), 0),
+                data_centre=str(target.centre),
+                service=SERVICE,
+                slots=target.slots,
+                leaving=False,
+                warm_up_ms=0,
+            )
             for target in model.targets
         ]
         self.orders = [
             self._first_order(balancer.number, model) for balancer in model.balancers
         ]
         self.turns = 0
-        self.sharing = LoadSharing(
-            data_centre="",
-            view=None,
-            health=None,
-            evacuations=None,
-            flows=None,
-            admission=None,
-        )
-        self.advise_ms = 0.0
+        self.readers = [
+            self._reader(str(centre), model) for centre in range(model.fleet.centres)
+        ]
+
+    def place(self, job, model):
+        """Report a new flow, then place it."""
+        if self.advised and not job.tries:
+            report = LoadReport([(SERVICE, 1)], [], [])
+            self._report(job.balancer, report, model.now_ms)
+        super().place(job, model)
 
     def on_release(self, job, model, *, answered):
-        """Record how long an answer took."""
+        """Report how long an answer took."""
         if answered and self.advised:
-            answers = [(job.target.number, model.now_ms - job.arrived_ms)]
-            self.sharing.speeds.on_answers(job.sender.number, answers, model.now_ms)
-
-    def _advise(self, now_ms):
-        """Update the advice as a reader does."""
-        self.advise_ms = now_ms + ADVICE_INTERVAL_MS
-        speeds = self.sharing.speeds
-        speeds.judge(self.records, now_ms)
-        shares = [(number, 100 * share) for number, share in speeds.shares.items()]
-        self.sharing.advice.on_advice(LoadAdvice(shares, [], []), now_ms)
+            waited_ms = model.now_ms - job.arrived_ms
+            report = LoadReport([], [(job.target.number, waited_ms)], [])
+            self._report(job.sender, report, model.now_ms)
+
+    def _reader(self, data_centre, model):
+        """Return the load sharing of a data centre's reader."""
+        reader = Balancer(data_centre=data_centre, random=Random(0))
+        entries = {str(record.cookie): record for record in self.records}
+        reader.on_listing(entries, model.now_ms)
+        reader.load_sharing.advise(model.now_ms, reader=True)
+        return reader.load_sharing
+
+    def _report(self, balancer, report, now_ms):
+        reader = self.readers[balancer.centre]
+        reader.on_report(report, balancer.number, now_ms)
+        _, digest, _ = reader.advise(now_ms, reader=True)
+        if digest is not None:
+            for other in self.readers:
+                other.on_digest(digest, reader.data_centre, now_ms)
 
     def _first_order(self, rank, model):
         numbers = [target.number for target in model.targets]
         if self.order == "divided":
-            return target_order(rank, numbers)
+            centres = model.fleet.centres
+            return {
+                number: place
+                for centre in range(centres)
+                for number, place in target_order(
+                    rank // centres, numbers[centre::centres]
+                ).items()
+            }
         model.random.shuffle(numbers)
         return {number: place for place, number in enumerate(numbers)}
 
@@ -251,9 +279,8 @@
         """Return the target that ``select_target`` selects."""
         order = self.orders[balancer.number]
         load = balancer.in_flight
-        if self.advised and model.now_ms >= self.advise_ms:
-            self._advise(model.now_ms)
-        records = self.sharing.advice.admitted(
+        advice = self.readers[balancer.centre].advice
+        records = advice.admitted(
             [self.records[target.number] for target in usable],
             model.now_ms,
             model.random,
@@ -267,10 +294,11 @@
         selected = select_target(
             preferred or records,
             load=lambda record: load[record.cookie],
-            data_centre="",
-            data_centres=("",),
+            data_centre=str(balancer.centre),
+            data_centres=range(model.fleet.centres),
             draw=model.random.random(),
             tie_break=lambda record: order[record.cookie],
+            spill=advice.spill(SERVICE, model.now_ms),
         )
         if self.order == "rotation":
             self.turns += 1
@@ -279,10 +307,11 @@
 
 
 class OneQueue(Policy):
-    """One queue before all slots: the limit that no other policy can beat."""
+    """One queue before all slots, without distances: a limit for other policies."""
 
     def start(self, model):
         """Begin with an empty queue."""
+        model.hop_ms = 0.0
         self.queue = deque()
         self.used = [0] * len(model.targets)
 
@@ -299,7 +328,8 @@
     def _send_queued(self, model):
         while self.queue:
             target = min(
-                model.targets, key=lambda one: (self.used[one.number], one.factor)
+                model.targets,
+                key=lambda one: (self.used[one.number], one.factor),
             )
             if self.used[target.number] >= target.slots:
                 return
--- a/libs/bench/src/lagoontally_bench/_queueing.py
+++ b/libs/bench/src/lagoontally_bench/_queueing.py
@@ -138,8 +138,10 @@
 
     Attributes:
         now_ms: The virtual time.
+        hop_ms: One-way delay between two data centres.
         command_latencies: Latency of each answered command; real cores only.
         latencies: ``(time, latency)`` of each request that was answered or timed out.
+        waits: Latency less the work at normal speed, of each answered request.
         jobs_imbalance: Samples of max over mean of the jobs at the targets.
         busy_imbalance: Samples of max over mean of the busy slots.
         sends: Requests sent to targets.
@@ -165,12 +167,16 @@
             Balancer(number, number % fleet.centres, fleet.targets)
             for number in range(fleet.balancers)
         ]
+        demand = fleet.demand or [1.0] * fleet.centres
+        self.weights = [demand[one.centre] for one in self.balancers]
+        self.hop_ms = fleet.hop_ms
         self.policy = policy
         slots = fleet.targets * fleet.slots
         self.mean_interarrival_ms = experiment.mean_work_ms / (load * slots)
         self.end_ms = experiment.requests * self.mean_interarrival_ms
         self.remaining = experiment.requests
         self.latencies = []
+        self.waits = []
         self.command_latencies = []
         self.jobs_imbalance = []
         self.busy_imbalance = []
@@ -207,7 +213,13 @@
         for target in self.targets[: condition.liars]:
             target.reports_idle = True
         for target in self.targets[: condition.half_speed]:
-            target.factor = condition.slow_factor
+            self.after(
+                condition.onset * (self.end_ms - self.now_ms),
+                setattr,
+                target,
+                "factor",
+                condition.slow_factor,
+            )
         for target in self.targets[: condition.cold]:
             self.after(third_ms, setattr, target, "factor", condition.cold_factor)
             self.after(third_ms + condition.cold_ms, setattr, target, "factor", 1.0)
@@ -245,21 +257,26 @@
             self.after(
                 self.random.expovariate(1 / self.mean_interarrival_ms), self._arrive
             )
-        balancer = self.random.choice(self.balancers)
+        balancer = self._receiver()
         flow = self.random.randrange(2_000)
         job = self.new_job(flow, balancer)
         balancer.retry_tokens += RETRY_TOKENS_PER_REQUEST
         balancer.retry_tokens = min(balancer.retry_tokens, MAX_RETRY_TOKENS)
         self.policy.place(job, self)
 
+    def _receiver(self):
+        if not self.fleet.demand or self.now_ms < self.condition.onset * self.end_ms:
+            return self.random.choice(self.balancers)
+        return self.random.choices(self.balancers, self.weights)[0]
+
     def new_job(self, flow, balancer):
         """Return a request that has just arrived."""
         return Job(flow, self.now_ms, balancer, self._work_ms())
 
-    def hop_ms(self, one, other):
+    def peer_delay_ms(self, one, other):
         """Return the delay of a peer message between two balancers."""
         base_ms = self.random.uniform(*RELAY_DELAY_RANGE_MS)
-        return base_ms if one.centre == other.centre else base_ms + self.fleet.hop_ms
+        return base_ms if one.centre == other.centre else base_ms + self.hop_ms
 
     def usable(self, balancer, tried=()):
         """Return the targets that a balancer may select."""
@@ -276,7 +293,7 @@
         sender.sent_since[target.number] += 1
         self.sends += 1
         far = sender.centre != target.centre
-        delay_ms = NETWORK_DELAY_MS + (self.fleet.hop_ms if far else 0.0)
+        delay_ms = NETWORK_DELAY_MS + (self.hop_ms if far else 0.0)
         self.after(delay_ms, self._reach_target, job, target)
         self.after(TRY_TIMEOUT_MS, self._time_out, job, len(job.tries))
 
@@ -314,6 +331,7 @@
         self._release(job, answered=True)
         job.sender.failures[target.number] = 0
         job.sender.closed_until_ms[target.number] = 0.0
+        self.waits.append(self.now_ms - job.arrived_ms - job.work_ms)
         self.record_latency(self.now_ms - job.arrived_ms)
 
     def record_latency(self, latency_ms):
--- a/libs/bench/src/lagoontally_bench/_runs.py
+++ b/libs/bench/src/lagoontally_bench/_runs.py
@@ -44,6 +44,8 @@
         p50_ms: Median latency.
         p99_ms: 99th percentile.
         p999_ms: 99.9th percentile.
+        wait_p99_ms: 99th percentile of the latency less the work at normal speed, 0
+            with real cores.
         jobs_imbalance: Mean of the samples of max over mean of the targets' jobs.
         busy_imbalance: Mean of the samples of max over mean of the busy slots.
         shed: Number of tries that a target shed.
@@ -64,6 +66,7 @@
     p50_ms: float
     p99_ms: float
     p999_ms: float
+    wait_p99_ms: float
     jobs_imbalance: float
     busy_imbalance: float
     shed: int
@@ -114,6 +117,7 @@
         p50_ms=p50,
         p99_ms=p99,
         p999_ms=p999,
+        wait_p99_ms=_percentile(sorted(model.waits), 99.0),
         jobs_imbalance=_mean(model.jobs_imbalance),
         busy_imbalance=_mean(model.busy_imbalance),
         shed=model.counts["shed"],
--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -1,5 +1,7 @@
 """Steps for uneven demand and uneven targets."""
 
+from math import gcd
+
 from behave import given, then, when
 from fixtures import LOCAL, REMOTE, SERVICE, configuration
 
@@ -13,6 +15,7 @@
     LoadReport,
     Service,
     target_cookie,
+    target_order,
 )
 from lagoontally_flows._load import spill_parts
 
@@ -185,6 +188,22 @@
         balancer.on_probe_result(target.cookie, REFUSED, now_ms)
 
 
+@then(
+    "of {count:d} targets each is first, and next to each other, for as many balancers"
+)
+def step_orders(context, count):
+    """As many balancers as there are orders with different steps."""
+    cookies = range(1, count + 1)
+    steps = [step for step in range(1, count) if gcd(step, count) == 1] or [1]
+    orders = [target_order(rank, cookies) for rank in range(count * len(steps))]
+    for places in zip(
+        *(sorted(order, key=order.get)[:2] for order in orders), strict=True
+    ):
+        assert {places.count(cookie) for cookie in cookies} == {len(steps)}, places
+    pairs = {tuple(sorted(order, key=order.get)[:2]) for order in orders}
+    assert len(pairs) == len(orders), len(pairs)
+
+
 @when("another balancer reads for {seconds:d} s")
 def step_other_reads(context, seconds):
     """This one drops what only a reader keeps."""
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -77,6 +77,17 @@
       | dies and comes back         | 25   |
       | restarts with another id    | 25   |
 
+  Scenario Outline: Flows of a target that is set aside go to all others alike
+    Then of <count> targets each is first, and next to each other, for as many balancers
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+      | 5     |
+      | 7     |
+      | 20    |
+
   Scenario: A target that died once gets all its flows at once
     Given a balancer with 10 targets
     When 1 target dies and comes back 1 times
--- a/libs/flows/src/lagoontally_flows/_placing/_target_order.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_order.py
@@ -7,7 +7,6 @@
 that are still open move a balancer on to its next target.
 """
 
-STRIDE_STEP = 7  # stride difference of balancers with the same first target
 MAX_PLACE = 1_000_003  # a prime, so that targets that aren't listed are spread
 
 
@@ -23,12 +22,22 @@
     if not count:
         return {}
     round_, start = divmod(rank, count)
-    stride = 1 + STRIDE_STEP * (round_ + 1) % count
-    while _common_divisor(stride, count) > 1:
-        stride += 1  # otherwise the order would leave out targets
+    strides = _strides(count)
+    stride = strides[round_ % len(strides)]
     return {cookies[(start + stride * place) % count]: place for place in range(count)}
 
 
+def _strides(count):
+    """Return the steps through so many targets that leave out none.
+
+    Balancers with the same first target take different ones, so that the flows of a
+    target that is full or set aside don't all go to the same other one.
+    """
+    return [step for step in range(1, count) if _common_divisor(step, count) == 1] or [
+        1
+    ]
+
+
 def _common_divisor(one, other):
     while other:
         one, other = other, one % other
