Target speeds: a slow target gets less than its speed's share while others are free

Cause: a slow target took usual by own time of a usual target's flows also where others had slots free, so callers waited there for nothing. Its share now follows speed and load: its speed's where all slots are busy, less before, a tenth at least.

--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -17,7 +17,7 @@
     target_cookie,
     target_order,
 )
-from lagoontally_flows._load import spill_parts
+from lagoontally_flows._load import slow_share, spill_parts
 
 USUAL_MS = 20
 REFUSED_MS = 3  # the way to the target and back
@@ -356,6 +356,12 @@
     assert least <= percent <= most, percent
 
 
+@then("at speed {speed:g} and load {load:g} its share is {percent:d}%")
+def step_slow_share_of(context, speed, load, percent):
+    """All the slots that are left count where all are busy."""
+    assert round(100 * slow_share(speed, load)) == percent, slow_share(speed, load)
+
+
 @then("no target is set aside")
 @then("at most {most:d} targets are set aside")
 def step_set_aside(context, most=0):
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -7,6 +7,18 @@
     Then the slow targets together get between 2 and 20 flows
     And "target_set_aside" is logged once
 
+  Scenario Outline: A slow target gets less than its speed's share while others are free
+    Then at speed <speed> and load <load> its share is <percent>%
+
+    Examples:
+      | speed | load | percent |
+      | 0.4   | 1.5  | 40      |
+      | 0.4   | 1.0  | 40      |
+      | 0.4   | 0.7  | 30      |
+      | 0.4   | 0.3  | 10      |
+      | 0.2   | 0.8  | 14      |
+      | 0.2   | 0.0  | 10      |
+
   Scenario: A few long requests don't make a target slow
     Given a balancer with 10 targets
     When each target takes 7 times as long for 1 request in 10
--- a/libs/flows/src/lagoontally_flows/_load/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_load/__init__.py
@@ -6,7 +6,7 @@
 from ._load_messages import DemandDigest, LoadAdvice, LoadReport
 from ._load_sharing import LoadSharing
 from ._spill import spill_parts
-from ._target_speeds import TargetSpeeds
+from ._target_speeds import TargetSpeeds, slow_share
 
 __all__ = [
     "AdviceInForce",
@@ -17,5 +17,6 @@
     "LoadReport",
     "LoadSharing",
     "TargetSpeeds",
+    "slow_share",
     "spill_parts",
 ]
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -118,7 +118,7 @@
         listed = self.view.targets.values()
         targets = [one for one in listed if not one.leaving]
         dead = {one.cookie for one in targets if self.health.is_dead(one.cookie)}
-        self.speeds.judge(listed, now_ms, dead=dead)
+        self.speeds.judge(listed, now_ms, dead=dead, loads=self._loads)
         digest = self._update_demand(targets, now_ms)
         self.connections.update(
             targets,
@@ -165,6 +165,11 @@
             return None
         capacities = self._capacities(targets)
         self.spills = {}
+        self._loads = {
+            (service, self.data_centre): self.demand.busy.get(service, 0.0) / own
+            for service, sizes in capacities.items()
+            if (own := sizes.get(self.data_centre, 0))
+        }
         for service, sizes in capacities.items():
             parts = self._spill(service, sizes, now_ms)
             if parts:
@@ -251,5 +256,6 @@
         self.connections = ConnectionCounts()
         self.spills = {}
         self._spilling = set()
+        self._loads = {}
         self._is_reader = False
         self._next_ms = 0
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -19,6 +19,7 @@
 LONG_RUN_SMOOTHING = 0.02  # at each judgement, every half second
 MIN_SHARE = 0.1  # keeps answers coming, which show that it is fast again
 STEP_FACTOR, STEP = 1.4, 0.05  # the next share is share * STEP_FACTOR + STEP
+MIN_LOAD = 0.1
 MAX_SET_ASIDE = 0.5  # of a service in a data centre
 
 
@@ -57,13 +58,15 @@
             if len(samples) > SAMPLES:
                 del samples[0]
 
-    def judge(self, targets, now_ms, *, dead=frozenset()):
+    def judge(self, targets, now_ms, *, dead=frozenset(), loads=()):
         """Update ``shares``.
 
         Args:
             targets: The listed ``Target`` records; all others are forgotten.
             now_ms: Current time.
             dead: Cookies of those that are dead.
+            loads: Part of the usable slots that callers keep busy, by pairs of a
+                service and a data centre; where it is unknown, 1.
         """
         groups = {}
         for target in targets:
@@ -92,7 +95,8 @@
         )
         shares, suspects = {}, set()
         for place, cookies in groups.items():
-            found = self._judge_group(cookies, self.usual_ms.get(place), dead)
+            load = dict(loads).get(place, 1.0)
+            found = self._judge_group(cookies, self.usual_ms.get(place), dead, load)
             suspects.update(found)
             shares.update(found)
         # A queue that passes makes a target look slow once.
@@ -128,12 +132,12 @@
         self._long_run_ms[place] = long_run_ms
         return max(usual_ms, long_run_ms)
 
-    def _judge_group(self, cookies, usual_ms, dead):
+    def _judge_group(self, cookies, usual_ms, dead, load):
         """Return the shares of the slow targets among a service's in a data centre."""
         held = self.backoff.held
         shares = {}
         for cookie in cookies:
-            share = self._share(cookie, usual_ms)
+            share = self._share(cookie, usual_ms, load)
             if share < 1.0:
                 shares[cookie] = share
         allowed = MAX_SET_ASIDE * len(cookies)
@@ -157,13 +161,13 @@
         least = MIN_LATER_SAMPLES if cookie in self.shares else MIN_SAMPLES
         return len(samples) >= least and len(reporters) >= MIN_REPORTERS
 
-    def _share(self, cookie, usual_ms):
+    def _share(self, cookie, usual_ms, load):
         """Return the new share of a target, 1 if it isn't slow."""
         share = self.shares.get(cookie, 1.0)
         wait_ms = self.waits.get(cookie)
         if wait_ms is not None and usual_ms is not None:
             if _is_slow(wait_ms, usual_ms):
-                return max(MIN_SHARE, usual_ms / wait_ms)
+                return slow_share(usual_ms / wait_ms, load)
             if share < 1.0 and wait_ms >= NORMAL_FACTOR * usual_ms:
                 return share
         return min(1.0, share * STEP_FACTOR + STEP)
@@ -179,6 +183,20 @@
         self._slow &= listed
 
 
+def slow_share(speed, load):
+    """Return a slow target's share of a usual target's flows.
+
+    Requests wait least on average if a slow target takes its speed's share only where
+    all slots are busy, and less the more of the others are free.
+
+    Args:
+        speed: Speed of the target, 1 if it is a usual one.
+        load: Part of the usable slots that callers keep busy.
+    """
+    load = max(MIN_LOAD, min(1.0, load))
+    return max(MIN_SHARE, (speed - speed**0.5 * (1.0 - load)) / load)
+
+
 def _is_slow(wait_ms, usual_ms):
     too_long = wait_ms >= SLOW_FACTOR * usual_ms
     return too_long and wait_ms - usual_ms >= MIN_EXCESS_MS
