--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -1,5 +1,7 @@
 """Steps for uneven demand and uneven targets."""
 
+from math import gcd
+
 from behave import given, then, when
 from fixtures import LOCAL, REMOTE, SERVICE, configuration
 
@@ -13,8 +15,9 @@
     LoadReport,
     Service,
     target_cookie,
+    target_order,
 )
-from lagoontally_flows._load import spill_parts
+from lagoontally_flows._load import slow_share, spill_parts
 
 USUAL_MS = 20
 REFUSED_MS = 3  # the way to the target and back
@@ -185,6 +188,22 @@
         balancer.on_probe_result(target.cookie, REFUSED, now_ms)
 
 
+@then(
+    "of {count:d} targets each is first, and next to each other, for as many balancers"
+)
+def step_orders(context, count):
+    """As many balancers as there are orders with different steps."""
+    cookies = range(1, count + 1)
+    steps = [step for step in range(1, count) if gcd(step, count) == 1] or [1]
+    orders = [target_order(rank, cookies) for rank in range(count * len(steps))]
+    for places in zip(
+        *(sorted(order, key=order.get)[:2] for order in orders), strict=True
+    ):
+        assert {places.count(cookie) for cookie in cookies} == {len(steps)}, places
+    pairs = {tuple(sorted(order, key=order.get)[:2]) for order in orders}
+    assert len(pairs) == len(orders), len(pairs)
+
+
 @when("another balancer reads for {seconds:d} s")
 def step_other_reads(context, seconds):
     """This one drops what only a reader keeps."""
@@ -337,6 +356,12 @@
     assert least <= percent <= most, percent
 
 
+@then("at speed {speed:g} and load {load:g} its share is {percent:d}%")
+def step_slow_share_of(context, speed, load, percent):
+    """All the slots that are left count where all are busy."""
+    assert round(100 * slow_share(speed, load)) == percent, slow_share(speed, load)
+
+
 @then("no target is set aside")
 @then("at most {most:d} targets are set aside")
 def step_set_aside(context, most=0):
