--- a/libs/flows/features/admission.feature
+++ b/libs/flows/features/admission.feature
@@ -10,6 +10,37 @@
     When 40 callers a second come for 3 s and targets refuse all
     Then nobody is refused
 
+  Scenario Outline: Short answers that are part of the service's usual mix
+    Given lookups and confirmations to 4 targets
+    And <share> of what targets serve has a short answer
+    When 40 callers a second come for 20 s and targets serve all after 20 ms
+    Then nobody is refused
+
+    Examples:
+      | share |
+      | 0.1   |
+      | 0.2   |
+      | 0.3   |
+
+  Scenario: A burst beyond a usual mix of short and long answers
+    Given lookups and confirmations to 4 targets
+    And 0.2 of what targets serve has a short answer
+    When 10 callers a second come for 6 s and targets serve all after 20 ms
+    And 60 callers a second come for 4 s and targets serve 20 a second
+    Then the balancer refuses between 0.4 and 0.75 of the callers in the last second
+
+  Scenario: Refusals with long headers are recognised beside longer answers
+    Given lookups and confirmations to 4 targets
+    And refusals of 420 bytes and other answers of 2400
+    When 60 callers a second come for 4 s and targets serve 20 a second
+    Then the balancer refuses between 0.5 and 0.75 of the callers in the last second
+
+  Scenario: A grey target fails half of its requests with short errors
+    Given lookups and confirmations to 4 targets
+    And one target that refuses half of its requests
+    When 40 callers a second come for 6 s and targets serve all after 20 ms
+    Then nobody is refused
+
   Scenario: A target that refused gets no flows for a while
     Given lookups and confirmations to 4 targets
     And one target that refuses
--- a/libs/flows/features/steps/admission_steps.py
+++ b/libs/flows/features/steps/admission_steps.py
@@ -1,5 +1,7 @@
 """Steps for admission where targets have too little room."""
 
+from random import Random
+
 from behave import given, then, when
 from fixtures import IDLE_TIMEOUT_MS, SERVICE, World, make_target
 
@@ -12,7 +14,7 @@
     LOOKUP: Route("lookup", SHARES, True, 600, 3_600, 2),
     CONFIRMATION: Route("confirmation", SHARES, False, 600, 3_600, 1),
 }
-REFUSAL = (80, 160)
+REFUSAL_WAIT_MS = 80
 CONFIRMATIONS_EVERY = 5
 
 
@@ -24,6 +26,10 @@
     world.balancer.configure(Configuration(2, ROUTES, IDLE_TIMEOUT_MS))
     world.list_targets(*[make_target(number + 1) for number in range(count)])
     context.refusing = None
+    context.refusing_share = 1.0
+    context.random = Random(5)
+    context.short_share = 0.0
+    context.lengths = (160, 600)
     context.seconds = []
     context.due = []
     context.tokens = 0.0
@@ -35,6 +41,25 @@
     context.refusing = make_target(1).cookie
 
 
+@given("one target that refuses half of its requests")
+def step_one_is_grey(context):
+    """A target refuses some requests at once and serves the others."""
+    context.refusing = make_target(1).cookie
+    context.refusing_share = 0.5
+
+
+@given("{share:g} of what targets serve has a short answer")
+def step_short(context, share):
+    """Some answers that took work are as short as a refusal."""
+    context.short_share = share
+
+
+@given("refusals of {refusal:d} bytes and other answers of {served:d}")
+def step_lengths(context, refusal, served):
+    """Lengths depend on the headers that targets send."""
+    context.lengths = (refusal, served)
+
+
 @given("admission is off")
 def step_off(context):
     """The operator has switched admission off."""
@@ -66,7 +91,8 @@
 @then("nobody is refused")
 def step_nobody(context):
     """Every caller got a target."""
-    assert not _refused(context.seconds), context.seconds
+    refused = _refused(context.seconds)
+    assert not refused, (len(refused), refused[0])
 
 
 @then("nobody is refused in the last second")
@@ -175,18 +201,21 @@
             results.append((route, action.reason, 0, False))
         else:
             cookie = action.target.cookie
-            wait_ms, length = REFUSAL
+            wait_ms, (length, served_length) = REFUSAL_WAIT_MS, context.lengths
             tokens = min(3.0, tokens)
-            if how == "refuse all" or cookie == context.refusing:
+            grey = context.random.random() < context.refusing_share
+            if how == "refuse all" or (cookie == context.refusing and grey):
                 served = False
             elif how.startswith("serve all"):
                 served = True
-                wait_ms, length = int(how.split()[3]), 600
+                wait_ms = int(how.split()[3])
             else:
                 served = tokens >= 1.0
                 tokens -= served
                 if served:
-                    wait_ms, length = 100, 600
+                    wait_ms = 100
+            if served and context.random.random() >= context.short_share:
+                length = served_length
             world.send(flow, cookie=cookie, ack=5_000)
             world.send(flow, cookie=cookie, ack=5_000, length=169)
             due.append((world.now_ms + wait_ms, flow, cookie, length))
--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -16,7 +16,6 @@
 NO_ROOM = "no_room"
 TOO_LATE = "wait_exceeds_deadline"
 START_SHARE = 0.15  # of answers that are refusals, above what chance brings
-MIN_REFUSED = 3.0
 LEAST_KEPT = 0.5  # of the rate at the begin: few answers tell little
 CALM_MS = 1_000  # without a refusal here
 CHANGE_NOTICE_MS = 1_000
@@ -54,7 +53,7 @@
             return self._refuse(TOO_LATE, now_ms)
         limit = self.limit
         if limit is not None:
-            served_per_s = evidence.served.rate_per_s(now_ms)
+            served_per_s = evidence.served_per_s(now_ms)
             limit.refill(evidence.refused_share(now_ms), served_per_s, now_ms)
             if not self.ranks.may_pass(kind, limit.tokens, limit.capacity):
                 return self._refuse(NO_ROOM, now_ms)
@@ -68,7 +67,7 @@
         evidence = self.evidence
         share = evidence.refused_share(now_ms)
         if self.limit is None:
-            if share < START_SHARE or evidence.refused.value(now_ms) < MIN_REFUSED:
+            if share < START_SHARE or not evidence.exceeds_usual(now_ms):
                 return None
             kept = max(LEAST_KEPT, 1.0 - share)
             per_s = evidence.sent.rate_per_s(now_ms) * kept
@@ -152,8 +151,10 @@
     def on_answer(self, answer, now_ms):
         """Take note of an ``Answer``."""
         service = self._service(answer.service)
-        if service.evidence.on_answer(answer, now_ms):
-            self.full_targets.on_refused(answer.cookie, now_ms)
+        evidence, limited = service.evidence, service.limit is not None
+        if evidence.on_answer(answer, now_ms, limited=limited):
+            usual = evidence.mix.share
+            self.full_targets.on_refused(answer.cookie, now_ms, usual_share=usual)
             self._update(answer.service, service, now_ms)
         else:
             self.full_targets.on_served(answer.cookie)
--- /dev/null
+++ b/libs/flows/src/lagoontally_flows/_admission/_answer_mix.py
@@ -0,0 +1,74 @@
+"""The short answers that a service usually gives, so that refusals stand out.
+
+Covers services some of whose successes or errors are as short as the answer of a full
+target. What counts as short depends on the longer answers on the same route.
+"""
+
+SHORT_RATIO = 1 / 3  # of the mean of longer answers
+LENGTH_WEIGHT = 1 / 16
+MIN_KNOWN = 65  # fewer answers don't show a mix
+KNOWN_WEIGHT = 1 / 200
+UNKNOWN_SHARE = 0.25  # of short answers that a new mix has at most
+UNSEEN = 3  # short answers that chance may have kept from a new mix
+SUSPECT_WEIGHT = 1 / 8  # a burst isn't usual, but a lasting change of the mix is
+
+
+class AnswerMix:
+    """Lengths of a service's answers by route, and the usual share of short ones.
+
+    Attributes:
+        lengths: Mean length of the longer answers by address and port of a route.
+        share: Share of short answers over a long time.
+        answers: Number of answers that ``share`` rests on, at most ``MIN_KNOWN``.
+    """
+
+    __slots__ = ("answers", "lengths", "share")
+
+    def __init__(self):
+        self.lengths = {}
+        self.share = 0.0
+        self.answers = 0
+
+    @property
+    def known(self):
+        """Whether enough answers are known."""
+        return self.answers >= MIN_KNOWN
+
+    @property
+    def usual_share(self):
+        """The known usual share of short answers."""
+        return self.share if self.known else 0.0
+
+    @property
+    def most_usual(self):
+        """The largest share of short answers that may be usual."""
+        if self.known:
+            return self.share
+        short = self.share * self.answers
+        return min(UNKNOWN_SHARE, (short + UNSEEN) / (self.answers + UNSEEN))
+
+    def is_short(self, place, length):
+        """Return whether an answer is short for its route, and learn its length."""
+        mean = self.lengths.get(place, length)
+        if length <= SHORT_RATIO * mean:
+            return True
+        if length > mean / SHORT_RATIO:
+            mean = length  # those before were the short ones
+        self.lengths[place] = mean + (length - mean) * LENGTH_WEIGHT
+        return False
+
+    def add(self, *, short, suspect):
+        """Count an answer.
+
+        Args:
+            short: Whether it was short.
+            suspect: Whether more answers than usual are short.
+        """
+        if suspect:
+            weight = SUSPECT_WEIGHT * KNOWN_WEIGHT
+        elif self.known:
+            weight = KNOWN_WEIGHT
+        else:
+            self.answers += 1
+            weight = 1.0 / self.answers
+        self.share += (short - self.share) * weight
--- a/libs/flows/src/lagoontally_flows/_admission/_full_targets.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_full_targets.py
@@ -12,6 +12,7 @@
 REFUSED_FACTOR = 2.0
 SERVED_FACTOR = 0.8
 UNANSWERED_WINDOW_MS = 1_000
+MAX_CHANCE = 0.05  # of a target being left out for its usual short answers
 MIN_UNANSWERED = 2  # a single SYN may have been lost on the way
 CONNECTION_SLACK = 2.0  # flows of one balancer, relative to its share of a cap
 
@@ -30,9 +31,21 @@
         self.random = random
         self.pauses = {}
         self._unanswered = {}
+        self._refused_in_a_row = {}
 
-    def on_refused(self, cookie, now_ms):
-        """Leave out a target that refused a request."""
+    def on_refused(self, cookie, now_ms, *, usual_share=0.0):
+        """Leave out a target that refused a request.
+
+        Args:
+            cookie: Its cookie.
+            now_ms: Current time.
+            usual_share: Share of its service's answers that look like refusals
+                where none is full.
+        """
+        in_a_row = self._refused_in_a_row.get(cookie, 0) + 1
+        self._refused_in_a_row[cookie] = in_a_row
+        if usual_share**in_a_row > MAX_CHANCE:
+            return
         until_ms, pause_ms = self.pauses.get(cookie, (0, 0))
         if now_ms < until_ms:
             return  # sent before the pause began
@@ -42,6 +55,7 @@
 
     def on_served(self, cookie):
         """Shorten the next pause of a target that served a request."""
+        self._refused_in_a_row.pop(cookie, None)
         if cookie not in self.pauses:
             return
         until_ms, pause_ms = self.pauses[cookie]
@@ -64,6 +78,7 @@
     def forget(self, cookie):
         """Forget a target that is gone."""
         self.pauses.pop(cookie, None)
+        self._refused_in_a_row.pop(cookie, None)
         self._unanswered.pop(cookie, None)
 
 
