Admission: a floor for each route beside others of its kind

Cause: routes of a kind share tokens that the first to come takes. With 120 callers a second, room for 20 and one caller in twelve on a second route of lookups, the second route got nothing let in for 4 s (admission.feature, failed first with 0.0).

Routes are known only while flows are shed, so that removed ones don't keep a share.

--- a/libs/flows/features/admission.feature
+++ b/libs/flows/features/admission.feature
@@ -59,6 +59,13 @@
     When 60 callers a second come for 4 s and targets serve 20 a second
     Then at least 0.9 of the confirmations and 0.1 of the lookups are let in
 
+  Scenario: A crowd on one route leaves a floor to another of the same kind
+    Given lookups and confirmations to 4 targets
+    And a second route of lookups that gets every twelfth caller
+    When 120 callers a second come for 6 s and targets serve 20 a second
+    Then the second route gets at least 0.1 of its callers let in
+    And both routes of lookups get some callers let in each second
+
   Scenario: All are let in soon after the load falls
     Given lookups and confirmations to 4 targets
     When 60 callers a second come for 4 s and targets serve 20 a second
--- a/libs/flows/features/steps/admission_steps.py
+++ b/libs/flows/features/steps/admission_steps.py
@@ -9,9 +9,11 @@
 
 LOOKUP = (0xC6120001, 443)
 CONFIRMATION = (0xC6120002, 443)
+OTHER_LOOKUP = (0xC6120003, 443)
 SHARES = ((SERVICE, 1),)
 ROUTES = {
     LOOKUP: Route("lookup", SHARES, True, 600, 3_600, 2),
+    OTHER_LOOKUP: Route("other", SHARES, True, 600, 3_600, 2),
     CONFIRMATION: Route("confirmation", SHARES, False, 600, 3_600, 1),
 }
 REFUSAL_WAIT_MS = 80
@@ -27,6 +29,7 @@
     world.list_targets(*[make_target(number + 1) for number in range(count)])
     context.refusing = None
     context.refusing_share = 1.0
+    context.others_every = 0
     context.random = Random(5)
     context.short_share = 0.0
     context.lengths = (160, 600)
@@ -60,6 +63,12 @@
     context.lengths = (refusal, served)
 
 
+@given("a second route of lookups that gets every twelfth caller")
+def step_second_route(context):
+    """Few callers use the second route."""
+    context.others_every = 12
+
+
 @given("admission is off")
 def step_off(context):
     """The operator has switched admission off."""
@@ -138,6 +147,23 @@
         assert share >= least, (route, share)
 
 
+@then("the second route gets at least {least:g} of its callers let in")
+def step_second_floor(context, least):
+    """The crowd on the first one doesn't shut them out."""
+    asked = [one for second in context.seconds[2:] for one in second]
+    asked = [one for one in asked if one[0] == OTHER_LOOKUP]
+    share = sum(one[1] is None for one in asked) / len(asked)
+    assert share >= least, share
+
+
+@then("both routes of lookups get some callers let in each second")
+def step_both(context):
+    """Neither route starves the other."""
+    for second in context.seconds:
+        let_in = {one[0] for one in second if one[1] is None}
+        assert {LOOKUP, OTHER_LOOKUP} <= let_in, let_in
+
+
 @then("shedding was logged from its begin to its end")
 def step_logged(context):
     """Operators see one line for the begin, the kind and the end."""
@@ -195,6 +221,8 @@
     tokens = context.tokens
     for number in range(rate):
         route = LOOKUP if number % CONFIRMATIONS_EVERY else CONFIRMATION
+        if context.others_every and number % context.others_every == 1:
+            route = OTHER_LOOKUP
         flow = world.new_flow(route)
         action = world.syn(flow)
         if isinstance(action, Reset):
--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -28,7 +28,7 @@
     Attributes:
         evidence: The ``ServiceEvidence``.
         limit: The ``RateLimit`` while flows are shed, else None.
-        ranks: The ``Ranks``.
+        ranks: The ``Ranks`` since flows are shed.
         asked: Recent SYNs.
         shed: Recent SYNs that were refused here.
         shed_ms: When a SYN was refused last.
@@ -46,19 +46,19 @@
 
     def refusal(self, route, kind, now_ms):
         """Return why a SYN is refused, None if it is let in."""
-        self.ranks.add(kind)
         self.asked.add(now_ms)
         evidence = self.evidence
         if route.deadline_ms and evidence.mean_wait_ms(now_ms) > route.deadline_ms:
             return self._refuse(TOO_LATE, now_ms)
         limit = self.limit
         if limit is not None:
+            self.ranks.add(kind, route.name)
             served_per_s = evidence.served_per_s(now_ms)
             limit.refill(evidence.refused_share(now_ms), served_per_s, now_ms)
-            if not self.ranks.may_pass(kind, limit.tokens, limit.capacity):
+            if not self.ranks.may_pass(kind, route.name, limit.tokens, limit.capacity):
                 return self._refuse(NO_ROOM, now_ms)
             limit.tokens -= 1.0
-            self.ranks.on_passed(kind)
+            self.ranks.on_passed(kind, route.name)
         evidence.sent.add(now_ms)
         return None
 
@@ -72,6 +72,7 @@
             kept = max(LEAST_KEPT, 1.0 - share)
             per_s = evidence.sent.rate_per_s(now_ms) * kept
             self.limit = RateLimit(per_s, now_ms)
+            self.ranks = Ranks()
             evidence.forget_answers(now_ms)  # they tell of the former rate
             self.shed_ms = now_ms
             return True
