Admission: log the evidence at shedding's begin, and shedding for a late wait

Cause: evidence was forgotten before shedding_began was logged, so the line said that targets refuse nothing. Refusals because the wait exceeds the deadline had neither begin nor end, and their kind was logged once in a process's life. The rate and the wait showed in no metric.

Change: begin, kind and end are logged for either reason, with the usual share of short answers and the age of the latest answer; gauges of the rate and the mean wait. Three steps of admission.feature failed first and pass.

--- a/libs/flows/features/admission.feature
+++ b/libs/flows/features/admission.feature
@@ -72,8 +72,14 @@
     And 10 callers a second come for 1 s and targets serve all after 20 ms
     Then nobody is refused in the last second
     And shedding was logged from its begin to its end
+    And the begin of shedding was logged with what it was decided by
     And refusals were counted by kind and reason
 
+  Scenario: Operators see the rate of a service that is shed
+    Given lookups and confirmations to 4 targets
+    When 60 callers a second come for 4 s and targets serve 20 a second
+    Then the rate of the service is shown while it is shed
+
   Scenario: A copy of a SYN that was let in is never refused
     Given lookups and confirmations to 4 targets
     When 60 callers a second come for 4 s and targets serve 20 a second
@@ -84,6 +90,7 @@
     Given lookups and confirmations to 4 targets
     When 40 callers a second come for 6 s and targets serve all after 4000 ms
     Then some callers are refused because the wait exceeds their deadline
+    And shedding was logged from its begin to its end
 
   Scenario: Nobody is refused where admission is switched off
     Given lookups and confirmations to 4 targets
--- a/libs/flows/features/steps/admission_steps.py
+++ b/libs/flows/features/steps/admission_steps.py
@@ -174,6 +174,26 @@
     assert names.count("shedding_began") == names.count("shedding_ended"), names
 
 
+@then("the begin of shedding was logged with what it was decided by")
+def step_inputs(context):
+    """The evidence at the begin, not what is left of it afterwards."""
+    effects = context.world.effects
+    began = [one for one in effects if getattr(one, "event", "") == "shedding_began"]
+    fields = dict(began[0].fields)
+    assert fields["reason"] == "no_room" and fields["refused_share"] >= 0.15, fields
+    assert fields["mean_wait_ms"] >= 50 and fields["answer_age_ms"] <= 100, fields
+
+
+@then("the rate of the service is shown while it is shed")
+def step_rate(context):
+    """It ends with shedding."""
+    admission = context.world.balancer.admission
+    assert admission.rates()[SERVICE] >= 1.0
+    assert admission.mean_waits(context.world.now_ms)[SERVICE] > 0
+    context.world.wait(3_000)
+    assert SERVICE not in admission.rates()
+
+
 @then("refusals were counted by kind and reason")
 def step_counted(context):
     """Operators see whom the balancer refused, and why."""
--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -18,7 +18,6 @@
 START_SHARE = 0.15  # of answers that are refusals, above what chance brings
 LEAST_KEPT = 0.5  # of the rate at the begin: few answers tell little
 CALM_MS = 1_000  # without a refusal here
-CHANGE_NOTICE_MS = 1_000
 MAX_REFUSED_FLOWS = 512
 
 
@@ -32,7 +31,8 @@
         asked: Recent SYNs.
         shed: Recent SYNs that were refused here.
         shed_ms: When a SYN was refused last.
-        shed_kind: Highest kind refused since the last notice.
+        shed_kind: Highest kind refused since shedding began.
+        shed_reason: Why flows are shed, None while none are.
     """
 
     def __init__(self):
@@ -43,6 +43,7 @@
         self.shed = DecayingCount(HALF_LIFE_MS)
         self.shed_ms = 0
         self.shed_kind = None
+        self.shed_reason = None
 
     def refusal(self, route, kind, now_ms):
         """Return why a SYN is refused, None if it is let in."""
@@ -62,25 +63,31 @@
         evidence.sent.add(now_ms)
         return None
 
-    def update(self, now_ms):
-        """Start or end shedding; return True if it began, False if it ended."""
+    def start(self, now_ms):
+        """Limit the rate if targets refuse too much; return whether it is new."""
         evidence = self.evidence
         share = evidence.refused_share(now_ms)
-        if self.limit is None:
-            if share < START_SHARE or not evidence.exceeds_usual(now_ms):
-                return None
-            kept = max(LEAST_KEPT, 1.0 - share)
-            per_s = evidence.sent.rate_per_s(now_ms) * kept
-            self.limit = RateLimit(per_s, now_ms)
-            self.ranks = Ranks()
-            evidence.forget_answers(now_ms)  # they tell of the former rate
-            self.shed_ms = now_ms
-            return True
-        if now_ms - self.shed_ms < CALM_MS or share >= START_SHARE:
-            return None
-        self.limit = None
-        self.shed_kind = None
-        return False
+        if self.limit is not None or share < START_SHARE:
+            return False
+        if not evidence.exceeds_usual(now_ms):
+            return False
+        kept = max(LEAST_KEPT, 1.0 - share)
+        per_s = evidence.sent.rate_per_s(now_ms) * kept
+        self.limit = RateLimit(per_s, now_ms)
+        self.ranks = Ranks()
+        self.shed_ms = now_ms
+        return True
+
+    def is_over(self, now_ms):
+        """Return whether flows were shed, but nobody was refused lately."""
+        if self.shed_reason is None or now_ms - self.shed_ms < CALM_MS:
+            return False
+        share = self.evidence.refused_share(now_ms)
+        return self.limit is None or share < START_SHARE
+
+    def end(self):
+        """Let all in again."""
+        self.limit = self.shed_kind = self.shed_reason = None
 
     def refusal_probability(self, now_ms):
         """Return the share of recent SYNs that were refused here."""
@@ -146,6 +153,7 @@
         self._refused_flows[packet.flow] = reason
         key = (service, kind_name(kind), reason)
         self.refusals[key] = self.refusals.get(key, 0) + 1
+        self._on_shed(service, reason, now_ms)
         self._on_refused_kind(service, kind, now_ms)
         return reason
 
@@ -156,7 +164,9 @@
         if evidence.on_answer(answer, now_ms, limited=limited):
             usual = evidence.mix.share
             self.full_targets.on_refused(answer.cookie, now_ms, usual_share=usual)
-            self._update(answer.service, service, now_ms)
+            if service.start(now_ms):
+                self._on_shed(answer.service, NO_ROOM, now_ms)
+                evidence.forget_answers(now_ms)  # they tell of the former rate
         else:
             self.full_targets.on_served(answer.cookie)
 
@@ -182,8 +192,9 @@
     def on_tick(self, now_ms):
         """Return ``LogEvent`` records where shedding began, changed or ended."""
         for name, service in self.services.items():
-            if service.limit is not None:
-                self._update(name, service, now_ms)
+            if service.is_over(now_ms):
+                self._log("shedding_ended", name, service, now_ms)
+                service.end()
         effects, self._effects = self._effects, []
         return effects
 
@@ -194,17 +205,32 @@
             for name, service in self.services.items()
         }
 
+    def rates(self):
+        """Return the flows a second that are let in, by service that is shed."""
+        return {
+            name: round(service.limit.per_s, 1)
+            for name, service in self.services.items()
+            if service.limit is not None
+        }
+
+    def mean_waits(self, now_ms):
+        """Return how long served answers took lately, in ms, by service."""
+        return {
+            name: round(service.evidence.mean_wait_ms(now_ms))
+            for name, service in self.services.items()
+        }
+
     def _service(self, name):
         service = self.services.get(name)
         if service is None:
             service = self.services[name] = ServiceAdmission()
         return service
 
-    def _update(self, name, service, now_ms):
-        began = service.update(now_ms)
-        if began is not None:
-            event = "shedding_began" if began else "shedding_ended"
-            self._log(event, name, service, now_ms)
+    def _on_shed(self, name, reason, now_ms):
+        service = self.services[name]
+        if service.shed_reason is None:
+            service.shed_reason = reason
+            self._log("shedding_began", name, service, now_ms)
 
     def _on_refused_kind(self, name, kind, now_ms):
         service = self.services[name]
@@ -214,13 +240,12 @@
         self._log("shedding_kind", name, service, now_ms)
 
     def _log(self, event, name, service, now_ms):
-        evidence, limit = service.evidence, service.limit
-        kind = service.shed_kind
+        limit, kind = service.limit, service.shed_kind
         fields = (
             ("service", name),
+            ("reason", service.shed_reason),
             ("kind", None if kind is None else kind_name(kind)),
-            ("refused_share", round(evidence.refused_share(now_ms), 3)),
-            ("mean_wait_ms", round(evidence.mean_wait_ms(now_ms))),
+            *service.evidence.inputs(now_ms),
             ("per_s", None if limit is None else round(limit.per_s, 1)),
             ("probability", round(service.refusal_probability(now_ms), 3)),
         )
--- a/libs/flows/src/lagoontally_flows/_admission/_evidence.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_evidence.py
@@ -27,9 +27,18 @@
         mix: The service's usual ``AnswerMix``.
         waited_ms: Sum of the waits of ``served``.
         since_ms: Answers to requests from before are left out.
+        answered_ms: When the latest answer was counted.
     """
 
-    __slots__ = ("mix", "refused", "sent", "served", "since_ms", "waited_ms")
+    __slots__ = (
+        "answered_ms",
+        "mix",
+        "refused",
+        "sent",
+        "served",
+        "since_ms",
+        "waited_ms",
+    )
 
     def __init__(self):
         self.sent = DecayingCount(SHORT_HALF_LIFE_MS)
@@ -38,6 +47,7 @@
         self.waited_ms = DecayingCount(HALF_LIFE_MS)
         self.mix = AnswerMix()
         self.since_ms = 0
+        self.answered_ms = 0
 
     def on_answer(self, answer, now_ms, *, limited=False):
         """Count an ``Answer`` and return whether it was as short as a refusal.
@@ -47,6 +57,7 @@
             now_ms: Current time.
             limited: Whether flows are shed.
         """
+        self.answered_ms = now_ms
         counts = now_ms - answer.waited_ms >= self.since_ms
         short = self.mix.is_short(answer.flow[2:], answer.length)
         if counts and short:
@@ -57,6 +68,15 @@
         self.mix.add(short=short, suspect=limited or self.exceeds_usual(now_ms))
         return short
 
+    def inputs(self, now_ms):
+        """Return what decisions rest on and how old it is, as fields of a log line."""
+        return (
+            ("refused_share", round(self.refused_share(now_ms), 3)),
+            ("usual_share", round(self.mix.usual_share, 3)),
+            ("mean_wait_ms", round(self.mean_wait_ms(now_ms))),
+            ("answer_age_ms", now_ms - self.answered_ms),
+        )
+
     def forget_answers(self, now_ms):
         """Judge by the answers to requests from now on."""
         self.since_ms = now_ms
