--- a/libs/flows/src/lagoontally_flows/_admission/_limit.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_limit.py
@@ -8,8 +8,8 @@
 """
 
 ADJUST_INTERVAL_MS = 100
-REFUSED_TARGET = 0.1  # three refusals in a row hit one caller in a thousand
-GROWTH = 0.1  # a tenth of a second without refusals
+REFUSED_TARGET = 0.05  # share of flows that keeps the queues filled
+GROWTH = 0.05  # a tenth of a second without refusals
 REDUCTION = 0.5  # relative to the excess of refusals
 MIN_PER_S = 1.0  # a balancer always learns whether there is room
 KEPT_S = 0.2
