--- a/libs/flows/features/steps/admission_steps.py
+++ b/libs/flows/features/steps/admission_steps.py
@@ -1,5 +1,7 @@
 """Steps for admission where targets have too little room."""
 
+from random import Random
+
 from behave import given, then, when
 from fixtures import IDLE_TIMEOUT_MS, SERVICE, World, make_target
 
@@ -7,12 +9,14 @@
 
 LOOKUP = (0xC6120001, 443)
 CONFIRMATION = (0xC6120002, 443)
+OTHER_LOOKUP = (0xC6120003, 443)
 SHARES = ((SERVICE, 1),)
 ROUTES = {
     LOOKUP: Route("lookup", SHARES, True, 600, 3_600, 2),
+    OTHER_LOOKUP: Route("other", SHARES, True, 600, 3_600, 2),
     CONFIRMATION: Route("confirmation", SHARES, False, 600, 3_600, 1),
 }
-REFUSAL = (80, 160)
+REFUSAL_WAIT_MS = 80
 CONFIRMATIONS_EVERY = 5
 
 
@@ -24,6 +28,11 @@
     world.balancer.configure(Configuration(2, ROUTES, IDLE_TIMEOUT_MS))
     world.list_targets(*[make_target(number + 1) for number in range(count)])
     context.refusing = None
+    context.refusing_share = 1.0
+    context.others_every = 0
+    context.random = Random(5)
+    context.short_share = 0.0
+    context.lengths = (160, 600)
     context.seconds = []
     context.due = []
     context.tokens = 0.0
@@ -35,6 +44,31 @@
     context.refusing = make_target(1).cookie
 
 
+@given("one target that refuses half of its requests")
+def step_one_is_grey(context):
+    """A target refuses some requests at once and serves the others."""
+    context.refusing = make_target(1).cookie
+    context.refusing_share = 0.5
+
+
+@given("{share:g} of what targets serve of lookups has a short answer")
+def step_short(context, share):
+    """Some answers to lookups that took work are as short as a refusal."""
+    context.short_share = share
+
+
+@given("refusals of {refusal:d} bytes and other answers of {served:d}")
+def step_lengths(context, refusal, served):
+    """Lengths depend on the headers that targets send."""
+    context.lengths = (refusal, served)
+
+
+@given("a second route of lookups that gets every twelfth caller")
+def step_second_route(context):
+    """Few callers use the second route."""
+    context.others_every = 12
+
+
 @given("admission is off")
 def step_off(context):
     """The operator has switched admission off."""
@@ -66,7 +100,8 @@
 @then("nobody is refused")
 def step_nobody(context):
     """Every caller got a target."""
-    assert not _refused(context.seconds), context.seconds
+    refused = _refused(context.seconds)
+    assert not refused, (len(refused), refused[0])
 
 
 @then("nobody is refused in the last second")
@@ -112,6 +147,23 @@
         assert share >= least, (route, share)
 
 
+@then("the second route gets at least {least:g} of its callers let in")
+def step_second_floor(context, least):
+    """The crowd on the first one doesn't shut them out."""
+    asked = [one for second in context.seconds[2:] for one in second]
+    asked = [one for one in asked if one[0] == OTHER_LOOKUP]
+    share = sum(one[1] is None for one in asked) / len(asked)
+    assert share >= least, share
+
+
+@then("both routes of lookups get some callers let in each second")
+def step_both(context):
+    """Neither route starves the other."""
+    for second in context.seconds:
+        let_in = {one[0] for one in second if one[1] is None}
+        assert {LOOKUP, OTHER_LOOKUP} <= let_in, let_in
+
+
 @then("shedding was logged from its begin to its end")
 def step_logged(context):
     """Operators see one line for the begin, the kind and the end."""
@@ -122,6 +174,26 @@
     assert names.count("shedding_began") == names.count("shedding_ended"), names
 
 
+@then("the begin of shedding was logged with what it was decided by")
+def step_inputs(context):
+    """The evidence at the begin, not what is left of it afterwards."""
+    effects = context.world.effects
+    began = [one for one in effects if getattr(one, "event", "") == "shedding_began"]
+    fields = dict(began[0].fields)
+    assert fields["reason"] == "no_room" and fields["refused_share"] >= 0.15, fields
+    assert fields["mean_wait_ms"] >= 50 and fields["answer_age_ms"] <= 100, fields
+
+
+@then("the rate of the service is shown while it is shed")
+def step_rate(context):
+    """It ends with shedding."""
+    admission = context.world.balancer.admission
+    assert admission.rates()[SERVICE] >= 1.0
+    assert admission.mean_waits(context.world.now_ms)[SERVICE] > 0
+    context.world.wait(3_000)
+    assert SERVICE not in admission.rates()
+
+
 @then("refusals were counted by kind and reason")
 def step_counted(context):
     """Operators see whom the balancer refused, and why."""
@@ -169,24 +241,30 @@
     tokens = context.tokens
     for number in range(rate):
         route = LOOKUP if number % CONFIRMATIONS_EVERY else CONFIRMATION
+        if context.others_every and number % context.others_every == 1:
+            route = OTHER_LOOKUP
         flow = world.new_flow(route)
         action = world.syn(flow)
         if isinstance(action, Reset):
             results.append((route, action.reason, 0, False))
         else:
             cookie = action.target.cookie
-            wait_ms, length = REFUSAL
+            wait_ms, (length, served_length) = REFUSAL_WAIT_MS, context.lengths
             tokens = min(3.0, tokens)
-            if how == "refuse all" or cookie == context.refusing:
+            grey = context.random.random() < context.refusing_share
+            if how == "refuse all" or (cookie == context.refusing and grey):
                 served = False
             elif how.startswith("serve all"):
                 served = True
-                wait_ms, length = int(how.split()[3]), 600
+                wait_ms = int(how.split()[3])
             else:
                 served = tokens >= 1.0
                 tokens -= served
                 if served:
-                    wait_ms, length = 100, 600
+                    wait_ms = 100
+            short = route == LOOKUP and context.random.random() < context.short_share
+            if served and not short:
+                length = served_length
             world.send(flow, cookie=cookie, ack=5_000)
             world.send(flow, cookie=cookie, ack=5_000, length=169)
             due.append((world.now_ms + wait_ms, flow, cookie, length))
