--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -331,8 +331,7 @@
 
 def _by_cookie(pairs, most):
     return [
-        (bounded(cookie, MAX_COOKIE), bounded(number, most))
-        for cookie, number in pairs
+        (bounded(cookie, MAX_COOKIE), bounded(number, most)) for cookie, number in pairs
     ]
 
 
