Soak: targets whose evacuation nobody could know of aren't cold when it ends

The trace: the store was down from 2407.0 to 2422.6, the request was written and withdrawn while it was, no balancer logged it, and targets that had no flow for a second were taken for cold from 2422.6 on. A store that is down acknowledges no request. Change: such a return makes nothing cold.

--- a/libs/soak/src/lagoontally_soak/_cold_returns.py
+++ b/libs/soak/src/lagoontally_soak/_cold_returns.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from ._disturbances import STORE
 from ._violation import Violation
 
 PROMISE = "a cold target gets no more than it bears"
@@ -89,10 +90,19 @@
             self._begin(target_id, started_at, delay_s=HEARTBEAT_S)
         self._record_scarcity(now)
 
-    def on_return(self, data_centres):
-        """Make the targets of data centres cold that return from an evacuation."""
+    def on_return(self, data_centres, requested_at):
+        """Make the targets of data centres cold that return from an evacuation.
+
+        Unless the store was away for all of it, so that no balancer knew of it.
+        """
         deployment, now = self.deployment, self.deployment.loop.now
-        if not deployment.warm_up_s:
+        was_away = any(
+            item.subject == STORE
+            and item.start <= requested_at
+            and item.end >= now - IDLE_S
+            for item in self.disturbances.items
+        )
+        if was_away or not deployment.warm_up_s:
             return
         for target_id, (index, target) in deployment.targets.items():
             returned = deployment.data_centres[index] in data_centres
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -120,7 +120,7 @@
             self.series.inject_last()
             if self._run_for(RECOVERY_S):
                 return self.violations
-            self.cold_returns.on_return(self.evacuations.end())
+            self._on_return(self.evacuations.end())
             self.series.end_all()
             self.faults.end_all()
             if self._run_for(RECOVERY_S):
@@ -165,11 +165,16 @@
         if not self.injecting_faults:
             return
         pause_s = self.evacuations.next_pause_s()
-        self.cold_returns.on_return(self.evacuations.change())
+        self._on_return(self.evacuations.change())
         for data_centre in self.deployment.evacuated:
             pause_s += self.old_copies.on_request(data_centre)
         self.loop.after(pause_s, self._change_evacuations)
 
+    def _on_return(self, data_centres):
+        if data_centres:
+            requested_at = self.evacuations.requests[-1].began
+            self.cold_returns.on_return(data_centres, requested_at)
+
     def _send_requests(self):
         for target_id, (index, target) in self.deployment.targets.items():
             self.targets.setdefault(target_id, target)
