A change that overtakes the one that it continues is kept

Cause: a complete change that doesn't continue the view was dropped, so a member whose messages come over relays of different delay fetched what it had already got. Change: up to eight such changes wait; those that continue the view then are applied with the one before, others are dropped. Test: store_sync.feature, failed with the second change missing.

--- a/libs/flows/features/store_sync.feature
+++ b/libs/flows/features/store_sync.feature
@@ -68,6 +68,13 @@
     Then every balancer knows the targets
     And every balancer has the configuration
 
+  Scenario: A change arrives before the one that it continues
+    Given a balancer whose targets are those of revision 10
+    When part 0 of 1 of reader 3 from 20 for 30 arrives
+    And part 0 of 1 of reader 3 for 20 arrives
+    Then 3-0, 3-0 are applied
+    And its targets are those of revision 30
+
   Scenario: The parts of two changes arrive mixed
     Given a balancer whose targets are those of revision 10
     When part 0 of 2 of reader 3 for 20 arrives
--- a/libs/flows/src/lagoontally_flows/_store/_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -28,6 +28,7 @@
 from ._target_comparison import TargetComparison
 
 WATCH_WAIT_MS = 800  # each answer proves that the store is reachable; see FRESH_MS
+MAX_EARLY = 8  # changes; others are fetched
 WATCH_PAUSE_MS = 150  # batches changes that occur together into one call
 MAX_ROUTES_FROM_READER = 3_000  # times members; a reader's link needs a second
 
@@ -47,6 +48,7 @@
         self._uninformed = False
         self._targets_outdated = False
         self._parts = PartCollector()
+        self._early = {}
         self._comparison = TargetComparison(self.history)
 
     def next_call(self, now_ms):
@@ -245,7 +247,31 @@
         if entries is None:
             return None
         if not self.history.follows(delta) and digest_after(entries) != delta.digest:
+            self._keep_early(delta, entries)
             return None
+        self._take_over(delta, now_ms)
+        return entries + self._take_early(now_ms)
+
+    def _keep_early(self, delta, entries):
+        """Keep a change that may have overtaken the one that it continues."""
+        if len(self._early) >= MAX_EARLY:
+            self._early.clear()
+        self._early[delta.position] = (delta, entries)
+
+    def _take_early(self, now_ms):
+        """Return the entries of the changes that continue the view now."""
+        taken = []
+        for position in sorted(self._early):
+            delta, entries = self._early[position]
+            if self.history.follows(delta):
+                self._take_over(delta, now_ms)
+                taken += entries
+            if position <= self.history.view:
+                del self._early[position]
+        return taken
+
+    def _take_over(self, delta, now_ms):
+        """Record the position of a change that is applied."""
         # Parts of the next change may have overtaken the last one of this.
         self._parts.keep(lambda one: one[2] > delta.position)
         self._targets_outdated = False
@@ -254,7 +280,6 @@
             self.history.on_settling_reader(now_ms)
         if delta.configuration_version <= self.configuration_version:
             self.history.on_configuration_known(delta.known)
-        return entries
 
     def on_beacon(self, beacon, host, now_ms, *, digest):
         """Handle the beacon of a reader in this data centre.
@@ -336,6 +361,7 @@
         Followers wait for the reader, which lists the store again.
         """
         self._parts.clear()
+        self._early.clear()
         self._settling = False
         if self.reader:
             self._list_again()
