--- a/libs/forwarder/src/lagoontally_forwarder/_peers.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_peers.py
@@ -215,8 +215,9 @@
         self.membership.on_message(host, now_ms)
         if all(member in self.members for member in message.hosts):
             self.send(RelayAck(message.number), host)
+            data = encode_message(message.message)
             for member in message.hosts:
-                self.send(message.message, member)
+                self._send(message.message, (member, self._port), data)
         else:
             self.metrics.add("relays", "unknown_member")
         self.on_message(message.message, host)
