Load sharing: a slow target's share goes by the load that stays in the data centre

Cause: the load beside which a slow target's share is chosen counted demand that is spilled to other data centres, so slow targets got more than they should there.

--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -165,20 +165,25 @@
             return None
         capacities = self._capacities(targets)
         self.spills = {}
-        self._loads = {
-            (service, self.data_centre): self.demand.busy.get(service, 0.0) / own
-            for service, sizes in capacities.items()
-            if (own := sizes.get(self.data_centre, 0))
-        }
         for service, sizes in capacities.items():
             parts = self._spill(service, sizes, now_ms)
             if parts:
                 self.spills[service] = parts
+        self._loads = {
+            (service, self.data_centre): self._kept_demand(service) / own
+            for service, sizes in capacities.items()
+            if (own := sizes.get(self.data_centre, 0))
+        }
         told = self.demand.to_tell(
             {name: sizes.get(self.data_centre, 0) for name, sizes in capacities.items()}
         )
         return DemandDigest(self.data_centre, told, False) if told else None
 
+    def _kept_demand(self, service):
+        """Return the slots that callers keep busy here, after what is spilled."""
+        spilled = sum(self.spills.get(service, {}).values())
+        return self.demand.busy.get(service, 0.0) * (1.0 - spilled)
+
     def _spill(self, service, sizes, now_ms):
         demands = self.demand.by_data_centre(service, self.data_centre, now_ms)
         least = FULL_LOAD if service in self._spilling else START_LOAD
