--- a/libs/bench/src/lagoontally_bench/_admission_play.py
+++ b/libs/bench/src/lagoontally_bench/_admission_play.py
@@ -17,7 +17,8 @@
 
 from ._experiment import Condition, Experiment, Fleet
 from ._policies import Policy
-from ._queueing import Job, Model
+from ._queueing import Model
+from ._queueing_parts import Job
 
 SERVICE = "desk"
 CONFIRMATION = Route("confirmation", ((SERVICE, 1),), False, 600, 3_600, 1)
--- a/libs/bench/src/lagoontally_bench/_core_model.py
+++ b/libs/bench/src/lagoontally_bench/_core_model.py
@@ -32,7 +32,8 @@
 )
 from lagoontally_model import Timing, parse_template
 
-from ._queueing import NETWORK_DELAY_MS, RELAY_DELAY_RANGE_MS, Job, Model
+from ._queueing import NETWORK_DELAY_MS, RELAY_DELAY_RANGE_MS, Model
+from ._queueing_parts import Job
 
 WORKSPACE = "dossier-hub-balancing"
 TICK_INTERVAL_MS = 100.0
--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -1,61 +1,13 @@
 """Steps for uneven demand and uneven targets."""
 
-from math import gcd
-
-from behave import given, then, when
-from fixtures import LOCAL, REMOTE, SERVICE, configuration
-
-from lagoontally_flows import (
-    ACCEPTED,
-    ACK,
-    FIN,
-    REFUSED,
-    DemandDigest,
-    LoadAdvice,
-    LoadReport,
-    Service,
-    target_cookie,
-    target_order,
-)
+from behave import then, when
+from fixtures import LOCAL, REMOTE, SERVICE
+from load_reports import HOSTS, REPORT_MS, USUAL_MS, report, report_for, waits_of
+
+from lagoontally_flows import ACK, FIN, DemandDigest, LoadAdvice
 from lagoontally_flows._load import slow_share, spill_parts
 
-USUAL_MS = 20
 REFUSED_MS = 3  # the way to the target and back
-REPORT_MS = 500
-HOSTS = ("10.1.0.1", "10.1.0.2", "10.1.0.3")
-
-
-def report(context, answers, arrivals=(), hosts=HOSTS, flows=()):
-    """Let members report and the reader advise, then pass half a second."""
-    world = context.world
-    sharing = world.balancer.load_sharing
-    sharing.advise(world.now_ms - REPORT_MS, reader=True)
-    for host in hosts:
-        sharing.on_report(
-            LoadReport(list(arrivals), list(answers), list(flows)), host, world.now_ms
-        )
-    advice, digest, events = sharing.advise(world.now_ms, reader=True)
-    context.sent = [*getattr(context, "sent", ()), advice, digest]
-    context.events = [*getattr(context, "events", ()), *events]
-    world.wait(REPORT_MS)
-    return sharing.speeds.shares
-
-
-def report_for(context, seconds, waits, **fields):
-    """Report answer times by target, three answers a member, for some seconds."""
-    answers = [(cookie, wait_ms) for cookie, wait_ms in waits.items() for _ in range(3)]
-    return [
-        dict(report(context, answers, **fields))
-        for _ in range(seconds * 1_000 // REPORT_MS)
-    ]
-
-
-def waits_of(context, slow, factor):
-    """Return answer times by cookie of all targets."""
-    listed = context.targets + context.remote
-    return {
-        target.cookie: USUAL_MS * (factor if target in slow else 1) for target in listed
-    }
 
 
 @when("{count:d} target takes {factor:d} times as long as the others for {seconds:d} s")
@@ -133,103 +85,6 @@
     report_for(context, seconds, {})
 
 
-def flap_slow(context, targets):
-    """Let targets be slow for 2 s."""
-    report_for(context, 2, waits_of(context, targets, 6))
-
-
-def flap_dead(context, targets):
-    """Let probes find targets dead, for a second."""
-    balancer, now_ms = context.world.balancer, context.world.now_ms
-    for target in targets:
-        balancer.on_probe_result(target.cookie, REFUSED, now_ms)
-    report_for(context, 1, waits_of(context, (), 1))
-    for target in targets:
-        balancer.on_probe_result(target.cookie, ACCEPTED, context.world.now_ms)
-
-
-def flap_restart(context, targets):
-    """List targets with other ids at the same addresses."""
-    flap_dead(context, targets)
-    for target in targets:
-        name = bytes([target.name[0] + 1]) + target.name[1:]
-        restarted = target._replace(name=name, cookie=target_cookie(name, 0))
-        context.targets[context.targets.index(target)] = restarted
-    context.world.list_targets(*context.targets)
-
-
-FLAPS = {
-    "is slow and then fast again": flap_slow,
-    "dies and comes back": flap_dead,
-    "restarts with another id": flap_restart,
-}
-
-
-@when("{count:d} target {fault} {times:d} times")
-def step_flap(context, count, fault, times):
-    """They are listed and fast for at most 30 s between the faults."""
-    context.back_ms = []
-    for number in range(times):
-        FLAPS[fault](context, context.targets[:count])
-        since_ms = context.world.now_ms
-        shares = report_for(context, 1, waits_of(context, (), 1))[-1]
-        while (
-            shares and number < times - 1 and context.world.now_ms < since_ms + 30_000
-        ):
-            shares = report_for(context, 1, waits_of(context, (), 1))[-1]
-        context.back_ms.append(context.world.now_ms - since_ms)
-
-
-@when("{count:d} other targets die")
-def step_die(context, count):
-    """They are listed still."""
-    balancer, now_ms = context.world.balancer, context.world.now_ms
-    for target in context.targets[-count:]:
-        balancer.on_probe_result(target.cookie, REFUSED, now_ms)
-
-
-@then(
-    "of {count:d} targets each is first, and next to each other, for as many balancers"
-)
-def step_orders(context, count):
-    """As many balancers as there are orders with different steps."""
-    cookies = range(1, count + 1)
-    steps = [step for step in range(1, count) if gcd(step, count) == 1] or [1]
-    orders = [target_order(rank, cookies) for rank in range(count * len(steps))]
-    for places in zip(
-        *(sorted(order, key=order.get)[:2] for order in orders), strict=True
-    ):
-        assert {places.count(cookie) for cookie in cookies} == {len(steps)}, places
-    pairs = {tuple(sorted(order, key=order.get)[:2]) for order in orders}
-    assert len(pairs) == len(orders), len(pairs)
-
-
-@when("another balancer reads for {seconds:d} s")
-def step_other_reads(context, seconds):
-    """This one drops what only a reader keeps."""
-    context.world.balancer.load_sharing.advise(context.world.now_ms, reader=False)
-    context.world.wait(1_000 * seconds)
-
-
-@then("each time takes longer to come back than the one before, up to {most:d} s")
-def step_longer(context, most):
-    """The last time is open, as its end isn't waited for."""
-    context.first_ms = context.back_ms[0]
-    first, *others = context.back_ms[:-1]
-    assert others == sorted(others) and others[0] > first, context.back_ms
-    assert others[1] > others[0] and others[-1] <= 1_000 * most, context.back_ms
-
-
-@then("its return takes as long as the first time")
-def step_as_first(context):
-    """Good time is worth as much as it was before the faults."""
-    shares = [context.world.balancer.load_sharing.speeds.shares]
-    while shares[-1] and context.back_ms[0] < 30_000:
-        shares += report_for(context, 1, waits_of(context, (), 1))
-        context.back_ms[0] += 1_000
-    assert context.back_ms == [context.first_ms], context.back_ms
-
-
 @when("a reader advises a share of {percent:d}% for a target")
 def step_advice(context, percent, cookie=None):
     """Its advice arrives once."""
@@ -244,56 +99,6 @@
     step_advice(context, percent, cookie=77)
 
 
-@given("a target holds at most {most:d} connections")
-def step_cap(context, most):
-    """The configuration states it; as many balancers as hosts share them."""
-    services = {SERVICE: Service(SERVICE, 0, 0.0, most)}
-    balancer = context.world.balancer
-    balancer.configure(configuration(2)._replace(services=services))
-    balancer.admission.members = len(HOSTS)
-
-
-@given("admission is switched off")
-def step_no_admission(context):
-    """By the settings."""
-    context.world.balancer.admission.enabled = False
-
-
-@when("{members:d} members report {flows:d} flows to {count:d} target")
-def step_report_flows(context, members, flows, count):
-    """The others hold few of them."""
-    context.slow = context.targets[:count]
-    counts = [(target.cookie, flows) for target in context.slow]
-    for hosts, said in ((HOSTS[members:], ()), (HOSTS[:members], counts)):
-        report(context, (), hosts=hosts, flows=said)
-    report(context, (), hosts=())
-
-
-@when("3 members report {flows:d} flows to a remote target")
-def step_report_remote(context, flows):
-    """Callers of another data centre have theirs."""
-    report(context, (), flows=[(context.remote[0].cookie, flows)])
-    report(context, (), hosts=())
-
-
-@then("{count:d} target is at its cap")
-def step_at_cap(context, count):
-    """As the reader finds."""
-    full = context.world.balancer.load_sharing.connections.full
-    assert len(full) == count, full
-
-
-@then("this balancer with {flows:d} open flows reports {said} of them")
-def step_reports(context, flows, said):
-    """Caps that are far away cost no bytes."""
-    world, cookie = context.world, context.targets[0].cookie
-    world.balancer.flows.open_flows[cookie] = flows
-    world.wait(REPORT_MS)
-    sent = world.balancer.load_sharing.take_report(world.now_ms, members=len(HOSTS))
-    wanted = [] if said == "none" else [(cookie, int(said))]
-    assert (sent.flows if sent else []) == wanted, sent
-
-
 @when("callers keep {slots:d} slots busy for {seconds:d} s")
 def step_busy(context, slots, seconds):
     """New flows come at the rate that takes these slots."""
