--- a/libs/flows/features/admission.feature
+++ b/libs/flows/features/admission.feature
@@ -35,6 +35,10 @@
     When 60 callers a second come for 4 s and targets serve 20 a second
     Then the balancer refuses between 0.5 and 0.75 of the callers in the last second
 
+  Scenario: Answers that are short for good become usual
+    When a service gives 100 answers of 2000 bytes, 20000 of 160 and one of 2000
+    Then its targets aren't found to refuse more than usual
+
   Scenario: A grey target fails half of its requests with short errors
     Given lookups and confirmations to 4 targets
     And one target that refuses half of its requests
--- a/libs/flows/features/steps/admission_steps.py
+++ b/libs/flows/features/steps/admission_steps.py
@@ -1,11 +1,22 @@
 """Steps for admission where targets have too little room."""
 
+import itertools
 from random import Random
 
 from behave import given, then, when
 from fixtures import IDLE_TIMEOUT_MS, SERVICE, World, make_target
 
-from lagoontally_flows import ACK, FIN, Configuration, LogEvent, Reset, Route, Service
+from lagoontally_flows import (
+    ACK,
+    FIN,
+    Answer,
+    Configuration,
+    LogEvent,
+    Reset,
+    Route,
+    Service,
+)
+from lagoontally_flows._admission._evidence import ServiceEvidence
 
 LOOKUP = (0xC6120001, 443)
 CONFIRMATION = (0xC6120002, 443)
@@ -38,6 +49,28 @@
     context.tokens = 0.0
 
 
+@when(
+    "a service gives {first:d} answers of {long:d} bytes, {count:d} of {short:d} and "
+    "one of {last:d}"
+)
+def step_turns_short(context, first, long, count, short, last):
+    """All on one route, 20 ms apart."""
+    context.evidence = ServiceEvidence()
+    lengths = [long] * first + [short] * count + [last]
+    for context.now_ms, length in zip(itertools.count(step=20), lengths):
+        answer = Answer((1, 1, *LOOKUP), 1, SERVICE, 10, length)
+        context.evidence.on_answer(answer, context.now_ms)
+
+
+@then("its targets aren't found to refuse more than usual")
+def step_usual(context):
+    """One answer doesn't stand for more than came, 50 a second."""
+    evidence, now_ms = context.evidence, context.now_ms
+    assert evidence.refused_share(now_ms) < 0.01, evidence.refused_share(now_ms)
+    assert 0.0 <= evidence.served_per_s(now_ms) <= 60.0
+    assert not evidence.exceeds_usual(now_ms)
+
+
 @given("one target that refuses")
 def step_one_refuses(context):
     """A target refuses each request at once."""
--- a/libs/flows/src/lagoontally_flows/_admission/_answer_mix.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_answer_mix.py
@@ -10,6 +10,7 @@
 MIN_KNOWN = 65  # fewer answers don't show a mix
 KNOWN_WEIGHT = 1 / 200
 UNKNOWN_SHARE = 0.25  # of short answers that a new mix has at most
+MAX_USUAL_SHARE = 0.95  # what exceeds it is divided by the rest
 UNSEEN = 3  # short answers that chance may have kept from a new mix
 SUSPECT_WEIGHT = 1 / 8  # a burst isn't usual, but a lasting change of the mix is
 
@@ -47,8 +48,8 @@
 
     @property
     def usual_share(self):
-        """The known usual share of short answers."""
-        return self.share if self.known else 0.0
+        """The known usual share of short answers, ``MAX_USUAL_SHARE`` at most."""
+        return min(self.share, MAX_USUAL_SHARE) if self.known else 0.0
 
     @property
     def most_usual(self):
