--- a/libs/flows/src/lagoontally_flows/_placing/_target_order.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_order.py
@@ -22,20 +22,27 @@
     if not count:
         return {}
     round_, start = divmod(rank, count)
-    strides = _strides(count)
-    stride = strides[round_ % len(strides)]
+    stride = _stride(round_, count)
     return {cookies[(start + stride * place) % count]: place for place in range(count)}
 
 
-def _strides(count):
-    """Return the steps through so many targets that leave out none.
+def _stride(number, count):
+    """Return one of the steps through so many targets that leave out none.
 
     Balancers with the same first target take different ones, so that the flows of a
     target that is full or set aside don't all go to the same other one.
+
+    Args:
+        number: Number of the step, from 0; after the last one comes the first.
+        count: Number of the targets.
     """
-    return [step for step in range(1, count) if _common_divisor(step, count) == 1] or [
-        1
-    ]
+    strides = []
+    for step in range(1, count):
+        if _common_divisor(step, count) == 1:
+            strides.append(step)
+            if len(strides) > number:
+                return step
+    return strides[number % len(strides)] if strides else 1
 
 
 def _common_divisor(one, other):
