--- a/libs/soak/src/lagoontally_soak/_old_copies.py
+++ b/libs/soak/src/lagoontally_soak/_old_copies.py
@@ -56,7 +56,7 @@
         """
         store, loop = self.deployment.store, self.deployment.loop
 
-        def age_s():
+        def age_s(_host):
             return loop.now - requested_at + MARGIN_S
 
         def end():
