--- a/libs/flows/features/evacuation.feature
+++ b/libs/flows/features/evacuation.feature
@@ -71,38 +71,6 @@
     And 100 ms pass
     Then the balancer stays in the rotation
 
-  Scenario Outline: Several targets fall silent at once while the platform hasn't answered
-    Given a balancer with 2 targets and 6 remote ones
-    When "tifton" is emptied
-    And the platform answered, and <heard> remote targets <later> ms later
-    And <silent> remote targets are found <evidence> after 250 ms more
-    Then the balancer <does> the rotation
-    When the platform answers again
-    Then the balancer is back in the rotation
-
-    Examples:
-      | heard | later | silent | evidence | does     |
-      | 1     | 10    | 3      | silent   | leaves   |
-      | 1     | 10    | 2      | silent   | stays in |
-      | 1     | 10    | 6      | refused  | stays in |
-      | 1     | -10   | 3      | silent   | stays in |
-      | 0     | 10    | 3      | silent   | stays in |
-
-  Scenario: One target answers while others fall silent
-    Given a balancer with 2 targets and 6 remote ones
-    When "tifton" is emptied
-    And the platform answered, and 1 remote targets 10 ms later
-    And 2 remote targets are found silent after 250 ms more
-    And a remote target answers
-    And 3 remote targets are found silent after 250 ms more
-    Then the balancer stays in the rotation
-
-  Scenario: Several targets fall silent while no data centre is emptied
-    Given a balancer with 2 targets and 6 remote ones
-    When the platform answered, and 1 remote targets 10 ms later
-    And 3 remote targets are found silent after 250 ms more
-    Then the balancer stays in the rotation
-
   Scenario: Delisted targets of an emptied data centre
     Given a balancer with 4 targets and 2 remote ones
     When "tifton" is emptied
--- a/libs/flows/features/steps/cut_steps.py
+++ b/libs/flows/features/steps/cut_steps.py
@@ -41,34 +41,6 @@
     world.collect()
 
 
-@when("the platform answered, and {count:d} remote targets {later_ms:d} ms later")
-def step_answered(context, count, later_ms):
-    """All of this is over now; a flow shows that callers come."""
-    world = context.world
-    world.open_flow()
-    world.wait(1_000)
-    world.balancer.platform_heard_ms = world.now_ms
-    for target in context.remote[len(context.remote) - count :]:
-        world.balancer.health.on_response(target.cookie, world.now_ms + later_ms)
-
-
-@when("{count:d} remote targets are found {evidence} after {later_ms:d} ms more")
-def step_some_dead(context, count, evidence, later_ms):
-    """The last ones answered before."""
-    world = context.world
-    world.now_ms += later_ms
-    for target in context.remote[:count]:
-        world.balancer.on_probe_result(target.cookie, evidence, world.now_ms)
-    world.wait(100)
-
-
-@when("a remote target answers")
-def step_remote_answers(context):
-    """The last one."""
-    world = context.world
-    world.balancer.health.on_response(context.remote[-1].cookie, world.now_ms)
-
-
 @when("{count:d} SYNs are refused")
 def step_refused(context, count):
     """No target can take them."""
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -266,14 +266,13 @@
         self._reset_stuck_flows(now_ms)
         self.effects.extend(self.admission.on_tick(now_ms))
         self.demand.on_tick(now_ms)
-        demanded, selector = self.demand.syns, self.target_selector
         self.cut_off = is_cut_off(
             self.demand,
             self.platform_heard_ms,
             now_ms,
             was_cut_off=self.cut_off,
-            out_of_reach=bool(demanded) and selector.is_out_of_reach(demanded, now_ms),
-            silent_since_ms=selector.silent_since(demanded, now_ms),
+            out_of_reach=bool(self.demand.syns)
+            and self.target_selector.is_out_of_reach(self.demand.syns, now_ms),
         )
 
     def target_id(self, cookie):
--- a/libs/flows/src/lagoontally_flows/_placing/_demand.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_demand.py
@@ -46,9 +46,7 @@
         return refused >= MIN_REFUSED_SYNS and refused > REFUSED_TO_SERVED * served
 
 
-def is_cut_off(
-    demand, heard_ms, now_ms, *, was_cut_off, out_of_reach=False, silent_since_ms=None
-):
+def is_cut_off(demand, heard_ms, now_ms, *, was_cut_off, out_of_reach=False):
     """Return whether callers are better served through another data centre.
 
     Args:
@@ -60,9 +58,7 @@
         out_of_reach: Whether the only targets that may be used are dead as seen from
             here. Routers use all balancers of a data centre while half of them are
             in the rotation, so none waits for SYNs of its own then.
-        silent_since_ms: Since when these targets seem cut off, None if they don't. Then
-            the platform's answers count only if they came later.
     """
     if heard_ms is not None and now_ms - heard_ms < CONTACT_LOST_MS:
-        return silent_since_ms is not None and heard_ms < silent_since_ms
+        return False
     return was_cut_off or out_of_reach or demand.mostly_refused()
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -1,7 +1,6 @@
 """Selection of targets by view, health and load."""
 
 from ._placement import select_service, select_target
-from ._reach import MIN_SILENT, silent_since
 from ._regions import in_allowed_regions
 from ._target_order import TargetOrder
 
@@ -103,33 +102,14 @@
         """
         if not self.evacuations.since_ms:
             return False
-        usable = self._outside(services, now_ms)
+        usable = [
+            self.view.candidates(service, now_ms, self.evacuations.is_evacuated)
+            for service in services
+        ]
         return all(usable) and all(
             self.health.is_dead(target.cookie) for one in usable for target in one
         )
 
-    def silent_since(self, services, now_ms):
-        """Return since when the targets outside emptied data centres are silent.
-
-        Args:
-            services: Names of services.
-            now_ms: Current time.
-
-        Returns:
-            None if no data centre is emptied, or if they don't seem cut off.
-        """
-        if not self.evacuations.since_ms or len(self.health.down_marks) < MIN_SILENT:
-            return None
-        usable = self._outside(services, now_ms)
-        return silent_since([target for one in usable for target in one], self.health)
-
-    def _outside(self, services, now_ms):
-        """Return the targets outside emptied data centres, in a list by service."""
-        is_evacuated = self.evacuations.is_evacuated
-        return [
-            self.view.candidates(service, now_ms, is_evacuated) for service in services
-        ]
-
     def refusal(self, route, now_ms, avoid=()):
         """Return why there is no target for a new flow.
 
--- a/libs/flows/src/lagoontally_flows/_targets/_health.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_health.py
@@ -51,16 +51,14 @@
 
     Attributes:
         confirmed: Whether a probe of this balancer has failed.
-        silent_since_ms: When a probe first had no answer, None if it was refused.
         until_ms: When a mark that rests on a peer's verdict expires.
         next_probe_ms: When this balancer probes the target next.
     """
 
-    __slots__ = ("confirmed", "silent_since_ms", "until_ms", "next_probe_ms")
+    __slots__ = ("confirmed", "until_ms", "next_probe_ms")
 
     def __init__(self):
         self.confirmed = False
-        self.silent_since_ms = None
         self.until_ms = 0
         self.next_probe_ms = 0
 
@@ -86,7 +84,6 @@
         self.ended = set()
         self.any_responded_ms = LONG_AGO_MS
         self._accepted_ms = {}
-        self._refused_ms = {}
 
     def is_dead(self, cookie):
         """Return whether a target is dead and gets no new flows."""
@@ -97,18 +94,6 @@
         down_mark = self.down_marks.get(cookie)
         return cookie in self.ended or (down_mark is not None and down_mark.confirmed)
 
-    def heard_ms(self, cookie):
-        """Return when a target or its host last gave a sign of life here."""
-        return max(
-            table.get(cookie, LONG_AGO_MS)
-            for table in (self.responded_ms, self._accepted_ms, self._refused_ms)
-        )
-
-    def silent_since_ms(self, cookie):
-        """Return since when probes of a target have had no answer, None if they had."""
-        down_mark = self.down_marks.get(cookie)
-        return down_mark.silent_since_ms if down_mark else None
-
     def on_response(self, cookie, now_ms):
         """Record that a target answered a caller."""
         self.responded_ms[cookie] = now_ms
@@ -166,11 +151,8 @@
             return [Verdict(cookie, False, evidence, 0)]
         if evidence == UNCLEAR:
             return []
-        if evidence == REFUSED:
-            self._refused_ms[cookie] = now_ms
         down_mark = self.down_marks.setdefault(cookie, DownMark())
         down_mark.confirmed = True
-        _note_silence(down_mark, evidence, now_ms)
         down_mark.next_probe_ms = now_ms + DEAD_PROBE_INTERVAL_MS
         return [Verdict(cookie, True, evidence, 0)]
 
@@ -188,7 +170,6 @@
         is_new = down_mark is None
         if is_new:
             down_mark = self.down_marks[verdict.cookie] = DownMark()
-            _note_silence(down_mark, verdict.evidence, now_ms)
         down_mark.until_ms = now_ms + PEER_MARK_TTL_MS
         return is_new
 
@@ -231,15 +212,7 @@
             self.stalled_ms,
             self.down_marks,
             self._accepted_ms,
-            self._refused_ms,
         ):
             table.pop(cookie, None)
         self.probing.discard(cookie)
         self.ended.discard(cookie)
-
-
-def _note_silence(down_mark, evidence, now_ms):
-    if evidence != SILENT:
-        down_mark.silent_since_ms = None
-    elif down_mark.silent_since_ms is None:
-        down_mark.silent_since_ms = now_ms
