--- a/libs/bench/src/lagoontally_bench/_lost_changes_search.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_search.py
@@ -7,7 +7,7 @@
 from ._lost_changes_run import Run
 
 AFTERMATH_MS = 6_000
-RESTORED_AFTERMATH_MS = 14_000  # until what a restored copy lists wrongly has expired
+RESTORED_AFTERMATH_MS = 14_000  # until outdated entries of a restored store expire
 QUIET_MS = 3_000
 
 
--- a/libs/flows/src/lagoontally_flows/_admission/_answer_mix.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_answer_mix.py
@@ -7,12 +7,12 @@
 SHORT_RATIO = 1 / 3  # of the mean of longer answers
 MAX_SHORT_BYTES = 512  # a status line and headers without a body
 LENGTH_WEIGHT = 1 / 16
-MIN_KNOWN = 65  # fewer answers don't show a mix
+MIN_KNOWN = 65  # answers from which the usual share is learned
 KNOWN_WEIGHT = 1 / 200
-UNKNOWN_SHARE = 0.25  # of short answers that a new mix has at most
-MAX_USUAL_SHARE = 0.95  # what exceeds it is divided by the rest
-UNSEEN = 3  # short answers that chance may have kept from a new mix
-SUSPECT_WEIGHT = 1 / 8  # a burst isn't usual, but a lasting change of the mix is
+UNKNOWN_SHARE = 0.25  # assumed share of short answers, at most, until it is known
+MAX_USUAL_SHARE = 0.95  # 1 less the share is a divisor
+UNSEEN = 3  # short answers added to the count until the share is known
+SUSPECT_WEIGHT = 1 / 8  # of an answer while more than usual are short
 
 
 class AnswerMix:
@@ -66,7 +66,7 @@
             self.short_places.add(place)
             return True
         if length > mean / SHORT_RATIO:
-            mean = length  # those before were the short ones
+            mean = length  # all answers so far were short ones
         self.lengths[place] = mean + (length - mean) * LENGTH_WEIGHT
         return False
 
--- a/libs/flows/src/lagoontally_flows/_admission/_evidence.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_evidence.py
@@ -12,7 +12,7 @@
 HALF_LIFE_MS = 250
 SHORT_HALF_LIFE_MS = 150
 MIN_SERVED_SHARE = 0.05  # a service whose answers are all short may serve them all
-MIN_ANSWERS = 4  # fewer say nothing of a service
+MIN_ANSWERS = 4  # below it no share and no mean wait is computed
 MIN_REFUSED = 3.0
 CHANCE_DEVIATIONS = 4.0
 
--- a/libs/flows/src/lagoontally_flows/_load/_connection_counts.py
+++ b/libs/flows/src/lagoontally_flows/_load/_connection_counts.py
@@ -12,7 +12,7 @@
 FULL_LOAD = 0.9  # of the cap; the rest is for flows that open before all know
 ROOM_LOAD = 0.8
 REPORT_LIFETIME_MS = 2_000
-REPORT_LIFETIME_PER_MEMBER_MS = 30  # three reports
+REPORT_LIFETIME_PER_MEMBER_MS = 30  # three intervals between reports
 MAX_REPORTED = 20
 
 
--- a/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
+++ b/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
@@ -5,12 +5,12 @@
 """
 
 DEMAND_LIFETIME_MS = 3_000  # of what another data centre told
-SMOOTHING = 0.5  # weight of the latest second
+SMOOTHING = 0.5  # weight of the latest second in the average
 WAIT_SMOOTHING = 0.05  # weight of the latest answer time
 MAX_WAIT_FACTOR = 2.0
 TOLD_LOAD = 0.5  # of the slots; below it a data centre says nothing
 REFRESH_MS = 1_000
-MAX_DATA_CENTRES = 64  # bounds what forged digests can fill
+MAX_DATA_CENTRES = 64  # bounds memory, since anyone can send a digest
 
 
 class DataCentreDemand:
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -7,11 +7,11 @@
 
 from ._flap_backoff import FlapBackoff
 
-SAMPLES = 32  # latest answers of a target
+SAMPLES = 32  # answers kept of each target, the latest ones
 SAMPLE_LIFETIME_MS = 3_000
 MIN_SAMPLES = 8  # fewer may all be of long requests
 MIN_LATER_SAMPLES = 4  # to judge a target that is set aside
-MIN_REPORTERS = 2  # one balancer may be slow itself
+MIN_REPORTERS = 2  # a single balancer's delays don't count as a target's
 USUAL_QUANTILE = 0.33  # leaves two thirds of the targets that may be slow
 SLOW_FACTOR = 2.5  # a target is slow from this multiple of the usual time on
 NORMAL_FACTOR = 1.6
--- a/libs/flows/src/lagoontally_flows/_membership.py
+++ b/libs/flows/src/lagoontally_flows/_membership.py
@@ -17,7 +17,7 @@
 # Until a seed has answered; it may be starting too.
 FIRST_HELLO_INTERVAL_MS = 250
 MISSED_HELLOS = 6  # that remove a sender; datagrams may be lost
-MISSED_REPLIES = 3  # fewer, so that a balancer notices before others remove it
+MISSED_REPLIES = 3  # below what seeds allow, so a balancer that is cut off knows first
 SETTLING_MS = 3_000  # members that start together announce themselves by then
 MAX_HOSTS_PER_MESSAGE = 60  # an address takes up to 18 bytes of a datagram of 1,200
 MAX_RECORDED_CHANGES = 256
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -157,8 +157,8 @@
 
     def _usable(self, service, route, now_ms, avoid):
         healthy = self._healthy(service, route, now_ms, avoid)
-        # Before the full ones are left out: a cold target that may get no more isn't
-        # another one that is left.
+        # Before the full ones are left out: they are used rather than none where all
+        # other targets are cold and may get no more.
         admitted = self.warm_up_budgets.admitted(healthy, now_ms)
         leaves_out, open_flows = self.admission.leaves_out, self.flows.open_flows
         roomy = [
--- a/libs/flows/src/lagoontally_flows/_store/_relays.py
+++ b/libs/flows/src/lagoontally_flows/_store/_relays.py
@@ -7,11 +7,11 @@
 
 from lagoontally_lean import Record
 
-MIN_MEMBERS = 32  # fewer get everything from the reader
+MIN_MEMBERS = 32  # with fewer the reader sends to each member itself
 GROUP_SIZE = 8  # members with the relay; their hosts fit into the datagram
 ACK_MS = 150  # two ticks of a busy relay
 UNUSED_MS = 10_000  # after a missing acknowledgement
-MAX_WAITING = 1_024  # messages; more are sent by the reader itself
+MAX_WAITING = 1_024  # unacknowledged messages; with more no relay is used
 
 
 class Relayed(Record, fields="number hosts message"):
--- a/libs/forwarder/src/lagoontally_forwarder/_main.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_main.py
@@ -1,6 +1,6 @@
 """The entry point: reads the settings and runs the process."""
 
-from posix import environ  # ``os`` adds 1 ms to startup
+from posix import environ  # importing ``os`` takes 1 ms
 
 from lagoontally_platform import SETTINGS_VARIABLE
 
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -311,7 +311,7 @@
     def _take_operator_pages(self, pages):
         """Take over a complete read of configuration and evacuations."""
         found = pages.configuration is not None
-        if found:  # polls before the operator publishes one aren't logged
+        if found:  # no log line for each read until a configuration is published
             self._record_configuration_read(pages)
         self._apply_configuration(
             pages.configuration, "store", written=pages.configuration_revision
--- a/libs/soak/src/lagoontally_soak/_cold_returns.py
+++ b/libs/soak/src/lagoontally_soak/_cold_returns.py
@@ -17,7 +17,7 @@
 IDLE_S = 1.0
 HEARTBEAT_S = 1.2
 MAX_LAG_S = 0.3  # what arrives while the stand-ins run later has no known time
-SCARCITY_S = 0.5  # resolution of what is recorded
+SCARCITY_S = 0.5  # length of each record that a service has only cold targets
 EXCUSE_WINDOW_S = 4.0  # a restart this long before an opening excuses it
 
 
