Pauses: a target's answer that waited during one reaches the caller

Cause: after a standstill of a second or more, the edge and the core discarded the answers of targets like requests. A non-confirmable answer isn't sent again, so the caller of a command got none and ended as unknown at its deadline, though the target had answered. A refusal that came after a pause was followed by a try elsewhere without a dispatcher, though nothing is to be sent for a request from before a pause.

--- a/libs/core/features/home.feature
+++ b/libs/core/features/home.feature
@@ -40,6 +40,17 @@
     Then no target gets it
     And its caller gets no answer
 
+  Scenario: A target's answer that was queued before a pause reaches the caller
+    Given a command that runs
+    When the target's answer was queued before a pause and is handled after it
+    Then the answer is sent
+
+  Scenario: A command that a target sheds during a pause isn't sent elsewhere
+    Given a command that runs
+    When the target's refusal was queued before a pause and is handled after it
+    Then no target gets it
+    And its caller is answered Refused
+
   Scenario: A relay with an earlier pause count is discarded
     Given a peer that noticed 0 pauses
     When the peer relays a command with the pause count before a pause
--- a/libs/core/features/steps/home_steps.py
+++ b/libs/core/features/steps/home_steps.py
@@ -29,6 +29,7 @@
 PEER = 2_000_002
 DEAD = 3
 PAUSE_MS = 10_000
+SHORT_PAUSE_MS = 4_000  # ends before the deadline
 UNKNOWN_HOME_WAIT_MS = 1_200
 
 
@@ -78,6 +79,33 @@
     context.core.handle_event(reply)
 
 
+@when("the target's answer was queued before a pause and is handled after it")
+def step_queued_answer(context):
+    """The process stands still while the answer waits."""
+    handle_queued_reply(context, ReplyStatus.ANSWERED)
+
+
+@when("the target's refusal was queued before a pause and is handled after it")
+def step_queued_refusal(context):
+    """The target has shed the command."""
+    handle_queued_reply(context, ReplyStatus.SHED)
+
+
+def handle_queued_reply(context, status):
+    """Handle a target's reply that arrived before a pause."""
+    core, sent = context.core, context.sent
+    reply = UpstreamReply(sent.target, sent.path, sent.token, status, False, 1, b"done")
+    received = Received(core.now_ms, reply)
+    core.now_ms += SHORT_PAUSE_MS
+    core.handle_event(received)
+
+
+@then("the answer is sent")
+def step_answer_sent(context):
+    """The caller gets what the target said."""
+    assert [item.answer for item in context.core.answers()] == [Forwarded(b"done")]
+
+
 @when("a command comes with {kind}")
 def step_command(context, kind):
     """The command carries an Echo of the named kind."""
--- a/libs/core/src/lagoontally_core/_exchanges.py
+++ b/libs/core/src/lagoontally_core/_exchanges.py
@@ -186,17 +186,20 @@
 
 
 def _check_still_sendable(exchange, context):
-    """Return whether an exchange may be sent; refuse it otherwise.
+    """Return whether an exchange may be sent; refuse it otherwise."""
+    reason = _unsendable_reason(exchange, context)
+    if reason:
+        _refuse_unsent(exchange, reason, context)
+    return not reason
 
-    It may not be sent when its deadline is too near or a pause came in between.
-    """
+
+def _unsendable_reason(exchange, context):
+    """Return why an exchange may not be sent to a target, empty if it may."""
     if exchange.deadline_ms - context.now_ms < MIN_REMAINING_MS:
-        _refuse_unsent(exchange, "the deadline has passed", context)
-        return False
+        return "the deadline has passed"
     if exchange.started_ms < context.state.resumed_ms:
-        _refuse_unsent(exchange, "the balancer was paused", context)
-        return False
-    return True
+        return "the balancer was paused"
+    return ""
 
 
 def _refuse_unsent(exchange, reason, context):
@@ -316,7 +319,7 @@
     """
     state = context.state
     exchange.tried = (*exchange.tried, exchange.target)
-    if exchange.deadline_ms - context.now_ms < MIN_REMAINING_MS:
+    if _unsendable_reason(exchange, context):
         return False
     service = exchange.reply_to.flow.service
     usable = candidates(state, service, context.now_ms, exchange.tried)
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -157,6 +157,19 @@
 handle_outdated.register(TemplateRejected, on_template_rejected)
 
 
+@handle_outdated.register
+def on_outdated_reply(event: UpstreamReply, context):
+    """Pass on a target's answer, which is as true as before the pause.
+
+    A notification is discarded: its line has a newer state by now.
+    """
+    exchange = context.state.exchanges.get(event.token)
+    if exchange is None:
+        context.count("event.discarded_after_pause")
+        return
+    on_exchange_reply(exchange, event, context)
+
+
 @singledispatch
 def handle(event, context):
     """Handle an event by its type.
--- a/libs/edges/features/datagrams.feature
+++ b/libs/edges/features/datagrams.feature
@@ -61,6 +61,16 @@
     Then the reply is posted with the target and path 7
     And the target receives an acknowledgement
 
+  Scenario Outline: A target's datagram that waited during a pause
+    Given an upstream edge and a target
+    When a request is sent, the target sends <datagram> and the clock advances by 5000 ms
+    Then <posted> replies are posted and <discarded> are counted as discarded
+
+    Examples:
+      | datagram       | posted | discarded |
+      | a reply        | 1      | 0         |
+      | a notification | 0      | 1         |
+
   Scenario: Targets answer identity queries
     Given an upstream edge and a target
     When the target answers the identity query
--- a/libs/edges/features/fixtures.py
+++ b/libs/edges/features/fixtures.py
@@ -10,6 +10,7 @@
 import hypothesis
 
 TIMEOUT_S = 20
+COMMAND = bytes.fromhex("42020007 6162 b170")
 
 
 class Recorder:
@@ -130,3 +131,12 @@
         max_examples=400, derandomize=True, database=None, deadline=None
     )
     examples(hypothesis.given(mutations(samples))(lambda data: check(data)))()
+
+
+def run_until(loop, done):
+    """Run iterations of a loop until a condition holds."""
+    for _ in range(200):
+        if done():
+            return
+        loop.run_once(0.1)
+    raise AssertionError("the condition never held")
--- a/libs/edges/src/lagoontally_edges/_datagrams.py
+++ b/libs/edges/src/lagoontally_edges/_datagrams.py
@@ -72,18 +72,28 @@
         post: Called with each event for the core.
         count: Called with each ``Count``.
         clock_ms: Returns the monotonic clock in milliseconds.
+        discards_after_pause: Whether datagrams that waited during a pause are
+            discarded. If not, ``handle`` decides by ``stale``.
 
     Attributes:
         stale: True once a pause was detected while the last batch was handled.
     """
 
     def __init__(
-        self, *, name, handle, post, count=ignore_count, clock_ms=monotonic_ms
+        self,
+        *,
+        name,
+        handle,
+        post,
+        count=ignore_count,
+        clock_ms=monotonic_ms,
+        discards_after_pause=True,
     ):
         self.name = name
         self.handle = handle
         self.post_event = post
         self.stale = False
+        self.discards_after_pause = discards_after_pause
         self.count = count
         self.pause_detector = PauseDetector(clock_ms=clock_ms)
         self.sockets = {}
@@ -180,20 +190,23 @@
         # detected before any datagram that waited in the kernel is handled.
         self.stale = self.pause_detector.pause_detected()
         handled = self.handle_until_paused(datagrams)
-        if self.stale:
+        if self.stale and self.discards_after_pause:
             self.discard_waiting(len(datagrams) - handled)
 
     def handle_until_paused(self, datagrams):
-        """Handle datagrams until a pause is detected; return how many were handled."""
+        """Handle datagrams until a pause is detected; return how many were handled.
+
+        All are handled where none is discarded.
+        """
         for index, datagram in enumerate(datagrams):
-            if not self.stale:
+            if not (self.stale and self.discards_after_pause):
                 self.handle(datagram)
-            if self.stale:
+            if self.stale and self.discards_after_pause:
                 return index
         return len(datagrams)
 
     def post(self, event):
-        """Post an event unless the process has paused since its datagram was read.
+        """Post an event unless its datagram waited during a pause and is discarded.
 
         Args:
             event: The event.
@@ -202,9 +215,10 @@
             True if it was posted.
         """
         self.stale = self.stale or self.pause_detector.pause_detected()
-        if not self.stale:
-            self.post_event(event)
-        return not self.stale
+        if self.stale and self.discards_after_pause:
+            return False
+        self.post_event(event)
+        return True
 
     def apply_changes(self):
         """Register opened sockets and close retired ones."""
--- a/libs/edges/src/lagoontally_edges/_upstream_edge.py
+++ b/libs/edges/src/lagoontally_edges/_upstream_edge.py
@@ -71,6 +71,7 @@
             post=post,
             count=count,
             clock_ms=clock_ms,
+            discards_after_pause=False,
         )
         self.lock = Lock()
         self.paths = OrderedDict()
@@ -159,15 +160,19 @@
         if isinstance(decoded, Malformed):
             self.loop.increment("malformed")
             return
+        is_query = len(decoded.token) == QUERY_TOKEN_BYTES
+        if self.loop.stale and (is_query or decoded.observed):
+            # Of a target's state before the pause. An answer stays true.
+            self.loop.increment("discarded_after_pause")
+            return
         host, port = datagram.sender
         target = f"{host}:{port}"
-        if len(decoded.token) == QUERY_TOKEN_BYTES:
+        if is_query:
             self.post_query_answer(decoded.token, target, datagram.data)
         else:
             self.refresh_path(datagram.key)
             self.post_request_reply(decoded, target, datagram)
-        # A reply discarded after a pause isn't acknowledged: the target resends it.
-        if decoded.confirmable and not self.loop.stale:
+        if decoded.confirmable:
             ack = encode_empty(ACK, decoded.message_id)
             self.loop.send(datagram.key, ack, target)
 
