Uneven load: slow targets are told by their work time and their own past

Change: a target's work time is its answer time, and at most what its slots allow at the rate of its answers; the usual time follows the past slowly; refusals don't count as answers; reports come every 200 ms; recent answers decide; digests tell the slots that a data centre has, slow ones in part. The bound of half a service set aside, a guard against a majority that is slow beside the others only, holds for flapping targets only: its scenario is replaced by three that fix what a slow majority gets, that no target is favoured where all turn slow, and that queues aren't slowness.

--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -8,6 +8,7 @@
 from lagoontally_flows._load import slow_share, spill_parts
 
 REFUSED_MS = 3  # the way to the target and back
+LISTED_SLOTS = 20
 
 
 @when("{count:d} target takes {factor:d} times as long as the others for {seconds:d} s")
@@ -113,6 +114,29 @@
     keep_busy(context, slots, seconds, REFUSED_MS)
 
 
+@when(
+    "all local targets take {factor:d} times as long "
+    "while callers keep {slots:d} slots busy for {seconds:d} s"
+)
+def step_busy_slow(context, factor, slots, seconds):
+    """The same callers, and each is served later."""
+    keep_busy(context, slots, seconds, factor * USUAL_MS)
+
+
+@when(
+    "all slots of {count:d} targets are busy "
+    "and callers wait {factor:d} times as long for {seconds:d} s"
+)
+def step_queues(context, count, factor, seconds):
+    """Each slot serves a request after another."""
+    for _ in range(seconds * 1_000 // REPORT_MS):
+        answers = [(target.cookie, USUAL_MS) for target in context.targets[count:]] * 3
+        for target in context.targets[:count]:
+            served = round(target.slots * REPORT_MS / USUAL_MS / len(HOSTS))
+            answers += [(target.cookie, factor * USUAL_MS)] * served
+        report(context, answers)
+
+
 def keep_busy(context, slots, seconds, waited_ms):
     """Report arrivals, and answers that took this long."""
     arrivals = [(SERVICE, round(slots / USUAL_MS * REPORT_MS / len(HOSTS)))]
@@ -153,6 +177,13 @@
     assert counts == [count] * len(counts), counts
 
 
+@then("each target gets between {least:d} and {most:d} flows")
+def step_each_between(context, least, most):
+    """None is left with few."""
+    counts = [context.counts.get(target.cookie, 0) for target in context.targets]
+    assert least <= min(counts) <= max(counts) <= most, counts
+
+
 @then("between {least:d}% and {most:d}% of them are local")
 def step_local(context, least, most):
     """The rest goes to other data centres."""
@@ -227,7 +258,16 @@
 @when("the remote data centre tells that {slots:d} slots are busy")
 def step_told(context, slots):
     """A seed passed it on."""
-    digest = DemandDigest(REMOTE, [(SERVICE, slots)], True)
+    step_told_both(context, slots, LISTED_SLOTS)
+
+
+@when(
+    "the remote data centre tells that {busy:d} slots are busy "
+    "of {slots:d} that it has"
+)
+def step_told_both(context, busy, slots):
+    """Slow targets count in part."""
+    digest = DemandDigest(REMOTE, [(SERVICE, busy, slots)], True)
     world = context.world
     world.balancer.load_sharing.on_digest(digest, HOSTS[0], world.now_ms)
 
@@ -254,7 +294,7 @@
 def pass_on(context, data_centre, host, *, passed_on=False):
     """Deliver a digest; return where it goes."""
     world = context.world
-    digest = DemandDigest(data_centre, [(SERVICE, 30)], passed_on)
+    digest = DemandDigest(data_centre, [(SERVICE, 30, LISTED_SLOTS)], passed_on)
     return world.balancer.load_sharing.on_digest(digest, host, world.now_ms)
 
 
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -35,10 +35,26 @@
     And 40 flows come and go
     Then the slow targets together get between 40 and 40 flows
 
-  Scenario: At most half of a service's capacity is set aside
+  Scenario: Most targets are slow, compared with their own past
     Given a balancer with 10 targets
-    When 6 targets take 9 times as long as the others for 2 s
-    Then at most 5 targets are set aside
+    When all targets are equally fast for 4 s
+    And 6 targets take 4 times as long as the others for 8 s
+    And 400 flows come and go
+    Then 6 targets are set aside
+    And the slow targets together get between 20 and 100 flows
+
+  Scenario: Where all turn slow alike, flows are divided as before
+    Given a balancer with 5 targets
+    When all targets are equally fast for 4 s
+    And 5 targets take 4 times as long as the others for 4 s
+    And 400 flows come and go
+    Then each target gets between 60 and 100 flows
+
+  Scenario: A queue doesn't make targets slow
+    Given a balancer with 4 targets
+    When all targets are equally fast for 4 s
+    And all slots of 2 targets are busy and callers wait 5 times as long for 4 s
+    Then no target is set aside
 
   Scenario: Answers from another data centre take longer and are no fault
     Given a balancer with 4 targets and 4 remote ones
@@ -269,6 +285,20 @@
       | 40    | a 90, b 90, c 30  | c    | nothing         |
       | 40    | a 20              | a    | nothing         |
 
+  Scenario: A data centre whose targets are slow gets no spill
+    Given a balancer with 10 targets and 10 remote ones
+    When the remote data centre tells that 6 slots are busy of 5 that it has
+    And callers keep 30 slots busy for 3 s
+    And 400 flows come and go
+    Then between 85% and 100% of them are local
+
+  Scenario: A data centre whose targets turn slow spills
+    Given a balancer with 10 targets and 10 remote ones
+    When callers keep 10 slots busy for 4 s
+    And all local targets take 4 times as long while callers keep 10 slots busy for 3 s
+    And 400 flows come and go
+    Then between 20% and 50% of them are local
+
   Scenario: A cut data centre counts as an average one, not as idle
     Given a balancer with 10 targets and 10 remote ones
     When the remote data centre tells that 12 slots are busy
--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -158,10 +158,11 @@
         return reason
 
     def on_answer(self, answer, now_ms):
-        """Take note of an ``Answer``."""
+        """Take note of an ``Answer``; return whether it is as short as a refusal."""
         service = self._service(answer.service)
         evidence, limited = service.evidence, service.limit is not None
-        if evidence.on_answer(answer, now_ms, limited=limited):
+        refused = evidence.on_answer(answer, now_ms, limited=limited)
+        if refused:
             usual = evidence.mix.share
             self.full_targets.on_refused(answer.cookie, now_ms, usual_share=usual)
             if service.start(now_ms):
@@ -169,6 +170,7 @@
                 evidence.forget_answers(now_ms)  # they tell of the former rate
         else:
             self.full_targets.on_served(answer.cookie)
+        return refused
 
     def on_unanswered(self, cookie, now_ms):
         """Take note that a target didn't answer a SYN."""
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -121,7 +121,7 @@
             health=self.health,
             flows=self.flows,
             stuck_targets=self.stuck_targets,
-            answer_listeners=(self.admission, self.load_sharing.log),
+            on_answer=self._on_answer,
             effects=self.effects,
         )
         self.cut_off = False
@@ -304,6 +304,11 @@
         self.effects.clear()  # in place: the placer holds the same list
         return effects
 
+    def _on_answer(self, answer, now_ms):
+        """Hand an answer on to the decisions that learn from it."""
+        refused = self.admission.on_answer(answer, now_ms)
+        self.load_sharing.log.on_answer(answer, refused=refused)
+
     def _route(self, flow):
         _, _, address, port = flow
         return self.configuration.routes.get((address, port))
--- a/libs/flows/src/lagoontally_flows/_load/_answer_log.py
+++ b/libs/flows/src/lagoontally_flows/_load/_answer_log.py
@@ -5,18 +5,20 @@
 
 from ._load_messages import LoadReport
 
-REPORT_INTERVAL_MS = 500
+REPORT_INTERVAL_MS = 200
 REPORT_INTERVAL_PER_MEMBER_MS = 10  # a reader gets at most 100 reports a second
 MAX_ANSWERS = 40  # fit a datagram; more say nothing new about the targets
 MAX_SERVICES = 12
+MAX_REFUSALS = 10  # targets that refused; as many fewer answers are reported
 
 
 class AnswerLog:
-    """New flows and answers since the last report."""
+    """New flows, answers and refusals since the last report."""
 
     def __init__(self):
         self._arrivals = {}
         self._answers = []
+        self._refusals = {}
         self._next_ms = 0
 
     def on_arrival(self, service):
@@ -24,9 +26,19 @@
         if len(self._arrivals) < MAX_SERVICES or service in self._arrivals:
             self._arrivals[service] = self._arrivals.get(service, 0) + 1
 
-    def on_answer(self, answer, _now_ms):
-        """Record an ``Answer``."""
-        if len(self._answers) < MAX_ANSWERS:
+    def on_answer(self, answer, *, refused):
+        """Record an ``Answer``.
+
+        Args:
+            answer: The ``Answer``.
+            refused: Whether it is as short as a refusal, which says nothing about how
+                long the target takes.
+        """
+        if refused:
+            if len(self._refusals) < MAX_REFUSALS or answer.cookie in self._refusals:
+                count = self._refusals.get(answer.cookie, 0) + 1
+                self._refusals[answer.cookie] = count
+        elif len(self._answers) < MAX_ANSWERS:
             self._answers.append((answer.cookie, round(answer.waited_ms)))
 
     def take_report(self, now_ms, *, members, flows=()):
@@ -43,9 +55,11 @@
         self._next_ms = now_ms + max(
             REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_MEMBER_MS * members
         )
-        if not self._arrivals and not self._answers and not flows:
+        refusals = list(self._refusals.items())
+        if not (self._arrivals or self._answers or flows or refusals):
             return None
-        answers = self._answers[: MAX_ANSWERS - len(flows)]
-        report = LoadReport(list(self._arrivals.items()), answers, list(flows))
-        self._arrivals, self._answers = {}, []
+        answers = self._answers[: MAX_ANSWERS - len(flows) - len(refusals)]
+        arrivals = list(self._arrivals.items())
+        report = LoadReport(arrivals, answers, list(flows), refusals)
+        self._arrivals, self._answers, self._refusals = {}, [], {}
         return report
--- a/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
+++ b/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
@@ -36,7 +36,8 @@
     def on_digest(self, digest, now_ms):
         """Record what another data centre told; see ``DemandDigest``."""
         if len(self._heard) < MAX_DATA_CENTRES or digest.data_centre in self._heard:
-            self._heard[digest.data_centre] = (dict(digest.demands), now_ms)
+            told = {service: told for service, *told in digest.demands}
+            self._heard[digest.data_centre] = (told, now_ms)
 
     def update(self, usual_waits, now_ms):
         """Recompute ``busy``.
@@ -71,16 +72,24 @@
 
     def by_data_centre(self, service, own, now_ms):
         """Return the known demand for a service by data centre."""
-        demands = {
-            name: told.get(service)
-            for name, (told, heard_ms) in self._heard.items()
-            if now_ms - heard_ms <= DEMAND_LIFETIME_MS
-        }
+        demands = {name: busy for name, (busy, _) in self._told(service, now_ms)}
         demands[own] = self.busy.get(service, 0.0)
-        return {name: busy for name, busy in demands.items() if busy is not None}
+        return demands
+
+    def told_capacities(self, service, now_ms):
+        """Return the slots of a service that other data centres told, by name."""
+        return {name: slots for name, (_, slots) in self._told(service, now_ms)}
+
+    def _told(self, service, now_ms):
+        """Return what other data centres told: pairs of a name and two numbers."""
+        return [
+            (name, told[service])
+            for name, (told, heard_ms) in self._heard.items()
+            if service in told and now_ms - heard_ms <= DEMAND_LIFETIME_MS
+        ]
 
     def to_tell(self, capacities):
-        """Return the demands that others must know: pairs of a service and slots.
+        """Return what others must know; see ``DemandDigest.demands``.
 
         Args:
             capacities: Own usable slots by service.
@@ -91,4 +100,7 @@
         )
         if not loaded:
             return []
-        return [(service, round(busy, 1)) for service, busy in self.busy.items()]
+        return [
+            (service, round(busy, 1), round(capacities.get(service, 0), 1))
+            for service, busy in self.busy.items()
+        ]
--- a/libs/flows/src/lagoontally_flows/_load/_load_messages.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_messages.py
@@ -3,15 +3,17 @@
 from lagoontally_lean import Record
 
 
-class LoadReport(Record, fields="arrivals answers flows"):
+class LoadReport(Record, fields="arrivals answers flows refusals", defaults=((),)):
     """What a balancer saw since its previous report; sent to its reader.
 
     Attributes:
         arrivals: Pairs of a service and its new flows.
-        answers: Pairs of a target's cookie and how long an answer took, in
-            milliseconds.
+        answers: Pairs of a target's cookie and how long an answer that took work
+            took, in milliseconds.
         flows: Pairs of a target's cookie and the balancer's open flows to it, of
             targets near their cap.
+        refusals: Pairs of a target's cookie and its answers that were as short as
+            refusals.
     """
 
     __slots__ = ()
@@ -36,7 +38,8 @@
 
     Attributes:
         data_centre: Data centre whose callers the demand comes from.
-        demands: Pairs of a service and the slots that its callers keep busy.
+        demands: Services, the slots that their callers keep busy there, and the slots
+            of the targets there, where a slow target counts by its speed.
         passed_on: Whether a seed passed it on to a reader, which keeps it.
     """
 
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -163,7 +163,7 @@
         }
         if not self.demand.update(waits, now_ms):
             return None
-        capacities = self._capacities(targets)
+        capacities = self._capacities(targets, now_ms)
         self.spills = {}
         for service, sizes in capacities.items():
             parts = self._spill(service, sizes, now_ms)
@@ -194,17 +194,20 @@
         self._spilling.add(service)
         return spill_parts(self.data_centre, sizes, demands)
 
-    def _capacities(self, targets):
-        """Return usable slots by data centre, by service."""
+    def _capacities(self, targets, now_ms):
+        """Return usable slots by data centre, by service; a slow one counts in part."""
         capacities = {}
         for target in targets:
             emptied = self.evacuations.is_evacuated(target.data_centre)
             if emptied or self.health.is_dead(target.cookie):
                 continue
             sizes = capacities.setdefault(target.service, {})
-            share = self.speeds.shares.get(target.cookie, 1.0)
-            size = sizes.get(target.data_centre, 0) + target.slots * share
+            speed = self.speeds.speed(target)
+            size = sizes.get(target.data_centre, 0) + target.slots * speed
             sizes[target.data_centre] = size
+        for service, sizes in capacities.items():
+            told = self.demand.told_capacities(service, now_ms)
+            sizes |= {name: told[name] for name in sizes.keys() & told.keys()}
         return capacities
 
     def _advice(self):
@@ -220,9 +223,9 @@
     def _share_events(self, before):
         events = []
         for cookie in self.speeds.shares.keys() - before.keys():
-            wait_ms, share = self.speeds.waits.get(cookie), self.speeds.shares[cookie]
+            work_ms, share = self.speeds.work_ms.get(cookie), self.speeds.shares[cookie]
             faults = self.speeds.backoff.held.get(cookie, 0)
-            fields = (("share", round(share, 2)), ("wait_ms", wait_ms))
+            fields = (("share", round(share, 2)), ("work_ms", work_ms))
             fields += (("faults", faults),)
             events.append(self._target_event("target_set_aside", cookie, fields))
         for cookie in before.keys() - self.speeds.shares.keys():
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -7,8 +7,10 @@
 
 from ._flap_backoff import FlapBackoff
 
-SAMPLES = 32  # answers kept of each target, the latest ones
+SAMPLES = 128  # answers kept of each target, the latest ones
 SAMPLE_LIFETIME_MS = 3_000
+RECENT_MS = 700  # answers judged by, unless they are too few
+RATE_MS = 1_000  # time over which answers are counted
 MIN_SAMPLES = 8  # fewer may all be of long requests
 MIN_LATER_SAMPLES = 4  # to judge a target that is set aside
 MIN_REPORTERS = 2  # a single balancer's delays don't count as a target's
@@ -16,11 +18,12 @@
 SLOW_FACTOR = 2.5  # a target is slow from this multiple of the usual time on
 NORMAL_FACTOR = 1.6
 MIN_EXCESS_MS = 15  # more than delays of the network
-LONG_RUN_SMOOTHING = 0.02  # at each judgement, every half second
+FALL_WEIGHT = 0.02  # of the latest usual time, at each judgement, if it is shorter
+RISE_WEIGHT = 0.005  # if it is longer: most targets may be slow for a while
 MIN_SHARE = 0.1  # keeps answers coming, which show that it is fast again
 STEP_FACTOR, STEP = 1.4, 0.05  # the next share is share * STEP_FACTOR + STEP
 MIN_LOAD = 0.1
-MAX_SET_ASIDE = 0.5  # of a service in a data centre
+MAX_HELD = 0.5  # of a service in a data centre
 
 
 class TargetSpeeds:
@@ -28,21 +31,21 @@
 
     Attributes:
         shares: Share of a usual target's flows by cookie, of slow targets only.
-        waits: Median answer time in milliseconds by cookie, as last judged.
-        usual_ms: Answer time in milliseconds that targets are compared with, by pairs
-            of a service and a data centre.
+        work_ms: Time that a request takes without waiting, by cookie, as last judged.
+        usual_ms: Time in milliseconds that targets are compared with, by pairs of a
+            service and a data centre. It follows their own past slowly, so that most
+            targets of a service may be slow at the same time.
         backoff: The ``FlapBackoff``, whose targets don't come back yet.
     """
 
     def __init__(self):
         self.backoff = FlapBackoff()
         self.shares = {}
-        self.waits = {}
+        self.work_ms = {}
         self.usual_ms = {}
         self._samples = {}
         self._suspects = set()
         self._slow = set()
-        self._long_run_ms = {}
 
     def on_answers(self, host, answers, now_ms):
         """Record the answers in a balancer's report.
@@ -76,16 +79,16 @@
             group.append(target.cookie)
         listed = {cookie for cookies in groups.values() for cookie in cookies}
         self._forget_all_but(listed, now_ms)
-        self.waits = {
-            cookie: _usual_wait_ms(samples)
-            for cookie, samples in self._samples.items()
-            if self._can_be_judged(cookie, samples)
-        }
-        self.usual_ms = {
-            place: usual_ms
-            for place, cookies in groups.items()
-            if (usual_ms := self._usual_ms(place, cookies)) is not None
-        }
+        slots = {target.cookie: target.slots for target in targets}
+        self.work_ms = {}
+        for cookie, samples in self._samples.items():
+            judged = self._judged_samples(cookie, samples, now_ms)
+            if judged:
+                rate_ms = _answer_interval_ms(samples, now_ms)
+                most_ms = slots[cookie] * rate_ms
+                self.work_ms[cookie] = min(_usual_wait_ms(judged), most_ms)
+        for place, cookies in groups.items():
+            self._update_usual(place, cookies)
         self._find_slow(groups)
         self.backoff.update(
             targets,
@@ -104,33 +107,38 @@
         self.shares = {one: shares[one] for one in shares if one in known}
         self._suspects = suspects
 
+    def speed(self, target):
+        """Return the speed of a target, 1 if it is a usual one."""
+        share = self.shares.get(target.cookie, 1.0)
+        usual_ms = self.usual_ms.get((target.service, target.data_centre))
+        work_ms = self.work_ms.get(target.cookie)
+        is_held = target.cookie in self.backoff.held
+        if share == 1.0 or is_held or usual_ms is None or work_ms is None:
+            return share
+        return max(share, min(1.0, usual_ms / work_ms))
+
     def _find_slow(self, groups):
         """Update which targets were slow when their answers last told."""
         for place, cookies in groups.items():
             usual_ms = self.usual_ms.get(place)
             for cookie in cookies:
-                wait_ms = self.waits.get(cookie)
-                if wait_ms is None or usual_ms is None:
+                work_ms = self.work_ms.get(cookie)
+                if work_ms is None or usual_ms is None:
                     continue
-                if cookie in self.shares and _is_slow(wait_ms, usual_ms):
+                if cookie in self.shares and _is_slow(work_ms, usual_ms):
                     self._slow.add(cookie)
-                elif wait_ms < NORMAL_FACTOR * usual_ms:
+                elif work_ms < NORMAL_FACTOR * usual_ms:
                     self._slow.discard(cookie)
 
-    def _usual_ms(self, place, cookies):
-        """Return the usual answer time of a group of targets, None if unknown.
-
-        It doesn't fall at once: targets that refuse what they can't queue answer fast,
-        which must not make those that serve look slow.
-        """
-        waits = sorted(self.waits[one] for one in cookies if one in self.waits)
-        if not waits:
-            return self._long_run_ms.get(place)
-        usual_ms = waits[int(USUAL_QUANTILE * len(waits))]
-        before_ms = self._long_run_ms.get(place, usual_ms)
-        long_run_ms = before_ms + LONG_RUN_SMOOTHING * (usual_ms - before_ms)
-        self._long_run_ms[place] = long_run_ms
-        return max(usual_ms, long_run_ms)
+    def _update_usual(self, place, cookies):
+        """Update the usual time of a group of targets, unless no answer tells it."""
+        works = sorted(self.work_ms[one] for one in cookies if one in self.work_ms)
+        if not works:
+            return
+        latest_ms = works[int(USUAL_QUANTILE * len(works))]
+        before_ms = self.usual_ms.get(place, latest_ms)
+        weight = FALL_WEIGHT if latest_ms < before_ms else RISE_WEIGHT
+        self.usual_ms[place] = before_ms + weight * (latest_ms - before_ms)
 
     def _judge_group(self, cookies, usual_ms, dead, load):
         """Return the shares of the slow targets among a service's in a data centre."""
@@ -140,35 +148,31 @@
             share = self._share(cookie, usual_ms, load)
             if share < 1.0:
                 shares[cookie] = share
-        allowed = MAX_SET_ASIDE * len(cookies)
-        kept = {}
-        for cookie in sorted(shares, key=shares.get):
-            allowed -= 1.0 - shares[cookie]
-            if allowed < 0:
-                break
-            kept[cookie] = shares[cookie]
-        allowed = MAX_SET_ASIDE * len(cookies) - len(dead.intersection(cookies))
-        allowed -= sum(1.0 - share for share in kept.values())
+        allowed = MAX_HELD * len(cookies) - len(dead.intersection(cookies))
+        allowed -= sum(1.0 - share for share in shares.values())
         for cookie in sorted(held.keys() & cookies, key=held.get, reverse=True):
-            allowed -= 0.0 if cookie in dead else kept.get(cookie, 1.0) - MIN_SHARE
+            allowed -= 0.0 if cookie in dead else shares.get(cookie, 1.0) - MIN_SHARE
             if allowed < 0:
                 break
-            kept[cookie] = MIN_SHARE
-        return kept
+            shares[cookie] = MIN_SHARE
+        return shares
 
-    def _can_be_judged(self, cookie, samples):
-        reporters = {host for _, host, _ in samples}
+    def _judged_samples(self, cookie, samples, now_ms):
+        """Return the answers that a target is judged by, none if they are too few."""
         least = MIN_LATER_SAMPLES if cookie in self.shares else MIN_SAMPLES
-        return len(samples) >= least and len(reporters) >= MIN_REPORTERS
+        recent = [one for one in samples if now_ms - one[0] <= RECENT_MS]
+        judged = recent if len(recent) >= least else samples[-least:]
+        reporters = {host for _, host, _ in judged}
+        return judged if len(judged) >= least and len(reporters) >= MIN_REPORTERS else []
 
     def _share(self, cookie, usual_ms, load):
         """Return the new share of a target, 1 if it isn't slow."""
         share = self.shares.get(cookie, 1.0)
-        wait_ms = self.waits.get(cookie)
-        if wait_ms is not None and usual_ms is not None:
-            if _is_slow(wait_ms, usual_ms):
-                return slow_share(usual_ms / wait_ms, load)
-            if share < 1.0 and wait_ms >= NORMAL_FACTOR * usual_ms:
+        work_ms = self.work_ms.get(cookie)
+        if work_ms is not None and usual_ms is not None:
+            if _is_slow(work_ms, usual_ms):
+                return slow_share(usual_ms / work_ms, load)
+            if share < 1.0 and work_ms >= NORMAL_FACTOR * usual_ms:
                 return share
         return min(1.0, share * STEP_FACTOR + STEP)
 
@@ -197,9 +201,19 @@
     return max(MIN_SHARE, (speed - speed**0.5 * (1.0 - load)) / load)
 
 
-def _is_slow(wait_ms, usual_ms):
-    too_long = wait_ms >= SLOW_FACTOR * usual_ms
-    return too_long and wait_ms - usual_ms >= MIN_EXCESS_MS
+def _is_slow(work_ms, usual_ms):
+    too_long = work_ms >= SLOW_FACTOR * usual_ms
+    return too_long and work_ms - usual_ms >= MIN_EXCESS_MS
+
+
+def _answer_interval_ms(samples, now_ms):
+    """Return the mean time between the latest answers of a target.
+
+    A target whose slots are all busy takes as many of these times for a request as it
+    has slots, however long requests wait for one.
+    """
+    latest = [at_ms for at_ms, _, _ in samples if now_ms - at_ms <= RATE_MS]
+    return RATE_MS / max(1, len(latest))
 
 
 def _usual_wait_ms(samples):
--- a/libs/flows/src/lagoontally_flows/_tracking/_packet_recorder.py
+++ b/libs/flows/src/lagoontally_flows/_tracking/_packet_recorder.py
@@ -17,20 +17,19 @@
         health: The ``Health``.
         flows: The ``FlowTable``.
         stuck_targets: The ``StuckTargets``.
-        answer_listeners: Objects with a method ``on_answer(answer, now_ms)`` that get
-            each ``Answer``.
+        on_answer: Function of an ``Answer`` and the current time.
         effects: List to which ``Probe``, ``Verdict`` and ``DealtAnew`` records are
             added.
     """
 
     def __init__(
-        self, *, view, health, flows, stuck_targets, answer_listeners, effects
+        self, *, view, health, flows, stuck_targets, on_answer, effects
     ):
         self.view = view
         self.health = health
         self.flows = flows
         self.stuck_targets = stuck_targets
-        self.answer_listeners = answer_listeners
+        self.on_answer = on_answer
         self.effects = effects
         self._rehashed_ms = LONG_AGO_MS
 
@@ -61,9 +60,8 @@
         if flow.record(packet, now_ms):
             self.health.on_response(cookie, now_ms)
             if flow.request_sent_ms is not None:
-                self._on_answer(
-                    self._answer(packet, cookie, flow, acknowledged, now_ms), now_ms
-                )
+                answer = self._answer(packet, cookie, flow, acknowledged, now_ms)
+                self.on_answer(answer, now_ms)
                 self.flows.complete_request(packet.flow, flow)
                 self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
         if packet.flags & FIN:
@@ -83,11 +81,6 @@
             (packet.acknowledgement - acknowledged) & SEQUENCE_MASK,
         )
 
-    def _on_answer(self, answer, now_ms):
-        """Hand an answer on to the decisions that learn from it."""
-        for listener in self.answer_listeners:
-            listener.on_answer(answer, now_ms)
-
     def on_flows_rehashed(self, now_ms):
         """Handle a peer's notice that routers rehashed the flows."""
         self._rehashed_ms = now_ms
--- a/libs/forwarder/features/steps/any_input_steps.py
+++ b/libs/forwarder/features/steps/any_input_steps.py
@@ -94,7 +94,7 @@
         *PART,
         st.lists(st.tuples(TEXTS, NUMBERS, NUMBERS, NUMBERS) | ANY, max_size=2),
     ),
-    "LoadReport": (PAIRS, PAIRS, PAIRS),
+    "LoadReport": (PAIRS, PAIRS, PAIRS, PAIRS),
     "LoadAdvice": (
         PAIRS,
         st.lists(st.tuples(TEXTS, PAIRS) | ANY, max_size=2),
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -77,11 +77,11 @@
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
     DealtAnew(),
-    LoadReport([("desk", 4)], [(TARGET.cookie, 21), (77, 0)], [(77, 1_900)]),
+    LoadReport([("desk", 4)], [(TARGET.cookie, 21), (77, 0)], [(77, 1_900)], [(77, 3)]),
     LoadAdvice(
         [(TARGET.cookie, 17)], [("desk", [("camilla", 20), ("pelham", 25)])], [77]
     ),
-    DemandDigest("tifton", [("desk", 30.5)], False),
+    DemandDigest("tifton", [("desk", 30.5, 40)], False),
 )
 FIELDS = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -204,7 +204,7 @@
     places = [(f"ee-north-{number}", 20) for number in range(5)]
     answers = [((1 << 32) - 1 - number, 60_000) for number in range(40)]
     arrivals = [(name, 1_000) for name in names]
-    report = LoadReport(arrivals, answers[:20], answers[:20])
+    report = LoadReport(arrivals, answers[:10], answers[:20], answers[:10])
     cookies = [cookie for cookie, _ in answers[:20]]
     spills = [(name, places) for name in names[:5]]
     advice = LoadAdvice(answers[:10], spills, cookies)
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -296,11 +296,12 @@
 
 
 def _decode_load_report(fields):
-    arrivals, answers, flows = fields
+    arrivals, answers, flows, refusals = fields
     return LoadReport(
         [(_name(service), bounded(count, MAX_ARRIVALS)) for service, count in arrivals],
         _by_cookie(answers, MAX_WAIT_MS),
         _by_cookie(flows, MAX_ARRIVALS),
+        _by_cookie(refusals, MAX_ARRIVALS),
     )
 
 
@@ -324,7 +325,10 @@
     data_centre, demands, passed_on = fields
     return DemandDigest(
         _name(data_centre),
-        [(_name(service), bounded(busy, MAX_ARRIVALS)) for service, busy in demands],
+        [
+            (_name(service), bounded(busy, MAX_ARRIVALS), bounded(slots, MAX_ARRIVALS))
+            for service, busy, slots in demands
+        ],
         bool(passed_on),
     )
 
