--- a/libs/flows/features/steps/uneven_load_steps.py
+++ b/libs/flows/features/steps/uneven_load_steps.py
@@ -123,6 +123,17 @@
     keep_busy(context, slots, seconds, factor * USUAL_MS)
 
 
+@when("{count:d} targets warm up and take {factor:d} times as long for {seconds:d} s")
+def step_warm_up(context, count, factor, seconds):
+    """They have returned, and say so in their entries."""
+    context.targets = [
+        target._replace(warm_up_ms=5_000 if index < count else 0)
+        for index, target in enumerate(context.targets)
+    ]
+    context.world.list_targets(*context.targets)
+    step_slow(context, count, factor, seconds)
+
+
 @when(
     "all slots of {count:d} targets are busy "
     "and callers wait {factor:d} times as long for {seconds:d} s"
--- a/libs/flows/features/uneven_load.feature
+++ b/libs/flows/features/uneven_load.feature
@@ -50,6 +50,12 @@
     And 400 flows come and go
     Then each target gets between 60 and 100 flows
 
+  Scenario: Targets that warm up together aren't slow
+    Given a balancer with 6 targets of which 0 warms up
+    When all targets are equally fast for 4 s
+    And 4 targets warm up and take 3 times as long for 3 s
+    Then no target is set aside
+
   Scenario: A queue doesn't make targets slow
     Given a balancer with 4 targets
     When all targets are equally fast for 4 s
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -79,14 +79,7 @@
             group.append(target.cookie)
         listed = {cookie for cookies in groups.values() for cookie in cookies}
         self._forget_all_but(listed, now_ms)
-        slots = {target.cookie: target.slots for target in targets}
-        self.work_ms = {}
-        for cookie, samples in self._samples.items():
-            judged = self._judged_samples(cookie, samples, now_ms)
-            if judged:
-                rate_ms = _answer_interval_ms(samples, now_ms)
-                most_ms = slots[cookie] * rate_ms
-                self.work_ms[cookie] = min(_usual_wait_ms(judged), most_ms)
+        self._update_work(targets, now_ms)
         for place, cookies in groups.items():
             self._update_usual(place, cookies)
         self._find_slow(groups)
@@ -107,6 +100,22 @@
         self.shares = {one: shares[one] for one in shares if one in known}
         self._suspects = suspects
 
+    def _update_work(self, targets, now_ms):
+        """Update ``work_ms``.
+
+        A target that warms up isn't judged: it is slow by nature, and all that return
+        together are.
+        """
+        self.work_ms = {}
+        for target in targets:
+            samples = self._samples.get(target.cookie)
+            if not samples or target.warm_up_ms > 0:
+                continue
+            judged = self._judged_samples(target.cookie, samples, now_ms)
+            if judged:
+                most_ms = target.slots * _answer_interval_ms(samples, now_ms)
+                self.work_ms[target.cookie] = min(_usual_wait_ms(judged), most_ms)
+
     def waits_since(self, cookie, since_ms):
         """Return the times of a target's answers that were reported since then."""
         samples = self._samples.get(cookie, ())
