Pauses: a request whose sending was discarded is refused at once

Cause: a request that wasn't sent, as the process paused after the decision, stayed among those in progress. Its caller's copies got no answer until the deadline, and then unknown, though it never left the process.

--- a/libs/core/features/home.feature
+++ b/libs/core/features/home.feature
@@ -51,6 +51,11 @@
     Then no target gets it
     And its caller is answered Refused
 
+  Scenario: A command that wasn't sent because of a pause is refused at once
+    Given a command that runs
+    When its sending is discarded after a pause
+    Then its caller is answered Refused
+
   Scenario: A relay with an earlier pause count is discarded
     Given a peer that noticed 0 pauses
     When the peer relays a command with the pause count before a pause
--- a/libs/core/features/steps/home_steps.py
+++ b/libs/core/features/steps/home_steps.py
@@ -23,6 +23,7 @@
     Relay,
     ReplyStatus,
     RequestKind,
+    SendDiscarded,
     UpstreamReply,
 )
 
@@ -100,6 +101,15 @@
     core.handle_event(received)
 
 
+@when("its sending is discarded after a pause")
+def step_discarded(context):
+    """The executor reports it once the process goes on."""
+    core = context.core
+    received = Received(core.now_ms + SHORT_PAUSE_MS, SendDiscarded(context.sent.token))
+    core.now_ms += SHORT_PAUSE_MS + 1
+    core.handle_event(received)
+
+
 @then("the answer is sent")
 def step_answer_sent(context):
     """The caller gets what the target said."""
--- a/libs/core/src/lagoontally_core/_events.py
+++ b/libs/core/src/lagoontally_core/_events.py
@@ -111,6 +111,12 @@
     service: str
 
 
+class SendDiscarded(NamedTuple):
+    """A request wasn't sent to its target, as the process paused after the decision."""
+
+    token: bytes
+
+
 class PeerMessage(NamedTuple):
     """A message from another balancer, of a type in ``_peer_messages``."""
 
--- a/libs/core/src/lagoontally_core/_exchanges.py
+++ b/libs/core/src/lagoontally_core/_exchanges.py
@@ -22,7 +22,7 @@
     send_place_ask,
 )
 from ._echo import target_hint
-from ._events import ReplyStatus, RequestKind
+from ._events import ReplyStatus, RequestKind, SendDiscarded
 from ._peer_messages import PlaceAsk, Placed, PlaceDone
 from ._state import FIRST_PATH, Exchange
 from ._step_context import flow_subjects
@@ -288,6 +288,17 @@
     return target
 
 
+def on_send_discarded(event: SendDiscarded, context):
+    """Refuse an exchange at once whose latest attempt didn't leave the process."""
+    exchange = context.state.exchanges.get(event.token)
+    if exchange is None:
+        return
+    _release(exchange, Outcome.UNUSED, context)
+    _refuse(
+        exchange, random_retry_s(context.random), "the balancer was paused", context
+    )
+
+
 def _handle_shed(exchange, retry_after_s, context):
     context.count("upstream.shed")
     if _retry_elsewhere(exchange, "the target shed it", context):
--- a/libs/core/src/lagoontally_core/_step.py
+++ b/libs/core/src/lagoontally_core/_step.py
@@ -16,6 +16,7 @@
     OperatorQuery,
     PeerMessage,
     Received,
+    SendDiscarded,
     TemplateRead,
     TemplateRejected,
     Tick,
@@ -28,6 +29,7 @@
     on_exchange_reply,
     on_exchange_timer,
     on_placed,
+    on_send_discarded,
 )
 from ._health import HealthTimer, check_health, record_receipt
 from ._home import ForgetRequest, forget_request
@@ -155,6 +157,7 @@
 # The platform edge posts each version, and each rejection, only once.
 handle_outdated.register(TemplateRead, on_outdated_template)
 handle_outdated.register(TemplateRejected, on_template_rejected)
+handle_outdated.register(SendDiscarded, on_send_discarded)
 
 
 @handle_outdated.register
@@ -186,6 +189,7 @@
 handle.register(TemplateRead, on_template_read)
 handle.register(TemplateRejected, on_template_rejected)
 handle.register(IdentityReply, on_identity_reply)
+handle.register(SendDiscarded, on_send_discarded)
 handle.register(InstancesRead, contact_instances)
 handle.register(LeaveRequested, begin_leave)
 
--- a/libs/daemon/src/lagoontally_daemon/_action_executor.py
+++ b/libs/daemon/src/lagoontally_daemon/_action_executor.py
@@ -15,6 +15,7 @@
     ReadInstances,
     ReadTemplate,
     RecordLatency,
+    SendDiscarded,
     SendPeer,
     SendUpstream,
     ServeEntries,
@@ -29,14 +30,16 @@
     Args:
         edges: The edges, an ``Edges``.
         stop: Event that is set once the balancer has left.
+        post: Called with each event for the core.
 
     Attributes:
         ready_printed: True once the readiness line has been printed.
     """
 
-    def __init__(self, *, edges, stop):
+    def __init__(self, *, edges, stop, post):
         self.edges = edges
         self.stop = stop
+        self.post = post
         self.ready_printed = False
 
     def execute(self, action, decided_ms):
@@ -48,6 +51,7 @@
         stale = monotonic_ms() - decided_ms >= PAUSE_MS
         if stale and isinstance(action, SendUpstream):
             self.edges.metrics.count(Count("upstream.discarded_after_pause"))
+            self.post(SendDiscarded(action.token))
             return
         self.pass_to_edge(action)
 
--- a/libs/daemon/src/lagoontally_daemon/_composition.py
+++ b/libs/daemon/src/lagoontally_daemon/_composition.py
@@ -60,7 +60,9 @@
             state=State(info, settings.timing), random=random, execute=self._execute
         )
         self.edges = _make_edges(settings, info, self.core.post, random)
-        self.executor = ActionExecutor(edges=self.edges, stop=self.stop)
+        self.executor = ActionExecutor(
+            edges=self.edges, stop=self.stop, post=self.core.post
+        )
         self.guards = self._make_guards()
         self.core.on_error = self.guards["core"].report
 
