Admission: readers limit by waits only; refusals stay with each balancer

Now a reader limits by waits only, and says that there is room only where a third of the slots neither makes callers wait nor refuses.

--- a/libs/flows/features/rate_limits.feature
+++ b/libs/flows/features/rate_limits.feature
@@ -5,19 +5,29 @@
     And an objective of 200 ms
     And 4 s in which all targets are equally fast and callers take 30% of the slots
 
-  Scenario Outline: A limit needs full targets here and no room elsewhere
+  Scenario Outline: A limit needs long queues here and no room elsewhere
     When <local> local targets <state> and <remote> remote ones for 1 s
     Then new flows are <limited>
 
     Examples:
       | local | remote | state         | limited     |
       | 4     | 4      | have queues   | limited     |
-      | 4     | 4      | refuse half   | limited     |
+      | 4     | 4      | refuse half   | not limited |
       | 4     | 0      | have queues   | not limited |
       | 2     | 2      | have queues   | not limited |
       | 2     | 2      | refuse half   | not limited |
       | 4     | 4      | are slow      | not limited |
 
+  Scenario Outline: What is said while targets refuse
+    When <local> local targets refuse half and <remote> remote ones for 1 s
+    Then members are told <told>
+
+    Examples:
+      | local | remote | told               |
+      | 2     | 2      | that there is room |
+      | 4     | 0      | that there is room |
+      | 4     | 4      | nothing            |
+
   Scenario: A reader that has just started doesn't know what is usual
     When another balancer reads for 1 s
     And 4 local targets have queues and 4 remote ones for 1 s
--- a/libs/flows/features/steps/rate_limits_steps.py
+++ b/libs/flows/features/steps/rate_limits_steps.py
@@ -136,6 +136,14 @@
     assert bool(limited) == (state == "limited"), limited
 
 
+@then("members are told {what}")
+def step_members_told(context, what):
+    """Without a word, each decides by what it sees itself."""
+    sharing = context.world.balancer.load_sharing
+    told = sharing.limits.to_tell(len(HOSTS), context.world.now_ms)
+    assert told == ([] if what == "nothing" else [(SERVICE, 0)]), told
+
+
 @then("the limit is between {least:g} and {most:g} of what targets serve")
 def step_limit(context, least, most):
     """Slots stay busy."""
--- a/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
+++ b/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
@@ -2,8 +2,8 @@
 
 Covers services whose targets together have too little room, in each data centre that
 could help: callers beyond it are refused at once, so that those who are let in are
-answered within the objective. Queues that are deeper than the objective is long tell so
-by their wait, shallow ones by their refusals.
+answered within the objective. Only queues that are deeper than the objective is long need
+it: shallow ones refuse before callers wait too long, which each balancer sees itself.
 """
 
 from lagoontally_lean import Record
@@ -43,12 +43,15 @@
 
     Attributes:
         per_s: New flows a second, None while all are let in.
+        has_room: Whether targets have room that neither make callers wait too long nor
+            refuse more than usual.
         usual_refusals: Usual share of answers that are as short as refusals.
         answers_per_flow: Usual number of answers for each new flow, None until known.
     """
 
     def __init__(self):
         self.per_s = None
+        self.has_room = True
         self.usual_refusals = 0.0
         self.answers_per_flow = None
         self._hold_until_ms = 0
@@ -79,14 +82,20 @@
         refusals = sum(load.refusals for load in loads)
         enough = answers and answers + refusals >= MIN_ANSWERS
         most_ms = longest_wait_ms(usual_ms, objective_ms)
-        roomy = self._roomy_share(loads, most_ms)
+        known = [
+            one for one in loads if one.answers + one.refusals >= MIN_TARGET_ANSWERS
+        ]
+        roomy = _share(known, lambda one: _answers_in_time(one, most_ms))
+        free = _share(
+            known, lambda one: _answers_in_time(one, most_ms) and not self._refuses(one)
+        )
+        self.has_room = free > ROOMY_SHARE or room_elsewhere
         served_per_s = sum(load.per_s for load in loads)
         wait_ms = _median_wait_ms(loads)
         if enough and roomy <= ROOMY_SHARE and not room_elsewhere:
             if now_ms >= self._hold_until_ms:
                 self._hold_until_ms = now_ms + DRAIN_MS + wait_ms
-                excess_ms = wait_ms - most_ms if most_ms else 0
-                self._cut(served_per_s, let_in_per_s, excess_ms)
+                self._cut(served_per_s, let_in_per_s, wait_ms - most_ms)
             return
         if self.per_s is None:
             if enough:
@@ -101,25 +110,12 @@
             grown_per_s = self.per_s * (1.0 + MAX_GROWTH * roomy)
             self.per_s = max(self.per_s, min(grown_per_s, MAX_UNUSED * let_in_per_s))
 
-    def _roomy_share(self, loads, most_ms):
-        """Return the share of the slots at targets that have room."""
-        known = [
-            one for one in loads if one.answers + one.refusals >= MIN_TARGET_ANSWERS
-        ]
-        slots = sum(load.slots for load in known)
-        roomy = sum(load.slots for load in known if self._has_room(load, most_ms))
-        return roomy / slots if slots else 1.0
-
-    def _has_room(self, load, most_ms):
+    def _refuses(self, load):
+        """Return whether a target refuses more than usual."""
         refused = load.refusals / (load.answers + load.refusals)
-        if refused > self.usual_refusals + REFUSING_SHARE * (1 - self.usual_refusals):
-            return False
-        if not most_ms or load.wait_ms <= most_ms:
-            return True
-        # Where few requests wait for a slot, they take long for other reasons. Of a
-        # target elsewhere these balancers see a part of the requests.
-        in_hand = load.per_s * load.wait_ms / 1_000
-        return load.is_local and in_hand < QUEUED_PER_SLOT * load.slots
+        return refused > self.usual_refusals + REFUSING_SHARE * (
+            1 - self.usual_refusals
+        )
 
     def _cut(self, served_per_s, let_in_per_s, excess_ms):
         """Let in what is served, less what waits too long."""
@@ -138,6 +134,28 @@
         self.answers_per_flow = before + RATIO_WEIGHT * (ratio - before)
 
 
+def _answers_in_time(load, most_ms):
+    """Return whether callers of a target don't wait too long for a slot.
+
+    Args:
+        load: The ``TargetLoad``.
+        most_ms: Mean time that is too long, 0 for none.
+    """
+    if not most_ms or load.wait_ms <= most_ms:
+        return True
+    # Where few requests wait for a slot, they take long for other reasons. Of a target
+    # elsewhere these balancers see a part of the requests.
+    in_hand = load.per_s * load.wait_ms / 1_000
+    return load.is_local and in_hand < QUEUED_PER_SLOT * load.slots
+
+
+def _share(loads, condition):
+    """Return the share of the slots at targets that meet a condition, 1 without any."""
+    slots = sum(load.slots for load in loads)
+    met = sum(load.slots for load in loads if condition(load))
+    return met / slots if slots else 1.0
+
+
 def _median_wait_ms(loads):
     """Return the wait that half of the slots don't exceed, 0 if none is known."""
     known = sorted((one.wait_ms, one.slots) for one in loads if one.answers)
--- a/libs/flows/src/lagoontally_flows/_load/_rate_limits.py
+++ b/libs/flows/src/lagoontally_flows/_load/_rate_limits.py
@@ -97,6 +97,9 @@
             if rate.per_s is not None
         }
 
+    def _refused_at(self, service):
+        return self._refused_ms.get(service, -TOLD_MS)
+
     def to_tell(self, members, now_ms):
         """Return pairs of a service and a balancer's part of its rate, in tenths.
 
@@ -110,7 +113,7 @@
         for service, rate in self.rates.items():
             if rate.per_s is not None:
                 told.append((service, max(1, round(10 * rate.per_s / members))))
-            elif now_ms - self._refused_ms.get(service, -TOLD_MS) < TOLD_MS:
+            elif rate.has_room and now_ms - self._refused_at(service) < TOLD_MS:
                 told.append((service, NO_LIMIT))
         return told
 
