--- a/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
+++ b/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
@@ -2,8 +2,8 @@
 
 Covers services whose targets together have too little room, in each data centre that
 could help: callers beyond it are refused at once, so that those who are let in are
-answered within the objective. Only queues that are deeper than the objective is long need
-it: shallow ones refuse before callers wait too long, which each balancer sees itself.
+answered within the objective. Only queues that are deeper than the objective is long
+need it: shallow ones refuse before callers wait too long, as each balancer sees itself.
 """
 
 from lagoontally_lean import Record
