Admission: a reader's rate in short steps, and what is usual learned only with room

A long crowd would have taught the reader that refusals are usual, and it would then have told members that there is room.

--- a/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
+++ b/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
@@ -12,7 +12,6 @@
 ROOMY_SHARE = 1 / 3  # of the slots that have room where flows are placed, not refused
 REFUSING_SHARE = 0.15  # of a target's answers, above the usual share
 USUAL_WEIGHT = 0.01  # of the latest share of refusals in the usual one
-MAX_USUAL = 0.9
 QUEUED_PER_SLOT = 1.5  # requests in hand for each slot of a target without room
 MIN_ANSWERS = 20  # that may limit a service
 MIN_TARGET_ANSWERS = 3
@@ -32,12 +31,41 @@
         wait_ms: Their mean time, 0 without any.
         refusals: Number of answers as short as refusals.
         per_s: Answers a second.
-        is_local: Whether these balancers are the ones that use it.
+        is_local: Whether it is in the data centre of these balancers.
     """
 
     __slots__ = ()
 
 
+class ServiceLoad(Record, fields="targets let_in_per_s sheds usual_ms objective_ms"):
+    """What the balancers of a data centre saw of a service lately.
+
+    Attributes:
+        targets: ``TargetLoad`` of the targets that may be used.
+        let_in_per_s: New flows a second that were let in.
+        sheds: Whether others were refused for lack of room.
+        usual_ms: Usual time of an answer, 0 if it isn't known.
+        objective_ms: Time in which callers want theirs, 0 if none is stated.
+    """
+
+    __slots__ = ()
+
+    @property
+    def answers(self):
+        """Number of answers that took work."""
+        return sum(target.answers for target in self.targets)
+
+    @property
+    def refusals(self):
+        """Number of answers as short as refusals."""
+        return sum(target.refusals for target in self.targets)
+
+    @property
+    def served_per_s(self):
+        """Answers a second that took work."""
+        return sum(target.per_s for target in self.targets)
+
+
 class AdmittedRate:
     """The rate of new flows that one service can take.
 
@@ -56,109 +84,103 @@
         self.answers_per_flow = None
         self._hold_until_ms = 0
 
-    def update(
-        self,
-        loads,
-        *,
-        let_in_per_s,
-        sheds,
-        usual_ms,
-        objective_ms,
-        room_elsewhere,
-        now_ms,
-    ):
+    def update(self, load, *, room_elsewhere, now_ms):
         """Adjust the rate.
 
         Args:
-            loads: ``TargetLoad`` of the targets that may be used.
-            let_in_per_s: New flows a second that were let in lately.
-            sheds: Whether others were refused for lack of room.
-            usual_ms: Usual time of an answer, 0 if it isn't known.
-            objective_ms: Time in which callers want theirs, 0 if none is stated.
+            load: The ``ServiceLoad``.
             room_elsewhere: Whether other data centres can take what is too much here.
             now_ms: Current time.
         """
-        answers = sum(load.answers for load in loads)
-        refusals = sum(load.refusals for load in loads)
-        enough = answers and answers + refusals >= MIN_ANSWERS
-        most_ms = longest_wait_ms(usual_ms, objective_ms)
+        longest_ms = longest_wait_ms(load.usual_ms, load.objective_ms)
+        wait_ms = _median_wait_ms(load.targets)
         known = [
-            one for one in loads if one.answers + one.refusals >= MIN_TARGET_ANSWERS
+            target
+            for target in load.targets
+            if target.answers + target.refusals >= MIN_TARGET_ANSWERS
         ]
-        roomy = _share(known, lambda one: _answers_in_time(one, most_ms))
-        free = _share(
-            known, lambda one: _answers_in_time(one, most_ms) and not self._refuses(one)
-        )
-        self.has_room = free > ROOMY_SHARE or room_elsewhere
-        served_per_s = sum(load.per_s for load in loads)
-        wait_ms = _median_wait_ms(loads)
-        if enough and roomy <= ROOMY_SHARE and not room_elsewhere:
+        in_time = [one for one in known if _answers_in_time(one, longest_ms)]
+        free = [one for one in in_time if not self._refuses(one)]
+        roomy_share = _slots_share(in_time, known)
+        self.has_room = _slots_share(free, known) > ROOMY_SHARE or room_elsewhere
+        enough = load.answers and load.answers + load.refusals >= MIN_ANSWERS
+        if enough and roomy_share <= ROOMY_SHARE and not room_elsewhere:
             if now_ms >= self._hold_until_ms:
                 self._hold_until_ms = now_ms + DRAIN_MS + wait_ms
-                self._cut(served_per_s, let_in_per_s, wait_ms - most_ms)
-            return
-        if self.per_s is None:
-            if enough:
-                refused = refusals / (answers + refusals)
-                self._learn(refused, served_per_s, let_in_per_s)
-        elif not sheds:
+                self._cut(load, wait_ms - longest_ms)
+        elif self.per_s is None:
+            if enough and self.has_room:
+                self._learn(load)
+        elif not load.sheds:
             self.per_s = None
         else:
-            if enough and most_ms:
-                roomy *= min(1.0, max(0.0, (most_ms - wait_ms) / (most_ms - usual_ms)))
-            # A rate that isn't used up says nothing about what targets bear.
-            grown_per_s = self.per_s * (1.0 + MAX_GROWTH * roomy)
-            self.per_s = max(self.per_s, min(grown_per_s, MAX_UNUSED * let_in_per_s))
+            headroom = _headroom(wait_ms, load.usual_ms, longest_ms) if enough else 1.0
+            self._grow(load, roomy_share * headroom)
 
-    def _refuses(self, load):
+    def _refuses(self, target):
         """Return whether a target refuses more than usual."""
-        refused = load.refusals / (load.answers + load.refusals)
-        return refused > self.usual_refusals + REFUSING_SHARE * (
-            1 - self.usual_refusals
-        )
+        refused = target.refusals / (target.answers + target.refusals)
+        usual = self.usual_refusals
+        return refused > usual + REFUSING_SHARE * (1.0 - usual)
 
-    def _cut(self, served_per_s, let_in_per_s, excess_ms):
+    def _cut(self, load, excess_ms):
         """Let in what is served, less what waits too long."""
         cut = min(MAX_CUT, max(0.0, excess_ms) / DRAIN_MS)
-        before = let_in_per_s if self.per_s is None else self.per_s
-        flows_per_s = served_per_s / (self.answers_per_flow or 1.0)
+        before = load.let_in_per_s if self.per_s is None else self.per_s
+        flows_per_s = load.served_per_s / (self.answers_per_flow or 1.0)
         self.per_s = max(MAX_CUT * before, min(before, flows_per_s * (1.0 - cut)))
 
-    def _learn(self, refused, served_per_s, let_in_per_s):
+    def _grow(self, load, room):
+        """Let in more, by the part of the room that there could be.
+
+        A rate that isn't used up says nothing about what targets bear.
+        """
+        grown_per_s = self.per_s * (1.0 + MAX_GROWTH * room)
+        most_per_s = MAX_UNUSED * load.let_in_per_s
+        self.per_s = max(self.per_s, min(grown_per_s, most_per_s))
+
+    def _learn(self, load):
+        """Learn what is usual while there is room."""
+        refused = load.refusals / (load.answers + load.refusals)
         self.usual_refusals += USUAL_WEIGHT * (refused - self.usual_refusals)
-        self.usual_refusals = min(MAX_USUAL, self.usual_refusals)
-        if let_in_per_s <= 0:
+        if load.let_in_per_s <= 0:
             return
-        ratio = served_per_s / let_in_per_s
+        ratio = load.served_per_s / load.let_in_per_s
         before = ratio if self.answers_per_flow is None else self.answers_per_flow
         self.answers_per_flow = before + RATIO_WEIGHT * (ratio - before)
 
 
-def _answers_in_time(load, most_ms):
+def _answers_in_time(target, longest_ms):
     """Return whether callers of a target don't wait too long for a slot.
 
     Args:
-        load: The ``TargetLoad``.
-        most_ms: Mean time that is too long, 0 for none.
+        target: The ``TargetLoad``.
+        longest_ms: Mean time beyond which it is too long, 0 for none.
     """
-    if not most_ms or load.wait_ms <= most_ms:
+    if not longest_ms or target.wait_ms <= longest_ms:
         return True
     # Where few requests wait for a slot, they take long for other reasons. Of a target
     # elsewhere these balancers see a part of the requests.
-    in_hand = load.per_s * load.wait_ms / 1_000
-    return load.is_local and in_hand < QUEUED_PER_SLOT * load.slots
+    in_hand = target.per_s * target.wait_ms / 1_000
+    return target.is_local and in_hand < QUEUED_PER_SLOT * target.slots
+
+
+def _slots_share(targets, known):
+    """Return the share of the slots of known targets that some have, 1 without any."""
+    slots = sum(target.slots for target in known)
+    return sum(target.slots for target in targets) / slots if slots else 1.0
 
 
-def _share(loads, condition):
-    """Return the share of the slots at targets that meet a condition, 1 without any."""
-    slots = sum(load.slots for load in loads)
-    met = sum(load.slots for load in loads if condition(load))
-    return met / slots if slots else 1.0
+def _headroom(wait_ms, usual_ms, longest_ms):
+    """Return how far a wait is below the longest one: 1 at the usual one, 0 there."""
+    if not longest_ms:
+        return 1.0
+    return min(1.0, max(0.0, (longest_ms - wait_ms) / (longest_ms - usual_ms)))
 
 
-def _median_wait_ms(loads):
+def _median_wait_ms(targets):
     """Return the wait that half of the slots don't exceed, 0 if none is known."""
-    known = sorted((one.wait_ms, one.slots) for one in loads if one.answers)
+    known = sorted((one.wait_ms, one.slots) for one in targets if one.answers)
     left = sum(slots for _, slots in known) / 2
     for wait_ms, slots in known:
         left -= slots
--- a/libs/flows/src/lagoontally_flows/_load/_rate_limits.py
+++ b/libs/flows/src/lagoontally_flows/_load/_rate_limits.py
@@ -4,7 +4,7 @@
 answers to judge by.
 """
 
-from ._admitted_rate import AdmittedRate, TargetLoad
+from ._admitted_rate import AdmittedRate, ServiceLoad, TargetLoad
 from ._answer_log import report_interval_ms
 
 UPDATE_MS = 250
@@ -58,13 +58,22 @@
             self._started_ms = now_ms
         if now_ms - self._started_ms < LEARN_MS:
             return
+        loads = self._loads(targets, data_centre, speeds, members, now_ms)
+        for service, load in loads.items():
+            if load.refusals:
+                self._refused_ms[service] = now_ms
+            rate = self.rates.setdefault(service, AdmittedRate())
+            rate.update(load, room_elsewhere=service in room_elsewhere, now_ms=now_ms)
+
+    def _loads(self, targets, data_centre, speeds, members, now_ms):
+        """Return the ``ServiceLoad`` of the latest window by service."""
         window_ms = max(WINDOW_MS, report_interval_ms(members))
         since_ms = now_ms - window_ms
         refusals, let_in, shed = (
             _sums_since(counts, since_ms)
             for counts in (self._refusals, self._let_in, self._shed)
         )
-        loads = {}
+        by_service = {}
         for target in targets:
             waits = speeds.waits_since(target.cookie, since_ms)
             load = TargetLoad(
@@ -75,19 +84,17 @@
                 len(waits) * 1_000 / window_ms,
                 target.data_centre == data_centre,
             )
-            loads.setdefault(target.service, []).append(load)
-            if load.refusals:
-                self._refused_ms[target.service] = now_ms
-        for service, of_service in loads.items():
-            self.rates.setdefault(service, AdmittedRate()).update(
-                of_service,
-                let_in_per_s=let_in.get(service, 0) * 1_000 / window_ms,
-                sheds=bool(shed.get(service)),
-                usual_ms=_usual_ms(speeds.usual_ms, service, data_centre),
-                objective_ms=self.objectives.get(service, 0),
-                room_elsewhere=service in room_elsewhere,
-                now_ms=now_ms,
+            by_service.setdefault(target.service, []).append(load)
+        return {
+            service: ServiceLoad(
+                loads,
+                let_in.get(service, 0) * 1_000 / window_ms,
+                bool(shed.get(service)),
+                _usual_ms(speeds.usual_ms, service, data_centre),
+                self.objectives.get(service, 0),
             )
+            for service, loads in by_service.items()
+        }
 
     def limited(self):
         """Return the new flows a second by service, of those that are limited."""
