--- a/libs/flows/features/rate_limits.feature
+++ b/libs/flows/features/rate_limits.feature
@@ -19,14 +19,13 @@
       | 4     | 4      | are slow      | not limited |
 
   Scenario Outline: What is said while targets refuse
-    When <local> local targets refuse half and <remote> remote ones for 1 s
+    When 2 targets refuse half while callers ask for <percent>% of the slots for 1 s
     Then members are told <told>
 
     Examples:
-      | local | remote | told               |
-      | 2     | 2      | that there is room |
-      | 4     | 0      | that there is room |
-      | 4     | 4      | nothing            |
+      | percent | told               |
+      | 30      | that there is room |
+      | 300     | nothing            |
 
   Scenario: A reader that has just started doesn't know what is usual
     When another balancer reads for 1 s
--- a/libs/flows/features/steps/rate_limits_steps.py
+++ b/libs/flows/features/steps/rate_limits_steps.py
@@ -33,9 +33,25 @@
 )
 def step_calm(context, seconds, percent):
     """The reader learns what is usual."""
-    arrivals = round(percent / 100 * LISTED_SLOTS / USUAL_MS * REPORT_MS / len(HOSTS))
-    context.arrivals = [(SERVICE, arrivals, 0)]
-    report_for(context, seconds, waits_of(context, (), 1), arrivals=context.arrivals)
+    arrivals = asked(percent)
+    report_for(context, seconds, waits_of(context, (), 1), arrivals=arrivals)
+
+
+@when(
+    "{count:d} targets refuse half "
+    "while callers ask for {percent:d}% of the slots for {seconds:d} s"
+)
+def step_refuse(context, count, percent, seconds):
+    """The others serve all that they get."""
+    refusals = [(one.cookie, 3) for one in context.targets[:count]]
+    waits = waits_of(context, (), 1)
+    report_for(context, seconds, waits, arrivals=asked(percent), refusals=refusals)
+
+
+def asked(percent):
+    """Return a member's new flows that take a part of the slots, in an interval."""
+    slots = percent / 100 * LISTED_SLOTS
+    return [(SERVICE, round(slots / USUAL_MS * REPORT_MS / len(HOSTS)), 0)]
 
 
 def tell_remote_load(context):
--- a/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
+++ b/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
@@ -10,8 +10,6 @@
 
 WAIT_SHARE = 0.5  # of the time between the usual answer and the objective
 ROOMY_SHARE = 1 / 3  # of the slots that have room where flows are placed, not refused
-REFUSING_SHARE = 0.15  # of a target's answers, above the usual share
-USUAL_WEIGHT = 0.01  # of the latest share of refusals in the usual one
 QUEUED_PER_SLOT = 1.5  # requests in hand for each slot of a target without room
 MIN_ANSWERS = 20  # that may limit a service
 MIN_TARGET_ANSWERS = 3
@@ -71,16 +69,11 @@
 
     Attributes:
         per_s: New flows a second, None while all are let in.
-        has_room: Whether targets have room that neither make callers wait too long nor
-            refuse more than usual.
-        usual_refusals: Usual share of answers that are as short as refusals.
         answers_per_flow: Usual number of answers for each new flow, None until known.
     """
 
     def __init__(self):
         self.per_s = None
-        self.has_room = True
-        self.usual_refusals = 0.0
         self.answers_per_flow = None
         self._hold_until_ms = 0
 
@@ -100,16 +93,14 @@
             if target.answers + target.refusals >= MIN_TARGET_ANSWERS
         ]
         in_time = [one for one in known if _answers_in_time(one, longest_ms)]
-        free = [one for one in in_time if not self._refuses(one)]
         roomy_share = _slots_share(in_time, known)
-        self.has_room = _slots_share(free, known) > ROOMY_SHARE or room_elsewhere
         enough = load.answers and load.answers + load.refusals >= MIN_ANSWERS
         if enough and roomy_share <= ROOMY_SHARE and not room_elsewhere:
             if now_ms >= self._hold_until_ms:
                 self._hold_until_ms = now_ms + DRAIN_MS + wait_ms
                 self._cut(load, wait_ms - longest_ms)
         elif self.per_s is None:
-            if enough and self.has_room:
+            if enough and not load.sheds:
                 self._learn(load)
         elif not load.sheds:
             self.per_s = None
@@ -117,12 +108,6 @@
             headroom = _headroom(wait_ms, load.usual_ms, longest_ms) if enough else 1.0
             self._grow(load, roomy_share * headroom)
 
-    def _refuses(self, target):
-        """Return whether a target refuses more than usual."""
-        refused = target.refusals / (target.answers + target.refusals)
-        usual = self.usual_refusals
-        return refused > usual + REFUSING_SHARE * (1.0 - usual)
-
     def _cut(self, load, excess_ms):
         """Let in what is served, less what waits too long."""
         cut = min(MAX_CUT, max(0.0, excess_ms) / DRAIN_MS)
@@ -140,9 +125,7 @@
         self.per_s = max(self.per_s, min(grown_per_s, most_per_s))
 
     def _learn(self, load):
-        """Learn what is usual while there is room."""
-        refused = load.refusals / (load.answers + load.refusals)
-        self.usual_refusals += USUAL_WEIGHT * (refused - self.usual_refusals)
+        """Learn how many answers a new flow brings while all are let in."""
         if load.let_in_per_s <= 0:
             return
         ratio = load.served_per_s / load.let_in_per_s
--- a/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
+++ b/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
@@ -18,13 +18,15 @@
 
     Attributes:
         busy: Slots that the callers of this data centre keep busy, by service.
-        latest: The same by the latest measurement alone, where it is more.
+        latest: The same by the latest measurement alone, where it is more, with those
+            who were refused for lack of room.
     """
 
     def __init__(self):
         self.busy = {}
         self.latest = {}
         self._arrivals = {}
+        self._refused = {}
         self._rates = {}
         self._waits = {}
         self._heard = {}
@@ -32,8 +34,9 @@
 
     def on_arrivals(self, arrivals):
         """Record the new flows in a balancer's report."""
-        for service, let_in, _ in arrivals:
+        for service, let_in, refused in arrivals:
             self._arrivals[service] = self._arrivals.get(service, 0) + let_in
+            self._refused[service] = self._refused.get(service, 0) + refused
 
     def on_digest(self, digest, now_ms):
         """Record what another data centre told; see ``DemandDigest``."""
@@ -59,10 +62,11 @@
         self._updated_ms = now_ms
         rates = {}
         for service in self._rates.keys() | self._arrivals.keys():
-            rate = rates[service] = self._arrivals.get(service, 0) / elapsed_ms
+            rate = self._arrivals.get(service, 0) / elapsed_ms
+            rates[service] = rate + self._refused.get(service, 0) / elapsed_ms
             before = self._rates.get(service, rate)
             self._rates[service] = before + SMOOTHING * (rate - before)
-        self._arrivals = {}
+        self._arrivals, self._refused = {}, {}
         for service, wait_ms in usual_waits.items():
             before = self._waits.setdefault(service, wait_ms)
             latest = min(wait_ms, MAX_WAIT_FACTOR * before)
--- a/libs/flows/src/lagoontally_flows/_load/_rate_limits.py
+++ b/libs/flows/src/lagoontally_flows/_load/_rate_limits.py
@@ -29,6 +29,7 @@
         self._shed = []
         self._refusals = []
         self._refused_ms = {}
+        self._room_elsewhere = frozenset()
         self._updated_ms = 0
         self._started_ms = None
 
@@ -64,6 +65,7 @@
                 self._refused_ms[service] = now_ms
             rate = self.rates.setdefault(service, AdmittedRate())
             rate.update(load, room_elsewhere=service in room_elsewhere, now_ms=now_ms)
+        self._room_elsewhere = frozenset(room_elsewhere)
 
     def _loads(self, targets, data_centre, speeds, members, now_ms):
         """Return the ``ServiceLoad`` of the latest window by service."""
@@ -120,7 +122,10 @@
         for service, rate in self.rates.items():
             if rate.per_s is not None:
                 told.append((service, max(1, round(10 * rate.per_s / members))))
-            elif rate.has_room and now_ms - self._refused_at(service) < TOLD_MS:
+            elif (
+                service in self._room_elsewhere
+                and now_ms - self._refused_at(service) < TOLD_MS
+            ):
                 told.append((service, NO_LIMIT))
         return told
 
