Admission: a reader tells limits only, and never that there is room

So what was said about room, and the counts of refusals in reports that it rested on, are removed with their tests.

--- a/libs/flows/features/load_reports.py
+++ b/libs/flows/features/load_reports.py
@@ -7,16 +7,14 @@
 HOSTS = ("10.1.0.1", "10.1.0.2", "10.1.0.3")
 
 
-def report(context, answers, arrivals=(), hosts=HOSTS, flows=(), refusals=()):
+def report(context, answers, arrivals=(), hosts=HOSTS, flows=()):
     """Let members report and the reader advise, then pass half a second."""
     world = context.world
     sharing = world.balancer.load_sharing
     sharing.advise(world.now_ms - REPORT_MS, reader=True)
     for host in hosts:
         sharing.on_report(
-            LoadReport(list(arrivals), list(answers), list(flows), list(refusals)),
-            host,
-            world.now_ms,
+            LoadReport(list(arrivals), list(answers), list(flows)), host, world.now_ms
         )
     advice, digest, events = sharing.advise(world.now_ms, reader=True)
     context.sent = [*getattr(context, "sent", ()), advice, digest]
--- a/libs/flows/features/rate_limits.feature
+++ b/libs/flows/features/rate_limits.feature
@@ -12,21 +12,10 @@
     Examples:
       | local | remote | state         | limited     |
       | 4     | 4      | have queues   | limited     |
-      | 4     | 4      | refuse half   | not limited |
       | 4     | 0      | have queues   | not limited |
       | 2     | 2      | have queues   | not limited |
-      | 2     | 2      | refuse half   | not limited |
       | 4     | 4      | are slow      | not limited |
 
-  Scenario Outline: What is said while targets refuse
-    When 2 targets refuse half while callers ask for <percent>% of the slots for 1 s
-    Then members are told <told>
-
-    Examples:
-      | percent | told               |
-      | 30      | that there is room |
-      | 300     | nothing            |
-
   Scenario: A reader that has just started doesn't know what is usual
     When another balancer reads for 1 s
     And 4 local targets have queues and 4 remote ones for 1 s
@@ -53,11 +42,6 @@
     And 100 callers come within a second
     Then between 4 and 12 of them are let in
 
-  Scenario: Where a reader tells that there is room, refusals of some targets limit nothing
-    When a reader tells that there is room
-    And 100 callers come within a second and half of the targets refuse
-    Then 100 of them are let in
-
   Scenario: A limit lapses when the reader is silent
     When a reader tells a limit of 5 new flows a second
     And 3000 ms pass
--- a/libs/flows/features/steps/rate_limits_steps.py
+++ b/libs/flows/features/steps/rate_limits_steps.py
@@ -10,7 +10,7 @@
 LONG_WAIT_MS = 180
 SLOW_MS = 60
 LISTED_SLOTS = 8
-REFUSAL_BYTES, ANSWER_BYTES = 143, 2_400
+ANSWER_BYTES = 2_400
 RATE_MS = 1_000
 
 
@@ -37,17 +37,6 @@
     report_for(context, seconds, waits_of(context, (), 1), arrivals=arrivals)
 
 
-@when(
-    "{count:d} targets refuse half "
-    "while callers ask for {percent:d}% of the slots for {seconds:d} s"
-)
-def step_refuse(context, count, percent, seconds):
-    """The others serve all that they get."""
-    refusals = [(one.cookie, 3) for one in context.targets[:count]]
-    waits = waits_of(context, (), 1)
-    report_for(context, seconds, waits, arrivals=asked(percent), refusals=refusals)
-
-
 def asked(percent):
     """Return a member's new flows that take a part of the slots, in an interval."""
     slots = percent / 100 * LISTED_SLOTS
@@ -63,8 +52,7 @@
 
 
 def report_trouble(context, troubled, state, seconds):
-    """Report targets that have queues, refuse half, or are slow with slots free."""
-    refused = [(one.cookie, 3) for one in troubled if state == "refuse half"]
+    """Report targets that have queues, or are slow with slots free."""
     waits = {one.cookie: USUAL_MS for one in (*context.targets, *context.remote)}
     for one in troubled:
         waits[one.cookie] = {"have queues": LONG_WAIT_MS, "are slow": SLOW_MS}.get(
@@ -78,7 +66,6 @@
             context,
             [pair for pair in waits.items() for _ in range(count)],
             arrivals=[(SERVICE, 40, 10)],
-            refusals=refused,
         )
 
 
@@ -104,12 +91,6 @@
     tell(context, 10 * per_s)
 
 
-@when("a reader tells that there is room")
-def step_told_room(context):
-    """Some targets refuse."""
-    tell(context, 0)
-
-
 def tell(context, tenths):
     """Take over a reader's advice on the service."""
     advice = LoadAdvice([], [], [], [(SERVICE, tenths)])
@@ -120,17 +101,6 @@
 @when("{count:d} callers come within a second")
 def step_callers(context, count):
     """All targets serve at once."""
-    come(context, count, refusing=())
-
-
-@when("{count:d} callers come within a second and half of the targets refuse")
-def step_callers_refused(context, count):
-    """The others serve."""
-    come(context, count, refusing={one.cookie for one in context.targets[::2]})
-
-
-def come(context, count, refusing):
-    """Let callers come and count those who are let in."""
     world = context.world
     context.let_in = 0
     for _ in range(count):
@@ -139,9 +109,9 @@
         if isinstance(action, Forward):
             context.let_in += 1
             cookie = action.target.cookie
-            length = REFUSAL_BYTES if cookie in refusing else ANSWER_BYTES
             world.send(flow, cookie=cookie, sequence=100, length=100)
-            world.send(flow, ACK | FIN, cookie=cookie, sequence=200, ack=1 + length)
+            acknowledged = 1 + ANSWER_BYTES
+            world.send(flow, ACK | FIN, cookie=cookie, sequence=200, ack=acknowledged)
         world.wait(RATE_MS // count)
 
 
@@ -152,14 +122,6 @@
     assert bool(limited) == (state == "limited"), limited
 
 
-@then("members are told {what}")
-def step_members_told(context, what):
-    """Without a word, each decides by what it sees itself."""
-    sharing = context.world.balancer.load_sharing
-    told = sharing.limits.to_tell(len(HOSTS), context.world.now_ms)
-    assert told == ([] if what == "nothing" else [(SERVICE, 0)]), told
-
-
 @then("the limit is between {least:g} and {most:g} of what targets serve")
 def step_limit(context, least, most):
     """Slots stay busy."""
--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -91,9 +91,7 @@
 
     def _follow(self, told_per_s, now_ms):
         """Take over the rate that the reader told."""
-        if not told_per_s:
-            self.limit = None
-        elif self.limit is None:
+        if self.limit is None:
             self.limit = RateLimit(told_per_s, now_ms)
             self.ranks = Ranks()
             self.shed_ms = now_ms
--- a/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
+++ b/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
@@ -20,14 +20,13 @@
 RATIO_WEIGHT = 0.05  # of the latest number of answers for each new flow
 
 
-class TargetLoad(Record, fields="slots answers wait_ms refusals per_s is_local"):
+class TargetLoad(Record, fields="slots answers wait_ms per_s is_local"):
     """What the balancers of a data centre saw of a target lately.
 
     Attributes:
         slots: Its slots.
         answers: Number of answers that took work.
         wait_ms: Their mean time, 0 without any.
-        refusals: Number of answers as short as refusals.
         per_s: Answers a second.
         is_local: Whether it is in the data centre of these balancers.
     """
@@ -53,11 +52,6 @@
         """Number of answers that took work."""
         return sum(target.answers for target in self.targets)
 
-    @property
-    def refusals(self):
-        """Number of answers as short as refusals."""
-        return sum(target.refusals for target in self.targets)
-
     @property
     def served_per_s(self):
         """Answers a second that took work."""
@@ -88,13 +82,11 @@
         longest_ms = longest_wait_ms(load.usual_ms, load.objective_ms)
         wait_ms = _median_wait_ms(load.targets)
         known = [
-            target
-            for target in load.targets
-            if target.answers + target.refusals >= MIN_TARGET_ANSWERS
+            target for target in load.targets if target.answers >= MIN_TARGET_ANSWERS
         ]
         in_time = [one for one in known if _answers_in_time(one, longest_ms)]
         roomy_share = _slots_share(in_time, known)
-        enough = load.answers and load.answers + load.refusals >= MIN_ANSWERS
+        enough = load.answers >= MIN_ANSWERS
         if enough and roomy_share <= ROOMY_SHARE and not room_elsewhere:
             if now_ms >= self._hold_until_ms:
                 self._hold_until_ms = now_ms + DRAIN_MS + wait_ms
--- a/libs/flows/src/lagoontally_flows/_load/_answer_log.py
+++ b/libs/flows/src/lagoontally_flows/_load/_answer_log.py
@@ -9,16 +9,14 @@
 REPORT_INTERVAL_PER_MEMBER_MS = 10  # a reader gets at most 100 reports a second
 MAX_ANSWERS = 32  # fit a datagram; more say nothing new about the targets
 MAX_SERVICES = 12
-MAX_REFUSALS = 10  # targets that refused; as many fewer answers are reported
 
 
 class AnswerLog:
-    """New flows, answers and refusals since the last report."""
+    """New flows and answers since the last report."""
 
     def __init__(self):
         self._arrivals = {}
         self._answers = []
-        self._refusals = {}
         self._next_ms = 0
 
     def on_arrival(self, service, *, refused=False):
@@ -35,11 +33,7 @@
             refused: Whether it is as short as a refusal, which says nothing about how
                 long the target takes.
         """
-        if refused:
-            if len(self._refusals) < MAX_REFUSALS or answer.cookie in self._refusals:
-                count = self._refusals.get(answer.cookie, 0) + 1
-                self._refusals[answer.cookie] = count
-        elif len(self._answers) < MAX_ANSWERS:
+        if not refused and len(self._answers) < MAX_ANSWERS:
             self._answers.append((answer.cookie, round(answer.waited_ms)))
 
     def take_report(self, now_ms, *, members, flows=()):
@@ -54,13 +48,12 @@
         if now_ms < self._next_ms:
             return None
         self._next_ms = now_ms + report_interval_ms(members)
-        refusals = list(self._refusals.items())
-        if not (self._arrivals or self._answers or flows or refusals):
+        if not (self._arrivals or self._answers or flows):
             return None
-        answers = self._answers[: MAX_ANSWERS - len(flows) - len(refusals)]
+        answers = self._answers[: MAX_ANSWERS - len(flows)]
         arrivals = [(service, *counts) for service, counts in self._arrivals.items()]
-        report = LoadReport(arrivals, answers, list(flows), refusals)
-        self._arrivals, self._answers, self._refusals = {}, [], {}
+        report = LoadReport(arrivals, answers, list(flows))
+        self._arrivals, self._answers = {}, []
         return report
 
 
--- a/libs/flows/src/lagoontally_flows/_load/_load_advice.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_advice.py
@@ -50,11 +50,7 @@
         return self._spills.get(service, ()) if self._is_fresh(now_ms) else ()
 
     def rate(self, service, now_ms):
-        """Return the new flows a second that this balancer may let in.
-
-        Returns:
-            0 where all are let in, None where nothing was said.
-        """
+        """Return the new flows a second that this balancer may let in, None for all."""
         return self._rates.get(service) if self._is_fresh(now_ms) else None
 
     def _is_fresh(self, now_ms):
--- a/libs/flows/src/lagoontally_flows/_load/_load_messages.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_messages.py
@@ -3,7 +3,7 @@
 from lagoontally_lean import Record
 
 
-class LoadReport(Record, fields="arrivals answers flows refusals", defaults=((),)):
+class LoadReport(Record, fields="arrivals answers flows"):
     """What a balancer saw since its previous report; sent to its reader.
 
     Attributes:
@@ -13,8 +13,6 @@
             took, in milliseconds.
         flows: Pairs of a target's cookie and the balancer's open flows to it, of
             targets near their cap.
-        refusals: Pairs of a target's cookie and its answers that were as short as
-            refusals.
     """
 
     __slots__ = ()
@@ -30,7 +28,7 @@
             percentage of new flows that goes there. The local one gets the rest.
         full: Cookies of targets that hold as many flows as they may.
         rates: Pairs of a service and the new flows that a balancer may let in, in
-            tenths a second; 0 where all are let in although targets refuse some.
+            tenths a second.
     """
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -140,7 +140,7 @@
         events = self._share_events(shares_before) + self._spill_events(spills_before)
         events += self._full_events(full_before) + self._rate_events(rates_before)
         said_before = shares_before or spills_before or full_before or rates_before
-        advice = self._advice(now_ms)
+        advice = self._advice()
         if not (any(advice) or said_before):
             return None, digest, events
         self.advice.on_advice(advice, now_ms)
@@ -241,7 +241,7 @@
             sizes |= {name: told[name] for name in sizes.keys() & told.keys()}
         return capacities
 
-    def _advice(self, now_ms):
+    def _advice(self):
         slowest = sorted(self.speeds.shares.items(), key=lambda item: item[1])
         shares = [(cookie, round(100 * share)) for cookie, share in slowest]
         spills = [
@@ -249,7 +249,7 @@
             for service, parts in self.spills.items()
         ]
         full = sorted(self.connections.full)[:MAX_FULL]
-        rates = self.limits.to_tell(self.admission.members, now_ms)[:MAX_RATES]
+        rates = self.limits.to_tell(self.admission.members)[:MAX_RATES]
         most = MAX_SHARES - len(full) - SHARES_PER_RATE * len(rates)
         return LoadAdvice(shares[:most], spills[:MAX_SPILLS], full, rates)
 
--- a/libs/flows/src/lagoontally_flows/_load/_rate_limits.py
+++ b/libs/flows/src/lagoontally_flows/_load/_rate_limits.py
@@ -9,9 +9,7 @@
 
 UPDATE_MS = 250
 WINDOW_MS = 500
-TOLD_MS = 2_000  # after a refusal, balancers are told that there is room
 LEARN_MS = 2_000  # a reader that has just started doesn't know what is usual
-NO_LIMIT = 0
 
 
 class RateLimits:
@@ -27,18 +25,14 @@
         self.objectives = {}
         self._let_in = []
         self._shed = []
-        self._refusals = []
-        self._refused_ms = {}
-        self._room_elsewhere = frozenset()
         self._updated_ms = 0
         self._started_ms = None
 
     def on_report(self, report, now_ms):
-        """Record the new flows and the refusals in a balancer's report."""
+        """Record the new flows in a balancer's report."""
         for service, let_in, refused in report.arrivals:
             self._let_in.append((now_ms, service, let_in))
             self._shed.append((now_ms, service, refused))
-        self._refusals.extend((now_ms, *pair) for pair in report.refusals)
 
     def update(self, targets, *, data_centre, speeds, room_elsewhere, members, now_ms):
         """Adjust all limits, once in ``UPDATE_MS``.
@@ -61,20 +55,15 @@
             return
         loads = self._loads(targets, data_centre, speeds, members, now_ms)
         for service, load in loads.items():
-            if load.refusals:
-                self._refused_ms[service] = now_ms
             rate = self.rates.setdefault(service, AdmittedRate())
             rate.update(load, room_elsewhere=service in room_elsewhere, now_ms=now_ms)
-        self._room_elsewhere = frozenset(room_elsewhere)
 
     def _loads(self, targets, data_centre, speeds, members, now_ms):
         """Return the ``ServiceLoad`` of the latest window by service."""
         window_ms = max(WINDOW_MS, report_interval_ms(members))
         since_ms = now_ms - window_ms
-        refusals, let_in, shed = (
-            _sums_since(counts, since_ms)
-            for counts in (self._refusals, self._let_in, self._shed)
-        )
+        let_in = _sums_since(self._let_in, since_ms)
+        shed = _sums_since(self._shed, since_ms)
         by_service = {}
         for target in targets:
             waits = speeds.waits_since(target.cookie, since_ms)
@@ -82,7 +71,6 @@
                 target.slots,
                 len(waits),
                 sum(waits) / len(waits) if waits else 0,
-                refusals.get(target.cookie, 0),
                 len(waits) * 1_000 / window_ms,
                 target.data_centre == data_centre,
             )
@@ -106,28 +94,12 @@
             if rate.per_s is not None
         }
 
-    def _refused_at(self, service):
-        return self._refused_ms.get(service, -TOLD_MS)
-
-    def to_tell(self, members, now_ms):
-        """Return pairs of a service and a balancer's part of its rate, in tenths.
-
-        ``NO_LIMIT`` says that there is room although targets refuse.
-
-        Args:
-            members: Number of balancers.
-            now_ms: Current time.
-        """
-        told = []
-        for service, rate in self.rates.items():
-            if rate.per_s is not None:
-                told.append((service, max(1, round(10 * rate.per_s / members))))
-            elif (
-                service in self._room_elsewhere
-                and now_ms - self._refused_at(service) < TOLD_MS
-            ):
-                told.append((service, NO_LIMIT))
-        return told
+    def to_tell(self, members):
+        """Return pairs of a service and a balancer's part of its rate, in tenths."""
+        return [
+            (service, max(1, round(10 * per_s / members)))
+            for service, per_s in self.limited().items()
+        ]
 
 
 def shortest_objectives(routes):
--- a/libs/forwarder/features/messages.feature
+++ b/libs/forwarder/features/messages.feature
@@ -71,13 +71,13 @@
       | ["ConfigurationDelta", 3, 1, 2, 5000, 3, 2, [], 7] |
       | ["Beacon", 1, 2]                   |
       | ["LoadReport", [["desk", 4, 0]]] |
-      | ["LoadReport", [[5, 4, 0]], [], [], []] |
-      | ["LoadReport", [["desk", -4, 0]], [], [], []] |
-      | ["LoadReport", [], [[77, 1e999]], [], []] |
-      | ["LoadReport", [], [[77, -1]], [], []] |
-      | ["LoadReport", [], [[4294967296, 21]], [], []] |
-      | ["LoadReport", [], [[77, "21"]], [], []] |
-      | ["LoadReport", [], [], [], [[77, -1]]] |
+      | ["LoadReport", [[5, 4, 0]], [], []] |
+      | ["LoadReport", [["desk", -4, 0]], [], []] |
+      | ["LoadReport", [], [[77, 1e999]], []] |
+      | ["LoadReport", [], [[77, -1]], []] |
+      | ["LoadReport", [], [[4294967296, 21]], []] |
+      | ["LoadReport", [], [[77, "21"]], []] |
+      | ["LoadReport", [], [], [[77, -1]]] |
       | ["LoadAdvice", [[77, 101]], [], [], []] |
       | ["LoadAdvice", [[77, true]], [], [], []] |
       | ["LoadAdvice", [], [["desk", [["camilla", 60], ["pelham", 60]]]], [], []] |
--- a/libs/forwarder/features/steps/any_input_steps.py
+++ b/libs/forwarder/features/steps/any_input_steps.py
@@ -95,7 +95,7 @@
         *PART,
         st.lists(st.tuples(TEXTS, NUMBERS, NUMBERS, NUMBERS) | ANY, max_size=2),
     ),
-    "LoadReport": (TRIPLES, PAIRS, PAIRS, PAIRS),
+    "LoadReport": (TRIPLES, PAIRS, PAIRS),
     "LoadAdvice": (
         PAIRS,
         st.lists(st.tuples(TEXTS, PAIRS) | ANY, max_size=2),
--- a/libs/forwarder/features/steps/messages_steps.py
+++ b/libs/forwarder/features/steps/messages_steps.py
@@ -77,9 +77,7 @@
     Verdict(TARGET.cookie, True, "silent", 0),
     Verdict(TARGET.cookie, False, "answered", 40),
     DealtAnew(),
-    LoadReport(
-        [("desk", 4, 1)], [(TARGET.cookie, 21), (77, 0)], [(77, 1_900)], [(77, 3)]
-    ),
+    LoadReport([("desk", 4, 1)], [(TARGET.cookie, 21), (77, 0)], [(77, 1_900)]),
     LoadAdvice(
         [(TARGET.cookie, 17)],
         [("desk", [("camilla", 20), ("pelham", 25)])],
@@ -209,7 +207,7 @@
     places = [(f"ee-north-{number}", 20) for number in range(5)]
     answers = [((1 << 32) - 1 - number, 60_000) for number in range(32)]
     arrivals = [(name, 1_000, 1_000) for name in names]
-    report = LoadReport(arrivals, answers[:2], answers[:20], answers[:10])
+    report = LoadReport(arrivals, answers[:12], answers[:20])
     cookies = [cookie for cookie, _ in answers[:20]]
     spills = [(name, places) for name in names[:5]]
     rates = [(name, 10_000) for name in names[:5]]
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -296,7 +296,7 @@
 
 
 def _decode_load_report(fields):
-    arrivals, answers, flows, refusals = fields
+    arrivals, answers, flows = fields
     return LoadReport(
         [
             (_name(service), bounded(let_in, MAX_ARRIVALS), bounded(shed, MAX_ARRIVALS))
@@ -304,7 +304,6 @@
         ],
         _by_cookie(answers, MAX_WAIT_MS),
         _by_cookie(flows, MAX_ARRIVALS),
-        _by_cookie(refusals, MAX_ARRIVALS),
     )
 
 
