--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -27,6 +27,7 @@
     Attributes:
         evidence: The ``ServiceEvidence``.
         limit: The ``RateLimit`` while flows are shed, else None.
+        follows_reader: Whether the limit is the reader's.
         ranks: The ``Ranks`` since flows are shed.
         asked: Recent SYNs.
         shed: Recent SYNs that were refused here.
@@ -38,6 +39,7 @@
     def __init__(self):
         self.evidence = ServiceEvidence()
         self.limit = None
+        self.follows_reader = False
         self.ranks = Ranks()
         self.asked = DecayingCount(HALF_LIFE_MS)
         self.shed = DecayingCount(HALF_LIFE_MS)
@@ -55,8 +57,7 @@
             told_per_s: The reader's rate; see ``AdviceInForce.rate``.
         """
         self.asked.add(now_ms)
-        if told_per_s is not None:
-            self._follow(told_per_s, now_ms)
+        self._follow(told_per_s, now_ms)
         evidence = self.evidence
         if route.deadline_ms and evidence.mean_wait_ms(now_ms) > route.deadline_ms:
             return self._refuse(TOO_LATE, now_ms)
@@ -90,13 +91,17 @@
         return True
 
     def _follow(self, told_per_s, now_ms):
-        """Take over the rate that the reader told."""
-        if self.limit is None:
+        """Take over the rate that the reader told, or end it when that lapses."""
+        if told_per_s is None:
+            if self.follows_reader:
+                self.end()
+        elif self.limit is None:
             self.limit = RateLimit(told_per_s, now_ms)
             self.ranks = Ranks()
             self.shed_ms = now_ms
         else:
             self.limit.per_s = told_per_s
+        self.follows_reader = told_per_s is not None
 
     def is_over(self, now_ms, told_per_s):
         """Return whether flows were shed, but nobody was refused lately."""
