--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -94,7 +94,7 @@
         """Take over the rate that the reader told, or end it when that lapses."""
         if told_per_s is None:
             if self.follows_reader:
-                self.end()
+                self.limit = None
         elif self.limit is None:
             self.limit = RateLimit(told_per_s, now_ms)
             self.ranks = Ranks()
