--- a/libs/edges/src/lagoontally_edges/_upstream_edge.py
+++ b/libs/edges/src/lagoontally_edges/_upstream_edge.py
@@ -162,7 +162,8 @@
             return
         is_query = len(decoded.token) == QUERY_TOKEN_BYTES
         if self.loop.stale and (is_query or decoded.observed):
-            # Of a target's state before the pause. An answer stays true.
+            # These tell a state from before the pause. The answer to a request can't
+            # become outdated.
             self.loop.increment("discarded_after_pause")
             return
         host, port = datagram.sender
--- a/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
+++ b/libs/flows/src/lagoontally_flows/_load/_admitted_rate.py
@@ -9,11 +9,11 @@
 from lagoontally_lean import Record
 
 WAIT_SHARE = 0.5  # of the time between the usual answer and the objective
-ROOMY_SHARE = 1 / 3  # of the slots that have room where flows are placed, not refused
+ROOMY_SHARE = 1 / 3  # of the slots answer in time; above it no limit begins
 QUEUED_PER_SLOT = 1.5  # requests in hand for each slot of a target without room
-MIN_ANSWERS = 20  # that may limit a service
+MIN_ANSWERS = 20  # of a service in a window; with fewer no limit begins
 MIN_TARGET_ANSWERS = 3
-DRAIN_MS = 500  # in which callers that wait too long are served
+DRAIN_MS = 500  # in which a limit lets queues shorten to the longest wait
 MAX_CUT = 0.5
 MAX_GROWTH = 0.4
 MAX_UNUSED = 1.5  # a rate relative to what was let in
@@ -134,8 +134,8 @@
     """
     if not longest_ms or target.wait_ms <= longest_ms:
         return True
-    # Where few requests wait for a slot, they take long for other reasons. Of a target
-    # elsewhere these balancers see a part of the requests.
+    # If few requests wait for a slot, the target takes long for other reasons. In
+    # another data centre that can't be told: its balancers send requests there, too.
     in_hand = target.per_s * target.wait_ms / 1_000
     return target.is_local and in_hand < QUEUED_PER_SLOT * target.slots
 
--- a/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
+++ b/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
@@ -6,7 +6,7 @@
 
 DEMAND_LIFETIME_MS = 3_000  # of what another data centre told
 SMOOTHING = 0.5  # weight of the latest measurement in the average
-WAIT_SMOOTHING = 0.025  # weight of the latest answer time
+WAIT_SMOOTHING = 0.025  # weight of the latest answer time in the average
 MAX_WAIT_FACTOR = 2.0
 TOLD_LOAD = 0.5  # of the slots; below it a data centre says nothing
 REFRESH_MS = 500
--- a/libs/flows/src/lagoontally_flows/_load/_flap_backoff.py
+++ b/libs/flows/src/lagoontally_flows/_load/_flap_backoff.py
@@ -10,7 +10,7 @@
 MAX_HOLD_MS = 16_000
 MAX_FAULTS = 8  # more would take minutes to forget and lengthen nothing
 FORGIVE_MS = 15_000  # without a fault, for each fault that is forgotten
-GOOD_JUDGEMENTS = 4  # that end a fault; one may miss a repeated verdict
+GOOD_JUDGEMENTS = 4  # in a row that end a fault
 
 
 class FaultRecord:
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -14,11 +14,11 @@
 from ._target_speeds import TargetSpeeds
 
 ADVICE_INTERVAL_MS = 250
-ROOM_LOAD = 0.9  # of all slots; above it data centres have no room for each other
+ROOM_LOAD = 0.9  # of the slots of all data centres; from it on none has room
 DIGEST_SENDER_LIFETIME_MS = 5_000
 MAX_SHARES, MAX_SPILLS = 30, 5  # of one advice, the slowest first; fit a datagram
 MAX_FULL = 20  # in place of as many shares
-MAX_RATES, SHARES_PER_RATE = 5, 2  # each in place of as many shares
+MAX_RATES, SHARES_PER_RATE = 5, 2  # rates in an advice; shares that each displaces
 MAX_DIGEST_SENDERS = 64  # anyone can send a digest from a forged address
 
 
