Admission: readers limit requests in hand by target, in place of a rate of new flows

A limit on requests in hand is freed by each answer; by Little's law it is what a target serves at the longest wait that callers accept, corrected slowly by the wait that is seen, and never below this data centre's part of the slots. The limits say where flows go, what a slow target gets and whether there is room.

Fewer targets are named in an advice, so that it fits a datagram.

--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -27,7 +27,7 @@
     Attributes:
         evidence: The ``ServiceEvidence``.
         limit: The ``RateLimit`` while flows are shed, else None.
-        follows_reader: Whether the limit is the reader's.
+        follows_reader: Whether a reader limits the requests in hand.
         ranks: The ``Ranks`` since flows are shed.
         asked: Recent SYNs.
         shed: Recent SYNs that were refused here.
@@ -47,26 +47,24 @@
         self.shed_kind = None
         self.shed_reason = None
 
-    def refusal(self, route, kind, now_ms, told_per_s):
+    def refusal(self, route, kind, now_ms):
         """Return why a SYN is refused, None if it is let in.
 
         Args:
             route: The ``Route``.
             kind: The kind of its requests.
             now_ms: Current time.
-            told_per_s: The reader's rate; see ``AdviceInForce.rate``.
         """
         self.asked.add(now_ms)
-        self._follow(told_per_s, now_ms)
+        self._follow(is_told=False)
         evidence = self.evidence
         if route.deadline_ms and evidence.mean_wait_ms(now_ms) > route.deadline_ms:
             return self._refuse(TOO_LATE, now_ms)
         limit = self.limit
         if limit is not None:
             self.ranks.add(kind, route.name)
-            if told_per_s is None:
-                served_per_s = evidence.served_per_s(now_ms)
-                limit.adjust(evidence.refused_share(now_ms), served_per_s, now_ms)
+            served_per_s = evidence.served_per_s(now_ms)
+            limit.adjust(evidence.refused_share(now_ms), served_per_s, now_ms)
             limit.refill(now_ms)
             if not self.ranks.may_pass(kind, route.name, limit.tokens, limit.capacity):
                 return self._refuse(NO_ROOM, now_ms)
@@ -75,6 +73,26 @@
         evidence.sent.add(now_ms)
         return None
 
+    def refusal_by_limit(self, route, kind, now_ms, *, most, in_hand, draw):
+        """Return why a SYN is refused by a reader's limit, None if it is let in.
+
+        Args:
+            route: The ``Route``.
+            kind: The kind of its requests.
+            now_ms: Current time.
+            most: Requests that may be in hand at the usable targets.
+            in_hand: Those that are.
+            draw: Random number in the interval [0, 1), which rounds the limit.
+        """
+        self.asked.add(now_ms)
+        self._follow(is_told=True)
+        self.ranks.add(kind, route.name)
+        if draw >= self.ranks.room(kind, route.name, most - in_hand, most):
+            return self._refuse(NO_ROOM, now_ms)
+        self.ranks.on_passed(kind, route.name)
+        self.evidence.sent.add(now_ms)
+        return None
+
     def start(self, now_ms):
         """Limit the rate if targets refuse too much; return whether it is new."""
         evidence = self.evidence
@@ -90,22 +108,16 @@
         self.shed_ms = now_ms
         return True
 
-    def _follow(self, told_per_s, now_ms):
-        """Take over the rate that the reader told, or end it when that lapses."""
-        if told_per_s is None:
-            if self.follows_reader:
-                self.limit = None
-        elif self.limit is None:
-            self.limit = RateLimit(told_per_s, now_ms)
+    def _follow(self, *, is_told):
+        """Begin anew where a reader's limit takes effect or lapses."""
+        if is_told != self.follows_reader:
+            self.follows_reader = is_told
+            self.limit = None
             self.ranks = Ranks()
-            self.shed_ms = now_ms
-        else:
-            self.limit.per_s = told_per_s
-        self.follows_reader = told_per_s is not None
 
-    def is_over(self, now_ms, told_per_s):
+    def is_over(self, now_ms, *, is_told):
         """Return whether flows were shed, but nobody was refused lately."""
-        if self.shed_reason is None or now_ms - self.shed_ms < CALM_MS or told_per_s:
+        if self.shed_reason is None or now_ms - self.shed_ms < CALM_MS or is_told:
             return False
         share = self.evidence.refused_share(now_ms)
         return self.limit is None or share < START_SHARE
@@ -130,8 +142,9 @@
 
     Args:
         random: Random number generator, as ``random.Random``.
-        advice: The ``AdviceInForce``. The rate that a reader tells by what all
+        advice: The ``AdviceInForce``. The limit that a reader tells by what all
             balancers saw goes before this balancer's own evidence.
+        in_hand: The ``RequestsInHand``.
 
     Attributes:
         enabled: Whether flows may be refused or targets left out.
@@ -142,8 +155,10 @@
         members: Number of balancers that share them.
     """
 
-    def __init__(self, *, random, advice):
+    def __init__(self, *, random, advice, in_hand):
+        self.random = random
         self.advice = advice
+        self.in_hand = in_hand
         self.enabled = True
         self.services = {}
         self.full_targets = FullTargets(random=random)
@@ -153,7 +168,7 @@
         self._refused_flows = {}
         self._effects = []
 
-    def refusal(self, packet, route, now_ms):
+    def refusal(self, packet, route, now_ms, usable):
         """Decide on a SYN.
 
         A copy is refused only if its first was: the flow may have been opened
@@ -163,6 +178,8 @@
             packet: The ``Packet``.
             route: The ``Route`` of its flow.
             now_ms: Current time.
+            usable: Function of a service, a ``Route`` and a time: the ``Target``
+                records that a new flow may go to.
 
         Returns:
             Why it is refused, None if it is let in.
@@ -172,8 +189,7 @@
         if packet.acknowledgement:
             return self._refused_flows.get(packet.flow)
         service, kind = route.shares[0][0], kind_of(route)
-        told_per_s = self.advice.rate(service, now_ms)
-        reason = self._service(service).refusal(route, kind, now_ms, told_per_s)
+        reason = self._decide(service, route, now_ms, usable)
         if reason is None:
             self._refused_flows.pop(packet.flow, None)
             return None
@@ -186,6 +202,22 @@
         self._on_refused_kind(service, kind, now_ms)
         return reason
 
+    def _decide(self, service, route, now_ms, usable):
+        """Return why a first SYN is refused, None if it is let in."""
+        kind = kind_of(route)
+        limit = self.advice.limit(service, now_ms)
+        if limit is None:
+            return self._service(service).refusal(route, kind, now_ms)
+        targets = usable(service, route, now_ms)
+        return self._service(service).refusal_by_limit(
+            route,
+            kind,
+            now_ms,
+            most=limit.total(targets),
+            in_hand=self.in_hand.at(targets),
+            draw=self.random.random(),
+        )
+
     def on_answer(self, answer, now_ms):
         """Take note of an ``Answer``; return whether it is as short as a refusal."""
         service = self._service(answer.service)
@@ -194,7 +226,7 @@
         if refused:
             usual = evidence.mix.share
             self.full_targets.on_refused(answer.cookie, now_ms, usual_share=usual)
-            told = self.advice.rate(answer.service, now_ms) is not None
+            told = self.advice.limit(answer.service, now_ms) is not None
             if not told and service.start(now_ms):
                 self._on_shed(answer.service, NO_ROOM, now_ms)
                 evidence.forget_answers(now_ms)  # they tell of the former rate
@@ -224,7 +256,8 @@
     def on_tick(self, now_ms):
         """Return ``LogEvent`` records where shedding began, changed or ended."""
         for name, service in self.services.items():
-            if service.is_over(now_ms, self.advice.rate(name, now_ms)):
+            told = self.advice.limit(name, now_ms) is not None
+            if service.is_over(now_ms, is_told=told):
                 self._log("shedding_ended", name, service, now_ms)
                 service.end()
         effects, self._effects = self._effects, []
--- a/libs/flows/src/lagoontally_flows/_admission/_ranks.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_ranks.py
@@ -45,6 +45,12 @@
             return True
         return tokens >= 1.0 + self.reserve(kind, capacity)
 
+    def room(self, kind, name, free, capacity):
+        """Return how much of some free room a flow of a route may use."""
+        if self.credits[kind][name] >= 1.0:
+            return free
+        return free - self.reserve(kind, capacity)
+
     def on_passed(self, kind, name):
         """Take note that a flow of a route was let in."""
         routes = self.credits[kind]
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -82,7 +82,9 @@
         self.warm_up_budgets = WarmUpBudgets(data_centre)
         self.warm_ups = self.warm_up_budgets.warm_ups
         advice = AdviceInForce()
-        self.admission = Admission(random=random, advice=advice)
+        self.admission = Admission(
+            random=random, advice=advice, in_hand=self.flows.in_hand
+        )
         self.load_sharing = LoadSharing(
             data_centre=data_centre,
             view=self.view,
@@ -149,6 +151,8 @@
         self.load_sharing.objectives = shortest_objectives(
             configuration.routes.values()
         )
+        deadlines_ms = [route.deadline_ms for route in configuration.routes.values()]
+        self.flows.in_hand.set_lifetime(max(deadlines_ms, default=0))
         self.admission.max_connections = {
             name: service.max_connections
             for name, service in configuration.services.items()
--- a/libs/flows/src/lagoontally_flows/_load/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_load/__init__.py
@@ -1,11 +1,11 @@
 """Where work goes when demand and targets are uneven."""
 
 from ._answer_log import AnswerLog
+from ._concurrency_limits import shortest_objectives
 from ._data_centre_demand import DataCentreDemand
 from ._load_advice import AdviceInForce
 from ._load_messages import DemandDigest, LoadAdvice, LoadReport
 from ._load_sharing import LoadSharing
-from ._rate_limits import shortest_objectives
 from ._spill import spill_parts
 from ._target_speeds import TargetSpeeds, slow_share
 
--- a/libs/flows/src/lagoontally_flows/_load/_load_advice.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_advice.py
@@ -4,9 +4,30 @@
 counts of flows decide alone.
 """
 
+from lagoontally_lean import Record
+
 ADVICE_LIFETIME_MS = 2_000  # four intervals of the reader
 
 
+class ServiceLimit(Record, fields="usual by_target"):
+    """What a balancer may have in hand of a service with too little room.
+
+    Attributes:
+        usual: Requests in hand at one target at most; a fraction is a probability.
+        by_target: The same by cookie, of targets where it is another.
+    """
+
+    __slots__ = ()
+
+    def at(self, cookie):
+        """Return the limit at a target."""
+        return self.by_target.get(cookie, self.usual)
+
+    def total(self, targets):
+        """Return the limit at some ``Target`` records together."""
+        return sum(self.at(target.cookie) for target in targets)
+
+
 class AdviceInForce:
     """The latest ``LoadAdvice`` and what follows from it for a new flow."""
 
@@ -14,7 +35,7 @@
         self._shares = {}
         self._spills = {}
         self._full = frozenset()
-        self._rates = {}
+        self._limits = {}
         self._received_ms = None
 
     def on_advice(self, advice, now_ms):
@@ -22,7 +43,12 @@
         self._shares = {cookie: percent / 100 for cookie, percent in advice.shares}
         self._spills = {service: tuple(parts) for service, parts in advice.spills}
         self._full = frozenset(advice.full)
-        self._rates = {service: tenths / 10 for service, tenths in advice.rates}
+        self._limits = {
+            service: ServiceLimit(
+                usual / 100, {cookie: most / 100 for cookie, most in pairs}
+            )
+            for service, usual, pairs in advice.limits
+        }
         self._received_ms = now_ms
 
     def admitted(self, targets, now_ms, random):
@@ -49,9 +75,9 @@
         """Return pairs of a data centre and its percentage, empty if all stay."""
         return self._spills.get(service, ()) if self._is_fresh(now_ms) else ()
 
-    def rate(self, service, now_ms):
-        """Return the new flows a second that this balancer may let in, None for all."""
-        return self._rates.get(service) if self._is_fresh(now_ms) else None
+    def limit(self, service, now_ms):
+        """Return the ``ServiceLimit`` of a service, None if it isn't limited."""
+        return self._limits.get(service) if self._is_fresh(now_ms) else None
 
     def _is_fresh(self, now_ms):
         received_ms = self._received_ms
--- a/libs/flows/src/lagoontally_flows/_load/_load_messages.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_messages.py
@@ -18,7 +18,7 @@
     __slots__ = ()
 
 
-class LoadAdvice(Record, fields="shares spills full rates", defaults=((),)):
+class LoadAdvice(Record, fields="shares spills full limits", defaults=((),)):
     """What a reader found; sent to its members while there is something to say.
 
     Attributes:
@@ -27,8 +27,9 @@
         spills: Pairs of a service and its parts: pairs of a data centre and the
             percentage of new flows that goes there. The local one gets the rest.
         full: Cookies of targets that hold as many flows as they may.
-        rates: Pairs of a service and the new flows that a balancer may let in, in
-            tenths a second.
+        limits: Services with too little room, each with the requests that a balancer
+            may have in hand at a usual target, and pairs of a cookie and the same at
+            another one; all in hundredths.
     """
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -6,10 +6,10 @@
 
 from .._effects import LogEvent
 from ._answer_log import AnswerLog
+from ._concurrency_limits import ConcurrencyLimits
 from ._connection_counts import ConnectionCounts, reported_flows
 from ._data_centre_demand import DataCentreDemand
 from ._load_messages import DemandDigest, LoadAdvice
-from ._rate_limits import RateLimits
 from ._spill import FULL_LOAD, START_LOAD, spill_parts, total_load
 from ._target_speeds import TargetSpeeds
 
@@ -18,7 +18,7 @@
 DIGEST_SENDER_LIFETIME_MS = 5_000
 MAX_SHARES, MAX_SPILLS = 30, 5  # of one advice, the slowest first; fit a datagram
 MAX_FULL = 20  # in place of as many shares
-MAX_RATES, SHARES_PER_RATE = 5, 2  # rates in an advice; shares that each displaces
+MAX_LIMITED, SHARES_PER_LIMITED = 5, 2  # services; shares that each displaces
 MAX_DIGEST_SENDERS = 64  # anyone can send a digest from a forged address
 
 
@@ -37,7 +37,7 @@
 
     Attributes:
         log: The ``AnswerLog`` of this balancer.
-        limits: The ``RateLimits``, of use in a reader.
+        limits: The ``ConcurrencyLimits``, of use in a reader.
         objectives: Shortest objective of the routes to each service in milliseconds.
         speeds: The ``TargetSpeeds``, of use in a reader.
         demand: The ``DataCentreDemand``, of use in a reader.
@@ -123,7 +123,7 @@
         self._next_ms = now_ms + ADVICE_INTERVAL_MS
         shares_before, spills_before = self.speeds.shares, self.spills
         full_before = self.connections.full
-        rates_before = self.limits.limited()
+        limited_before = self.limits.limited()
         listed = self.view.targets.values()
         targets = [one for one in listed if not one.leaving]
         dead = {one.cookie for one in targets if self.health.is_dead(one.cookie)}
@@ -138,8 +138,8 @@
             now_ms=now_ms,
         )
         events = self._share_events(shares_before) + self._spill_events(spills_before)
-        events += self._full_events(full_before) + self._rate_events(rates_before)
-        said_before = shares_before or spills_before or full_before or rates_before
+        events += self._full_events(full_before) + self._limit_events(limited_before)
+        said_before = shares_before or spills_before or full_before or limited_before
         advice = self._advice()
         if not (any(advice) or said_before):
             return None, digest, events
@@ -249,9 +249,11 @@
             for service, parts in self.spills.items()
         ]
         full = sorted(self.connections.full)[:MAX_FULL]
-        rates = self.limits.to_tell(self.admission.members)[:MAX_RATES]
-        most = MAX_SHARES - len(full) - SHARES_PER_RATE * len(rates)
-        return LoadAdvice(shares[:most], spills[:MAX_SPILLS], full, rates)
+        limited = min(MAX_LIMITED, len(self.limits.limits))
+        most = MAX_SHARES - len(full) - SHARES_PER_LIMITED * limited
+        limits = self.limits.to_tell(self.admission.members, most_pairs=most)[:limited]
+        most -= sum(len(pairs) for _, _, pairs in limits)
+        return LoadAdvice(shares[:most], spills[:MAX_SPILLS], full, limits)
 
     def _share_events(self, before):
         events = []
@@ -290,15 +292,15 @@
             events.append(LogEvent("spill_ended", (("service", service),)))
         return events
 
-    def _rate_events(self, before):
+    def _limit_events(self, before):
         events = []
-        rates = self.limits.limited()
-        for service in rates.keys() - before.keys():
-            per_s = round(rates[service], 1)
+        limited = self.limits.limited()
+        for service in limited.keys() - before.keys():
+            in_hand = round(limited[service], 1)
             events.append(
-                LogEvent("limit_started", (("service", service), ("per_s", per_s)))
+                LogEvent("limit_started", (("service", service), ("in_hand", in_hand)))
             )
-        for service in before.keys() - rates.keys():
+        for service in before.keys() - limited.keys():
             events.append(LogEvent("limit_ended", (("service", service),)))
         return events
 
@@ -307,7 +309,7 @@
         self.speeds = TargetSpeeds()
         self.demand = DataCentreDemand()
         self.connections = ConnectionCounts()
-        self.limits = RateLimits()
+        self.limits = ConcurrencyLimits()
         self.spills = {}
         self._room_elsewhere = set()
         self._spilling = set()
--- a/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_flow_placer.py
@@ -81,7 +81,7 @@
         if target is None:
             target = self._usable(silent)
         else:
-            self.flows.move(flow, target.cookie)
+            self.flows.move(packet.flow, flow, target.cookie)
         if target is None:
             self.flows.remove(packet.flow)
             reason = self.target_selector.refusal(route, now_ms, avoid=flow.tried)
@@ -100,7 +100,9 @@
         return self._place_flow(packet, route, now_ms)
 
     def _place_flow(self, packet, route, now_ms):
-        reason = self.admission.refusal(packet, route, now_ms)
+        reason = self.admission.refusal(
+            packet, route, now_ms, self.target_selector.usable
+        )
         if reason is not None:
             self.answer_log.on_arrival(route.shares[0][0], refused=True)
             return Reset(reason, packet.acknowledgement)
@@ -115,6 +117,7 @@
             return self._refuse(packet, route, now_ms)
         self.demand.on_syn(route.shares, served=True)
         flow = self.flows.add(packet.flow, target.cookie, now_ms)
+        self.flows.in_hand.begin(packet.flow, target.cookie, now_ms)
         self.half_open_flows.add(packet.flow, flow, now_ms)
         self.probe_overdue(now_ms)
         return Forward(target, "placed")
--- a/libs/flows/src/lagoontally_flows/_placing/_placement.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_placement.py
@@ -64,6 +64,31 @@
     )
 
 
+def select_by_limit(candidates, *, limit, in_hand, draw):
+    """Return the target for a new flow to a service whose targets are limited.
+
+    All of them are crowded, so the flow goes where there is room, near or far.
+
+    Args:
+        candidates: ``Target`` records, none of them dead.
+        limit: The ``ServiceLimit``.
+        in_hand: This balancer's requests in hand by cookie.
+        draw: Random number in the interval [0, 1).
+
+    Returns:
+        A ``Target``, or None without candidates.
+    """
+    if not candidates:
+        return None
+    parts = [
+        (target, max(0.0, limit.at(target.cookie) - in_hand.get(target.cookie, 0)))
+        for target in candidates
+    ]
+    if not any(room for _, room in parts):
+        parts = [(target, limit.at(target.cookie)) for target in candidates]
+    return _weighted_pick(parts, draw)
+
+
 def _spill_shares(capacity, data_centre, spill, unmeasured):
     """Return pairs of a data centre and its share by measured demand.
 
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -1,6 +1,6 @@
 """Selection of targets by view, health and load."""
 
-from ._placement import select_service, select_target
+from ._placement import select_by_limit, select_service, select_target
 from ._regions import in_allowed_regions
 from ._target_order import TargetOrder
 
@@ -68,7 +68,7 @@
             avoid: Cookies of targets to leave out.
         """
         targets_by_service = {
-            service: self._usable(service, route, now_ms, avoid)
+            service: self.usable(service, route, now_ms, avoid)
             for service, _ in route.shares
         }
         service = select_service(
@@ -76,8 +76,17 @@
         )
         if service is None:
             return None
+        targets = targets_by_service[service]
+        limit = self.load_advice.limit(service, now_ms)
+        if limit is not None:
+            return select_by_limit(
+                targets,
+                limit=limit,
+                in_hand=self.flows.in_hand.by_target,
+                draw=self.random.random(),
+            )
         return select_target(
-            self.load_advice.admitted(targets_by_service[service], now_ms, self.random),
+            self.load_advice.admitted(targets, now_ms, self.random),
             load=lambda target: self.flows.open_flows.get(target.cookie, 0),
             data_centre=self.data_centre,
             data_centres=self.view.data_centres() | {self.data_centre},
@@ -86,6 +95,27 @@
             spill=self.load_advice.spill(service, now_ms),
         )
 
+    def usable(self, service, route, now_ms, avoid=()):
+        """Return the targets of a service that a new flow may go to.
+
+        Args:
+            service: Name of the service.
+            route: The ``Route`` of the flow.
+            now_ms: Current time.
+            avoid: Cookies of targets to leave out.
+        """
+        healthy = self._healthy(service, route, now_ms, avoid)
+        # Before the full ones are left out: they are used rather than none where all
+        # other targets are cold and may get no more.
+        admitted = self.warm_up_budgets.admitted(healthy, now_ms)
+        leaves_out, open_flows = self.admission.leaves_out, self.flows.open_flows
+        roomy = [
+            target
+            for target in admitted
+            if not leaves_out(target, open_flows.get(target.cookie, 0), now_ms)
+        ]
+        return roomy or admitted
+
     def is_evacuated(self, target):
         """Return whether a target's data centre is emptied."""
         return self.evacuations.is_evacuated(target.data_centre)
@@ -155,19 +185,6 @@
             default=None,
         )
 
-    def _usable(self, service, route, now_ms, avoid):
-        healthy = self._healthy(service, route, now_ms, avoid)
-        # Before the full ones are left out: they are used rather than none where all
-        # other targets are cold and may get no more.
-        admitted = self.warm_up_budgets.admitted(healthy, now_ms)
-        leaves_out, open_flows = self.admission.leaves_out, self.flows.open_flows
-        roomy = [
-            target
-            for target in admitted
-            if not leaves_out(target, open_flows.get(target.cookie, 0), now_ms)
-        ]
-        return roomy or admitted
-
     def _healthy(self, service, route, now_ms, avoid=()):
         evacuations = self.evacuations
         is_evacuated = evacuations.is_evacuated if evacuations.since_ms else None
--- a/libs/flows/src/lagoontally_flows/_tracking/_flow_table.py
+++ b/libs/flows/src/lagoontally_flows/_tracking/_flow_table.py
@@ -4,6 +4,8 @@
 to balance new flows and to detect targets that don't answer.
 """
 
+from ._requests_in_hand import RequestsInHand
+
 SWEEP_INTERVAL_MS = 1_000
 CLOSED_RETENTION_MS = (
     3_000  # the last acknowledgements of a closed flow pass in this time
@@ -91,12 +93,14 @@
         flows: ``Flow`` by flow key: the addresses and ports of both ends.
         open_flows: Number of flows that aren't closing, by cookie.
         pending: Flows with a pending request, oldest request first.
+        in_hand: The ``RequestsInHand``.
     """
 
     def __init__(self):
         self.flows = {}
         self.open_flows = {}
         self.pending = {}
+        self.in_hand = RequestsInHand()
         self._swept_ms = 0
 
     def add(self, key, cookie, now_ms):
@@ -119,13 +123,14 @@
         if packet.cookie not in flow.tried:
             return packet.cookie
         if not flow.established:
-            self.move(flow, packet.cookie)
+            self.move(packet.flow, flow, packet.cookie)
             return packet.cookie
         unseen = (packet.acknowledgement - flow.acknowledged) & SEQUENCE_MASK
         return flow.cookie if unseen <= MAX_UNSEEN_BYTES else packet.cookie
 
-    def move(self, flow, cookie):
+    def move(self, key, flow, cookie):
         """Move a flow that isn't open to another target."""
+        self.in_hand.move(key, cookie)
         self._release(flow)
         flow.cookie = cookie
         flow.tried.append(cookie)
@@ -137,6 +142,7 @@
             flow.request_sent_ms = now_ms
             flow.idle = False
             self.pending[key] = flow
+            self.in_hand.begin(key, flow.cookie, now_ms)
 
     def complete_request(self, key, flow):
         """Record that the pending request of a flow, if any, was answered."""
@@ -144,15 +150,18 @@
             flow.request_sent_ms = None
             flow.idle = True
             self.pending.pop(key, None)
+            self.in_hand.end(key)
 
     def forget_pending(self):
         """Forget all pending requests."""
         for flow in self.pending.values():
             flow.request_sent_ms = None
         self.pending.clear()
+        self.in_hand.clear()
 
-    def close(self, flow):
+    def close(self, key, flow):
         """Stop counting a flow whose caller closed it."""
+        self.in_hand.end(key)
         if not flow.closing:
             self._release(flow)
             flow.closing = True
@@ -160,6 +169,7 @@
     def remove(self, key):
         """Remove a flow if it is known."""
         self.pending.pop(key, None)
+        self.in_hand.end(key)
         flow = self.flows.pop(key, None)
         if flow is not None and not flow.closing:
             self._release(flow)
@@ -175,7 +185,8 @@
         ]
 
     def sweep(self, now_ms, idle_timeout_ms):
-        """Remove flows that were idle for too long."""
+        """Remove flows that were idle for too long, and requests in hand."""
+        self.in_hand.expire(now_ms)
         if now_ms - self._swept_ms < SWEEP_INTERVAL_MS:
             return
         self._swept_ms = now_ms
--- a/libs/flows/src/lagoontally_flows/_tracking/_packet_recorder.py
+++ b/libs/flows/src/lagoontally_flows/_tracking/_packet_recorder.py
@@ -64,7 +64,7 @@
                 self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
         if packet.flags & FIN:
             self.flows.complete_request(packet.flow, flow)
-            self.flows.close(flow)
+            self.flows.close(packet.flow, flow)
         elif packet.length:
             self.flows.start_request(packet.flow, flow, now_ms)
 
--- a/libs/forwarder/src/lagoontally_forwarder/_messages.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_messages.py
@@ -308,12 +308,19 @@
 
 
 def _decode_load_advice(fields):
-    shares, spills, full, rates = fields
+    shares, spills, full, limits = fields
     return LoadAdvice(
         _by_cookie(shares, 100),
         [(_name(service), _decode_parts(parts)) for service, parts in spills],
         [bounded(cookie, MAX_COOKIE) for cookie in full],
-        [(_name(service), bounded(rate, MAX_ARRIVALS)) for service, rate in rates],
+        [
+            (
+                _name(service),
+                bounded(usual, MAX_ARRIVALS),
+                _by_cookie(pairs, MAX_ARRIVALS),
+            )
+            for service, usual, pairs in limits
+        ],
     )
 
 
