--- a/libs/flows/src/lagoontally_flows/_admission/_admission.py
+++ b/libs/flows/src/lagoontally_flows/_admission/_admission.py
@@ -6,6 +6,8 @@
 while targets refuse nothing and answer within the deadline.
 """
 
+from lagoontally_lean import Record
+
 from .._effects import LogEvent
 from ._decaying import DecayingCount
 from ._evidence import HALF_LIFE_MS, ServiceEvidence
@@ -21,6 +23,17 @@
 MAX_REFUSED_FLOWS = 512
 
 
+class AllowedRequests(Record, fields="most left"):
+    """Requests that a balancer may have in hand of a service.
+
+    Attributes:
+        most: Those at all targets that a new flow may go to.
+        left: How many more there may be, negative where there are too many.
+    """
+
+    __slots__ = ()
+
+
 class ServiceAdmission:
     """Admission to one service.
 
@@ -47,51 +60,45 @@
         self.shed_kind = None
         self.shed_reason = None
 
-    def refusal(self, route, kind, now_ms):
+    def refusal(self, route, kind, now_ms, *, allowed=None, draw=0.0):
         """Return why a SYN is refused, None if it is let in.
 
         Args:
             route: The ``Route``.
             kind: The kind of its requests.
             now_ms: Current time.
+            allowed: The ``AllowedRequests`` while a reader limits the service, else
+                None.
+            draw: Random number in the interval [0, 1), which rounds that limit.
         """
         self.asked.add(now_ms)
-        self._follow(is_told=False)
+        self._follow(is_told=allowed is not None)
         evidence = self.evidence
         if route.deadline_ms and evidence.mean_wait_ms(now_ms) > route.deadline_ms:
             return self._refuse(TOO_LATE, now_ms)
-        limit = self.limit
-        if limit is not None:
+        if allowed is not None:
             self.ranks.add(kind, route.name)
-            served_per_s = evidence.served_per_s(now_ms)
-            limit.adjust(evidence.refused_share(now_ms), served_per_s, now_ms)
-            limit.refill(now_ms)
-            if not self.ranks.may_pass(kind, route.name, limit.tokens, limit.capacity):
+            room = self.ranks.room(kind, route.name, allowed.left, allowed.most)
+            if draw >= room:
                 return self._refuse(NO_ROOM, now_ms)
-            limit.tokens -= 1.0
             self.ranks.on_passed(kind, route.name)
+        elif self.limit is not None and not self._take_token(route, kind, now_ms):
+            return self._refuse(NO_ROOM, now_ms)
         evidence.sent.add(now_ms)
         return None
 
-    def refusal_by_limit(self, route, kind, now_ms, *, most, in_hand, draw):
-        """Return why a SYN is refused by a reader's limit, None if it is let in.
-
-        Args:
-            route: The ``Route``.
-            kind: The kind of its requests.
-            now_ms: Current time.
-            most: Requests that may be in hand at the usable targets.
-            in_hand: Those that are.
-            draw: Random number in the interval [0, 1), which rounds the limit.
-        """
-        self.asked.add(now_ms)
-        self._follow(is_told=True)
+    def _take_token(self, route, kind, now_ms):
+        """Return whether the rate, by own evidence, allows another flow."""
+        limit, evidence = self.limit, self.evidence
         self.ranks.add(kind, route.name)
-        if draw >= self.ranks.room(kind, route.name, most - in_hand, most):
-            return self._refuse(NO_ROOM, now_ms)
+        served_per_s = evidence.served_per_s(now_ms)
+        limit.adjust(evidence.refused_share(now_ms), served_per_s, now_ms)
+        limit.refill(now_ms)
+        if not self.ranks.may_pass(kind, route.name, limit.tokens, limit.capacity):
+            return False
+        limit.tokens -= 1.0
         self.ranks.on_passed(kind, route.name)
-        self.evidence.sent.add(now_ms)
-        return None
+        return True
 
     def start(self, now_ms):
         """Limit the rate if targets refuse too much; return whether it is new."""
@@ -206,15 +213,15 @@
         """Return why a first SYN is refused, None if it is let in."""
         kind = kind_of(route)
         limit = self.advice.limit(service, now_ms)
-        if limit is None:
+        targets = usable(service, route, now_ms) if limit is not None else ()
+        if not targets:
             return self._service(service).refusal(route, kind, now_ms)
-        targets = usable(service, route, now_ms)
-        return self._service(service).refusal_by_limit(
+        most = limit.total(targets)
+        return self._service(service).refusal(
             route,
             kind,
             now_ms,
-            most=limit.total(targets),
-            in_hand=self.in_hand.at(targets),
+            allowed=AllowedRequests(most, most - self.in_hand.at(targets)),
             draw=self.random.random(),
         )
 
