--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -24,14 +24,13 @@
     UNANSWERED,
     Health,
     StuckTargets,
+    UnknownCookies,
     View,
     reset_flows,
     should_reset_flows,
 )
 from ._tracking import FlowTable, HalfOpenFlows, PacketRecorder
 
-UNKNOWN_COOKIE_MS = 1_500  # an entry reaches every balancer within a second
-MAX_UNKNOWN_COOKIES = 1_024
 STALE_SYN_MS = 500  # two missed probes, half a second apart, turn routers away
 LATE_TICK_MS = 250  # ticks are 50 ms apart; a longer gap means a paused process
 
@@ -134,7 +133,7 @@
         self.platform_heard_ms = None
         self.configuration_confirmed = False
         self._is_first_listing = False
-        self._unknown_since_ms = {}
+        self._unknown_cookies = UnknownCookies()
         self.ticked_ms = None
 
     def configure(self, configuration):
@@ -356,13 +355,10 @@
         return route is not None and route.repeatable
 
     def _on_unknown_cookie(self, packet, cookie, now_ms):
-        since_ms = self._unknown_since_ms.setdefault(cookie, now_ms)
-        if len(self._unknown_since_ms) > MAX_UNKNOWN_COOKIES:
-            self._unknown_since_ms.clear()
         confirmed_ms = self.view_confirmed_ms
-        if confirmed_ms is None or confirmed_ms - since_ms < UNKNOWN_COOKIE_MS:
-            return Drop("unknown_cookie")
-        return self._end_flow(packet, "target_gone")
+        if self._unknown_cookies.is_gone(cookie, now_ms, confirmed_ms):
+            return self._end_flow(packet, "target_gone")
+        return Drop("unknown_cookie")
 
     def _on_entry(self, key, target, now_ms):
         ended = target and self.view.superseded_by(target)
@@ -371,7 +367,7 @@
             self._reset_flows(ended.cookie, "ended")
         before = self.view.put(key, target, now_ms)
         if target is not None:
-            self._unknown_since_ms.pop(target.cookie, None)
+            self._unknown_cookies.forget(target.cookie)
         if before == target:
             return
         if target is not None:
--- a/libs/flows/src/lagoontally_flows/_targets/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_targets/__init__.py
@@ -13,6 +13,7 @@
 )
 from ._stuck_flow_resets import reset_flows, should_reset_flows
 from ._stuck_targets import ANSWERED, STUCK, THIS_BALANCER, UNANSWERED, StuckTargets
+from ._unknown_cookies import UnknownCookies
 from ._view import View
 from ._warm_ups import WarmUps
 
@@ -30,6 +31,7 @@
     "THIS_BALANCER",
     "UNANSWERED",
     "UNCLEAR",
+    "UnknownCookies",
     "Verdict",
     "View",
     "WarmUps",
