--- a/libs/flows/features/concurrency_limits.feature
+++ b/libs/flows/features/concurrency_limits.feature
@@ -79,3 +79,16 @@
     And 3000 ms pass
     And 100 callers come whose requests aren't answered
     Then 100 of them are let in
+
+  Scenario: The first targets that are back aren't run over
+    When all targets are dead for 1 s
+    And the first of them is back
+    And 100 callers come whose requests aren't answered
+    Then 2 of them are let in
+
+  Scenario: All are let in a second after targets are back, if they answer in time
+    When all targets are dead for 1 s
+    And all of them are back
+    And all targets are equally fast for 2 s
+    And 100 callers come whose requests aren't answered
+    Then 100 of them are let in
--- a/libs/flows/features/steps/concurrency_limits_steps.py
+++ b/libs/flows/features/steps/concurrency_limits_steps.py
@@ -4,7 +4,15 @@
 from fixtures import SERVICE, configuration
 from load_reports import HOSTS, REPORT_MS, USUAL_MS, report, report_for, waits_of
 
-from lagoontally_flows import ACK, FIN, DemandDigest, Forward, LoadAdvice
+from lagoontally_flows import (
+    ACCEPTED,
+    ACK,
+    FIN,
+    REFUSED,
+    DemandDigest,
+    Forward,
+    LoadAdvice,
+)
 from lagoontally_flows._load import shortest_objectives
 
 LONG_WAIT_MS = 180
@@ -84,6 +92,33 @@
         report(context, (), arrivals=[(SERVICE, 30, 30)])
 
 
+@when("all targets are dead for {seconds:d} s")
+def step_dead(context, seconds):
+    """They refuse probes."""
+    probe(context, [*context.targets, *context.remote], REFUSED)
+    for _ in range(seconds * 1_000 // REPORT_MS):
+        report(context, (), arrivals=[(SERVICE, 0, 10)])
+
+
+@when("the first of them is back")
+def step_first_back(context):
+    """No answer tells anything yet."""
+    probe(context, context.targets[:1], ACCEPTED)
+
+
+@when("all of them are back")
+def step_all_back(context):
+    """At once."""
+    probe(context, [*context.targets, *context.remote], ACCEPTED)
+
+
+def probe(context, targets, evidence):
+    """Let probes of some targets end with the same result."""
+    world = context.world
+    for target in targets:
+        world.balancer.on_probe_result(target.cookie, evidence, world.now_ms)
+
+
 @when("a reader tells a limit of {in_hand:g} requests in hand at each target")
 def step_told(context, in_hand):
     """To each of its members."""
--- a/libs/flows/src/lagoontally_flows/_load/_concurrency_limits.py
+++ b/libs/flows/src/lagoontally_flows/_load/_concurrency_limits.py
@@ -9,12 +9,13 @@
 from ._target_limit import TargetLimit, TargetLoad, in_hand_at, longest_wait_ms
 
 UPDATE_MS = 250
-WINDOW_MS = 500
+WINDOW_MS = SHED_MS = 500
 MIN_WINDOW_ANSWERS = 6  # of a target; with fewer a longer window is used
 LONG_WINDOWS = 3
 MIN_ANSWERS = 10  # of a service's local targets; with fewer no limit begins
 ROOMY_SHARE = 0.5  # of the slots; from it on no limit begins
 LEARN_MS = 2_000  # a reader that has just started doesn't know what is usual
+RETURN_MS = 1_000  # in which answers tell of targets that are back
 HUNDREDTHS = 100
 
 
@@ -31,6 +32,8 @@
         self.limits = {}
         self.objectives = {}
         self._shed = {}
+        self._usual_limits = {}
+        self._gone_ms = {}
         self._updated_ms = 0
         self._started_ms = None
 
@@ -64,6 +67,7 @@
         for target in targets:
             by_service.setdefault(target.service, []).append(target)
         former, self.limits = self.limits, {}
+        self._limit_gone_services(by_service, now_ms)
         for service, group in by_service.items():
             usual_ms = _usual_ms(speeds.usual_ms, service, data_centre)
             if not 0 < usual_ms < self.objectives.get(service, 0):
@@ -74,20 +78,35 @@
                 )
                 for target in group
             }
+            centres = len({data_centre, *(target.data_centre for target in group)})
             longest_ms = longest_wait_ms(usual_ms, self.objectives[service])
+            held = in_hand_at(group[0].slots * 1_000 / usual_ms, longest_ms)
+            self._usual_limits[service] = held / centres
             if service in former:
-                sheds = now_ms - self._shed.get(service, 0) <= window_ms
                 calm_ms = (usual_ms + longest_ms) / 2
-                is_limited = sheds or not _is_calm(loads.values(), calm_ms)
+                is_limited = self._stays_limited(service, loads, calm_ms, now_ms)
             else:
                 has_room = service in room_elsewhere
                 is_limited = not has_room and _is_full(loads.values(), longest_ms)
             if is_limited:
-                centres = len({data_centre, *(target.data_centre for target in group)})
+                limits = former.get(service, {})
                 self.limits[service] = self._adjusted(
-                    former.get(service, {}), loads, service, centres, now_ms
+                    limits, loads, service, centres, now_ms
                 )
 
+    def _stays_limited(self, service, loads, calm_ms, now_ms):
+        """Return whether a limited service still has too little room, or may have.
+
+        Args:
+            service: Its name.
+            loads: ``TargetLoad`` by cookie.
+            calm_ms: Mean time of answers up to which there is room again.
+            now_ms: Current time.
+        """
+        sheds = now_ms - self._shed.get(service, -SHED_MS) < SHED_MS
+        has_returned = self._has_returned(service, now_ms)
+        return sheds or has_returned or not _is_calm(loads.values(), calm_ms)
+
     def _adjusted(self, former, loads, service, centres, now_ms):
         """Return the ``TargetLimit`` of a service's targets by cookie.
 
@@ -99,16 +118,38 @@
             now_ms: Current time.
         """
         limits = {}
+        has_returned = self._has_returned(service, now_ms)
         for cookie, load in loads.items():
             longest_ms = longest_wait_ms(load.work_ms, self.objectives[service])
-            least = load.slots / centres
             limit = former.get(cookie)
-            if limit is None:
+            if limit is None and has_returned:
+                limit = TargetLimit(self._usual_limits[service])
+            elif limit is None:
                 limit = TargetLimit(in_hand_at(load.per_s, longest_ms))
-            limit.update(load, longest_ms=longest_ms, least=least, now_ms=now_ms)
+            if load.is_known or not has_returned:
+                least = load.slots / centres
+                limit.update(load, longest_ms=longest_ms, least=least, now_ms=now_ms)
             limits[cookie] = limit
         return limits
 
+    def _limit_gone_services(self, usable, now_ms):
+        """Limit in advance the targets of services that have none left.
+
+        All callers meet the first one that is back, before any answer tells its wait.
+
+        Args:
+            usable: Names of services that have targets.
+            now_ms: Current time.
+        """
+        for service in self._usual_limits.keys() & self.objectives.keys():
+            if service not in usable:
+                self.limits[service] = {}
+                self._gone_ms[service] = now_ms
+
+    def _has_returned(self, service, now_ms):
+        """Return whether a service had no targets a moment ago."""
+        return now_ms - self._gone_ms.get(service, -RETURN_MS) < RETURN_MS
+
     def limited(self):
         """Return the requests in hand at most by service, of those that are limited."""
         return {
@@ -129,7 +170,10 @@
                 cookie: max(1, round(HUNDREDTHS * limit.in_hand / members))
                 for cookie, limit in limits.items()
             }
-            usual = sorted(parts.values())[len(parts) // 2]
+            if parts:
+                usual = sorted(parts.values())[len(parts) // 2]
+            else:
+                usual = round(HUNDREDTHS * self._usual_limits[service] / members)
             unusual = sorted(
                 ((cookie, part) for cookie, part in parts.items() if part != usual),
                 key=lambda pair: abs(pair[1] - usual),
