--- a/libs/bench/features/room.feature
+++ b/libs/bench/features/room.feature
@@ -58,6 +58,7 @@
       | trouble               | gain |
       | most targets are slow | 0.05 |
       | most targets are down | 0.05 |
+      | demand triples        | 0.1  |
 
   Scenario: Nobody is refused for good where slow targets and others have room together
     Given 18 balancers that share load reports, 7 targets of 3 slots with queues of 12, and an objective of 200 ms
