--- a/libs/cli/features/steps/docs_steps.py
+++ b/libs/cli/features/steps/docs_steps.py
@@ -14,6 +14,10 @@
 )
 
 CONTROLLER = "python examples/pivot_controller.py 127.20.1.1:5701 pivot-3"
+EXPLAIN = (
+    "lagoontally explain 127.20.10.1:7947 --fleet "
+    "--settings-dir .out/latest/settings pivot-link"
+)
 # Languages whose blocks hold no commands.
 PLAIN_LANGUAGES = ("json", "text")
 
@@ -82,7 +86,9 @@
 def step_stopped(context):
     """After at least one refusal."""
     assert any(line.startswith("not run") for line in context.lines), context.lines
-    assert context.lines[-1] == "stopped (2.04)", context.lines
+    if context.lines[-1] != "stopped (2.04)":
+        decisions = list(context.shell.lines(EXPLAIN))
+        raise AssertionError("\n".join([*context.lines, *decisions]))
 
 
 @then("the JSON examples of the protocols page are accepted and list every interval")
