--- a/libs/flows/src/lagoontally_flows/_load/_concurrency_limits.py
+++ b/libs/flows/src/lagoontally_flows/_load/_concurrency_limits.py
@@ -5,15 +5,10 @@
 shallow ones refuse before callers wait too long, as each balancer sees itself.
 """
 
-from ._answer_log import report_interval_ms
-from ._target_limit import TargetLimit, TargetLoad, in_hand_at, longest_wait_ms
+from ._service_load import WINDOW_MS, service_load
+from ._target_limit import TargetLimit, in_hand_at, longest_wait_ms
 
 UPDATE_MS = 250
-WINDOW_MS = SHED_MS = 500
-MIN_WINDOW_ANSWERS = 6  # of a target; with fewer a longer window is used
-LONG_WINDOWS = 3
-MIN_ANSWERS = 10  # of a service's local targets; with fewer no limit begins
-ROOMY_SHARE = 0.5  # of the slots; from it on no limit begins
 LEARN_MS = 2_000  # a reader that has just started doesn't know what is usual
 RETURN_MS = 1_000  # in which answers tell of targets that are back
 HUNDREDTHS = 100
@@ -31,7 +26,7 @@
     def __init__(self):
         self.limits = {}
         self.objectives = {}
-        self._shed = {}
+        self._shed_ms = {}
         self._usual_limits = {}
         self._gone_ms = {}
         self._updated_ms = 0
@@ -41,7 +36,7 @@
         """Record which services a balancer's report says have too little room."""
         for service, _, refused in report.arrivals:
             if refused:
-                self._shed[service] = now_ms
+                self._shed_ms[service] = now_ms
 
     def update(self, targets, *, data_centre, speeds, room_elsewhere, members, now_ms):
         """Adjust all limits, once in ``UPDATE_MS``.
@@ -62,7 +57,6 @@
             self._started_ms = now_ms
         if now_ms - self._started_ms < LEARN_MS:
             return
-        window_ms = max(WINDOW_MS, report_interval_ms(members))
         by_service = {}
         for target in targets:
             by_service.setdefault(target.service, []).append(target)
@@ -70,65 +64,54 @@
         self._limit_gone_services(by_service, now_ms)
         for service, group in by_service.items():
             usual_ms = _usual_ms(speeds.usual_ms, service, data_centre)
-            if not 0 < usual_ms < self.objectives.get(service, 0):
+            objective_ms = self.objectives.get(service, 0)
+            if not 0 < usual_ms < objective_ms:
                 continue
-            loads = {
-                target.cookie: _load(
-                    target, data_centre, speeds, usual_ms, window_ms, now_ms
-                )
-                for target in group
-            }
-            centres = len({data_centre, *(target.data_centre for target in group)})
-            longest_ms = longest_wait_ms(usual_ms, self.objectives[service])
-            held = in_hand_at(group[0].slots * 1_000 / usual_ms, longest_ms)
-            self._usual_limits[service] = held / centres
+            load = service_load(
+                group,
+                data_centre=data_centre,
+                speeds=speeds,
+                usual_ms=usual_ms,
+                objective_ms=objective_ms,
+                members=members,
+                now_ms=now_ms,
+            )
+            self._usual_limits[service] = load.usual_limit
             if service in former:
-                calm_ms = (usual_ms + longest_ms) / 2
-                is_limited = self._stays_limited(service, loads, calm_ms, now_ms)
+                is_limited = self._stays_limited(service, load, now_ms)
             else:
-                has_room = service in room_elsewhere
-                is_limited = not has_room and _is_full(loads.values(), longest_ms)
+                is_limited = service not in room_elsewhere and load.is_full()
             if is_limited:
                 limits = former.get(service, {})
-                self.limits[service] = self._adjusted(
-                    limits, loads, service, centres, now_ms
-                )
-
-    def _stays_limited(self, service, loads, calm_ms, now_ms):
-        """Return whether a limited service still has too little room, or may have.
+                self.limits[service] = self._adjusted(limits, service, load, now_ms)
 
-        Args:
-            service: Its name.
-            loads: ``TargetLoad`` by cookie.
-            calm_ms: Mean time of answers up to which there is room again.
-            now_ms: Current time.
-        """
-        sheds = now_ms - self._shed.get(service, -SHED_MS) < SHED_MS
-        has_returned = self._has_returned(service, now_ms)
-        return sheds or has_returned or not _is_calm(loads.values(), calm_ms)
+    def _stays_limited(self, service, load, now_ms):
+        """Return whether a limited service still has too little room, or may have."""
+        shed_ms = self._shed_ms.get(service)
+        has_shed = shed_ms is not None and now_ms - shed_ms < WINDOW_MS
+        return has_shed or self._has_returned(service, now_ms) or not load.is_calm()
 
-    def _adjusted(self, former, loads, service, centres, now_ms):
+    def _adjusted(self, former, service, load, now_ms):
         """Return the ``TargetLimit`` of a service's targets by cookie.
 
         Args:
             former: Those of before.
-            loads: ``TargetLoad`` by cookie.
             service: Name of the service.
-            centres: Number of data centres whose balancers send requests to it.
+            load: Its ``ServiceLoad``.
             now_ms: Current time.
         """
         limits = {}
         has_returned = self._has_returned(service, now_ms)
-        for cookie, load in loads.items():
-            longest_ms = longest_wait_ms(load.work_ms, self.objectives[service])
+        for cookie, target in load.targets.items():
+            longest_ms = longest_wait_ms(target.work_ms, load.objective_ms)
             limit = former.get(cookie)
             if limit is None and has_returned:
-                limit = TargetLimit(self._usual_limits[service])
+                limit = TargetLimit(load.usual_limit)
             elif limit is None:
-                limit = TargetLimit(in_hand_at(load.per_s, longest_ms))
-            if load.is_known or not has_returned:
-                least = load.slots / centres
-                limit.update(load, longest_ms=longest_ms, least=least, now_ms=now_ms)
+                limit = TargetLimit(in_hand_at(target.per_s, longest_ms))
+            if target.is_known or not has_returned:
+                least = target.slots / load.centres
+                limit.update(target, longest_ms=longest_ms, least=least, now_ms=now_ms)
             limits[cookie] = limit
         return limits
 
@@ -148,7 +131,8 @@
 
     def _has_returned(self, service, now_ms):
         """Return whether a service had no targets a moment ago."""
-        return now_ms - self._gone_ms.get(service, -RETURN_MS) < RETURN_MS
+        gone_ms = self._gone_ms.get(service)
+        return gone_ms is not None and now_ms - gone_ms < RETURN_MS
 
     def limited(self):
         """Return the requests in hand at most by service, of those that are limited."""
@@ -199,45 +183,6 @@
     return objectives
 
 
-def _load(target, data_centre, speeds, usual_ms, window_ms, now_ms):
-    """Return the ``TargetLoad`` of a target in the latest window."""
-    waits = speeds.waits_since(target.cookie, now_ms - window_ms)
-    if len(waits) < MIN_WINDOW_ANSWERS:
-        window_ms *= LONG_WINDOWS
-        waits = speeds.waits_since(target.cookie, now_ms - window_ms)
-    work_ms = usual_ms
-    if target.cookie in speeds.shares:
-        work_ms = max(usual_ms, speeds.work_ms.get(target.cookie, usual_ms))
-    return TargetLoad(
-        target.slots,
-        len(waits),
-        sum(waits) / len(waits) if waits else 0,
-        len(waits) * 1_000 / window_ms,
-        work_ms,
-        target.data_centre == data_centre,
-    )
-
-
-def _local(loads):
-    """Return the loads of local targets, or all of them if there are none."""
-    return [load for load in loads if load.is_local] or list(loads)
-
-
-def _is_full(loads, longest_ms):
-    """Return whether local targets are known well, and few targets have room."""
-    if sum(load.answers for load in _local(loads)) < MIN_ANSWERS:
-        return False
-    known = [load for load in loads if load.is_known]
-    crowded = sum(load.slots for load in known if load.is_crowded(longest_ms))
-    slots = sum(load.slots for load in known)
-    return crowded > (1.0 - ROOMY_SHARE) * slots
-
-
-def _is_calm(loads, calm_ms):
-    """Return whether no local target makes callers wait longer than ``calm_ms``."""
-    return all(load.wait_ms <= calm_ms for load in _local(loads))
-
-
 def _usual_ms(usual_ms, service, data_centre):
     """Return the usual time of a service, by own targets if there are any."""
     known = {place: ms for (name, place), ms in usual_ms.items() if name == service}
