--- a/libs/flows/src/lagoontally_flows/_load/_concurrency_limits.py
+++ b/libs/flows/src/lagoontally_flows/_load/_concurrency_limits.py
@@ -38,9 +38,7 @@
             if refused:
                 self._shed_ms[service] = now_ms
 
-    def update(
-        self, targets, *, data_centre, speeds, room_elsewhere, short, members, now_ms
-    ):
+    def update(self, targets, *, data_centre, speeds, room_elsewhere, members, now_ms):
         """Adjust all limits, once in ``UPDATE_MS``.
 
         Args:
@@ -82,9 +80,7 @@
             if service in former:
                 is_limited = self._stays_limited(service, load, now_ms)
             else:
-                is_limited = service not in room_elsewhere and (
-                    service in short or load.is_full()
-                )
+                is_limited = service not in room_elsewhere and load.is_full()
             if is_limited:
                 limits = former.get(service, {})
                 self.limits[service] = self._adjusted(limits, service, load, now_ms)
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -15,7 +15,6 @@
 
 ADVICE_INTERVAL_MS = 250
 ROOM_LOAD = 0.9  # of the slots of all data centres; from it on none has room
-SHORT_LOAD = 1.1  # the same; above it a limit begins before answers tell of it
 DIGEST_SENDER_LIFETIME_MS = 5_000
 MAX_SHARES, MAX_SPILLS = 30, 5  # of one advice, the slowest first; fit a datagram
 MAX_FULL = 20  # in place of as many shares
@@ -178,7 +177,6 @@
             data_centre=self.data_centre,
             speeds=self.speeds,
             room_elsewhere=self._room_elsewhere,
-            short=self._short,
             members=self.admission.members,
             now_ms=now_ms,
         )
@@ -195,12 +193,9 @@
         capacities = self._capacities(targets, now_ms)
         self.spills = {}
         self._room_elsewhere = set()
-        self._short = set()
         for service, sizes in capacities.items():
             demands = self.demand.by_data_centre(service, self.data_centre, now_ms)
             latest = {self.data_centre: self.demand.latest.get(service, 0.0)}
-            if total_load(sizes, demands | latest) > SHORT_LOAD:
-                self._short.add(service)
             if len(sizes) > 1 and total_load(sizes, demands | latest) < ROOM_LOAD:
                 self._room_elsewhere.add(service)
             parts = self._spill(service, sizes, demands)
@@ -317,7 +312,6 @@
         self.limits = ConcurrencyLimits()
         self.spills = {}
         self._room_elsewhere = set()
-        self._short = set()
         self._spilling = set()
         self._loads = {}
         self._is_reader = False
