--- a/libs/flows/features/concurrency_limits.feature
+++ b/libs/flows/features/concurrency_limits.feature
@@ -92,3 +92,14 @@
     And all targets are equally fast for 2 s
     And 100 callers come whose requests aren't answered
     Then 100 of them are let in
+
+  Scenario: A request counts at the target that its SYN went to last
+    When a caller whose SYN isn't answered sends it again
+    Then only the later target has its request in hand
+
+  Scenario: Requests whose answers may pass elsewhere take no room
+    When a reader tells a limit of 1 requests in hand at each target
+    And 100 callers come whose requests aren't answered
+    And routers hand the flows to other balancers
+    And 100 callers come whose requests aren't answered
+    Then 8 of them are let in
--- a/libs/flows/features/steps/concurrency_limits_steps.py
+++ b/libs/flows/features/steps/concurrency_limits_steps.py
@@ -19,6 +19,7 @@
 SLOW_MS = 60
 LISTED_SLOTS = 8
 ANSWER_BYTES = 2_400
+COPY_MS = 200
 
 
 @given("an objective of {objective_ms:d} ms")
@@ -181,6 +182,32 @@
         end(context.world, flow, cookie)
 
 
+@when("a caller whose SYN isn't answered sends it again")
+def step_repeated(context):
+    """Its target is silent."""
+    world = context.world
+    flow = world.new_flow()
+    first = world.syn(flow)
+    world.wait(COPY_MS)
+    second = world.syn(flow, copy=1)
+    context.tried = [action.target.cookie for action in (first, second)]
+
+
+@when("routers hand the flows to other balancers")
+def step_rehashed(context):
+    """A peer says so."""
+    context.world.balancer.on_flows_rehashed(context.world.now_ms)
+
+
+@then("only the later target has its request in hand")
+def step_moved(context):
+    """It counts once."""
+    first, second = context.tried
+    assert first != second, context.tried
+    by_target = context.world.balancer.flows.in_hand.by_target
+    assert by_target == {second: 1}, (by_target, context.tried)
+
+
 @then("requests in hand are {state}")
 def step_limited(context, state):
     """By what the reader found."""
