--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -14,7 +14,7 @@
 from ._target_speeds import TargetSpeeds
 
 ADVICE_INTERVAL_MS = 250
-ROOM_LOAD = 0.9  # of the slots of all data centres; from it on none has room
+ROOM_LOAD = 0.8  # of all slots; demand is known to a fifth, so more may be full
 DIGEST_SENDER_LIFETIME_MS = 5_000
 MAX_SHARES, MAX_SPILLS = 30, 5  # of one advice, the slowest first; fit a datagram
 MAX_FULL = 20  # in place of as many shares
