--- a/libs/cli/features/steps/docs_steps.py
+++ b/libs/cli/features/steps/docs_steps.py
@@ -14,10 +14,9 @@
 )
 
 CONTROLLER = "python examples/pivot_controller.py 127.20.1.1:5701 pivot-3"
-EXPLAIN = (
-    "lagoontally explain 127.20.10.1:7947 --fleet "
-    "--settings-dir .out/latest/settings pivot-link"
-)
+FLEET = "127.20.10.1:7947 --fleet --settings-dir .out/latest/settings"
+EXPLAIN = f"lagoontally explain {FLEET} pivot-link"
+STATUS = f"lagoontally status {FLEET} --json"
 # Languages whose blocks hold no commands.
 PLAIN_LANGUAGES = ("json", "text")
 
@@ -87,8 +86,8 @@
     """After at least one refusal."""
     assert any(line.startswith("not run") for line in context.lines), context.lines
     if context.lines[-1] != "stopped (2.04)":
-        decisions = list(context.shell.lines(EXPLAIN))
-        raise AssertionError("\n".join([*context.lines, *decisions]))
+        told = [*context.shell.lines(EXPLAIN), *context.shell.lines(STATUS)]
+        raise AssertionError("\n".join([*context.lines, *told]))
 
 
 @then("the JSON examples of the protocols page are accepted and list every interval")
