Lines: targets that shed a line are each asked once, then after a pause

Cause: a registration that a target shed was dropped and sent to another one at once, which shed it, too, and so on between two targets at the speed of the network: 5,517 refusals for one line at one balancer within some 8 s in the controller's example (seen in the status that its test prints now), 769 for another. Callers' requests are taken up last, and a command with an Echo that has waited for 0.4 s is dropped without a word, so this is suspected to be why a stop that was sent again ended as unknown. Both new tests failed first: a caller's line is refused once every target shed it, and a line whose target leaves waits as long as the last one asks.

The test of the example looks for the last line that isn't a notification: another thread prints these, and one came after "stopped" in 1 of 56 runs at load 20.

--- a/libs/cli/features/steps/docs_steps.py
+++ b/libs/cli/features/steps/docs_steps.py
@@ -85,7 +85,9 @@
 def step_stopped(context):
     """After at least one refusal."""
     assert any(line.startswith("not run") for line in context.lines), context.lines
-    if context.lines[-1] != "stopped (2.04)":
+    # Another thread prints the notifications of the line.
+    results = [line for line in context.lines if not line.startswith("status")]
+    if results[-1] != "stopped (2.04)":
         told = [*context.shell.lines(EXPLAIN), *context.shell.lines(STATUS)]
         raise AssertionError("\n".join([*context.lines, *told]))
 
--- a/libs/core/features/fixtures.py
+++ b/libs/core/features/fixtures.py
@@ -38,8 +38,14 @@
 JOIN_MS = 5_100
 
 
-def document(version):
-    """Return a document with one target for each of two services."""
+def document(version, *, targets=1, leaving=0):
+    """Return a document with some targets for each of two services.
+
+    Args:
+        version: The template's version.
+        targets: Number of targets of each service.
+        leaving: How many of them are leaving, the first ones.
+    """
     services = {
         service: {
             "entry_port": 5711 + number,
@@ -47,13 +53,14 @@
             "imbalance_weight": 0.5,
             "targets": [
                 {
-                    "name": f"{service}-1",
-                    "address": address,
+                    "name": f"{service}-{index + 1}",
+                    "address": nth_address(address, index),
                     "data_centre": "kgn-a",
-                    "state": "active",
+                    "state": "leaving" if index < leaving else "active",
                     "slots": 2,
                     "connections": 100,
                 }
+                for index in range(targets)
             ],
         }
         for number, (service, address) in enumerate(TARGETS.items())
@@ -70,6 +77,12 @@
     ).encode()
 
 
+def nth_address(first, index):
+    """Return the address of a service's target by that of the first one."""
+    ip, _, port = first.rpartition(":")
+    return f"{ip}:{int(port) + index}"
+
+
 def record(incarnation, *, status=0, pause_count=0, version=1, revision=0):
     """Return a peer's member record."""
     name = f"kgn-{incarnation}"
@@ -115,9 +128,9 @@
         self.actions = step(self.state, event, self.now_ms, self.random)
         return self.actions
 
-    def read_template(self, version):
-        """Read a template from the platform."""
-        data = document(version)
+    def read_template(self, version, **content):
+        """Read a template from the platform; see ``document``."""
+        data = document(version, **content)
         return self.handle_event(TemplateRead(parse_template(data), data))
 
     def serve(self):
@@ -158,6 +171,22 @@
         (sent,) = self.sent_upstream()
         return sent
 
+    def confirm_targets(self, count):
+        """Let each service's first targets tell who they are."""
+        for service, address in TARGETS.items():
+            for index in range(count):
+                own = nth_address(address, index)
+                self.handle_event(IdentityReply(own, WORKSPACE, service))
+
+    def shed(self, sent, retry_after_s=1):
+        """Receive a target's refusal of a registration."""
+        status, target = ReplyStatus.SHED, sent.target
+        self.handle_event(
+            UpstreamReply(
+                target, sent.path, sent.token, status, False, retry_after_s, b""
+            )
+        )
+
     def notify(self, sent, body=b"state"):
         """Receive a target's answer to a registration, or a notification."""
         answered = ReplyStatus.ANSWERED
--- a/libs/core/features/line.feature
+++ b/libs/core/features/line.feature
@@ -21,3 +21,16 @@
     And the target notifies
     And the target sends nothing for 10000 ms
     Then nothing is sent to a target for the line
+
+  Scenario: A line that all targets shed is refused
+    Given 3 targets
+    When a caller opens another line, and every target sheds what it gets
+    Then each target was asked once
+    And the caller is refused
+
+  Scenario: A line whose target leaves waits for targets that shed it
+    Given 3 targets, 1 of which is leaving
+    When every target sheds what it gets for 5000 ms, and wants 2 s of pause
+    Then the 2 others were asked at most 3 times each
+    When a target takes the line
+    Then it has left the target that is leaving
--- a/libs/core/src/lagoontally_core/_lines.py
+++ b/libs/core/src/lagoontally_core/_lines.py
@@ -23,6 +23,7 @@
 from ._target_selection import record_answer
 
 MOVE_JITTER_MS = 2_000
+MS_PER_S = 1_000
 
 
 class LineTimer(NamedTuple):
@@ -141,13 +142,23 @@
     context.count("upstream.shed")
     if line.replacement is not None and reply.token == line.replacement.token:
         drop_replacement(line, context)
-        register_elsewhere(line, (reply.target,), context)
+        line.shed_by = (*line.shed_by, reply.target)
+        register_elsewhere(line, line.shed_by, context)
+        if line.replacement is None:
+            _put_off(line, max(1, reply.retry_after_s), context)
         return
     if line.pending_reply is not None:
         answer = Refused(max(1, reply.retry_after_s), "shed by the target")
         answer_registration(line, answer, context)
 
 
+def _put_off(line, pause_s, context):
+    """Move a line that every target shed, if it still has to, after a pause."""
+    line.shed_by = ()
+    timer = MoveTimer(line.session, line.token)
+    context.state.timers.add(context.now_ms + pause_s * MS_PER_S, timer)
+
+
 def _on_not_observed(line, reply, context):
     """Handle an answer of a target that didn't keep the line open."""
     if line.pending_reply is not None:
--- a/libs/core/src/lagoontally_core/_registrations.py
+++ b/libs/core/src/lagoontally_core/_registrations.py
@@ -107,6 +107,7 @@
     state = context.state
     replacement = line.replacement
     line.replacement = None
+    line.shed_by = ()
     if line.upstream_token:
         _cancel(line, line.target, line.path, line.upstream_token, context)
         _count_lines(state, line.target, -1)
--- a/libs/core/src/lagoontally_core/_state.py
+++ b/libs/core/src/lagoontally_core/_state.py
@@ -197,6 +197,7 @@
         confirmable_id: Message id of the last confirmable notification.
         pending_reply: Where the answer to a registration goes, or None.
         unanswered_registrations: Registrations in a row without an answer.
+        shed_by: Targets that shed it since it was last taken or put off.
     """
 
     __slots__ = (
@@ -212,6 +213,7 @@
         "replacement",
         "sequence",
         "session",
+        "shed_by",
         "target",
         "token",
         "unanswered_registrations",
@@ -235,6 +237,7 @@
         self.confirmable_id = NO_MESSAGE_ID
         self.pending_reply = None
         self.unanswered_registrations = 0
+        self.shed_by = ()
 
 
 class FlowLines:
