--- a/libs/bench/src/lagoontally_bench/_admission_play.py
+++ b/libs/bench/src/lagoontally_bench/_admission_play.py
@@ -14,10 +14,10 @@
 RETRIES = 2
 RETRY_DELAY_MS = 5.0
 REFUSAL_DELAY_MS = 80.0  # a full target is slow to say so
-NOTICE_MS = 150.0  # until all balancers have probed a target that went or came back
+NOTICE_MS = 150.0  # until balancers know that a target went down or came back
 MEAN_WORK_MS = 24.0
 SLOW_FACTOR = 6.0
-WORK_SPREAD = 0.5  # standard deviation of the logarithm of a lognormal work time
+WORK_SPREAD = 0.5  # sigma of the lognormal distribution of work times
 WINDOW_MS = 2_000
 
 
--- a/libs/edges/src/lagoontally_edges/_upstream_edge.py
+++ b/libs/edges/src/lagoontally_edges/_upstream_edge.py
@@ -162,8 +162,8 @@
             return
         is_query = len(decoded.token) == QUERY_TOKEN_BYTES
         if self.loop.stale and (is_query or decoded.observed):
-            # These tell a state from before the pause. The answer to a request can't
-            # become outdated.
+            # Notifications and answers to queries describe a state that may have
+            # changed during the pause. The answer to a request stays valid.
             self.loop.increment("discarded_after_pause")
             return
         host, port = datagram.sender
--- a/libs/flows/src/lagoontally_flows/_load/_answer_log.py
+++ b/libs/flows/src/lagoontally_flows/_load/_answer_log.py
@@ -7,7 +7,7 @@
 
 REPORT_INTERVAL_MS = 200
 REPORT_INTERVAL_PER_MEMBER_MS = 10  # a reader gets at most 100 reports a second
-MAX_ANSWERS = 32  # in a report; more might not fit a datagram
+MAX_ANSWERS = 32  # a longer report may exceed the size of a datagram
 MAX_SERVICES = 12
 
 
--- a/libs/flows/src/lagoontally_flows/_load/_concurrency_limits.py
+++ b/libs/flows/src/lagoontally_flows/_load/_concurrency_limits.py
@@ -9,8 +9,8 @@
 from ._target_limit import TargetLimit, in_hand_at, longest_wait_ms
 
 UPDATE_MS = 250
-LEARN_MS = 2_000  # a reader that has just started doesn't know what is usual
-RETURN_MS = 1_000  # in which answers tell of targets that are back
+LEARN_MS = 2_000  # a new reader sets no limits before, as usual times are unknown
+RETURN_MS = 1_000  # limits stay this long after the first target is back
 HUNDREDTHS = 100
 
 
--- a/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
+++ b/libs/flows/src/lagoontally_flows/_load/_data_centre_demand.py
@@ -5,8 +5,8 @@
 """
 
 DEMAND_LIFETIME_MS = 3_000  # of what another data centre told
-SMOOTHING = 0.5  # weight of the latest measurement in the average
-WAIT_SMOOTHING = 0.025  # weight of the latest answer time in the average
+SMOOTHING = 0.5  # weight of the latest sample in the moving average of arrivals
+WAIT_SMOOTHING = 0.025  # the same, in the moving average of answer times
 MAX_WAIT_FACTOR = 2.0
 TOLD_LOAD = 0.5  # of the slots; below it a data centre says nothing
 REFRESH_MS = 500
--- a/libs/flows/src/lagoontally_flows/_load/_service_load.py
+++ b/libs/flows/src/lagoontally_flows/_load/_service_load.py
@@ -8,8 +8,8 @@
 WINDOW_MS = 500
 MIN_WINDOW_ANSWERS = 6  # of a target; with fewer a longer window is used
 LONG_WINDOWS = 3
-MIN_ANSWERS = 10  # of local targets; with fewer it isn't known whether they are full
-ROOMY_SHARE = 0.5  # of the slots; a service with more room isn't full
+MIN_ANSWERS = 10  # fewer answers of local targets don't show that they are full
+ROOMY_SHARE = 0.5  # a service isn't full while this share of its slots has room
 
 
 class ServiceLoad(Record, fields="targets slots usual_ms objective_ms centres"):
--- a/libs/flows/src/lagoontally_flows/_load/_target_limit.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_limit.py
@@ -11,7 +11,7 @@
 
 WAIT_SHARE = 0.5  # of the time between the usual answer and the objective
 QUEUED_PER_SLOT = 1.5  # requests in hand for each slot of a crowded target
-MIN_ANSWERS = 3  # with fewer the wait isn't known
+MIN_ANSWERS = 3  # fewer answers don't show how long callers wait
 CUT_EXPONENT, GROWTH_EXPONENT = 0.5, 0.2  # of the longest wait over the present one
 MIN_RATIO, MAX_RATIO = 0.5, 1.4
 MAX_IN_HAND = 4.0  # relative to what a target holds at the longest wait
@@ -82,7 +82,7 @@
         if ratio >= 1.0:
             ratio **= GROWTH_EXPONENT
         elif now_ms < self._hold_until_ms:
-            return  # the answers are to requests from before the last cut
+            return  # these answers belong to requests sent before the last cut
         else:
             ratio **= CUT_EXPONENT
             self._hold_until_ms = now_ms + load.wait_ms
--- a/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
+++ b/libs/flows/src/lagoontally_flows/_load/_target_speeds.py
@@ -9,7 +9,7 @@
 
 SAMPLES = 128  # latest answers kept for each target
 SAMPLE_LIFETIME_MS = 3_000
-RECENT_MS = 700  # age of the answers that count, unless they are too few
+RECENT_MS = 700  # older answers count only where there are too few of this age
 RATE_MS = 1_000  # time over which answers are counted
 MIN_SAMPLES = 8  # fewer may all be of long requests
 MIN_LATER_SAMPLES = 4  # to judge a target that is set aside
@@ -18,10 +18,10 @@
 SLOW_FACTOR = 2.5  # a target is slow from this multiple of the usual time on
 NORMAL_FACTOR = 1.6
 MIN_EXCESS_MS = 15  # more than delays of the network
-FALL_WEIGHT = 0.01  # of the latest usual time, at each judgement, if it is shorter
-RISE_WEIGHT = 0.0025  # the same if it is longer, since most may be slow for a while
+FALL_WEIGHT = 0.01  # of a shorter sample in the moving average of the usual time
+RISE_WEIGHT = 0.0025  # of a longer one; most targets may be slow for a while
 MIN_SHARE = 0.1  # keeps answers coming, which show that it is fast again
-STEP_FACTOR, STEP = 1.18, 0.025  # the next share is share * STEP_FACTOR + STEP
+STEP_FACTOR, STEP = 1.18, 0.025  # growth of the share of a target that is fast again
 MIN_LOAD = 0.1
 MAX_HELD = 0.5  # of a service's targets in a data centre, with dead ones
 
--- a/libs/flows/src/lagoontally_flows/_targets/_unknown_cookies.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_unknown_cookies.py
@@ -4,7 +4,7 @@
 for one that is gone.
 """
 
-ARRIVAL_MS = 1_500  # an entry reaches every balancer within a second
+ARRIVAL_MS = 1_500  # the entry of a new target arrives in this time
 MAX_COOKIES = 1_024
 
 
