--- a/review/standins/cases.py
+++ b/review/standins/cases.py
@@ -42,6 +42,18 @@
         self.started = time.monotonic()
         self.line(f"trouble: {'yes' if WITH_TROUBLE else 'no'}")
 
+    def summary(self, deployment):
+        """Write what callers sent and were answered, and what targets ran."""
+        for flow in CallerFlow.known:
+            target = flow.target or "none"
+            self.line(
+                f"flow from port {flow.flow[1]} to route port {flow.flow[3]}:"
+                f" {flow.requests} requests, {flow.answers} answers, last by {target},"
+                f" {flow.system_resets} resets of the system while open"
+            )
+        for run in deployment.ledger:
+            self.line(f"run: {run.request} by {run.target} of {run.service}")
+
     def line(self, text):
         """Write a line with the time since the start."""
         print(f"{time.monotonic() - self.started:8.3f} {text}", file=self.file)
@@ -52,14 +64,25 @@
     """A flow that notes who reset it.
 
     Attributes:
+        known: All flows so far.
         system_resets: Resets of the system while the flow was open.
-        answers: Number of answers to its requests.
+        requests: Number of requests that its caller asked for.
+        answers: Number of answers to them.
     """
 
+    known = []
+
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self.system_resets = 0
+        self.requests = 0
         self.answers = 0
+        self.known.append(self)
+
+    def send_request(self, request):
+        """Send a request as soon as the flow is open."""
+        self.requests += 1
+        super().send_request(request)
 
     def on_packet(self, header, data):
         """Handle a packet; the checksum tells the system's resets from a target's."""
@@ -135,13 +158,14 @@
     try:
         deployment, record, folder = start(case, **options)
         violations = body(deployment, record)
+        record.summary(deployment)
         for violation in violations:
             record.line(f"BROKEN {violation}")
         record.line(f"violations: {len(violations)}")
         status = BROKEN if violations else HELD
         print(json.dumps({"case": case.name, "violations": len(violations)}))
-    except NotRunError as error:
-        print(f"the case could not run: {error}")
+    except Exception as error:  # any other would look like a broken rule
+        print(f"the case could not run: {type(error).__name__}: {error}")
         status = NOT_RUN
     finally:
         if deployment is not None:
