--- a/review/standins/cases.py
+++ b/review/standins/cases.py
@@ -8,6 +8,7 @@
 import json
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -154,6 +155,7 @@
             the violations that it saw.
         **options: Options of ``start``.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # ends balancers
     deployment = folder = None
     try:
         deployment, record, folder = start(case, **options)
