Log how long a balancer knew of a version that it lacked

configuration_in_force names behind_ms, the time since a beacon announced a version that wasn't in force, and a histogram counts it. The code that applies configurations has a module of its own, ConfigurationUpdates.

--- a/libs/bench/src/lagoontally_bench/_lost_changes_process.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_process.py
@@ -153,7 +153,7 @@
             position, view = message.position, self.store_sync.history.view
             self.line("delta", host=host, position=position, before=before, view=view)
         elif isinstance(message, ConfigurationDelta):
-            self.store_reader.on_configuration_delta(message)
+            self.store_reader.configuration_updates.on_delta(message)
 
     def serve(self, path):
         """Return the response to a peer's request, as the process does."""
--- a/libs/flows/features/announced_version.feature
+++ b/libs/flows/features/announced_version.feature
@@ -10,3 +10,10 @@
       | version |
       | 4       |
       | 5       |
+
+  Scenario: A follower tells since when it has lacked an announced version
+    Given a follower with version 4 in force
+    When it hears of version 5, and 400 ms later of version 6
+    Then it has been behind for 400 ms
+    When version 6 is in force
+    Then it isn't behind
--- a/libs/flows/src/lagoontally_flows/_store/_reads.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reads.py
@@ -17,6 +17,8 @@
 
     Attributes:
         announced_version: Newest version announced in a beacon.
+        behind_since_ms: When a beacon first announced a version newer than the one in
+            force since, None while none is.
         confirmed_ms: When the view was last known to be current.
         call_cancelled: Whether to cancel the running call to the store, since
             another reader reaches the store, or what it asks about has ended or is
@@ -26,6 +28,7 @@
     def __init__(self, *, priority, random, slow_link=False):
         super().__init__(priority=priority, random=random, slow_link=slow_link)
         self.announced_version = 0
+        self.behind_since_ms = None
         self.confirmed_ms = None
         self.call_cancelled = False
         self._reader_is_next = True
--- a/libs/flows/src/lagoontally_flows/_store/_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -156,6 +156,8 @@
         self._configured = True
         self.configuration_version = version
         self.routes = routes
+        if version >= self.announced_version:
+            self.behind_since_ms = None
 
     def on_configuration_fetched(self):
         """Handle a peer's configuration, which gives no position."""
@@ -179,6 +181,7 @@
             self.history.on_configuration_read(revision)
             # A store that came back from a copy may lack the version announced.
             self.announced_version = self.configuration_version
+            self.behind_since_ms = None
         self.record_answer(now_ms)
         if not found:
             self._next_call_ms = now_ms + FETCH_RETRY_MS
@@ -376,7 +379,11 @@
 
     def _on_new_configuration(self, beacon, now_ms):
         self.announced_version = beacon.configuration_version
-        if self.reader or self.announced_version <= self.configuration_version:
+        if self.announced_version <= self.configuration_version:
+            return
+        if self.behind_since_ms is None:
+            self.behind_since_ms = now_ms
+        if self.reader:
             return
         self._reader_is_next = beacon.routes * self.members <= MAX_ROUTES_FROM_READER
         routes = beacon.routes if self._reader_is_next else 0
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -240,7 +240,7 @@
         elif isinstance(message, Delta):
             self.store_reader.on_delta(message, time_ms)
         elif isinstance(message, ConfigurationDelta):
-            self.store_reader.on_configuration_delta(message)
+            self.store_reader.configuration_updates.on_delta(message)
         elif isinstance(message, DealtAnew):
             self.balancer.on_flows_rehashed(time_ms)
         elif isinstance(message, Verdict):
--- a/libs/forwarder/src/lagoontally_forwarder/_store_log.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_log.py
@@ -100,7 +100,7 @@
         self.metrics.add("peer_fetches", outcome)
         self.log.line("peer_fetch", peer=peer, path=path, outcome=outcome)
 
-    def configured(self, configuration, *, source, written, digest):
+    def configured(self, configuration, *, source, written, digest, behind_ms):
         """Record that a configuration took effect.
 
         Args:
@@ -108,7 +108,11 @@
             source: ``store``, ``peer`` or ``delta``.
             written: Revision at which the store wrote it, None if a peer sent it.
             digest: Digest of its routes.
+            behind_ms: How long ago a beacon announced a version that wasn't in force
+                here, None if none did.
         """
+        if behind_ms is not None:
+            self.metrics.observe_ms("configuration_lag", behind_ms)
         self.log.line(
             "configuration_in_force",
             version=configuration.version,
@@ -116,4 +120,5 @@
             source=source,
             written=written,
             digest=f"{digest:08x}",
+            behind_ms=behind_ms,
         )
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -3,14 +3,11 @@
 from lagoontally_flows import (
     BEGAN,
     CURRENT,
-    ConfigurationDeltas,
     FetchConfiguration,
     FetchTargets,
     ListTargets,
     ReadConfiguration,
     Watch,
-    configuration_delta,
-    digest,
     expand,
     shorten,
 )
@@ -27,8 +24,8 @@
     decode_era,
 )
 
+from ._configuration_updates import ConfigurationUpdates
 from ._http_client import HttpClient, HttpFailure, header_value
-from ._messages import split_configuration_delta
 from ._pages import Pages
 from ._store_log import StoreLog
 from ._target_codec import split_delta
@@ -52,6 +49,9 @@
         peers: The ``Peers`` that receive changes from a reader.
         log: The ``Log``.
         metrics: The ``Metrics``.
+
+    Attributes:
+        configuration_updates: The ``ConfigurationUpdates``.
     """
 
     def __init__(self, loop, settings, *, store_sync, balancer, peers, log, metrics):
@@ -63,14 +63,19 @@
         self.store_log = StoreLog(
             log=log, metrics=metrics, history=store_sync.history, balancer=balancer
         )
+        self.configuration_updates = ConfigurationUpdates(
+            store_sync=store_sync,
+            balancer=balancer,
+            peers=peers,
+            store_log=self.store_log,
+            clock=loop.clock,
+        )
         address, count = settings.store_address, Traffic(metrics).of(STORE)
         failed = store_sync.on_failure
         self.store = HttpClient(loop, address, on_error=failed, count=count)
         self._peer_port = settings.peer_address[1]
         self._peer_client = None
         self._targets_request = TargetsRequest(balancer.view)
-        self._configuration_deltas = ConfigurationDeltas()
-        self._configuration_digest = 0
         self._pages = None
         self._call_started_ms = loop.clock()
         self._call_endings = 0
@@ -131,16 +136,6 @@
                 previous, changed=len(entries), kept=0, source="peer"
             )
 
-    def on_configuration_delta(self, delta):
-        """Handle a change of the configuration that a reader sent."""
-        configuration = self._configuration_deltas.apply(
-            self.balancer.configuration, delta, digest=self._configuration_digest
-        )
-        if configuration is not None:
-            self._apply_configuration(
-                configuration, "delta", routes_digest=delta.digest
-            )
-
     def _get(self, path, timeout_ms, on_done):
         self._call_started_ms = self.loop.clock()
         self._call_endings = self.store_sync.history.endings
@@ -244,20 +239,6 @@
         for part in split_delta(delta):
             self.peers.send_change(part)
 
-    def _announce_configuration(self, previous, configuration):
-        """Send a change to the members if this balancer is the reader."""
-        if not self.store_sync.reader:
-            return
-        delta = configuration_delta(
-            previous,
-            configuration,
-            reader=self.store_sync.priority,
-            digest=self._configuration_digest,
-        )
-        if delta is not None:
-            for part in split_configuration_delta(delta):
-                self.peers.broadcast(part)
-
     def _on_changes(self, result):
         if self._is_void(result, endings=self._call_endings, may_begin_era=False):
             return
@@ -271,7 +252,7 @@
         if listing is None:
             return
         previous = self.store_sync.history.view
-        self._apply_configuration(
+        self.configuration_updates.apply(
             listing.configuration, "store", written=listing.configuration_revision
         )
         entries = listing.entries
@@ -313,7 +294,7 @@
         found = pages.configuration is not None
         if found:  # no log line for each read until a configuration is published
             self._record_configuration_read(pages)
-        self._apply_configuration(
+        self.configuration_updates.apply(
             pages.configuration, "store", written=pages.configuration_revision
         )
         self.store_sync.on_configuration_read(
@@ -356,7 +337,7 @@
     def _on_peer_configuration(self, result):
         copy = self._decode_peer_copy(result, CONFIGURATION_PATH, decode_configuration)
         if copy is not None:
-            self._apply_configuration(copy, "peer")
+            self.configuration_updates.apply(copy, "peer")
             self.store_sync.on_configuration_fetched()
 
     def _decode_peer_copy(self, result, path, decode):
@@ -368,31 +349,3 @@
             self._peer_client.address[0], path, succeeded=copy is not None
         )
         return copy
-
-    def _apply_configuration(
-        self, configuration, source, *, written=None, routes_digest=None
-    ):
-        """Put a configuration in force unless the same or a newer one is.
-
-        Args:
-            configuration: The ``Configuration``, or None.
-            source: ``store``, ``peer`` or ``delta``.
-            written: Revision at which the store wrote it, None if a peer sent it.
-            routes_digest: Digest of its routes, None to compute it.
-        """
-        if configuration is None:
-            return
-        previous = self.balancer.configuration
-        if not self.balancer.configure(configuration):
-            return
-        if routes_digest is None:
-            routes_digest = digest(configuration.routes)
-        self._configuration_digest = routes_digest
-        if source == "store":
-            self._announce_configuration(previous, configuration)
-        self.store_log.configured(
-            configuration, source=source, written=written, digest=routes_digest
-        )
-        self.store_sync.on_configuration(
-            configuration.version, len(configuration.routes)
-        )
