Fetch an announced configuration when it is due, whatever is announced since

Each kind of fetch has a due time of its own now (ScheduledFetch). It is drawn with the first announcement that isn't followed, later ones leave it, and of two that are due the older one is made first. A reader's first listing and a takeover no longer wait for it.

--- /dev/null
+++ b/libs/flows/features/later_news.feature
@@ -0,0 +1,25 @@
+Feature: Later news don't postpone what is due
+
+  # Guards against announced versions that each put off the fetch of the one before.
+  Scenario Outline: Configurations in quick succession reach everyone within the platform's bound
+    Given <count> balancers with <routes> routes that have run for 5000 ms
+    When the configuration changes every 330 ms for 12000 ms
+    Then no balancer has been behind for more than 3000 ms
+
+    Examples:
+      | count | routes |
+      | 6     | 494    |
+      | 12    | 200    |
+      | 45    | 1600   |
+
+  # Guards against targets found outdated again and again, which put the fetch off.
+  Scenario: Changes of targets don't postpone the fetch of a configuration
+    Given a follower of a reader, with 100 members
+    When version 6 is announced, and for 3000 ms the targets are outdated and current by turns
+    Then it has called for the configuration within 1100 ms
+
+  # Guards against fetches of configurations that always come before that of targets.
+  Scenario: Configurations in quick succession don't postpone the fetch of targets
+    Given a follower of a reader, with 6 members
+    When for 3000 ms its targets are outdated and a version is announced each 100 ms
+    Then it has called for the targets within 1200 ms
--- a/libs/flows/src/lagoontally_flows/_store/_reads.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reads.py
@@ -1,7 +1,8 @@
 """Which reads of the store are due, and whether a peer is asked instead."""
 
-from ._call_timing import FRESH_MS
+from ._call_timing import FRESH_MS, configuration_fetch_delay_ms, fetch_delay_ms
 from ._reader_messages import ReaderMessages
+from ._scheduled_fetch import ScheduledFetch
 from ._sync_records import (
     FetchConfiguration,
     FetchTargets,
@@ -10,6 +11,7 @@
 )
 
 FETCH_RETRY_MS = 300
+MAX_ROUTES_FROM_READER = 3_000  # times members; a reader's link needs a second
 
 
 class StoreReads(ReaderMessages):
@@ -37,6 +39,8 @@
         self._listed = False
         self._first_listing = True
         self._next_call_ms = 0
+        self._configuration_fetch = ScheduledFetch(FETCH_RETRY_MS)
+        self._targets_fetch = ScheduledFetch(FETCH_RETRY_MS)
 
     def reaches_store(self, now_ms):
         """Return whether this balancer or its reader has lately reached the store."""
@@ -71,8 +75,56 @@
         self._listed = self._configured = self._first_listing = False
         self.history.configuration = None
 
+    def _is_configuration_next(self, now_ms):
+        """Return whether to read or fetch the configuration now.
+
+        Of two fetches that are due, the one that has waited longer is made first.
+        """
+        announced = self.announced_version > self.configuration_version
+        if self.reader or not announced:
+            return announced or not self._configured
+        fetch, other = self._configuration_fetch, self._targets_fetch
+        return fetch.is_due(now_ms) and (
+            fetch.precedes(other) or not other.is_due(now_ms)
+        )
+
+    def _on_new_configuration(self, beacon, now_ms):
+        """Handle a beacon with a version newer than all those announced before."""
+        self.announced_version = beacon.configuration_version
+        if self.announced_version <= self.configuration_version:
+            return
+        if self.behind_since_ms is None:
+            self.behind_since_ms = now_ms
+        from_reader = beacon.routes * self.members <= MAX_ROUTES_FROM_READER
+        if self.reader:
+            self._configuration_fetch.schedule(now_ms)
+        elif self._configuration_fetch.due_ms is None:
+            self._reader_is_next = from_reader
+            routes = beacon.routes if from_reader else 0
+            delay_ms = configuration_fetch_delay_ms(self.members, routes, self.random)
+            self._configuration_fetch.schedule(now_ms + delay_ms)
+        elif not from_reader:
+            self._reader_is_next = False  # it has become too large since
+
+    def _on_caught_up(self):
+        """Record that no version newer than the one in force is announced."""
+        self.behind_since_ms = None
+        self._configuration_fetch.cancel()
+
+    def _on_outdated_targets(self, now_ms):
+        """Schedule a fetch after a random delay.
+
+        The delta may be lost, or just later than the beacon.
+        """
+        if self._targets_fetch.due_ms is None:
+            self._reader_is_next = True
+            delay_ms = fetch_delay_ms(self.members, self.random)
+            self._targets_fetch.schedule(now_ms + delay_ms)
+
     def _configuration_call(self, now_ms):
         """Alternate between the reader and the store until one has it."""
+        if self._configuration_fetch.due_ms is not None:
+            self._configuration_fetch.on_call(now_ms)
         # A reader needs a position, which only the store's answer gives.
         needs_position = not self.history.knows_configuration
         has_version = self.reader and self.configuration_version > 0
--- a/libs/flows/src/lagoontally_flows/_store/_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -12,12 +12,10 @@
 from ._call_timing import (
     FRESH_MS,
     RETRY_INITIAL_MS,
-    configuration_fetch_delay_ms,
-    fetch_delay_ms,
     retry_pause_ms,
 )
+from ._delta_queue import DeltaQueue
 from ._history import BEGAN, ENDED
-from ._parts import PartCollector
 from ._reads import FETCH_RETRY_MS, StoreReads
 from ._sync_records import (
     FetchTargets,
@@ -28,9 +26,7 @@
 from ._target_comparison import TargetComparison
 
 WATCH_WAIT_MS = 800  # each answer proves that the store is reachable; see FRESH_MS
-MAX_EARLY = 8  # changes; others are fetched
 WATCH_PAUSE_MS = 150  # batches changes that occur together into one call
-MAX_ROUTES_FROM_READER = 3_000  # times members; a reader's link needs a second
 
 
 class StoreSync(StoreReads):
@@ -46,9 +42,7 @@
         self._catch_up_revision = None
         self._settling = False
         self._uninformed = False
-        self._targets_outdated = False
-        self._parts = PartCollector()
-        self._early = {}
+        self._deltas = DeltaQueue(self.history)
         self._comparison = TargetComparison(self.history)
 
     def next_call(self, now_ms):
@@ -67,15 +61,15 @@
         if self.reader and self.history.has_ended:
             self._list_again()
             return self._first_call(now_ms)
-        announced = self.announced_version > self.configuration_version
-        if announced or not self._configured:
+        if self._is_configuration_next(now_ms):
             return self._configuration_call(now_ms)
         if self.reader:
             return self._reader_call(now_ms)
         return self._follower_call(now_ms)
 
     def _follower_call(self, now_ms):
-        if self._targets_outdated:
+        if self._targets_fetch.is_due(now_ms):
+            self._targets_fetch.on_call(now_ms)
             reader_turn = self._take_reader_turn(now_ms)
             return (
                 FetchTargets(self._host_to_ask()) if reader_turn else ListTargets(False)
@@ -124,7 +118,7 @@
             may_be_old: Whether the call was for a result that may be old: no position.
         """
         self._listed = self.has_targets = True
-        self._targets_outdated = False
+        self._targets_fetch.cancel()
         if may_be_old:
             self._catch_up_revision = revision
             self.record_answer(now_ms)
@@ -157,7 +151,7 @@
         self.configuration_version = version
         self.routes = routes
         if version >= self.announced_version:
-            self.behind_since_ms = None
+            self._on_caught_up()
 
     def on_configuration_fetched(self):
         """Handle a peer's configuration, which gives no position."""
@@ -181,7 +175,7 @@
             self.history.on_configuration_read(revision)
             # A store that came back from a copy may lack the version announced.
             self.announced_version = self.configuration_version
-            self.behind_since_ms = None
+            self._on_caught_up()
         self.record_answer(now_ms)
         if not found:
             self._next_call_ms = now_ms + FETCH_RETRY_MS
@@ -219,7 +213,7 @@
         self.history.informed_era = self.history.era
         if position < self.history.view:
             return False
-        self._targets_outdated = False
+        self._targets_fetch.cancel()
         self._reader_is_next = True  # it has just answered
         self._comparison.on_read(now_ms)
         self.history.on_copy(position)
@@ -242,42 +236,22 @@
         era = self._compare_peer_era(delta.position.era, now_ms)
         if era == ENDED or not self._listed or delta.position <= self.history.view:
             return None
-        # Each reader splits changes in its own way, so parts of two don't combine.
-        delta_id = (delta.reader, delta.previous, delta.position, delta.parts)
-        entries = self._parts.add(
-            delta_id, part=delta.part, parts=delta.parts, items=delta.entries
-        )
+        entries = self._deltas.add(delta)
         if entries is None:
             return None
         if not self.history.follows(delta) and digest_after(entries) != delta.digest:
-            self._keep_early(delta, entries)
+            self._deltas.keep_early(delta, entries)
             return None
         self._take_over(delta, now_ms)
-        return entries + self._take_early(now_ms)
-
-    def _keep_early(self, delta, entries):
-        """Keep a change that may have overtaken the one that it continues."""
-        if len(self._early) >= MAX_EARLY:
-            self._early.clear()
-        self._early[delta.position] = (delta, entries)
-
-    def _take_early(self, now_ms):
-        """Return the entries of the changes that continue the view now."""
-        taken = []
-        for position in sorted(self._early):
-            delta, entries = self._early[position]
-            if self.history.follows(delta):
-                self._take_over(delta, now_ms)
-                taken += entries
-            if position <= self.history.view:
-                del self._early[position]
-        return taken
+        for continuation, more in self._deltas.early():
+            self._take_over(continuation, now_ms)
+            entries = entries + more
+        return entries
 
     def _take_over(self, delta, now_ms):
         """Record the position of a change that is applied."""
-        # Parts of the next change may have overtaken the last one of this.
-        self._parts.keep(lambda one: one[2] > delta.position)
-        self._targets_outdated = False
+        self._deltas.on_applied(delta)
+        self._targets_fetch.cancel()
         self.history.on_copy(delta.position)
         if delta.settling:
             self.history.on_settling_reader(now_ms)
@@ -330,7 +304,7 @@
             return  # its targets may be old as well
         digest = digest if self._listed else None
         if self._comparison.has_targets_of(beacon, digest, now_ms):
-            self._targets_outdated = False
+            self._targets_fetch.cancel()
             confirmed_ms = now_ms - beacon.contact_age_ms
             self.confirmed_ms = max(self.confirmed_ms or 0, confirmed_ms)
         else:
@@ -363,8 +337,7 @@
 
         Followers wait for the reader, which lists the store again.
         """
-        self._parts.clear()
-        self._early.clear()
+        self._deltas.clear()
         self._settling = False
         if self.reader:
             self._list_again()
@@ -376,27 +349,3 @@
         """Handle the beacon of a reader that doesn't know the present era yet."""
         if not self.reader and beacon.reachable and beacon.contact_age_ms <= FRESH_MS:
             self.postpone_takeover(beacon, now_ms)
-
-    def _on_new_configuration(self, beacon, now_ms):
-        self.announced_version = beacon.configuration_version
-        if self.announced_version <= self.configuration_version:
-            return
-        if self.behind_since_ms is None:
-            self.behind_since_ms = now_ms
-        if self.reader:
-            return
-        self._reader_is_next = beacon.routes * self.members <= MAX_ROUTES_FROM_READER
-        routes = beacon.routes if self._reader_is_next else 0
-        delay_ms = configuration_fetch_delay_ms(self.members, routes, self.random)
-        self._next_call_ms = max(self._next_call_ms, now_ms + delay_ms)
-
-    def _on_outdated_targets(self, now_ms):
-        """Schedule a fetch after a random delay.
-
-        The delta may be lost, or just later than the beacon.
-        """
-        if not self._targets_outdated:
-            self._targets_outdated = True
-            self._reader_is_next = True
-            due_ms = now_ms + fetch_delay_ms(self.members, self.random)
-            self._next_call_ms = max(self._next_call_ms, due_ms)
