Put a takeover that is due off once, not with each beacon of a failing reader

A follower whose takeover was due drew another delay, up to 120 ms for each member, with each beacon of a reader without contact that came before its next tick. While the store rejects many balancers of a large data centre, such beacons come many times a second, so one that the store answers might not take over.

--- a/libs/flows/features/later_news.feature
+++ b/libs/flows/features/later_news.feature
@@ -23,3 +23,9 @@
     Given a follower of a reader, with 6 members
     When for 3000 ms its targets are outdated and a version is announced each 100 ms
     Then it has called for the targets within 1200 ms
+
+  # Guards against beacons of failing readers that put off a takeover without end.
+  Scenario: Failing readers don't postpone a takeover without bound
+    Given a follower of a reader, with 10 members
+    When for 6000 ms only readers without contact are heard, each 10 ms
+    Then it has become the reader within 3000 ms
--- a/libs/flows/src/lagoontally_flows/_store/_reader_election.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reader_election.py
@@ -38,6 +38,7 @@
         self.recovered_ms = None
         self._reader_failing = False
         self._takeover_ms = 0
+        self._takeover_put_off = False
 
     def take_over_if_due(self, now_ms):
         """Become the reader if none has been in contact with the store for too long."""
@@ -71,20 +72,26 @@
             self.recovered_ms = now_ms
 
     def record_failing_reader(self, beacon, now_ms):
-        """Limit the balancers that call the store while it answers no known reader."""
+        """Limit the balancers that call the store while it answers no known reader.
+
+        A takeover that is due is put off once: this balancer may be the one that
+        reaches the store, however many others don't.
+        """
         self._reader_failing = True
         if self.reader:
             if not self.failures or beacon.priority >= self.priority:
                 return
             self.reader = False
-        elif now_ms < self._takeover_ms:
+        elif now_ms < self._takeover_ms or self._takeover_put_off:
             return
+        self._takeover_put_off = True
         self._takeover_ms = now_ms + failing_reader_delay_ms(self.members, self.random)
 
     def postpone_takeover(self, beacon, now_ms):
         """Expect the next sign of the reader's contact before taking over."""
         due_ms = now_ms + FRESH_MS - beacon.contact_age_ms
         self._takeover_ms = due_ms + self._takeover_delay_ms()
+        self._takeover_put_off = False
 
     def yields_to(self, beacon, now_ms):
         """Return whether another reader should go on instead of this one."""
