Don't postpone a takeover because this follower read the store

A read of the store proves that the store answers, not that the reader lives. Each one put the follower's takeover off by 1.4 s and more, so a follower that reads often, such as configurations that are too large for the reader's link, didn't replace a lost reader. Only the first answer sets the time now; beacons set it from then on.

later_news.feature failed before: with an answer each 400 ms a follower hadn't taken over 4 s after the reader's last beacon.

--- a/libs/flows/features/later_news.feature
+++ b/libs/flows/features/later_news.feature
@@ -29,3 +29,9 @@
     Given a follower of a reader, with 10 members
     When for 6000 ms only readers without contact are heard, each 10 ms
     Then it has become the reader within 3000 ms
+
+  # Guards against a lost reader that isn't replaced while its followers read the store.
+  Scenario: A follower's own reads don't postpone its takeover
+    Given a follower of a reader, with 6 members
+    When the reader falls silent, and the store answers the follower each 400 ms for 4000 ms
+    Then it has become the reader within 2000 ms
--- a/libs/flows/src/lagoontally_flows/_store/_reader_election.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reader_election.py
@@ -59,9 +59,9 @@
             self.recovered_ms = now_ms
         self.failures = 0
         self.contact_ms = self.heard_ms = now_ms
-        if not self.reader:
-            due_ms = now_ms + FRESH_MS + self._takeover_delay_ms()
-            self._takeover_ms = max(self._takeover_ms, due_ms)
+        if not self.reader and not self._takeover_ms:
+            # A reader is heard by then. Later answers say nothing about one.
+            self._takeover_ms = now_ms + FRESH_MS + self._takeover_delay_ms()
 
     def record_working_reader(self, beacon, now_ms):
         """Record the beacon of a reader that is in contact with the store."""
