Don't let older versions postpone the search for one that is heard of

A balancer that hears of a newer version reads the store again once it has lacked it for long enough. Each version that came into force here began that time anew, also when it was older than the one heard of first, so a balancer that follows late, version after version, never read again. The time begins anew only once the awaited version is in force.

--- a/libs/flows/features/later_news.feature
+++ b/libs/flows/features/later_news.feature
@@ -35,3 +35,14 @@
     Given a follower of a reader, with 6 members
     When the reader falls silent, and the store answers the follower each 400 ms for 4000 ms
     Then it has become the reader within 2000 ms
+
+  # Guards against older versions in force that put off the search for a newer one.
+  Scenario: Older versions in force don't postpone the search for a newer one
+    Given a follower that hears of version 50 while version 10 is in force
+    When a version, still older than that, is put in force each 500 ms for 5000 ms
+    Then the store is read again for version 50 within 4000 ms
+
+  Scenario: A version that is heard of after the one before is in force is waited for anew
+    Given a follower that hears of version 50 while version 10 is in force
+    When it hears of version 60, and version 50 is put in force 2000 ms later
+    Then the store isn't read again for 2900 ms
--- a/libs/flows/src/lagoontally_flows/_store/_version_check.py
+++ b/libs/flows/src/lagoontally_flows/_store/_version_check.py
@@ -27,14 +27,16 @@
     __slots__ = ()
 
 
-class Heard(Record, fields="version host since_ms"):
+class Heard(Record, fields="version host since_ms awaited"):
     """A version newer than the one in force here.
 
     Attributes:
         version: The version.
         host: Host that announced it.
-        since_ms: Since when the version in force here has been older than an
-            announced one, unchanged, and the store was reached.
+        since_ms: Since when ``awaited`` hasn't been in force here, although the store
+            was reached.
+        awaited: The version announced first of those that aren't in force. Versions
+            older than it don't show that this balancer follows the store.
     """
 
     __slots__ = ()
@@ -70,9 +72,11 @@
         self.own = version
         if version >= self._sought:
             self._read_ms, self._pause_ms = None, FIRST_PAUSE_MS
-        if self.heard is not None:
-            newer = self.heard.version > version
-            self.heard = self.heard._replace(since_ms=now_ms) if newer else None
+        heard = self.heard
+        if heard is not None and version >= heard.version:
+            self.heard = None
+        elif heard is not None and version >= heard.awaited:
+            self.heard = heard._replace(since_ms=now_ms, awaited=heard.version)
 
     def on_version(self, version, host, now_ms):
         """Handle the version that another balancer announces."""
@@ -81,9 +85,9 @@
         self._is_passed_on = False
         if self.heard is None:
             self._spread = self.random.random()
-            self.heard = Heard(version, host, now_ms)
+            self.heard = Heard(version, host, now_ms, version)
         elif version > self.heard.version:
-            self.heard = Heard(version, host, self.heard.since_ms)
+            self.heard = self.heard._replace(version=version, host=host)
 
     def notice(self, announced, now_ms, *, members):
         """Return the message to a reader of this data centre, None for none.
