Don't reset an open flow because its route isn't known here yet

Cause: a balancer that lacked the route took it for a removed one.

A flow opens only once a configuration with its route was published. So a missing route proves a removal only if the configuration without it is known to have been the newest at a time after the flow's first packet here (is_route_removed). Readers know that by the answers of the store, followers by the beacons of a reader that knows no newer version. Until then the cookie names the target, as for all other packets.

The new scenarios of flows.feature failed before with route_removed. The two that were there wait 1.5 s now before the route is removed: a reset of a flow that opened just before can't be told from one on a route that was added again, and is due once the configuration is confirmed, which a third scenario checks.

--- a/libs/flows/features/fixtures.py
+++ b/libs/flows/features/fixtures.py
@@ -59,7 +59,7 @@
         self.now_ms = 1_000_000
         self.balancer = Balancer(data_centre=LOCAL, random=Random(seed))
         self.balancer.configure(configuration(1))
-        self.balancer.configuration_confirmed = True
+        self.balancer.configuration_confirmed_ms = self.now_ms
         self.actions = []
         self.effects = []
         self.next_port = 40_000
--- a/libs/flows/features/flows.feature
+++ b/libs/flows/features/flows.feature
@@ -55,16 +55,51 @@
 
   Scenario: Flows of a removed route are reset
     When a flow is opened
+    And 1500 ms pass
     And a configuration without its route is in force
     Then its next packet is reset as "route_removed"
 
   Scenario: A configuration that may be old ends no open flow
     When a flow is opened
+    And 1500 ms pass
     And a configuration without its route is in force that may be old
     Then its next packet is forwarded to the flow's target
     When the configuration is confirmed
     Then its next packet is reset as "route_removed"
 
+  # Guards against routes that aren't known here yet and were taken for removed ones.
+  Scenario: A flow on a route that isn't known here yet stays open
+    Given a configuration without the route is in force and was confirmed just now
+    When a packet of a flow arrives that another balancer opened
+    Then it is forwarded to the flow's target
+    And its next packet is forwarded to the flow's target
+    When 600 ms pass
+    And a configuration with the route is in force
+    And 3000 ms pass and the configuration is confirmed
+    Then its next packet is forwarded to the flow's target
+
+  # Guards against a route that was added again and was taken for the one before.
+  Scenario: A flow on a route that was removed and added again stays open
+    When a configuration without its route is in force
+    And 5000 ms pass and the configuration is confirmed
+    And a packet of a flow arrives that another balancer opened
+    Then it is forwarded to the flow's target
+    And its next packet is forwarded to the flow's target
+
+  Scenario: A flow of a removed route is reset though it comes from another balancer
+    Given a configuration without the route is in force and was confirmed just now
+    When a packet of a flow arrives that another balancer opened
+    Then it is forwarded to the flow's target
+    When 1400 ms pass and the configuration is confirmed
+    Then its next packet is forwarded to the flow's target
+    When 100 ms pass and the configuration is confirmed
+    Then its next packet is reset as "route_removed"
+
+  Scenario: A balancer without a configuration ends no open flow
+    Given a balancer that knows targets and no configuration
+    When a packet of a flow arrives that another balancer opened
+    Then it is forwarded to the flow's target
+
   Scenario: An older configuration is ignored
     When configuration 5 is in force
     And configuration 4 arrives
--- a/libs/flows/features/positions.feature
+++ b/libs/flows/features/positions.feature
@@ -159,3 +159,27 @@
     And the beacon of a reader that has lost the store arrives
     And its calls to the store fail, and it becomes the reader
     Then it fetches the configuration from the peer in one of two calls
+
+  Scenario Outline: A follower's configuration is confirmed by a reader that knows no newer one
+    Given a follower that knows targets up to revision 40
+    When 5000 ms pass for it
+    And the beacon of a reader with version <version> that knows all up to <known> arrives
+    Then its configuration was confirmed <confirmed> ms ago
+
+    Examples:
+      | version | known | confirmed |
+      | 5       | 45    | 0         |
+      | 4       | 45    | 0         |
+      | 6       | 45    | 5000      |
+      | 5       | 0     | 5000      |
+
+  Scenario Outline: The answers to a reader's watch confirm its configuration
+    Given a reader that knows targets up to revision 18 and configuration up to <configuration>
+    When 5000 ms pass for it
+    And the answer to a watch from 18 to 20 arrives
+    Then its configuration was confirmed <confirmed> ms ago
+
+    Examples:
+      | configuration | confirmed |
+      | 18            | 0         |
+      | 17            | 5000      |
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -29,7 +29,7 @@
     reset_flows,
     should_reset_flows,
 )
-from ._tracking import FlowTable, HalfOpenFlows, PacketRecorder
+from ._tracking import FlowTable, HalfOpenFlows, PacketRecorder, is_route_removed
 
 STALE_SYN_MS = 500  # two missed probes, half a second apart, turn routers away
 LATE_TICK_MS = 250  # ticks are 50 ms apart; a longer gap means a paused process
@@ -65,7 +65,8 @@
             ``LogEvent`` records that wait for ``take_effects``.
         view_confirmed_ms: When the view was last known to be current.
         platform_heard_ms: When the platform last answered, or None.
-        configuration_confirmed: Whether the configuration isn't just an old copy.
+        configuration_confirmed_ms: When the configuration in force was last known to be
+            the newest, or None.
         ticked_ms: Time of the last tick, None before the first.
     """
 
@@ -131,7 +132,7 @@
         self.in_rotation = True
         self.view_confirmed_ms = None
         self.platform_heard_ms = None
-        self.configuration_confirmed = False
+        self.configuration_confirmed_ms = None
         self._is_first_listing = False
         self._unknown_cookies = UnknownCookies()
         self.ticked_ms = None
@@ -196,8 +197,10 @@
         return self._on_open_flow(packet, flow, cookie, now_ms)
 
     def _on_open_flow(self, packet, flow, cookie, now_ms):
-        if self.configuration_confirmed and self._route(packet.flow) is None:
-            return self._end_flow(packet, "route_removed")
+        if self.configuration is not None and self._route(packet.flow) is None:
+            known = flow if flow is not None and flow.cookie == cookie else None
+            if is_route_removed(known, self.configuration_confirmed_ms):
+                return self._end_flow(packet, "route_removed")
         target = self.view.by_cookie.get(cookie)
         if target is None:
             return self._on_unknown_cookie(packet, cookie, now_ms)
--- a/libs/flows/src/lagoontally_flows/_store/_history.py
+++ b/libs/flows/src/lagoontally_flows/_store/_history.py
@@ -97,6 +97,10 @@
         """Whether the same holds for the configuration."""
         return self.configuration is not None and self.configuration.era == self.era
 
+    def knows_configuration_at(self, revision):
+        """Return whether the configuration is known up to a revision of this era."""
+        return self.knows_configuration and self.configuration.revision >= revision
+
     @property
     def knows_evacuations(self):
         """Whether the same holds for evacuations."""
--- a/libs/flows/src/lagoontally_flows/_store/_reader_messages.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reader_messages.py
@@ -16,6 +16,8 @@
         evacuations: The ``Evacuations``.
         configuration_version: Version in force here; 0 before the first.
         routes: Number of routes in the configuration in force here.
+        configuration_confirmed_ms: When the configuration in force was last known to be
+            the newest, or None.
     """
 
     def __init__(self, *, priority, random, slow_link=False):
@@ -24,6 +26,7 @@
         self.evacuations = Evacuations(self.history)
         self.configuration_version = 0
         self.routes = 0
+        self.configuration_confirmed_ms = None
         self._configured = False
         self._next_beacon_ms = 0
         self._announced_generation = 0
@@ -34,11 +37,6 @@
             self._next_beacon_ms = now_ms
         super().record_answer(now_ms)
 
-    @property
-    def configuration_confirmed(self):
-        """Whether the configuration in force was the newest up to a position."""
-        return self.configuration_version > 0 and self.history.knows_configuration
-
     @property
     def known(self):
         """Position up to which all contents of the store are known here."""
--- a/libs/flows/src/lagoontally_flows/_store/_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -143,6 +143,8 @@
         self.record_answer(now_ms)
         if self.history.knows_targets:
             self.confirmed_ms = now_ms
+        if self.history.knows_configuration_at(revision):
+            self.configuration_confirmed_ms = now_ms
         self._next_call_ms = now_ms + WATCH_PAUSE_MS
 
     def on_configuration(self, version, routes):
@@ -173,6 +175,7 @@
         self._configured = self._configured or found
         if not may_be_old:
             self.history.on_configuration_read(revision)
+            self.configuration_confirmed_ms = now_ms
             # A store that came back from a copy may lack the version announced.
             self.announced_version = self.configuration_version
             self._on_caught_up()
@@ -295,7 +298,7 @@
         self.record_working_reader(beacon, now_ms)
         self.evacuations.on_contact(now_ms)
         if beacon.configuration_version <= self.configuration_version:
-            self.history.on_configuration_known(beacon.known)
+            self._on_newest_configuration(beacon, now_ms)
         informed = self.history.informed_era == self.history.era
         self._uninformed = beacon.settling and not informed
         if beacon.settling:
@@ -310,6 +313,15 @@
         else:
             self._on_outdated_targets(now_ms)
 
+    def _on_newest_configuration(self, beacon, now_ms):
+        """Handle the beacon of a reader that knows no newer configuration."""
+        self.history.on_configuration_known(beacon.known)
+        if beacon.known.revision:
+            confirmed_ms = now_ms - beacon.contact_age_ms
+            self.configuration_confirmed_ms = max(
+                self.configuration_confirmed_ms or 0, confirmed_ms
+            )
+
     def _reader_call(self, now_ms):
         """Read what has no position, settle a restored listing, else watch."""
         history = self.history
--- a/libs/flows/src/lagoontally_flows/_tracking/_flow_table.py
+++ b/libs/flows/src/lagoontally_flows/_tracking/_flow_table.py
@@ -21,6 +21,7 @@
     Attributes:
         cookie: Cookie of its target.
         tried: Cookies of the targets that its SYN and copies were sent to.
+        first_packet_ms: When its first packet arrived here.
         last_packet_ms: When its last packet arrived.
         progress_ms: When its caller last sent new data or acknowledged some.
         data_end: Sequence number after the newest data of its caller.
@@ -34,6 +35,7 @@
     __slots__ = (
         "cookie",
         "tried",
+        "first_packet_ms",
         "last_packet_ms",
         "progress_ms",
         "data_end",
@@ -47,6 +49,7 @@
     def __init__(self, cookie, now_ms):
         self.cookie = cookie
         self.tried = [cookie]
+        self.first_packet_ms = now_ms
         self.last_packet_ms = now_ms
         self.progress_ms = now_ms
         self.data_end = None
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -167,7 +167,7 @@
         self.balancer.admission.members = self.store_sync.members
         self.balancer.view_confirmed_ms = self.store_sync.confirmed_ms
         self.balancer.platform_heard_ms = self.store_sync.heard_ms
-        self.balancer.configuration_confirmed = self.store_sync.configuration_confirmed
+        self.balancer.configuration_confirmed_ms = self._configuration_confirmed_ms()
         self.balancer.view.store_recovered_ms = self.store_sync.recovered_ms
         digest = self.balancer.view.digest
         beacon = self.store_sync.beacon(time_ms, digest=digest)
@@ -179,6 +179,15 @@
         self._execute_effects()
         self._update_readiness(time_ms)
 
+    def _configuration_confirmed_ms(self):
+        """Return when the configuration was last known to be the newest, or None.
+
+        Another balancer may have a newer one that the store doesn't list.
+        """
+        if self.version_check.heard is not None:
+            return None
+        return self.store_sync.configuration_confirmed_ms
+
     def _take_bounds(self, settings):
         """Take over what the settings state of warm-ups, regions and admission."""
         self.balancer.warm_up_budgets.set_bounds(
