Let an entry that names no target end, replace or vouch for nothing

Cause: the newest entry at an address was taken as proof that the earlier target there had ended, whatever the entry's service, and the proof stayed when the entry went.

The view now uses only entries whose service the configuration in force names (PROTOCOL, Service discovery) and whose id no other entry has; others are listed for the exchange with peers, and found by their cookie for open flows. Which targets have ended is derived from the usable entries at their address (AddressOwners), so it is undone with the entry that proved it, and takes effect once a configuration names the service. An entry that isn't used is no longer the control of a probe, no data centre of its own, and doesn't take over the packets of a target with the same id.

--- a/libs/bench/src/lagoontally_bench/_policies.py
+++ b/libs/bench/src/lagoontally_bench/_policies.py
@@ -6,7 +6,9 @@
 from lagoontally_core import rendezvous_pick
 from lagoontally_flows import (
     Balancer,
+    Configuration,
     LoadReport,
+    Service,
     Target,
     select_target,
     target_order,
@@ -15,6 +17,7 @@
 REPORT_HALF_LIFE_MS = 1_000.0
 PREFERRED_TARGETS = 5
 SERVICE = "modelled"
+CONFIGURATION = Configuration(1, {}, 15_000, {SERVICE: Service(SERVICE, 0, 0.0, 0)})
 
 
 class Policy:
@@ -227,9 +230,8 @@
             self._first_order(balancer.number, model) for balancer in model.balancers
         ]
         self.turns = 0
-        self.readers = [
-            self._reader(str(centre), model) for centre in range(model.fleet.centres)
-        ]
+        centres = range(model.fleet.centres)
+        self.readers = [self._reader(str(centre), model) for centre in centres]
 
     def place(self, job, model):
         """Report a new flow, then place it."""
@@ -248,6 +250,7 @@
     def _reader(self, data_centre, model):
         """Return the load sharing of a data centre's reader."""
         reader = Balancer(data_centre=data_centre, random=Random(0))
+        reader.configure(CONFIGURATION)
         entries = {str(record.cookie): record for record in self.records}
         reader.on_listing(entries, model.now_ms)
         reader.load_sharing.advise(model.now_ms, reader=True)
--- a/libs/flows/features/fixtures.py
+++ b/libs/flows/features/fixtures.py
@@ -9,6 +9,7 @@
     Configuration,
     Packet,
     Route,
+    Service,
     Target,
     target_cookie,
 )
@@ -42,8 +43,10 @@
 
 
 def configuration(version, shares=((SERVICE, 1),), place=ROUTE):
-    """Return a configuration with one route."""
-    return Configuration(version, {place: Route("r", shares, True)}, IDLE_TIMEOUT_MS)
+    """Return a configuration with one route, which names another service too."""
+    services = {OTHER_SERVICE: Service(OTHER_SERVICE, 0, 0.0, 0)}
+    routes = {place: Route("r", shares, True)}
+    return Configuration(version, routes, IDLE_TIMEOUT_MS, services)
 
 
 class World:
--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -6,7 +6,7 @@
 """
 
 from ._admission import Admission
-from ._effects import FlowReset, entry_event, evacuation_event
+from ._effects import evacuation_event
 from ._load import AdviceInForce, LoadSharing, shortest_objectives
 from ._placing import (
     Demand,
@@ -17,6 +17,7 @@
 )
 from ._records import FIN, RST, SYN, Drop, Forward, Hold, Reset
 from ._store import ALL_CHANGES, Evacuations, StoreHistory
+from ._target_entries import TargetEntries
 from ._targets import (
     ANSWERED,
     NO_COOKIE,
@@ -59,6 +60,7 @@
         demand: Recent SYNs by service.
         placer: Decides on SYNs.
         recorder: Learns from the packets of open flows.
+        entries: Applies the entries of targets.
         cut_off: Whether callers are better served through another data centre.
         in_rotation: Whether readiness tells routers to send packets here.
         effects: ``FlowReset``, ``Probe``, ``Verdict``, ``DealtAnew`` and
@@ -128,13 +130,20 @@
             on_answer=self._on_answer,
             effects=self.effects,
         )
+        self._unknown_cookies = UnknownCookies()
+        self.entries = TargetEntries(
+            view=self.view,
+            health=self.health,
+            flows=self.flows,
+            warm_ups=self.warm_ups,
+            unknown_cookies=self._unknown_cookies,
+            effects=self.effects,
+        )
         self.cut_off = False
         self.in_rotation = True
         self.view_confirmed_ms = None
         self.platform_heard_ms = None
         self.configuration_confirmed_ms = None
-        self._is_first_listing = False
-        self._unknown_cookies = UnknownCookies()
         self.ticked_ms = None
 
     def configure(self, configuration):
@@ -147,6 +156,7 @@
         if current is not None and configuration.version <= current.version:
             return False
         self.configuration = configuration
+        self.entries.on_services(configuration.service_names(), self.ticked_ms or 0)
         self.warm_ups.services = configuration.services
         self.load_sharing.objectives = shortest_objectives(
             configuration.routes.values()
@@ -221,7 +231,7 @@
     def on_entries(self, changes, now_ms):
         """Handle changed entries: pairs of a key and a ``Target`` or None."""
         for key, target in changes:
-            self._on_entry(key, target, now_ms)
+            self.entries.on_entry(key, target, now_ms)
 
     def on_listing(self, entries, now_ms, rules=ALL_CHANGES):
         """Handle a complete listing: ``Target`` by key, and its ``ListingRules``.
@@ -229,11 +239,7 @@
         Returns:
             The changes, in the form that ``on_entries`` accepts.
         """
-        changes = self.view.changes_to(entries, rules)
-        self._is_first_listing = not self.view.generation
-        self.on_entries(changes, now_ms)
-        self._is_first_listing = False
-        return changes
+        return self.entries.on_listing(entries, now_ms, rules)
 
     def on_probe_result(self, cookie, evidence, now_ms):
         """Handle the result of a probe; see ``Health.on_probe_result``."""
@@ -241,7 +247,7 @@
         verdicts = self.health.on_probe_result(cookie, evidence, now_ms)
         self.effects.extend(verdicts)
         if any(verdict.dead for verdict in verdicts):
-            self._reset_flows(cookie, evidence)
+            self.entries.reset_flows(cookie, evidence)
 
     def on_verdict(self, verdict, host, now_ms):
         """Handle the ``Verdict`` that the peer at ``host`` sent."""
@@ -362,37 +368,3 @@
         if self._unknown_cookies.is_gone(cookie, now_ms, confirmed_ms):
             return self._end_flow(packet, "target_gone")
         return Drop("unknown_cookie")
-
-    def _on_entry(self, key, target, now_ms):
-        ended = target and self.view.superseded_by(target)
-        if ended:
-            self.health.ended.add(ended.cookie)
-            self._reset_flows(ended.cookie, "ended")
-        before = self.view.put(key, target, now_ms)
-        if target is not None:
-            self._unknown_cookies.forget(target.cookie)
-        if before == target:
-            return
-        if target is not None:
-            self.warm_ups.on_entry(target, now_ms)
-        current = target or before
-        replaced = before is not None and before.cookie != current.cookie
-        if target is None or replaced:
-            self._probe_delisted(before, now_ms)
-        self._log_entry(current, listed=target is not None)
-
-    def _log_entry(self, current, *, listed):
-        if self._is_first_listing:
-            return  # the first listing is logged in one line, not one per target
-        self.effects.append(entry_event(current, listed=listed))
-
-    def _probe_delisted(self, target, now_ms):
-        """Probe a target that is no longer listed and still has open flows."""
-        if self.flows.open_flows.get(target.cookie):
-            self.effects.extend(self.health.request_probe(target.cookie, now_ms))
-
-    def _reset_flows(self, cookie, evidence):
-        for key, flow in self.flows.of_target(cookie):
-            self.flows.remove(key)
-            reset = FlowReset(key, flow.acknowledged, cookie, "target_" + evidence)
-            self.effects.append(reset)
--- a/libs/flows/src/lagoontally_flows/_effects.py
+++ b/libs/flows/src/lagoontally_flows/_effects.py
@@ -50,6 +50,22 @@
     return LogEvent("target_listed" if listed else "target_lapsed", fields)
 
 
+def unused_entry_event(target, key, reason):
+    """Return the ``LogEvent`` for a listed entry that isn't used.
+
+    Args:
+        target: The ``Target``.
+        key: Key of the entry.
+        reason: ``service_not_named`` or ``id_in_use``.
+    """
+    fields = (
+        ("key", key),
+        ("reason", reason),
+        *entry_event(target, listed=True).fields,
+    )
+    return LogEvent("target_unused", fields)
+
+
 def evacuation_event(update, targets):
     """Return the ``LogEvent`` for an evacuation that began or ended.
 
--- a/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
+++ b/libs/flows/src/lagoontally_flows/_load/_load_sharing.py
@@ -124,7 +124,7 @@
         shares_before, spills_before = self.speeds.shares, self.spills
         full_before = self.connections.full
         limited_before = self.limits.limited()
-        listed = self.view.targets.values()
+        listed = self.view.usable.values()
         targets = [one for one in listed if not one.leaving]
         dead = {one.cookie for one in targets if self.health.is_dead(one.cookie)}
         self.speeds.judge(listed, now_ms, dead=dead, loads=self._loads)
--- a/libs/flows/src/lagoontally_flows/_placing/_target_order.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_order.py
@@ -76,7 +76,7 @@
         key = (target.service, target.data_centre)
         order = self._orders.get(key)
         if order is None:
-            listed = self.view.targets.values()
+            listed = self.view.usable.values()
             order = self._orders[key] = target_order(
                 self.rank,
                 [one.cookie for one in listed if key == (one.service, one.data_centre)],
--- a/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
+++ b/libs/flows/src/lagoontally_flows/_placing/_target_selector.py
@@ -173,7 +173,7 @@
         """
         others = [
             target
-            for target in self.view.targets.values()
+            for target in self.view.usable.values()
             if target.cookie != cookie and not self.health.is_dead(target.cookie)
         ]
         return max(
--- a/libs/flows/src/lagoontally_flows/_records.py
+++ b/libs/flows/src/lagoontally_flows/_records.py
@@ -98,6 +98,11 @@
 
     __slots__ = ()
 
+    def service_names(self):
+        """Return the names of all services, also of those that only routes name."""
+        shares = [share for route in self.routes.values() for share in route.shares]
+        return frozenset(self.services).union(name for name, _ in shares)
+
 
 class Answer(Record, fields="flow cookie service waited_ms length"):
     """The first acknowledgement of new bytes by a caller after its request.
--- a/libs/flows/src/lagoontally_flows/_targets/_view.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_view.py
@@ -4,6 +4,7 @@
 
 from .. import _digest
 from .._store import ALL_CHANGES
+from ._address_owners import AddressOwners
 
 DELISTED_RETENTION_MS = 60_000  # longest life of a flow that the platform promises
 RECOVERY_MS = 2_000  # live targets are listed again this soon after an outage
@@ -30,10 +31,16 @@
     while most of its service disappeared with it, since a store that loses leases
     drops many entries of live targets at once.
 
+    An entry of a service that the configuration doesn't name, or with the id of another
+    entry, isn't used: it gets no new flows, ends no other target and replaces none.
+
     Attributes:
-        targets: Listed targets by the key of their entry.
-        by_cookie: Listed and recently delisted targets by cookie.
-        by_address: The target last listed at each address.
+        targets: All listed targets by the key of their entry.
+        usable: Those that are used.
+        services: Names of the services in the configuration.
+        by_cookie: Usable and recently delisted targets by cookie; others where the
+            cookie has none, since they may have open flows.
+        owners: The ``AddressOwners`` of usable and recently delisted targets.
         delisted: ``DelistedTarget`` by cookie.
         store_recovered_ms: When the store last recovered from an outage, or None.
         generation: Incremented whenever a target is added, removed or changed.
@@ -42,12 +49,16 @@
 
     def __init__(self):
         self.targets = {}
+        self.usable = {}
+        self.services = frozenset()
         self.by_cookie = {}
-        self.by_address = {}
+        self.owners = AddressOwners()
         self.delisted = {}
         self.store_recovered_ms = None
         self.generation = 0
         self.digest = _digest.EMPTY
+        self._keys = {}
+        self._shared = set()
         self._services = {}
         self._data_centres = set()
         self._services_generation = -1
@@ -71,14 +82,92 @@
             del self.targets[key]
         else:
             self.targets[key] = target
-            self.by_cookie[target.cookie] = target
-            self.by_address[target.address] = target
-            self.delisted.pop(target.cookie, None)
-        if before is not None and (target is None or before.cookie != target.cookie):
-            self.delisted[before.cookie] = DelistedTarget(before, now_ms)
+        self._update_use(key, now_ms)
+        self._update_unused(before, target, now_ms)
         self.generation += 1
         return before
 
+    def set_services(self, services, now_ms):
+        """Set the names of the services in the configuration.
+
+        Returns:
+            The keys of the entries that are used now, or no longer.
+        """
+        if services == self.services:
+            return []
+        changed = services ^ self.services
+        self.services = services
+        keys = [key for key, one in self.targets.items() if one.service in changed]
+        for key in keys:
+            self._update_use(key, now_ms)
+            self.generation += 1
+        return keys
+
+    def unused_reason(self, key):
+        """Return why a listed entry isn't used, None if it is."""
+        if key in self.usable:
+            return None
+        if self.targets[key].service not in self.services:
+            return "service_not_named"
+        return "id_in_use"
+
+    def _update_use(self, key, now_ms):
+        """Use the entry at a key, or no longer, as it and the configuration are now."""
+        before, target = self.usable.get(key), self.targets.get(key)
+        if target is not None and not self._is_usable(key, target):
+            target = None
+        if before == target:
+            return
+        if target is None:
+            del self.usable[key]
+        else:
+            self.usable[key] = target
+        same = before is not None and target is not None
+        same = same and before.cookie == target.cookie
+        if before is not None and not same:
+            del self._keys[before.cookie]
+            self.delisted[before.cookie] = DelistedTarget(before, now_ms)
+            self._use_next(before.cookie, now_ms)
+        if target is not None:
+            if same and before.address != target.address:
+                self.owners.remove(before)
+            self._keys[target.cookie] = key
+            self.by_cookie[target.cookie] = target
+            self.owners.add(target)
+            self.delisted.pop(target.cookie, None)
+
+    def _is_usable(self, key, target):
+        if self._keys.get(target.cookie, key) != key:
+            self._shared.add(target.cookie)
+            return False
+        return target.service in self.services
+
+    def _use_next(self, cookie, now_ms):
+        """Use another entry with the id of one that isn't used any more."""
+        if cookie not in self._shared:
+            return
+        self._shared.discard(cookie)
+        for key, target in self.targets.items():
+            if target.cookie == cookie and key not in self.usable:
+                self._update_use(key, now_ms)
+
+    def _update_unused(self, before, target, now_ms):
+        """Find unused entries by their cookies, where no used one has the cookie."""
+        for one in (before, target):
+            if one is None or one.cookie in self._keys or one.cookie in self.delisted:
+                continue
+            listed = self._listed_with(one.cookie)
+            if listed is not None:
+                self.by_cookie[one.cookie] = listed
+            elif one.cookie in self.by_cookie:
+                self.delisted[one.cookie] = DelistedTarget(one, now_ms)
+
+    def _listed_with(self, cookie):
+        """Return the first listed target with a cookie, or None."""
+        return next(
+            (one for one in self.targets.values() if one.cookie == cookie), None
+        )
+
     def digest_after(self, changes):
         """Return the digest that ``targets`` would have after some changes.
 
@@ -134,15 +223,9 @@
             return target
         return target._replace(leaving=True)
 
-    def superseded_by(self, target):
-        """Return the earlier target at the address of ``target``, None if none.
-
-        An address is reused only after its target has ended.
-        """
-        previous_owner = self.by_address.get(target.address)
-        if previous_owner is None or previous_owner.cookie == target.cookie:
-            return None
-        return previous_owner if previous_owner.born <= target.born else None
+    def ended_at(self, address):
+        """Return the cookies of targets that ended before others got their address."""
+        return self.owners.ended_at(address, self.delisted)
 
     def forget_delisted(self, now_ms):
         """Drop the targets that were delisted too long ago to have live flows.
@@ -155,9 +238,10 @@
             if now_ms - delisting.at_ms > DELISTED_RETENTION_MS:
                 del self.delisted[cookie]
                 del self.by_cookie[cookie]
-                address = delisting.target.address
-                if self.by_address.get(address) == delisting.target:
-                    del self.by_address[address]
+                listed = self._listed_with(cookie)
+                if listed is not None:
+                    self.by_cookie[cookie] = listed
+                self.owners.remove(delisting.target)
                 forgotten.append(cookie)
                 self.generation += 1
         return forgotten
@@ -200,17 +284,15 @@
         return now_ms - delisting.at_ms <= MASS_LAPSE_WINDOW_MS
 
     def data_centres(self):
-        """Return the data centres that have listed targets."""
+        """Return the data centres that have usable targets."""
         self._ready_by_service()
         return self._data_centres
 
     def _ready_by_service(self):
         if self._services_generation != self.generation:
             self._services = {}
-            self._data_centres = {
-                target.data_centre for target in self.targets.values()
-            }
-            for target in self.targets.values():
+            self._data_centres = {target.data_centre for target in self.usable.values()}
+            for target in self.usable.values():
                 if not target.leaving:
                     self._services.setdefault(target.service, []).append(target)
             self._services_generation = self.generation
--- a/libs/forwarder/src/lagoontally_forwarder/_process.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_process.py
@@ -336,7 +336,7 @@
         position = self.store_sync.history.position
         alive = [
             target
-            for target in self.balancer.view.targets.values()
+            for target in self.balancer.view.usable.values()
             if not self.balancer.health.is_dead(target.cookie)
         ]
         return gauges | {
--- a/libs/soak/src/lagoontally_soak/_mutations.py
+++ b/libs/soak/src/lagoontally_soak/_mutations.py
@@ -39,7 +39,7 @@
         """
 from lagoontally_flows._targets import View
 View.candidates = lambda view, _service, _now_ms, _is_evacuated=None: list(
-    view.targets.values())
+    view.usable.values())
 """,
     ),
     "dropped routes stay": Mutation(
