Refuse entries of targets with keys, numbers or names that can't be used

Other operators reported machines that ended, or stopped following the list, after one odd entry: deeply nested, with a number too large, or with a port out of range.

- Numbers of up to 8 bytes counted: a target with 2^63 slots, or one that warms up without end, in the store's list and in the words of peers.
Sums of such slots are refused by peers, so a data centre's demand isn't told any more.
- A name of any length counted.
A change that contains it fits into no datagram, so members get every such change by fetching.
- Keys with underscores, spaces, other digits or control characters counted as ids; half a character in one raises an error when peers ask for targets.

One check (out_of_range) serves the store's decoder and the peers'. Messages of peers with such a target are invalid as a whole: what can't be read says nothing about the other targets, and the balancer asks the store.

odd_entries.feature: three of five scenarios failed before (of the two with real processes, none).

--- a/libs/flows/src/lagoontally_flows/__init__.py
+++ b/libs/flows/src/lagoontally_flows/__init__.py
@@ -67,6 +67,7 @@
 from ._targets import (
     ACCEPTED,
     ANSWERED,
+    MAX_WARM_UP_MS,
     NO_COOKIE,
     REFUSED,
     SILENT,
@@ -76,6 +77,7 @@
     UNCLEAR,
     Probe,
     Verdict,
+    out_of_range,
     target_cookie,
 )
 
@@ -131,6 +133,7 @@
     "ListTargets",
     "ListingRules",
     "LoadAdvice",
+    "MAX_WARM_UP_MS",
     "LoadReport",
     "LoadSharing",
     "LogEvent",
@@ -156,6 +159,7 @@
     "differing",
     "expand",
     "in_buckets",
+    "out_of_range",
     "replace_buckets",
     "shorten",
     "digest",
--- a/libs/flows/src/lagoontally_flows/_targets/__init__.py
+++ b/libs/flows/src/lagoontally_flows/_targets/__init__.py
@@ -1,5 +1,6 @@
 """Targets that are listed, and whether they respond."""
 
+from ._bounds import MAX_WARM_UP_MS, out_of_range
 from ._cookie import NO_COOKIE, target_cookie
 from ._health import (
     ACCEPTED,
@@ -22,6 +23,7 @@
     "ANSWERED",
     "Health",
     "LONG_AGO_MS",
+    "MAX_WARM_UP_MS",
     "NO_COOKIE",
     "Probe",
     "REFUSED",
@@ -35,6 +37,7 @@
     "Verdict",
     "View",
     "WarmUps",
+    "out_of_range",
     "reset_flows",
     "should_reset_flows",
     "target_cookie",
--- /dev/null
+++ b/libs/forwarder/features/odd_entries.feature
@@ -0,0 +1,49 @@
+Feature: One odd entry among those of the targets changes nothing for the others
+
+  # Guards against entries that end the process that reads them, or that it reads again
+  # and again.
+  Scenario: Entries that name no target are refused, and the list is followed
+    Given a balancer that knows targets and a configuration
+    When each kind of odd entry arrives in a watch, and goes again
+    Then it has followed the list each time
+    And it can tell peers all that it knows
+    When all kinds of odd entries are listed at once
+    Then it has followed the list each time
+    And it can tell peers all that it knows
+
+  Scenario: Keys that contain no id name no target
+    Given a balancer that knows targets and a configuration
+    When entries under each kind of odd key arrive
+    Then it knows no target but its first one
+    And it can tell peers all that it knows
+
+  # Guards against a peer's word that is taken over without the checks of the store's.
+  Scenario: Odd entries of peers change nothing
+    Given a balancer that knows targets and a configuration
+    When each kind of odd target arrives in a change and in the targets of a peer
+    Then it knows no target but its first one
+    And it can tell peers all that it knows
+
+  Scenario: Running balancers follow the list beside odd entries
+    Given a running deployment
+    When another writer leaves each kind of odd entry
+    And a target is added
+    Then flows reach the added target within 4 s
+    And every balancer follows the store's list within 4 s
+    When every balancer is restarted
+    And a target is added
+    Then flows reach the added target within 4 s
+    And every balancer follows the store's list within 4 s
+    When the odd entries are removed
+    And a target is added
+    Then flows reach the added target within 4 s
+    And every balancer follows the store's list within 4 s
+    And no balancer has ended or reported an unexpected error
+
+  Scenario: Running balancers follow the list beside odd words of a peer
+    Given a running deployment
+    When every balancer gets each kind of odd target from a peer
+    And a target is added
+    Then flows reach the added target within 4 s
+    And every balancer follows the store's list within 4 s
+    And no balancer has ended or reported an unexpected error
--- a/libs/forwarder/src/lagoontally_forwarder/_target_codec.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_target_codec.py
@@ -1,6 +1,13 @@
 """Targets, their changes and positions of the store as JSON arrays."""
 
-from lagoontally_flows import Position, Target, TargetUpdate, target_cookie
+from lagoontally_flows import (
+    MAX_WARM_UP_MS,
+    Position,
+    Target,
+    TargetUpdate,
+    out_of_range,
+    target_cookie,
+)
 from lagoontally_lean import dumps
 from lagoontally_platform import NAME_BYTES, parse_address
 
@@ -34,9 +41,9 @@
         raise ValueError("a target's address is not host:port")
     if not isinstance(data_centre, str) or not isinstance(service, str):
         raise ValueError("a target's data centre or service is not a string")
-    if not isinstance(slots, int) or not isinstance(warm_up_ms, int) or slots < 1:
-        raise ValueError("a target's slots or warm-up is not a valid integer")
-    return Target(
+    if type(slots) is not int or type(warm_up_ms) is not int:
+        raise ValueError("a target's slots or warm-up is not an integer")
+    target = Target(
         name,
         born,
         cookie,
@@ -47,6 +54,10 @@
         bool(leaving),
         warm_up_ms,
     )
+    field = out_of_range(target)
+    if field is not None:
+        raise ValueError(f"a target's {field} is out of range")
+    return target
 
 
 def decode_position(document):
@@ -102,7 +113,7 @@
     state = TargetUpdate(
         bounded(cookie, MAX_COOKIE),
         bool(bounded(leaving, 1)),
-        bounded(warm_up_ms, MAX_VERSION),
+        bounded(warm_up_ms, MAX_WARM_UP_MS),
     )
     return None, state
 
--- a/libs/forwarder/src/lagoontally_forwarder/_view_document.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_view_document.py
@@ -1,10 +1,16 @@
 """JSON documents of targets and configuration, for peers that missed updates."""
 
-from lagoontally_flows import Configuration, Service
+from lagoontally_flows import MAX_WARM_UP_MS, Configuration, Service
 from lagoontally_lean import Record, dumps, loads
 
 from ._messages import DECODE_ERRORS, decode_route, encode_route
-from ._target_codec import MAX_VERSION, decode_position, decode_target, encode_target
+from ._target_codec import (
+    MAX_VERSION,
+    bounded,
+    decode_position,
+    decode_target,
+    encode_target,
+)
 
 
 class TargetsCopy(
@@ -49,7 +55,7 @@
         if None in entries.values():
             return None
         warm_ups = {
-            int(cookie): max(0, int(left_ms))
+            int(cookie): bounded(max(0, int(left_ms)), MAX_WARM_UP_MS)
             for cookie, left_ms in document.get("warm_ups", ())
         }
         position = decode_position(document["position"])
--- a/libs/standins/src/lagoontally_standins/packets/__init__.py
+++ b/libs/standins/src/lagoontally_standins/packets/__init__.py
@@ -4,6 +4,7 @@
 from ._deployment import GRACE_S, PEER_PORT, SERVICES, Deployment
 from ._loop import Loop
 from ._network import release_network, reserve_network
+from ._odd_entries import odd_entries, odd_keys
 from ._process import BALANCER_PROGRAM
 from ._proxy import DELAYED, ONE_WAY, PASS, RESET, SILENT, Proxy
 from ._store import ANSWERING, BUSY, RESETTING, Store
@@ -34,6 +35,8 @@
     "Store",
     "Target",
     "encode_packet",
+    "odd_entries",
+    "odd_keys",
     "release_network",
     "reserve_network",
 ]
