Refuse entries of targets without version or seq-no, or with an id of zeros

PROTOCOL, Service discovery: an entry has version and seq-no among its fields, and one with fields missing "names no target to use". The decoder didn't look at the two, as nothing uses them here. Its id, legacy-0, became a name of zeros, with which a datagram is for any target, so the target at the entry's address took the packets.

Both are refused now.

--- a/libs/bench/features/steps/target_changes_steps.py
+++ b/libs/bench/features/steps/target_changes_steps.py
@@ -13,7 +13,7 @@
     """All balancers know them."""
     run = context.run
     before = set(run.targets)
-    for number in range(count):
+    for number in range(1, count + 1):
         run.started += 1
         entry = run.new_target() | {"warmup-left-ms": warm_up_ms}
         run.write_target(f"{ENTRY_PREFIX}i-{number:016x}", entry)
--- a/libs/bench/src/lagoontally_bench/_lost_changes_run.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_run.py
@@ -84,9 +84,11 @@
             "service": self.random.choice(SERVICES),
             "address": f"10.0.{self.started >> 8}.{self.started & 255}:80",
             "zone": "z0",
+            "version": "v1",
             "max-concurrency": 2,
             "state": "ready",
             "warmup-left-ms": 0,
+            "seq-no": 1,
             "born": 1_000_000 + self.fleet.now_ms,
         }
 
--- a/libs/forwarder/features/platform.feature
+++ b/libs/forwarder/features/platform.feature
@@ -55,6 +55,13 @@
       | warmup-left-ms  | missing            |
       | warmup-left-ms  | -1                 |
       | warmup-left-ms  | 0.5                |
+      | version         | missing            |
+      | version         | ""                 |
+      | version         | 1                  |
+      | seq-no          | missing            |
+      | seq-no          | -1                 |
+      | seq-no          | "4"                |
+      | seq-no          | 0.5                |
       | born            | "yesterday"        |
       | born            | 1.5                |
       | born            | null               |
