Let answers refute that callers gave up on a target

FLOW: while a flow's target lives, with no disruption on it, the client gets no reset that the target didn't send. Cause: three balancers whose callers gave up confirmed that a target is stuck, at once, and only an answer through the same balancer cleared that. An answer that any balancer sees refuted reports of overdue requests, but not these.

Such a report now states when its request was sent. An answer since then, here or at a peer, keeps a balancer from reporting, drops the report, and is told to the peers, as for overdue requests. Peers have the same 100 ms to object before flows are reset; the scenario of three balancers waits for that. A hanging target answers nobody, so nothing changes there.

--- a/libs/flows/features/steps/stuck_steps.py
+++ b/libs/flows/features/steps/stuck_steps.py
@@ -8,6 +8,7 @@
     ANSWERED,
     FIN,
     STUCK,
+    UNANSWERED,
     Configuration,
     FlowReset,
     Route,
@@ -71,6 +72,25 @@
         deliver_verdict(context, context.target, "unanswered", number)
 
 
+@when(
+    "{count:d} peers report that callers gave up on its target after {waited_ms:d} ms"
+)
+def step_given_up_after(context, count, waited_ms):
+    """The reports tell when the requests were sent."""
+    world = context.world
+    for number in range(count):
+        verdict = Verdict(context.target.cookie, True, UNANSWERED, waited_ms)
+        world.balancer.on_verdict(verdict, f"peer-{number}", world.now_ms)
+    world.collect()
+
+
+@when("its caller gives up")
+def step_caller_gives_up(context):
+    """It ends its flow with nothing new acknowledged."""
+    cookie = context.target.cookie
+    context.world.send(context.flow, ACK | FIN, cookie=cookie, ack=5_000)
+
+
 @when("every target is reported as stuck")
 def step_all(context):
     """A peer reports overdue requests to each."""
--- a/libs/flows/features/stuck.feature
+++ b/libs/flows/features/stuck.feature
@@ -14,8 +14,49 @@
     When a flow is opened
     And 2 peers report that callers gave up on its target
     And another caller of its target gives up after 600 ms
+    And 100 ms pass
+    Then its next request is reset as "target_stuck"
+
+  # Guards against a crowded target that answers and whose callers were taken for proof.
+  Scenario: An answer through one balancer refutes that callers gave up
+    When a flow is opened
+    And 3 peers report that callers gave up on its target after 500 ms
+    And a peer reports that it answered 100 ms ago
+    And 200 ms pass
+    Then its packets still go to that target
+    And the flow isn't reset
+
+  Scenario: A balancer that has seen an answer refutes that callers gave up
+    When a flow is opened
+    And its caller sends a request that is answered after 30 ms
+    And 100 ms pass
+    And 2 peers report that callers gave up on its target after 500 ms
+    Then the peers are notified that the target answers
+    When 1 peers report that callers gave up on its target after 500 ms
+    And 200 ms pass
+    Then its packets still go to that target
+
+  Scenario: Callers that gave up on later requests than the last answer are believed
+    When a flow is opened
+    And a peer reports that it answered 700 ms ago
+    And 3 peers report that callers gave up on its target after 500 ms
+    And 100 ms pass
     Then its next request is reset as "target_stuck"
 
+  Scenario: Callers that gave up reset no flow before others can refute them
+    When a flow is opened
+    And 3 peers report that callers gave up on its target after 500 ms
+    And 50 ms pass
+    Then the flow isn't reset
+
+  Scenario: A caller that gives up while others get answers isn't reported
+    When a flow is opened
+    And its caller sends a request and gets no answer for 400 ms
+    And a peer reports that it answers
+    And earlier effects are ignored
+    And its caller gives up
+    Then the peers get no verdict
+
   Scenario: Reports of two balancers reset no flow
     When a flow is opened
     And 2 peers report that callers gave up on its target
--- a/libs/flows/src/lagoontally_flows/_targets/_health.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_health.py
@@ -39,8 +39,8 @@
         dead: Whether the target is considered dead or stuck.
         evidence: ``REFUSED``, ``SILENT`` or ``ACCEPTED`` for the result of a probe;
             ``STUCK``, ``UNANSWERED`` or ``ANSWERED`` from ``StuckTargets``.
-        age_ms: With ``STUCK`` how long the request has waited, with ``ANSWERED``
-            how long ago the answer was seen, else 0.
+        age_ms: With ``STUCK`` and ``UNANSWERED`` how long the request has waited, with
+            ``ANSWERED`` how long ago the answer was seen, else 0.
     """
 
     __slots__ = ()
--- a/libs/flows/src/lagoontally_flows/_targets/_stuck_targets.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_stuck_targets.py
@@ -6,9 +6,9 @@
 away from the target, here and at the peers.
 
 Open flows are reset once a target is confirmed to be stuck, early enough for their
-callers to go elsewhere: when requests through several balancers are overdue and
-no balancer refutes it by a recent answer, or when callers of several balancers gave
-up. One or two balancers aren't enough, as their own network may lose the packets.
+callers to go elsewhere: when requests through several balancers are overdue, or their
+callers gave up, and no balancer refutes it by an answer since those requests were sent.
+One or two balancers aren't enough, as their own network may lose the packets.
 """
 
 from lagoontally_lean import Record
@@ -29,7 +29,7 @@
 
 
 class OverdueReport(Record, fields="request_sent_ms received_ms"):
-    """A balancer's report that a request is overdue.
+    """A balancer's report that a request is overdue, or that its caller gave up.
 
     Attributes:
         request_sent_ms: When the request was sent, by its age in the report.
@@ -49,8 +49,8 @@
         suspects: When a request to each target was last overdue, by cookie.
         overdue_reports: ``OverdueReport`` by cookie and balancer. A later answer
             that any balancer sees refutes it.
-        abandonments: When each balancer's callers last gave up on a target without
-            an answer, by cookie and balancer.
+        abandonments: ``OverdueReport`` of the request on which a caller gave up last,
+            by cookie and balancer. It is refuted likewise.
         answered_ms: When each target last answered a request of this balancer's
             flows. Handshakes don't count: a hanging target completes them too.
         peer_answered_ms: When each target answered through a peer, by the age in
@@ -83,10 +83,11 @@
             A list with the ``Verdict`` to send to peers, empty unless the request
             was overdue.
         """
-        if now_ms - flow.request_sent_ms < OVERDUE_MS:
+        cookie, sent_ms = flow.cookie, flow.request_sent_ms
+        if now_ms - sent_ms < OVERDUE_MS or self._is_refuted(cookie, sent_ms):
             return []
-        self._record_abandonment(flow.cookie, THIS_BALANCER, now_ms)
-        return [Verdict(flow.cookie, True, UNANSWERED, 0)]
+        self._record_abandonment(cookie, THIS_BALANCER, sent_ms, now_ms)
+        return [Verdict(cookie, True, UNANSWERED, round(now_ms - sent_ms))]
 
     def on_verdict(self, verdict, host, now_ms):
         """Handle the ``Verdict`` that the peer at ``host`` sent.
@@ -100,8 +101,9 @@
             self._refute(cookie, now_ms - verdict.age_ms)
             return []
         if verdict.evidence == UNANSWERED:
-            self._record_abandonment(cookie, host, now_ms)
-            return []
+            sent_ms = now_ms - verdict.age_ms
+            self._record_abandonment(cookie, host, sent_ms, now_ms)
+            return self._refute_peers(cookie, now_ms)
         self.suspects[cookie] = now_ms
         report = OverdueReport(now_ms - verdict.age_ms, now_ms)
         self.overdue_reports.setdefault(cookie, {})[host] = report
@@ -115,14 +117,7 @@
         """
         verdicts = []
         for flow in _overdue_flows(self.flows, now_ms):
-            # If the target answers others, this request may just take long.
-            refuted = (
-                self.peer_answered_ms.get(flow.cookie, flow.request_sent_ms)
-                > flow.request_sent_ms
-            )
-            if not refuted and not self.answered_since(
-                flow.cookie, flow.request_sent_ms
-            ):
+            if not self._is_refuted(flow.cookie, flow.request_sent_ms):
                 verdicts += self._suspect(flow, now_ms)
         self._forget_old(now_ms)
         return verdicts
@@ -142,13 +137,11 @@
 
     def is_confirmed(self, cookie, now_ms):
         """Return whether enough balancers found a target stuck to reset its flows."""
-        if len(self.abandonments.get(cookie, ())) >= MIN_BALANCERS:
-            return True
-        reports = self.overdue_reports.get(cookie, {}).values()
-        unrefuted = [
-            report for report in reports if now_ms - report.received_ms >= OBJECTION_MS
-        ]
-        return len(unrefuted) >= MIN_BALANCERS
+        return any(
+            sum(now_ms - one.received_ms >= OBJECTION_MS for one in reports.values())
+            >= MIN_BALANCERS
+            for reports in self._reports_on(cookie)
+        )
 
     def forget(self, cookie):
         """Drop all state of a target."""
@@ -168,19 +161,34 @@
         reports[THIS_BALANCER] = OverdueReport(flow.request_sent_ms, now_ms)
         return [Verdict(cookie, True, STUCK, round(now_ms - flow.request_sent_ms))]
 
-    def _record_abandonment(self, cookie, host, now_ms):
+    def _is_refuted(self, cookie, sent_ms):
+        """Return whether the target has answered others since a request was sent.
+
+        Then that request may just take long.
+        """
+        peer_answered_ms = self.peer_answered_ms.get(cookie, sent_ms)
+        return peer_answered_ms > sent_ms or self.answered_since(cookie, sent_ms)
+
+    def _record_abandonment(self, cookie, host, sent_ms, now_ms):
         self.suspects[cookie] = now_ms
-        self.abandonments.setdefault(cookie, {})[host] = now_ms
+        report = OverdueReport(sent_ms, now_ms)
+        self.abandonments.setdefault(cookie, {})[host] = report
+
+    def _reports_on(self, cookie):
+        """Return the reports on a target by balancer, those of either kind."""
+        return [
+            table.get(cookie, {}) for table in (self.overdue_reports, self.abandonments)
+        ]
 
     def _refute_peers(self, cookie, now_ms):
-        """Refute overdue reports on a target that has answered here since.
+        """Refute reports on a target that has answered here since.
 
         Returns:
             A list with the ``Verdict`` to send to peers. It is empty while there are
             too few reports to matter: a single one also occurs with healthy targets.
         """
         answered_ms = self.answered_ms.get(cookie)
-        report_count = len(self.overdue_reports.get(cookie, ()))
+        report_count = max(map(len, self._reports_on(cookie)))
         if answered_ms is None or report_count < MIN_REFUTED_REPORTS:
             return []
         if not self._refute(cookie, answered_ms):
@@ -189,17 +197,19 @@
 
     def _refute(self, cookie, answered_ms):
         """Drop reports on requests sent before an answer; return their number."""
-        reports = self.overdue_reports.get(cookie, {})
-        refuted = [
-            balancer
-            for balancer, report in reports.items()
-            if report.request_sent_ms < answered_ms + MESSAGE_DELAY_MS
-        ]
-        for balancer in refuted:
-            del reports[balancer]
-        if not reports:
-            self.overdue_reports.pop(cookie, None)
-        return len(refuted)
+        count = 0
+        for table in (self.overdue_reports, self.abandonments):
+            reports = table.get(cookie, {})
+            kept = {
+                balancer: report
+                for balancer, report in reports.items()
+                if report.request_sent_ms >= answered_ms + MESSAGE_DELAY_MS
+            }
+            count += len(reports) - len(kept)
+            table[cookie] = kept
+            if not kept:
+                del table[cookie]
+        return count
 
     def _forget_old(self, now_ms):
         for cookie, suspected_ms in list(self.suspects.items()):
@@ -208,26 +218,23 @@
         for cookie, answered_ms in list(self.peer_answered_ms.items()):
             if now_ms - answered_ms > RETENTION_MS:
                 del self.peer_answered_ms[cookie]
-        for cookie, times in list(self.abandonments.items()):
-            _prune(
-                self.abandonments, cookie, times, lambda ms: now_ms - ms <= RETENTION_MS
-            )
-        for cookie, reports in list(self.overdue_reports.items()):
-            _prune(
-                self.overdue_reports,
-                cookie,
-                reports,
-                lambda report: now_ms - report.received_ms <= REPORT_RETENTION_MS,
-            )
-
-
-def _prune(table, cookie, by_balancer, is_kept):
-    """Drop the items of a target that ``is_kept`` rejects."""
-    kept = {name: item for name, item in by_balancer.items() if is_kept(item)}
-    if kept:
-        table[cookie] = kept
-    else:
-        del table[cookie]
+        for table, retention_ms in (
+            (self.abandonments, RETENTION_MS),
+            (self.overdue_reports, REPORT_RETENTION_MS),
+        ):
+            _prune(table, now_ms - retention_ms)
+
+
+def _prune(table, oldest_ms):
+    """Drop the reports that were received before a time."""
+    for cookie, reports in list(table.items()):
+        table[cookie] = {
+            balancer: report
+            for balancer, report in reports.items()
+            if report.received_ms >= oldest_ms
+        }
+        if not table[cookie]:
+            del table[cookie]
 
 
 def _overdue_flows(flows, now_ms):
