--- a/libs/flows/features/other_writers.feature
+++ b/libs/flows/features/other_writers.feature
@@ -50,6 +50,17 @@
       | usage-ledger  |
       | pivot-link    |
 
+  # Guards against a warm target that got few flows since another entry told otherwise.
+  Scenario Outline: An entry with the id of another one doesn't tell its warm-up
+    When a flow is opened
+    And an entry with its target's id tells a warm-up of 20000 ms, under <key>
+    Then its target isn't warming up
+
+    Examples:
+      | key           |
+      | another key   |
+      | the same key  |
+
   Scenario: The second of two entries with one id is used once the first is gone
     When a flow is opened
     And an entry of the service "pivot-link" with its target's id and another address is listed
--- a/libs/flows/features/steps/other_writers_steps.py
+++ b/libs/flows/features/steps/other_writers_steps.py
@@ -53,6 +53,20 @@
     write(context, replaced, key=context.target.name.hex())
 
 
+@when("an entry with its target's id tells a warm-up of {warm_up_ms:d} ms, under {key}")
+def step_warm_up(context, warm_up_ms, key):
+    """Nothing names its service."""
+    told = context.target._replace(service="print-spooler", warm_up_ms=warm_up_ms)
+    write(context, told, context.target.name.hex() if "same" in key else OTHER_KEY)
+
+
+@then("its target isn't warming up")
+def step_warm(context):
+    """It has run for long."""
+    world = context.world
+    assert not world.balancer.warm_ups.left_ms(context.target, world.now_ms)
+
+
 @when("its target writes its entry again")
 def step_write_again(context):
     """It does so with each change."""
--- a/libs/flows/src/lagoontally_flows/_target_entries.py
+++ b/libs/flows/src/lagoontally_flows/_target_entries.py
@@ -47,7 +47,7 @@
             self.unknown_cookies.forget(target.cookie)
         if before == target:
             return
-        if target is not None:
+        if target is not None and self.view.by_cookie.get(target.cookie) == target:
             self.warm_ups.on_entry(target, now_ms)
         for address in {one.address for one in (before, target) if one is not None}:
             self._update_ended(address)
