Soak: planned work that overlaps, odd entries and impatient callers

`--planned` draws versions in quick succession after a large one, restarts while a large version spreads, entries of other writers beside live targets, and callers that give up on a crowded target, and no disturbance, which would excuse what they lead to. The soak of faults and its seeds are as they were.

--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -17,6 +17,17 @@
       | seed | seconds |
       | 601  | 12      |
 
+  # Guards against the faults of docs/incidents/configuration-fetch-postponed.md,
+  # unknown-route-reset.md, entry-without-target.md and crowded-target-reset.md.
+  Scenario Outline: Planned work that overlaps, odd entries and impatient callers
+    When seed <seed> is run for <seconds> s with planned work alone
+    Then no promise is broken
+    And at least 1000 requests were answered
+
+    Examples:
+      | seed | seconds |
+      | 8005 | 16      |
+
   Scenario Outline: A broken build is detected
     When seed <seed> is run with "<mutation>"
     Then a violation of the promise that it breaks is found
--- a/libs/soak/features/steps/soak_steps.py
+++ b/libs/soak/features/steps/soak_steps.py
@@ -45,6 +45,13 @@
     context.run = soak(seed=seed, seconds=seconds, network=network)
 
 
+@when("seed {seed:d} is run for {seconds:d} s with planned work alone")
+def step_planned(context, seed, seconds):
+    """Nothing that the platform's rules excuse happens meanwhile."""
+    network = reserve_network(NETWORKS)
+    context.run = soak(seed=seed, seconds=seconds, network=network, planned=True)
+
+
 @when('seed {seed:d} is run with "{mutation}"')
 def step_mutation(context, seed, mutation):
     """Run the broken build in all balancers."""
--- a/libs/soak/src/lagoontally_soak/__main__.py
+++ b/libs/soak/src/lagoontally_soak/__main__.py
@@ -30,7 +30,7 @@
         raise click.ClickException(text) from None
 
 
-def run_seed(seed, seconds, balancers, keep, explain, mutation):
+def run_seed(seed, seconds, balancers, keep, explain, mutation, planned):
     """Run one seed and return its report."""
     network = reserve_seed_network(seed)
     folder = keep and Path(keep) / f"seed-{seed}"
@@ -42,6 +42,7 @@
             balancers=balancers,
             keep=folder,
             mutation=mutation,
+            planned=planned,
         )
     finally:
         release_network(network)
@@ -78,14 +79,28 @@
     type=click.Choice(list(MUTATIONS)),
     help="Run a broken build, which should be detected.",
 )
-def main(seed, count, seconds, balancers, jobs, keep, explain, mutation):
+@click.option(
+    "--planned",
+    is_flag=True,
+    help="Draw planned work that overlaps, and odd entries, instead of faults.",
+)
+def main(seed, count, seconds, balancers, jobs, keep, explain, mutation, planned):
     """Run balancers under faults and check what callers and targets observe."""
     if explain and not keep:
         raise click.UsageError("--explain needs --keep, for the logs")
     failed = 0
     with ProcessPoolExecutor(jobs) as pool:
         runs = [
-            pool.submit(run_seed, current, seconds, balancers, keep, explain, mutation)
+            pool.submit(
+                run_seed,
+                current,
+                seconds,
+                balancers,
+                keep,
+                explain,
+                mutation,
+                planned,
+            )
             for current in range(seed, seed + count)
         ]
         for run in runs:
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -19,6 +19,7 @@
 from ._faults import Faults
 from ._mutations import MUTATIONS
 from ._old_copies import OldCopies
+from ._planned_work import PlannedWork
 from ._series import Series
 from ._views import view_violations
 from ._violation import Violation
@@ -49,6 +50,7 @@
         folder: Folder for settings and logs.
         mutation: Name of a broken build to run, None for the program. Its run ends
             as soon as the broken promise is detected.
+        planned: Whether to draw ``PlannedWork`` that overlaps instead of faults.
 
     Attributes:
         violations: The ``Violation`` records found.
@@ -57,7 +59,9 @@
         failures: ``Failure`` of each request that wasn't answered.
     """
 
-    def __init__(self, *, seed, network, balancers, folder, mutation=None):
+    def __init__(
+        self, *, seed, network, balancers, folder, mutation=None, planned=False
+    ):
         # The number of draws for callers depends on timing; a separate generator
         # keeps the order of faults reproducible.
         self.random = Random(f"callers {seed}")
@@ -95,12 +99,20 @@
         self.outcomes = {}
         self.failures = []
         self.injecting_faults = False
+        self.planned_work = None
+        if planned:
+            random = Random(f"planned work {seed}")
+            self.planned_work = PlannedWork(
+                self.deployment, self.faults, self.series, self.pending_since, random
+            )
 
     def run(self, seconds):
         """Inject faults for some seconds and return the violations."""
         promise = self.mutation and self.mutation.promise
         try:
-            if promise in (None, BOUND_PROMISE):
+            if self.planned_work is not None:
+                self.planned_work.set_up()
+            elif promise in (None, BOUND_PROMISE):
                 self.cold_returns.set_up()
             if not self.deployment.start():
                 self.violations.append(
@@ -109,15 +121,21 @@
                 return self.violations
             self.injecting_faults = True
             self._send_requests()
-            self._inject_faults()
-            self._inject_series()
-            if promise in (None, EVACUATION_PROMISE, BOUND_PROMISE):
-                # Last, so that the other faults of a seed stay as they were.
-                self._change_evacuations()
+            if self.planned_work is not None:
+                self._inject_planned_work()
+            else:
+                self._inject_faults()
+                self._inject_series()
+                if promise in (None, EVACUATION_PROMISE, BOUND_PROMISE):
+                    # Last, so that the other faults of a seed stay as they were.
+                    self._change_evacuations()
             if self._run_for(seconds):
                 return self.violations
             self.injecting_faults = False
-            self.series.inject_last()
+            if self.planned_work is not None:
+                self.planned_work.end_all()
+            else:
+                self.series.inject_last()
             if self._run_for(RECOVERY_S):
                 return self.violations
             self._on_return(self.evacuations.end())
@@ -161,6 +179,11 @@
             self.series.inject_one()
             self.loop.after(self.series.next_pause_s(), self._inject_series)
 
+    def _inject_planned_work(self):
+        if self.injecting_faults:
+            self.planned_work.inject_one()
+            self.loop.after(self.planned_work.next_pause_s(), self._inject_planned_work)
+
     def _change_evacuations(self):
         if not self.injecting_faults:
             return
@@ -269,7 +292,9 @@
         self.violations += view_violations(self.deployment)
 
 
-def soak(*, seed, seconds, network, balancers=3, keep=None, mutation=None):
+def soak(
+    *, seed, seconds, network, balancers=3, keep=None, mutation=None, planned=False
+):
     """Run a soak test in a folder of its own.
 
     Args:
@@ -279,6 +304,7 @@
         balancers: Balancers in each data centre.
         keep: Folder for settings and logs; None for one that is removed.
         mutation: Name of a broken build to run, None for the program.
+        planned: Whether to draw planned work that overlaps instead of faults.
 
     Returns:
         The ``Soak`` after its run.
@@ -292,6 +318,7 @@
             balancers=balancers,
             folder=folder,
             mutation=mutation,
+            planned=planned,
         )
         run.run(seconds)
         # On the clock of ``at_ms`` in the logs.
--- a/libs/standins/src/lagoontally_standins/packets/_deployment.py
+++ b/libs/standins/src/lagoontally_standins/packets/_deployment.py
@@ -38,6 +38,7 @@
     Attributes:
         ledger: Every ``Run`` of every target.
         routes: Services by route (address and port) in the latest configuration.
+        idle_routes: Further routes, which see no traffic.
         services_ever: Every service that a route ever had, by route.
         targets: Index of the data centre and ``Target`` by target id.
         states: State that each target last wrote, by target id.
@@ -60,6 +61,7 @@
         self.published = None
         self.evacuated = set()
         self.services_ever = {}
+        self.idle_routes = {}
         self.store = Store(self.loop, (self.host(0, 1), STORE_PORT))
         self.routes = {
             (parse_host(ROUTE_HOST), port): service
@@ -98,7 +100,7 @@
                 "type": "safe",
                 "service": service,
             }
-            for (_, port), service in self.routes.items()
+            for (_, port), service in (self.routes | self.idle_routes).items()
         ]
         document = {
             "version": self.version,
@@ -194,7 +196,8 @@
 
     def published_configuration(self):
         """Return what should be in force, in the form of ``fetch_configuration``."""
-        routes = {route: [(service, 1)] for route, service in self.routes.items()}
+        listed = self.routes | self.idle_routes
+        routes = {route: [(service, 1)] for route, service in listed.items()}
         return self.published["version"], routes
 
     def listed_targets(self):
--- a/libs/standins/src/lagoontally_standins/packets/_target.py
+++ b/libs/standins/src/lagoontally_standins/packets/_target.py
@@ -56,6 +56,9 @@
         warm_up_ms: What its entry states of its warm-up.
         born_ms: Unix time of its start, as its entry states it.
         started_at: When it started, on the loop's clock.
+        work_s: How long a request takes.
+        slow_every: Of how many requests one takes ``slow_s``, 0 for none.
+        slow_s: How long that one takes.
     """
 
     def __init__(self, loop, identity, service, address, *, caller_port, ledger):
@@ -74,6 +77,9 @@
         self.born_ms = BORN_MS
         self.started_at = loop.now
         self.work_s = 0.005
+        self.slow_every = 0
+        self.slow_s = 0.0
+        self.runs = 0
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(address)
         self.address = address
@@ -160,7 +166,7 @@
             self.ledger.append(Run(request, self.identity, self.service, self.loop.now))
             answer = f"{self.service} {self.identity} {request}".encode()
             self.loop.after(
-                self.work_s, lambda: self._answer(flow, header.cookie, answer)
+                self._next_work_s(), lambda: self._answer(flow, header.cookie, answer)
             )
         elif data:
             self._send(
@@ -173,6 +179,12 @@
         if header.flags & FIN:
             del self.flows[flow]
 
+    def _next_work_s(self):
+        """Return how long the next request takes."""
+        self.runs += 1
+        is_slow = self.slow_every and self.runs % self.slow_every == 0
+        return self.slow_s if is_slow else self.work_s
+
     def _answer(self, flow, cookie, answer):
         flow_state = self.flows.get(flow)
         if flow_state is None or self.sock is None:
