--- a/libs/flows/src/lagoontally_flows/_target_entries.py
+++ b/libs/flows/src/lagoontally_flows/_target_entries.py
@@ -78,9 +78,12 @@
 
     def _update_ended(self, address):
         """Find the targets that ended before another one got their address."""
+        cookies = self.view.owners.cookies_at(address)
+        if len(cookies) < 2 and not self.health.ended:
+            return
         ended = self.view.ended_at(address)
         known = self.health.ended
-        for cookie in self.view.owners.cookies_at(address):
+        for cookie in cookies:
             if cookie in ended and cookie not in known:
                 known.add(cookie)
                 self.reset_flows(cookie, "ended")
--- a/libs/flows/src/lagoontally_flows/_targets/_view.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_view.py
@@ -153,14 +153,23 @@
 
     def _update_unused(self, before, target, now_ms):
         """Find unused entries by their cookies, where no used one has the cookie."""
-        for one in (before, target):
-            if one is None or one.cookie in self._keys or one.cookie in self.delisted:
-                continue
-            listed = self._listed_with(one.cookie)
-            if listed is not None:
-                self.by_cookie[one.cookie] = listed
-            elif one.cookie in self.by_cookie:
-                self.delisted[one.cookie] = DelistedTarget(one, now_ms)
+        if target is not None and not self._is_known(target.cookie):
+            known = self.by_cookie.get(target.cookie)
+            if known is None or known == before:
+                self.by_cookie[target.cookie] = target
+        if before is None or self._is_known(before.cookie):
+            return
+        if self.by_cookie.get(before.cookie) != before:
+            return
+        listed = self._listed_with(before.cookie)
+        if listed is None:
+            self.delisted[before.cookie] = DelistedTarget(before, now_ms)
+        else:
+            self.by_cookie[before.cookie] = listed
+
+    def _is_known(self, cookie):
+        """Return whether a cookie stands for a target that is or was used."""
+        return cookie in self._keys or cookie in self.delisted
 
     def _listed_with(self, cookie):
         """Return the first listed target with a cookie, or None."""
