--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -26,7 +26,7 @@
 
     Examples:
       | seed | seconds |
-      | 8005 | 16      |
+      | 8203 | 24      |
 
   Scenario Outline: A broken build is detected
     When seed <seed> is run with "<mutation>"
