--- a/libs/flows/src/lagoontally_flows/_balancer.py
+++ b/libs/flows/src/lagoontally_flows/_balancer.py
@@ -208,6 +208,7 @@
 
     def _on_open_flow(self, packet, flow, cookie, now_ms):
         if self.configuration is not None and self._route(packet.flow) is None:
+            # A flow with another cookie is an earlier one of the same port.
             known = flow if flow is not None and flow.cookie == cookie else None
             if is_route_removed(known, self.configuration_confirmed_ms):
                 return self._end_flow(packet, "route_removed")
--- a/libs/flows/src/lagoontally_flows/_store/_reader_election.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reader_election.py
@@ -37,7 +37,7 @@
         self.heard_ms = None
         self.recovered_ms = None
         self._reader_failing = False
-        self._takeover_ms = 0
+        self._takeover_ms = 0  # until the store has answered or a reader was heard
         self._takeover_put_off = False
 
     def take_over_if_due(self, now_ms):
