--- a/libs/flows/src/lagoontally_flows/_store/_reader_election.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reader_election.py
@@ -60,7 +60,7 @@
         self.failures = 0
         self.contact_ms = self.heard_ms = now_ms
         if not self.reader and not self._takeover_ms:
-            # Beacons of a reader set it from then on; answers tell nothing of a reader.
+            # Only the first answer counts: later ones don't show that a reader lives.
             self._takeover_ms = now_ms + FRESH_MS + self._takeover_delay_ms()
 
     def record_working_reader(self, beacon, now_ms):
--- a/libs/flows/src/lagoontally_flows/_store/_reads.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reads.py
@@ -104,7 +104,8 @@
             delay_ms = configuration_fetch_delay_ms(self.members, routes, self.random)
             self._configuration_fetch.schedule(now_ms + delay_ms)
         elif not from_reader:
-            self._reader_is_next = False  # it has become too large since
+            # The configuration has become too large for the reader's link since.
+            self._reader_is_next = False
 
     def _on_caught_up(self):
         """Record that no version newer than the one in force is announced."""
--- a/libs/flows/src/lagoontally_flows/_targets/_bounds.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_bounds.py
@@ -9,7 +9,7 @@
 MAX_SLOTS = 10_000  # of one target; thousands of them are added up
 MAX_WARM_UP_MS = 3_600_000
 MAX_UNIX_MS = 1 << 42  # the year 2109
-MAX_NAME_LENGTH = 200  # in JSON; an entry has two names and must fit into a datagram
+MAX_NAME_LENGTH = 200  # characters in JSON: a datagram holds an entry with two names
 
 
 def out_of_range(target):
--- a/libs/flows/src/lagoontally_flows/_targets/_view.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_view.py
@@ -57,8 +57,8 @@
         self.store_recovered_ms = None
         self.generation = 0
         self.digest = _digest.EMPTY
-        self._keys = {}  # of the entry that is used, by cookie
-        self._shared = set()  # cookies that further entries have
+        self._keys = {}  # key of the used entry, by cookie
+        self._shared = set()  # cookies of several entries
         self._services = {}
         self._data_centres = set()
         self._services_generation = -1
--- a/libs/soak/features/soak.feature
+++ b/libs/soak/features/soak.feature
@@ -26,6 +26,7 @@
 
     Examples:
       | seed | seconds |
+      | 8202 | 24      |
       | 8203 | 24      |
 
   Scenario Outline: A broken build is detected
