Let a caller that retransmits show a hanging target while flows move

Callers of a hanging target waited until their deadlines, and new flows still went to it, while routers dealt flows anew: each first packet of a moved flow made its balancer forget all pending requests, and after a rolling restart such packets come for seconds.

Requests are set aside now instead of forgotten. A retransmission that passes through this balancer proves that its flow is still here and that its request is unanswered; if it is overdue by then, the target is suspected at once, as the next flow may set it aside again. After a pause of the process, everything is forgotten as before.

"A caller that retransmits here shows a hanging target while flows move" failed before (no verdict); the other two new scenarios guard the limits of the change.

--- a/libs/flows/features/steps/stuck_steps.py
+++ b/libs/flows/features/steps/stuck_steps.py
@@ -215,6 +215,40 @@
     context.world.send(flow, cookie=context.targets[1].cookie, ack=77)
 
 
+@when(
+    "its caller retransmits a request for {duration_ms:d} ms "
+    "while flows of others move here"
+)
+def step_retransmits(context, duration_ms):
+    """Its retransmissions come after 200 ms, 600 ms and so on."""
+    send_while_flows_move(context, duration_ms, retransmission_ms=(200, 600, 1_400))
+
+
+@when(
+    "its caller sends a request while flows of others move here for {duration_ms:d} ms"
+)
+def step_moves(context, duration_ms):
+    """Its own flow has moved away, too."""
+    send_while_flows_move(context, duration_ms)
+
+
+@when("its caller retransmits the request")
+def step_retransmission(context):
+    """Nothing is acknowledged."""
+    send_request(context, context.flow, context.target)
+
+
+def send_while_flows_move(context, duration_ms, retransmission_ms=()):
+    """Send a request, and the first packet of another flow each 100 ms."""
+    other = next(one for one in context.targets if one != context.target)
+    for waited_ms in range(0, duration_ms, 100):
+        if waited_ms in (0, *retransmission_ms):
+            send_request(context, context.flow, context.target)
+        # An idle flow that moved brings a request.
+        send_request(context, context.world.new_flow(), other)
+        context.world.wait(100)
+
+
 @then('its next request is reset as "{reason}"')
 def step_request_reset(context, reason):
     """It is reset instead of forwarded."""
--- a/libs/flows/features/stuck.feature
+++ b/libs/flows/features/stuck.feature
@@ -204,6 +204,26 @@
     And another caller of its target ends after its answer
     Then its packets still go to that target
 
+  # Guards against flows that move here one after the other and hide a hanging target.
+  Scenario: A caller that retransmits here shows a hanging target while flows move
+    When a flow is opened
+    And its caller retransmits a request for 700 ms while flows of others move here
+    Then the peers are notified that the target is dead
+
+  Scenario: A request whose caller is answered elsewhere isn't overdue while flows move
+    When a flow is opened
+    And its caller sends a request while flows of others move here for 700 ms
+    Then the peers get no verdict
+
+  Scenario: A retransmission that waited for a paused process shows nothing
+    When a flow is opened
+    And its caller sends a request while flows of others move here for 100 ms
+    And the process is paused for 400 ms
+    And 100 ms pass
+    And its caller retransmits the request
+    And 100 ms pass
+    Then the peers get no verdict
+
   Scenario: Rehashed flows are no evidence of a stuck target
     When a flow is opened
     And its caller sends a request and gets no answer for 100 ms
--- a/libs/flows/src/lagoontally_flows/_targets/_stuck_targets.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_stuck_targets.py
@@ -117,11 +117,23 @@
         """
         verdicts = []
         for flow in _overdue_flows(self.flows, now_ms):
-            if not self._is_refuted(flow.cookie, flow.request_sent_ms):
-                verdicts += self._suspect(flow, now_ms)
+            verdicts += self._suspect(flow, now_ms)
         self._forget_old(now_ms)
         return verdicts
 
+    def on_retransmission(self, flow, now_ms):
+        """Handle a caller that retransmits a pending request.
+
+        It is checked at once, as it may be set aside again before the next tick.
+
+        Returns:
+            A list with the ``Verdict`` to send to peers, or an empty list.
+        """
+        sent_ms = flow.request_sent_ms
+        if sent_ms is None or now_ms - sent_ms < OVERDUE_MS:
+            return []
+        return self._suspect(flow, now_ms)
+
     def answered_since(self, cookie, moment_ms):
         """Return whether a target has answered a request after ``moment_ms``."""
         answered_ms = self.answered_ms.get(cookie)
@@ -152,8 +164,14 @@
         self.peer_answered_ms.pop(cookie, None)
 
     def _suspect(self, flow, now_ms):
-        """Suspect a flow's target; return a list with any new verdict."""
+        """Suspect the target of an overdue flow, unless it answers others.
+
+        Returns:
+            A list with any new ``Verdict``.
+        """
         cookie = flow.cookie
+        if self._is_refuted(cookie, flow.request_sent_ms):
+            return []
         self.suspects[cookie] = now_ms
         reports = self.overdue_reports.setdefault(cookie, {})
         if THIS_BALANCER in reports:
--- a/libs/flows/src/lagoontally_flows/_tracking/_flow_table.py
+++ b/libs/flows/src/lagoontally_flows/_tracking/_flow_table.py
@@ -96,6 +96,8 @@
         flows: ``Flow`` by flow key: the addresses and ports of both ends.
         open_flows: Number of flows that aren't closing, by cookie.
         pending: Flows with a pending request, oldest request first.
+        set_aside: When the requests were sent that were pending as routers rehashed
+            flows, by flow key. Their answers may pass through other balancers.
         in_hand: The ``RequestsInHand``.
     """
 
@@ -103,6 +105,7 @@
         self.flows = {}
         self.open_flows = {}
         self.pending = {}
+        self.set_aside = {}
         self.in_hand = RequestsInHand()
         self._swept_ms = 0
 
@@ -141,6 +144,7 @@
 
     def start_request(self, key, flow, now_ms):
         """Record a request of a flow's caller, unless one is pending already."""
+        self.set_aside.pop(key, None)
         if flow.request_sent_ms is None:
             flow.request_sent_ms = now_ms
             flow.idle = False
@@ -149,6 +153,7 @@
 
     def complete_request(self, key, flow):
         """Record that the pending request of a flow, if any, was answered."""
+        self.set_aside.pop(key, None)
         if flow.request_sent_ms is not None:
             flow.request_sent_ms = None
             flow.idle = True
@@ -157,13 +162,35 @@
 
     def forget_pending(self):
         """Forget all pending requests."""
-        for flow in self.pending.values():
+        self.set_pending_aside()
+        self.set_aside.clear()
+
+    def set_pending_aside(self):
+        """Set all pending requests aside until their callers retransmit them here."""
+        for key, flow in self.pending.items():
+            self.set_aside[key] = flow.request_sent_ms
             flow.request_sent_ms = None
         self.pending.clear()
         self.in_hand.clear()
 
+    def resume_request(self, key, flow, now_ms):
+        """Record that a flow's caller has retransmitted what it sent last.
+
+        If its request was set aside, its packets still pass through this balancer, and
+        the request isn't answered.
+        """
+        sent_ms = self.set_aside.pop(key, None)
+        if sent_ms is None:
+            return
+        flow.request_sent_ms = sent_ms
+        self.pending[key] = flow
+        by_age = sorted(self.pending.items(), key=lambda one: one[1].request_sent_ms)
+        self.pending = dict(by_age)
+        self.in_hand.begin(key, flow.cookie, now_ms)
+
     def close(self, key, flow):
         """Stop counting a flow whose caller closed it."""
+        self.set_aside.pop(key, None)
         self.in_hand.end(key)
         if not flow.closing:
             self._release(flow)
@@ -172,6 +199,7 @@
     def remove(self, key):
         """Remove a flow if it is known."""
         self.pending.pop(key, None)
+        self.set_aside.pop(key, None)
         self.in_hand.end(key)
         flow = self.flows.pop(key, None)
         if flow is not None and not flow.closing:
--- a/libs/flows/src/lagoontally_flows/_tracking/_packet_recorder.py
+++ b/libs/flows/src/lagoontally_flows/_tracking/_packet_recorder.py
@@ -51,6 +51,8 @@
         )
         if stalled:
             flow.last_packet_ms = now_ms
+            self.flows.resume_request(packet.flow, flow, now_ms)
+            self.effects.extend(self.stuck_targets.on_retransmission(flow, now_ms))
             probes = self.health.on_stall(cookie, flow.progress_ms, now_ms)
             self.effects.extend(probes)
             return
@@ -82,7 +84,7 @@
     def on_flows_rehashed(self, now_ms):
         """Handle a peer's notice that routers rehashed the flows."""
         self._rehashed_ms = now_ms
-        self.flows.forget_pending()
+        self.flows.set_pending_aside()
 
     def on_abandoned_request(self, packet, flow, now_ms):
         """Report a request that was pending when the caller ended the flow."""
@@ -99,7 +101,7 @@
         request sent through another balancer, so the rehash has just happened. The
         flow of a new request may have been rehashed long ago, while it was idle.
         """
-        self.flows.forget_pending()
+        self.flows.set_pending_aside()
         if packet.length or packet.flags & FIN:
             return
         self.effects.extend(self.stuck_targets.on_answer(cookie, now_ms))
