Let targets be cold that are listed after their data centre returned

A reader that regains the store reads the operator's requests first. So the end of an evacuation was known 4 ms before the list of targets was, and only the 4 targets known by then counted as cold; the entry of the fifth said 0 ms until its next heartbeat 0.3 s later. A target that wasn't known yet passed for one that isn't concerned.

A target that is listed while its data centre's return may still have made it cold counts as cold for the rest of that time, unless it is known to have started since.

"A target that is listed after its data centre returned is cold, too" failed before; "A target that started after its data centre returned is as its entry says" guards the limit.

--- a/libs/flows/features/cold_targets.feature
+++ b/libs/flows/features/cold_targets.feature
@@ -147,6 +147,27 @@
     When 2100 ms pass
     Then the target is warm
 
+  # Guards against a return that is known before all targets are.
+  Scenario: A target that is listed after its data centre returned is cold, too
+    Given a balancer with 0 cold and 2 warm targets
+    When "tifton" is emptied
+    And 1000 ms pass
+    And "tifton" is no longer emptied
+    And a target that started 60000 ms ago is listed with 0 ms left
+    Then the target warms up
+    When 2100 ms pass
+    Then the target is warm
+
+  Scenario: A target that started after its data centre returned is as its entry says
+    Given a balancer with 0 cold and 2 warm targets
+    And the service's targets warm up for 30000 ms
+    When "tifton" is emptied
+    And 1000 ms pass
+    And "tifton" is no longer emptied
+    And 10000 ms pass
+    And a target that started 1000 ms ago is listed with 0 ms left
+    Then the target is warm
+
   Scenario Outline: Targets that are listed after their data centre returned
     Given a balancer with 0 cold and 1 warm targets
     And the service's targets warm up for 30000 ms
--- a/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
+++ b/libs/flows/src/lagoontally_flows/_targets/_warm_ups.py
@@ -13,14 +13,14 @@
 CLOCK_TOLERANCE_MS = 3_000  # allowed difference between two instances' clocks
 
 
-class Statement(Record, fields="stated_ms received_ms until_ms age_ms"):
+class Statement(Record, fields="stated_ms received_ms until_ms started_ms"):
     """What an entry stated of its target's warm-up.
 
     Attributes:
         stated_ms: How long it warms up, as the entry states it.
         received_ms: When the entry arrived.
         until_ms: When the warm-up ends by this statement.
-        age_ms: Time since the target's start when the entry arrived, None if unknown.
+        started_ms: When the target started, None if unknown.
     """
 
     __slots__ = ()
@@ -49,6 +49,7 @@
         A statement that was heard before, as in an older copy of the entry, doesn't
         begin anew.
         """
+        self._on_listed_after_return(target, now_ms)
         stated_ms = target.warm_up_ms
         if not stated_ms:
             self._statements.pop(target.cookie, None)
@@ -125,16 +126,31 @@
         self._started_anew.discard(cookie)
         self._warm_ms.pop(cookie, None)
 
+    def _on_listed_after_return(self, target, now_ms):
+        """Let a target be cold whose data centre returned before it was listed here."""
+        if target.cookie in self._started_anew:
+            return
+        if not self._may_have_returned(target, self._started_ms(target)):
+            return
+        warm_ms = self._returned_ms[target.data_centre] + self._warm_up_ms(target)
+        if now_ms < warm_ms:
+            self._started_anew.add(target.cookie)
+            self._warm_ms[target.cookie] = warm_ms
+
+    def _started_ms(self, target):
+        """Return when a target started by this balancer's clock, None if unknown."""
+        if not target.born or self.unix_offset_ms is None:
+            return None
+        return target.born - self.unix_offset_ms
+
     def _on_started_anew(self, cookie):
         self._started_anew.add(cookie)
         self._warm_ms.pop(cookie, None)
 
     def _record(self, target, now_ms, *, left_ms):
-        age_ms = None
-        if target.born and self.unix_offset_ms is not None:
-            age_ms = now_ms + self.unix_offset_ms - target.born
         until_ms = now_ms + left_ms
-        statement = Statement(target.warm_up_ms, now_ms, until_ms, age_ms)
+        started_ms = self._started_ms(target)
+        statement = Statement(target.warm_up_ms, now_ms, until_ms, started_ms)
         self._statements[target.cookie] = statement
         self._latest_ms = max(self._latest_ms, until_ms)
 
@@ -151,22 +167,27 @@
         if not warm_up_ms:
             return statement.until_ms
         longest_ms = warm_up_ms
-        if statement.age_ms is not None and not self._may_have_returned(target):
-            since_start_ms = warm_up_ms + CLOCK_TOLERANCE_MS - statement.age_ms
+        started_ms = statement.started_ms
+        if started_ms is not None and not self._may_have_returned(target, started_ms):
+            age_ms = statement.received_ms - started_ms
+            since_start_ms = warm_up_ms + CLOCK_TOLERANCE_MS - age_ms
             # A target that started long ago warms up for another reason, such as the
             # return of its data centre.
             if since_start_ms > 0:
                 longest_ms = min(longest_ms, since_start_ms)
         return min(statement.until_ms, statement.received_ms + longest_ms)
 
-    def _may_have_returned(self, target):
-        """Return whether a target's data centre returned after the target's start."""
+    def _may_have_returned(self, target, started_ms):
+        """Return whether a target's data centre returned after the target's start.
+
+        Args:
+            target: The ``Target``.
+            started_ms: When it started, None if unknown.
+        """
         returned_ms = self._returned_ms.get(target.data_centre)
         if returned_ms is None:
             return False
-        statement = self._statements[target.cookie]
-        started_ms = statement.received_ms - statement.age_ms
-        return returned_ms + CLOCK_TOLERANCE_MS >= started_ms
+        return started_ms is None or returned_ms + CLOCK_TOLERANCE_MS >= started_ms
 
     def _start_until_ms(self, target, now_ms):
         """Return when a target that has started anew is warm; forget it then."""
