Keep the platform's names out of the search for lost changes and the soak

Its store on a virtual clock moves to the stand-ins, which parse the calls and write the documents; the soak states what cold targets bear by the stand-ins' words. No behaviour changes: the three features of the search pass (46 scenarios).

--- a/libs/bench/features/steps/evacuation_changes_steps.py
+++ b/libs/bench/features/steps/evacuation_changes_steps.py
@@ -3,9 +3,9 @@
 from behave import given, then, when
 
 from lagoontally_bench._lost_changes_fleet import SILENT
-from lagoontally_bench._lost_changes_store import EVACUATION_PREFIX
 from lagoontally_flows import BY_PEER, BY_READER, Evacuated, Evacuation, Position
 from lagoontally_forwarder._messages import encode_message
+from lagoontally_platform import EVACUATION_PREFIX
 
 HELLO_MS = 500
 OLDER_REVISIONS = 5
--- a/libs/bench/src/lagoontally_bench/_lost_changes_fleet.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_fleet.py
@@ -2,17 +2,15 @@
 
 from heapq import heappop, heappush
 from itertools import count
-from json import dumps
 from random import Random
 from unittest.mock import patch
-from urllib.parse import parse_qs, urlsplit
 
 from lagoontally_forwarder import _store_reader
 from lagoontally_forwarder._http_client import HttpFailure, HttpResponse
+from lagoontally_standins.packets import VirtualStore, parse_request
 
 from ._lost_changes_client import Client
 from ._lost_changes_process import STORE_ADDRESS, Process
-from ._lost_changes_store import Store
 
 MAX_AGE_MS = 6_000
 SILENT, BUSY, RESETTING = "silent", "busy", "resetting"
@@ -26,7 +24,7 @@
         seed: Seed of all that is drawn.
 
     Attributes:
-        store: The ``Store``.
+        store: The ``VirtualStore``.
         processes: The present ``Process`` by name.
         store_cuts: How the store treats calls, by process name.
         peer_cuts: Names of processes without a connection to their peers.
@@ -46,7 +44,7 @@
     def __init__(self, names, seed, *, one_copy=False, **store_options):
         self.now_ms = 0
         self.random = Random(seed)
-        self.store = Store(**store_options)
+        self.store = VirtualStore(**store_options)
         self.processes = dict.fromkeys(names)
         self.store_cuts = {}
         self.peer_cuts = set()
@@ -183,30 +181,31 @@
         if mode == BUSY:
             process.deliver(client.finish, number, HttpResponse(503, b"", b"{}"))
             return
-        query = {key: value[0] for key, value in parse_qs(urlsplit(path).query).items()}
-        if path.startswith("/api/kv-range"):
-            at_ms = self._copy_time(process, path, query)
-            answer = self.store.read(query, at_ms)
-            self.trace("store", "read", {"by": process.name, "at": at_ms} | query)
+        request = parse_request(path)
+        if not request.is_watch:
+            at_ms = self._copy_time(process, path, request)
+            answer = self.store.read(request, at_ms)
+            fields = {"by": process.name, "at": at_ms}
+            self.trace("store", "read", fields | request._asdict())
         else:
-            after = int(query["after"])
+            after = int(request.after)
             answer = self.store.watch(after)
             if answer is None or process.name in self.deaf:
                 watch = (process, client, number, after)
                 self._watches.append(watch)
-                end_ms = self.now_ms + int(query["wait-ms"])
+                end_ms = self.now_ms + request.wait_ms
                 self.at(end_ms, self._end_watch, watch)
                 return
         self._respond(process, client, number, answer)
 
-    def _copy_time(self, process, path, query):
+    def _copy_time(self, process, path, request):
         """Return from when the copy is that answers, None for the present state."""
-        if "stale-ok" not in query:
+        if not request.may_be_old:
             return None
-        if not (self.one_copy and "after" in query):
+        if not (self.one_copy and request.after):
             at_ms = self.now_ms - self.draw_age(process, path)
-            self._copies[process.name, query["prefix"]] = at_ms
-        return self._copies[process.name, query["prefix"]]
+            self._copies[process.name, request.prefix] = at_ms
+        return self._copies[process.name, request.prefix]
 
     def _end_watch(self, watch):
         if watch in self._watches and watch[0].name not in self.deaf:
@@ -220,8 +219,7 @@
         if self.slow and self.random.random() < 0.1 and number == client.number:
             due_ms += self.random.randrange(4_000)
             client.await_until(due_ms)
-        head = b"Store-Era: %d" % answer.era
-        response = HttpResponse(answer.status, head, dumps(answer.document).encode())
+        response = HttpResponse(answer.status, answer.head, answer.body)
         self.at(due_ms, process.deliver, client.finish, number, response)
 
     def _any_age(self, _process, _path):
--- a/libs/bench/src/lagoontally_bench/_lost_changes_run.py
+++ b/libs/bench/src/lagoontally_bench/_lost_changes_run.py
@@ -2,12 +2,12 @@
 
 from random import Random
 
-from lagoontally_platform import ENTRY_PREFIX
+from lagoontally_platform import CONFIGURATION_KEY, ENTRY_PREFIX, EVACUATION_PREFIX
 from lagoontally_platform._documents import decode_configuration, decode_target
+from lagoontally_standins.packets import LONG_AGO_MS, parse_request, target_entry
 
 from ._lost_changes_fleet import Fleet
 from ._lost_changes_plan import PRESENT
-from ._lost_changes_store import CONFIGURATION_KEY, EVACUATION_PREFIX, LONG_AGO_MS
 
 REWRITE_MS = 2_000
 EXPIRY_MS = 6_000
@@ -80,17 +80,12 @@
 
     def new_target(self):
         """Return the entry of a target that starts now."""
-        return {
-            "service": self.random.choice(SERVICES),
-            "address": f"10.0.{self.started >> 8}.{self.started & 255}:80",
-            "zone": "z0",
-            "version": "v1",
-            "max-concurrency": 2,
-            "state": "ready",
-            "warmup-left-ms": 0,
-            "seq-no": 1,
-            "born": 1_000_000 + self.fleet.now_ms,
-        }
+        return target_entry(
+            service=self.random.choice(SERVICES),
+            address=(f"10.0.{self.started >> 8}.{self.started & 255}", 80),
+            data_centre="z0",
+            born_ms=1_000_000 + self.fleet.now_ms,
+        )
 
     def write_target(self, key, document):
         """Write a target's entry; None removes it."""
@@ -301,8 +296,9 @@
         """Return which balancers still make calls other than the reader's watches."""
         self.fleet.requests.clear()
         self.fleet.run(duration_ms)
-        watching = {name for name, path in self.fleet.requests if "kv-watch" in path}
-        others = {name for name, path in self.fleet.requests if "kv-watch" not in path}
+        calls = [(name, parse_request(path)) for name, path in self.fleet.requests]
+        watching = {name for name, request in calls if request.is_watch}
+        others = {name for name, request in calls if not request.is_watch}
         found = [f"{name}: calls" for name in sorted(others)]
         return found + (["readers"] if len(watching) != 1 else [])
 
--- a/libs/soak/src/lagoontally_soak/_cold_returns.py
+++ b/libs/soak/src/lagoontally_soak/_cold_returns.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+from lagoontally_standins.packets import bearing
+
 from ._disturbances import STORE
 from ._violation import Violation
 
@@ -67,8 +69,8 @@
     def set_up(self):
         """State what cold targets bear, and make targets that start cold."""
         deployment = self.deployment
-        bearing = {"warmup-s": self.warm_up_s, "warmup-per-s": self.per_s}
-        deployment.services = [one | bearing for one in deployment.services]
+        stated = bearing(warm_up_s=self.warm_up_s, per_s=self.per_s)
+        deployment.services = [one | stated for one in deployment.services]
         deployment.publish()
         for balancer in deployment.balancers.values():
             bounds = {"warm_up_excess": self.excess, "warm_up_slack": SLACK}
--- a/libs/standins/src/lagoontally_standins/packets/_target.py
+++ b/libs/standins/src/lagoontally_standins/packets/_target.py
@@ -3,6 +3,7 @@
 import socket
 from typing import NamedTuple
 
+from ._documents import target_entry
 from ._wire import ACK, FIN, NAME_BYTES, RST, SYN, decode, encode, format_host
 
 BORN_MS = 1_790_000_000_000  # of targets that started long ago
@@ -89,18 +90,14 @@
 
     def entry(self, data_centre, state="ready"):
         """Return the target's entry for the store."""
-        host, port = self.address
-        return {
-            "service": self.service,
-            "address": f"{host}:{port}",
-            "zone": data_centre,
-            "version": "v1",
-            "max-concurrency": 2,
-            "state": state,
-            "warmup-left-ms": self.warm_up_ms,
-            "seq-no": 1,
-            "born": self.born_ms,
-        }
+        return target_entry(
+            service=self.service,
+            address=self.address,
+            data_centre=data_centre,
+            born_ms=self.born_ms,
+            state=state,
+            warm_up_ms=self.warm_up_ms,
+        )
 
     def close(self):
         """Close the ports, as when the process exits."""
--- a/libs/bench/src/lagoontally_bench/_lost_changes_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_virtual_store.py
@@ -3,12 +3,11 @@
 from base64 import b64encode
 from json import dumps
 from typing import NamedTuple
+from urllib.parse import parse_qs, urlsplit
 
 PAGE_ITEMS = 3
 FIRST_REVISION = 10
 LONG_AGO_MS = -60_000
-CONFIGURATION_KEY = "op/config"
-EVACUATION_PREFIX = "op/evacuate/"
 OK, GONE = 200, 410
 
 
@@ -30,6 +29,25 @@
     item: dict
 
 
+class Request(NamedTuple):
+    """A call to the store.
+
+    Attributes:
+        is_watch: Whether it waits for changes, else it reads a page of items.
+        prefix: Prefix of the items' keys.
+        after: Revision after which changes are wanted, or key after which the page
+            starts; empty for the first page.
+        wait_ms: How long to wait for changes.
+        may_be_old: Whether a copy may answer.
+    """
+
+    is_watch: bool
+    prefix: str
+    after: str
+    wait_ms: int
+    may_be_old: bool
+
+
 class Answer(NamedTuple):
     """A response of the store."""
 
@@ -37,6 +55,16 @@
     era: int
     document: dict
 
+    @property
+    def head(self):
+        """The response's headers as bytes."""
+        return b"Store-Era: %d" % self.era
+
+    @property
+    def body(self):
+        """The response's body as bytes."""
+        return dumps(self.document).encode()
+
 
 class History(NamedTuple):
     """Changes of an era, and until when copies could be made of it."""
@@ -46,7 +74,7 @@
     changes: list
 
 
-class Store:
+class VirtualStore:
     """Items with their history.
 
     Attributes:
@@ -95,14 +123,17 @@
         self.forgotten = min(self.forgotten, self.revision)
         self.era += 1
 
-    def read(self, query, at_ms):
+    def read(self, request, at_ms):
         """Answer a read from the state at a time, None for the present state."""
         era, changes = self.era, self.changes
         if at_ms is not None:
             era, changes = self._copy(at_ms)
         items = items_of(changes)
-        prefix, after = query["prefix"], query.get("after", "")
-        keys = sorted(key for key in items if key.startswith(prefix) and key > after)
+        keys = sorted(
+            key
+            for key in items
+            if key.startswith(request.prefix) and key > request.after
+        )
         as_of = changes[-1].revision if changes else FIRST_REVISION
         return Answer(
             OK,
@@ -138,6 +169,18 @@
         return era, [change for change in changes if change.at_ms <= at_ms]
 
 
+def parse_request(path):
+    """Return the ``Request`` with a path and query."""
+    call, query = urlsplit(path).path, parse_qs(urlsplit(path).query)
+    return Request(
+        call.endswith("kv-watch"),
+        query.get("prefix", [""])[0],
+        query.get("after", [""])[0],
+        int(query.get("wait-ms", ["0"])[0]),
+        "stale-ok" in query,
+    )
+
+
 def items_of(changes):
     """Return the last ``Change`` of each item that wasn't deleted, by key."""
     items = {}
