--- a/libs/forwarder/features/odd_entries.feature
+++ b/libs/forwarder/features/odd_entries.feature
@@ -17,6 +17,16 @@
     Then it knows no target but its first one
     And it can tell peers all that it knows
 
+  # Guards against a page that is asked for again and again.
+  Scenario: A page goes on after the last key that can be asked for
+    When a page ends with a key of half a character, and others follow
+    Then the next page starts after the key before it
+
+  # Guards against a listing that lacks targets and counts as complete.
+  Scenario: A page without items that isn't the last one is invalid
+    When a page has no items, and others follow
+    Then the page is invalid
+
   # Guards against a peer's word that is taken over without the checks of the store's.
   Scenario: Odd entries of peers change nothing
     Given a balancer that knows targets and a configuration
--- a/libs/forwarder/features/steps/odd_entries_steps.py
+++ b/libs/forwarder/features/steps/odd_entries_steps.py
@@ -13,6 +13,7 @@
 from lagoontally_forwarder._messages import decode_message, encode_message
 from lagoontally_forwarder._target_codec import split_delta
 from lagoontally_forwarder._view_document import decode_targets
+from lagoontally_platform import InvalidResponse, decode_page
 from lagoontally_standins.packets import PEER_PORT, odd_entries, odd_keys
 
 FIRST_KEY = "servers/i-1"
@@ -172,6 +173,31 @@
         respond(context, "_on_peer_targets", document.replace('"@"', text).encode())
 
 
+@when("a page ends with a key of half a character, and others follow")
+def step_unaskable(context):
+    """No query can contain it."""
+    items = [item(FIRST_KEY, ENTRY, 5), item("servers/i-\ud800-5", ENTRY, 5)]
+    context.listing = decode_page(page(items, more=True), "servers/")
+
+
+@then("the next page starts after the key before it")
+def step_next_page(context):
+    """The odd key comes again, and others with it."""
+    assert context.listing.next_key == FIRST_KEY, context.listing
+
+
+@when("a page has no items, and others follow")
+def step_no_items(context):
+    """It names no key after which the next one starts."""
+    context.listing = decode_page(page([], more=True), "servers/")
+
+
+@then("the page is invalid")
+def step_invalid_page(context):
+    """What it lacks isn't removed."""
+    assert isinstance(context.listing, InvalidResponse), context.listing
+
+
 @when("another writer leaves each kind of odd entry")
 def step_leave(context):
     """Each differs from that of a target that runs."""
