List again what a watch can't return in an answer that fits

Balancers stopped following the list while another writer's entries made the answer to the watch longer than the 8 MiB that they take (8 entries of 1 MB, real processes: an added target got no flows within 4 s). The reader made the same call again and again, until the store had dropped that history. The same holds for an answer that takes longer than 10 s to arrive, as on a slow link, and for one that can't be parsed.

Such a watch is given up now, and the list is read again: its pages are limited to about 1 MB. The stand-in's store limits them likewise.

The store's answers in time-outs and outages are handled as before: the watch goes on.

--- a/libs/flows/src/lagoontally_flows/_store/_sync.py
+++ b/libs/flows/src/lagoontally_flows/_store/_sync.py
@@ -188,6 +188,13 @@
         self._list_again()
         self.record_answer(now_ms)
 
+    def on_unusable_changes(self):
+        """Handle a watch that fails as its changes are too many, or can't be read.
+
+        The pages of a listing are limited.
+        """
+        self._list_again()
+
     def on_failure(self, now_ms):
         """Handle a failed call to the store."""
         self._settling = False
--- a/libs/forwarder/features/odd_entries.feature
+++ b/libs/forwarder/features/odd_entries.feature
@@ -50,6 +50,22 @@
     And every balancer follows the store's list within 4 s
     And no balancer has ended or reported an unexpected error
 
+  # Guards against an answer that is refused again and again.
+  Scenario: Running balancers follow the list beside entries too large for one answer
+    Given a running deployment
+    When a target is added
+    Then flows reach the added target within 4 s
+    When 2 s pass
+    And another writer leaves 8 entries of 1000000 bytes at once
+    And a target is added
+    Then flows reach the added target within 4 s
+    And every balancer follows the store's list within 4 s
+    When every balancer is restarted
+    And a target is added
+    Then flows reach the added target within 4 s
+    And every balancer follows the store's list within 4 s
+    And no balancer has ended or reported an unexpected error
+
   Scenario: Running balancers follow the list beside odd words of a peer
     Given a running deployment
     When every balancer gets each kind of odd target from a peer
--- a/libs/forwarder/features/steps/odd_entries_steps.py
+++ b/libs/forwarder/features/steps/odd_entries_steps.py
@@ -211,6 +211,15 @@
         context.odd_keys.append(key)
 
 
+@when("another writer leaves {count:d} entries of {size:d} bytes at once")
+def step_leave_large(context, count, size):
+    """Larger together than an answer that a balancer takes."""
+    store = context.deployment.store
+    context.odd_keys = [f"servers/i-0000f{number:03x}" for number in range(count)]
+    for key in context.odd_keys:
+        store.put(key, b"[" * size)
+
+
 @when("the odd entries are removed")
 def step_remove(context):
     """The other writer cleans up."""
--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -16,6 +16,7 @@
 MAX_LENGTH_DIGITS = 12  # ``int`` raises ValueError for thousands of digits
 MAX_TRANSFER_MS = 10_000  # ends a response whose bytes arrive slowly
 MAX_BODY_BYTES = 8 << 20  # a store page is at most 1 MB encoded; peer views are smaller
+TOO_LONG = "the answer is too long"
 
 
 class HttpResponse(Record, fields="status head body"):
@@ -92,7 +93,9 @@
     def on_tick(self, now_ms):
         """Fail a request that has timed out."""
         if self.busy and now_ms >= self._deadline_ms:
-            self._fail("timeout")
+            end_ms = self._transfer_end_ms
+            arrived = end_ms is not None and now_ms >= end_ms
+            self._fail(TOO_LONG if arrived else "timeout")
 
     def cancel(self):
         """Cancel the request in progress, if any, without calling ``on_done``."""
@@ -229,8 +232,10 @@
     ):
         return HttpFailure("the answer has no status line")
     length = _content_length(head)
-    if length is None or length > MAX_BODY_BYTES:
+    if length is None:
         return HttpFailure("the answer has no usable length")
+    if length > MAX_BODY_BYTES:
+        return HttpFailure(TOO_LONG)
     start = end + 4
     if len(received) < start + length:
         return None
--- a/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_store_reader.py
@@ -25,7 +25,7 @@
 )
 
 from ._configuration_updates import ConfigurationUpdates
-from ._http_client import HttpClient, HttpFailure, header_value
+from ._http_client import TOO_LONG, HttpClient, HttpFailure, header_value
 from ._pages import Pages
 from ._store_log import StoreLog
 from ._target_codec import split_delta
@@ -250,6 +250,8 @@
             return
         listing = self._decode_result(result, decode_changes)
         if listing is None:
+            if _is_unusable(result):
+                self.store_sync.on_unusable_changes()
             return
         previous = self.store_sync.history.view
         self.configuration_updates.apply(
@@ -349,3 +351,10 @@
             self._peer_client.address[0], path, succeeded=copy is not None
         )
         return copy
+
+
+def _is_unusable(result):
+    """Return whether the same call would get an unusable answer again."""
+    if isinstance(result, HttpFailure):
+        return result.reason == TOO_LONG
+    return result.status == OK
--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -9,6 +9,7 @@
 from ._writer import Writer
 
 PAGE_ITEMS = 50
+PAGE_BYTES = 1_000_000  # of values, as long as a page has one
 HISTORY_S = 20.0
 ANSWERING = "answering"
 BUSY = "busy"
@@ -160,8 +161,8 @@
         if may_be_old:
             stored, as_of = self._read_old(connection.host)
         keys = sorted(key for key in stored if key.startswith(prefix) and key > after)
-        items = [_item(stored[key]) for key in keys[:PAGE_ITEMS]]
-        more = len(keys) > PAGE_ITEMS
+        items = _page([_item(stored[key]) for key in keys[:PAGE_ITEMS]])
+        more = len(keys) > len(items)
         connection.send(200, {"items": items, "has-more": more, "as-of": as_of})
 
     def _read_old(self, host):
@@ -205,6 +206,16 @@
             watch[0].send(200, {"events": [], "as-of": self.revision})
 
 
+def _page(items):
+    """Return as many of the first items as fit into a page, one at least."""
+    size = 0
+    for count, item in enumerate(items):
+        size += len(item["value"])
+        if count and size > PAGE_BYTES:
+            return items[:count]
+    return items
+
+
 def _item(event):
     if event.document is None:
         return {"key": event.key, "revision": event.revision, "deleted": True}
