--- a/libs/forwarder/features/platform.feature
+++ b/libs/forwarder/features/platform.feature
@@ -87,6 +87,18 @@
     Then it has version 7 and 2 routes, of which 1 is repeatable
     And the first route is split 90 to 10
 
+  # Guards against flows that go to a service of weight 0 while the others' targets are
+  # left out, as they may have refused the caller.
+  Scenario Outline: A service of weight 0 gets no flows of a route
+    When the documented configuration with the first route split <weights> is decoded
+    Then the first route's flows go to <services>
+
+    Examples:
+      | weights  | services        |
+      | 100 to 0 | huvo11a         |
+      | 0 to 5   | wuno96b         |
+      | 0 to 0   | huvo11a wuno96b |
+
   Scenario Outline: An invalid configuration is rejected
     When a configuration whose <field> is <value> is decoded
     Then there is no configuration and 1 fault
--- a/libs/forwarder/features/steps/platform_steps.py
+++ b/libs/forwarder/features/steps/platform_steps.py
@@ -1,6 +1,7 @@
 """Steps for packet headers, entries, configurations and responses of the store."""
 
 import json
+from copy import deepcopy
 
 from behave import then, when
 from fixtures import CONFIGURATION, ENTRY, changes, item, page
@@ -192,6 +193,24 @@
     assert route.shares == (("huvo11a", first), ("wuno96b", second)), route
 
 
+@when(
+    "the documented configuration with the first route split {first:d} to {second:d} "
+    "is decoded"
+)
+def step_weights(context, first, second):
+    document = deepcopy(CONFIGURATION)
+    shares = document["routes"][0]["traffic-split"]
+    shares[0]["weight"], shares[1]["weight"] = first, second
+    context.listing = decode_page(page([item("op/config", document)]))
+
+
+@then("the first route's flows go to {services}")
+def step_services(context, services):
+    route = context.listing.configuration.routes[(0xC6120001, 8443)]
+    names = [service for service, _ in route.shares]
+    assert " ".join(names) == services, route
+
+
 @then("there is no configuration and {faults:d} fault")
 def step_no_configuration(context, faults):
     assert context.listing.configuration is None
