--- a/libs/soak/src/lagoontally_soak/_planned_work.py
+++ b/libs/soak/src/lagoontally_soak/_planned_work.py
@@ -16,6 +16,8 @@
 CHECK_END_S = 0.05
 SPREAD_AFTER_S = (0.2, 0.9)  # between a signal to stop and a version
 ENTRY_S = (1.0, 4.0)  # that another writer's entry is listed
+LARGE_ENTRIES, LARGE_BYTES = 8, 1_000_000  # more than a balancer takes in one answer
+LARGE_AT_S = (2.0, 12.0)
 READABLE, READABLE_SHARE = "a service that nothing names", 0.5  # of these entries
 CROWD_S = (1.0, 3.0)
 SLOW_EVERY, SLOW_S = 4, 0.6  # of a crowded target's requests
@@ -32,15 +34,19 @@
         pending_since: When the latest request of each flow was sent, while no outcome
             is known.
         random: Seeded ``Random``.
+        large_random: Another one, for large entries.
     """
 
-    def __init__(self, deployment, faults, series, pending_since, random):
+    def __init__(
+        self, deployment, faults, series, pending_since, *, random, large_random
+    ):
         self.deployment = deployment
         self.loop = deployment.loop
         self.faults = faults
         self.series = series
         self.pending_since = pending_since
         self.random = random
+        self.large_random = large_random
         self.next_port = FIRST_IDLE_PORT
         self.stopping = None
         self.odd_keys = set()
@@ -49,6 +55,8 @@
         """Publish the routes that see no traffic."""
         self._add_idle_routes(IDLE_ROUTES)
         self.faults.publish()
+        delay_s = self.large_random.uniform(*LARGE_AT_S)
+        self.loop.after(delay_s, self.write_large_entries)
 
     def inject_one(self):
         """Begin a random piece of work."""
@@ -109,6 +117,16 @@
         duration_s = self.random.uniform(*ENTRY_S)
         self.loop.after(duration_s, lambda: self._remove_entry(key))
 
+    def write_large_entries(self):
+        """Write entries that name no target and don't fit into one answer."""
+        keys = [f"servers/i-1a47{number:04x}" for number in range(LARGE_ENTRIES)]
+        self.odd_keys.update(keys)
+        for key in keys:
+            self.deployment.store.put(key, b"[" * LARGE_BYTES)
+        duration_s = self.large_random.uniform(*ENTRY_S)
+        for key in keys:
+            self.loop.after(duration_s, lambda key=key: self._remove_entry(key))
+
     def crowd_target(self):
         """Let some requests of a target take long, and their callers give up."""
         identity = self.random.choice(sorted(self.deployment.targets))
--- a/libs/soak/src/lagoontally_soak/_run.py
+++ b/libs/soak/src/lagoontally_soak/_run.py
@@ -101,9 +101,13 @@
         self.injecting_faults = False
         self.planned_work = None
         if planned:
-            random = Random(f"planned work {seed}")
             self.planned_work = PlannedWork(
-                self.deployment, self.faults, self.series, self.pending_since, random
+                self.deployment,
+                self.faults,
+                self.series,
+                self.pending_since,
+                random=Random(f"planned work {seed}"),
+                large_random=Random(f"large entries {seed}"),
             )
 
     def run(self, seconds):
