--- a/libs/forwarder/src/lagoontally_forwarder/_http_client.py
+++ b/libs/forwarder/src/lagoontally_forwarder/_http_client.py
@@ -94,8 +94,8 @@
         """Fail a request that has timed out."""
         if self.busy and now_ms >= self._deadline_ms:
             end_ms = self._transfer_end_ms
-            arrived = end_ms is not None and now_ms >= end_ms
-            self._fail(TOO_LONG if arrived else "timeout")
+            is_too_long = end_ms is not None and now_ms >= end_ms
+            self._fail(TOO_LONG if is_too_long else "timeout")
 
     def cancel(self):
         """Cancel the request in progress, if any, without calling ``on_done``."""
