HTTP client's tests: the reason of answers that are too long

Two examples expected the earlier reasons, "usable length" for a length of 100,000,000 and "timeout" for bytes that arrive for 10 s. Both are told apart now, since the same call fails again; the examples ask for the new reason in full.

--- a/libs/forwarder/features/http.feature
+++ b/libs/forwarder/features/http.feature
@@ -9,7 +9,7 @@
       | a length of 5,000 digits     | usable length               |
       | a status of 5,000 digits     | no status line              |
       | no length                    | usable length               |
-      | a length of 100,000,000      | usable length               |
+      | a length of 100,000,000      | the answer is too long      |
       | a head without an end        | too long                    |
 
   Scenario: A response is complete with its last byte
@@ -21,11 +21,11 @@
     Then the request ends after <duration> ms with <result>
 
     Examples:
-      | size    | interval | duration | result       |
-      | 100100  | 100      | 50       | the response |
-      | 25000   | 1000     | 4050     | the response |
-      | 25000   | 1500     | 1200     | timeout      |
-      | 500     | 100      | 10000    | timeout      |
+      | size    | interval | duration | result                 |
+      | 100100  | 100      | 50       | the response           |
+      | 25000   | 1000     | 4050     | the response           |
+      | 25000   | 1500     | 1200     | timeout                |
+      | 500     | 100      | 10000    | the answer is too long |
 
   Scenario Outline: A second copy of a response isn't taken for the next one
     Given a client whose first request was answered
