Don't read old copies first after the store was away

A balancer that starts while the store is away read a copy first when the store was back, as each does at its start: it costs a tenth. The copy may be from before the outage, and it held for 1.5 s until a reader read.

"The first reads after an outage aren't from an old copy" failed before.

--- a/libs/flows/features/positions.feature
+++ b/libs/flows/features/positions.feature
@@ -8,6 +8,17 @@
     And version 5 arrives from a peer
     Then its next call reads the configuration, not from an old copy
 
+  # Guards against an old copy of the time before an outage, in force until a reader reads.
+  Scenario Outline: The first reads after an outage aren't from an old copy
+    Given a balancer, which has read nothing yet
+    When <outage>
+    Then its first listing and configuration <age>
+
+    Examples:
+      | outage                     | age                     |
+      | the store answers at once  | may be from an old copy |
+      | the store fails for a call | aren't from an old copy |
+
   Scenario: Reads that may be old give no position
     Given a balancer without a position
     When a listing that may be old and names revision 20 arrives
--- a/libs/flows/features/steps/positions_steps.py
+++ b/libs/flows/features/steps/positions_steps.py
@@ -34,6 +34,46 @@
     context.store_sync.on_era(1, 0)
 
 
+@given("a balancer, which has read nothing yet")
+def step_started(context):
+    """It knows nothing."""
+    context.now_ms = 0
+    context.store_sync = StoreSync(priority=9, random=Random(1))
+
+
+@when("the store answers at once")
+def step_answers(_context):
+    """No call fails."""
+
+
+@when("the store fails for a call")
+def step_fails(context):
+    """It answers the next one."""
+    assert_next_call(context, ListTargets(True))
+    context.store_sync.on_failure(context.now_ms)
+
+
+@then("its first listing and configuration may be from an old copy")
+def step_first_old(context):
+    """Each balancer reads at its start, and such a read costs a tenth."""
+    assert_first_reads(context, may_be_old=True)
+
+
+@then("its first listing and configuration aren't from an old copy")
+def step_first_new(context):
+    """The store may have changed while it was away."""
+    assert_first_reads(context, may_be_old=False)
+
+
+def assert_first_reads(context, *, may_be_old):
+    """Answer the listing, and compare both calls."""
+    assert_next_call(context, ListTargets(may_be_old))
+    context.store_sync.on_listed(20, context.now_ms, may_be_old=may_be_old)
+    if may_be_old:
+        assert_next_call(context, Watch(20, 1))
+    assert_next_call(context, ReadConfiguration(may_be_old))
+
+
 @given("a reader that knows targets and configuration up to revision {revision:d}")
 def step_reader(context, revision):
     """Both were read consistently."""
--- a/libs/flows/src/lagoontally_flows/_store/_reads.py
+++ b/libs/flows/src/lagoontally_flows/_store/_reads.py
@@ -136,14 +136,22 @@
         # All balancers poll until the operator publishes the first configuration.
         # Beacons correct an outdated one, as they do for the first listing.
         nothing_known = self.announced_version == self.configuration_version == 0
-        return ReadConfiguration(nothing_known and not self.history.stale_refused)
+        return ReadConfiguration(nothing_known and self._may_read_copy())
 
     def _first_call(self, now_ms):
         """Try the store first; while it fails, alternate with a balancer that knows."""
         if self.failures and self._take_reader_turn(now_ms):
             return FetchTargets(self._host_to_ask())
         nothing_known = self._first_listing and self.history.targets is None
-        return ListTargets(nothing_known and not self.history.stale_refused)
+        return ListTargets(nothing_known and self._may_read_copy())
+
+    def _may_read_copy(self):
+        """Return whether first reads may be of an old copy, which costs a tenth.
+
+        After an outage the copy may be from before it, and holds until a reader reads.
+        """
+        has_failed = self.failures > 0 or self.recovered_ms is not None
+        return not has_failed and not self.history.stale_refused
 
     def _take_reader_turn(self, now_ms):
         self._reader_is_next = not self._reader_is_next
