--- a/libs/forwarder/features/steps/stale_read_steps.py
+++ b/libs/forwarder/features/steps/stale_read_steps.py
@@ -1,7 +1,7 @@
 """Steps for reads of the store that may be old."""
 
 from behave import then, when
-from deployments import LOCAL, request_all
+from deployments import LOCAL, refusals, request_all
 
 from lagoontally_standins.packets import Outcome
 
@@ -59,7 +59,7 @@
     }
     assert services == {context.service}, (services, in_force)
     outcomes = {flow.outcome for flow in flows}
-    assert outcomes == {Outcome.ANSWERED}, (outcomes, in_force)
+    assert outcomes == {Outcome.ANSWERED}, (outcomes, in_force, refusals(context))
 
 
 @then("the log of every balancer tells the revisions of what it read")
