--- a/libs/forwarder/features/odd_entries.feature
+++ b/libs/forwarder/features/odd_entries.feature
@@ -19,7 +19,7 @@
 
   # Guards against a page that is asked for again and again.
   Scenario: A page goes on after the last key that can be asked for
-    When a page ends with a key of half a character, and others follow
+    When a page ends with a key that holds a lone surrogate, and others follow
     Then the next page starts after the key before it
 
   # Guards against a listing that lacks targets and counts as complete.
--- a/libs/forwarder/features/steps/odd_entries_steps.py
+++ b/libs/forwarder/features/steps/odd_entries_steps.py
@@ -173,7 +173,7 @@
         respond(context, "_on_peer_targets", document.replace('"@"', text).encode())
 
 
-@when("a page ends with a key of half a character, and others follow")
+@when("a page ends with a key that holds a lone surrogate, and others follow")
 def step_unaskable(context):
     """No query can contain it."""
     items = [item(FIRST_KEY, ENTRY, 5), item("servers/i-\ud800-5", ENTRY, 5)]
--- a/libs/standins/src/lagoontally_standins/packets/_odd_entries.py
+++ b/libs/standins/src/lagoontally_standins/packets/_odd_entries.py
@@ -18,7 +18,7 @@
     changed = {
         "a service that nothing names": {"service": "print-spooler"},
         "a service of another type": {"service": ["pivot-link"]},
-        "a service with half a character": {"service": "\ud800"},
+        "a service with a lone surrogate": {"service": "\ud800"},
         "a service with a very long name": {"service": "x" * 400_000},
         "a zone with a very long name": {"zone": "é" * 300},
         "an unknown state": {"state": "asleep"},
