--- a/libs/standins/src/lagoontally_standins/packets/_store.py
+++ b/libs/standins/src/lagoontally_standins/packets/_store.py
@@ -9,7 +9,7 @@
 from ._writer import Writer
 
 PAGE_ITEMS = 50
-PAGE_BYTES = 1_000_000  # of values, as long as a page has one
+PAGE_BYTES = 1_000_000  # of values; a page has one item at least
 HISTORY_S = 20.0
 ANSWERING = "answering"
 BUSY = "busy"
