--- a/review/lab/target.py
+++ b/review/lab/target.py
@@ -34,6 +34,8 @@
         address: Host and port.
         arrivals: Time, flow, flags and balancer's host of each packet for it.
         runs: Time, request and flow of each request that it began to work on.
+        repeats_syn_acks: Whether an answer to a SYN that isn't acknowledged is sent
+            again, as other packets are, or only if a copy of the SYN arrives.
         loses: Function of a flow that returns whether the network loses the first
             answer to its SYN.
     """
@@ -52,6 +54,7 @@
         self.runs = []
         self.lost = []
         self.loses = lambda _flow: False
+        self.repeats_syn_acks = True
         self._flows = {}
         self._seq_no = 1
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -145,10 +148,13 @@
                 packet.flow, (packet.seq + 1) & 0xFFFFFFFF
             )
             flow.echo = packet.echo
-            self._transmit(
-                lambda: flow.opened or self._flows.get(packet.flow) is not flow,
-                lambda tries: self._send_syn_ack(flow, tries),
-            )
+            if self.repeats_syn_acks:
+                self._transmit(
+                    lambda: flow.opened or self._flows.get(packet.flow) is not flow,
+                    lambda tries: self._send_syn_ack(flow, tries),
+                )
+            else:
+                self._send_syn_ack(flow, 0)
         elif not flow.opened:
             self._send_syn_ack(flow, 1)
 
