--- a/review/lab/world.py
+++ b/review/lab/world.py
@@ -321,11 +321,15 @@
 
     async def main():
         world = World(folder / "record.txt")
+        cancel = asyncio.current_task().cancel
+        for number in (signal.SIGTERM, signal.SIGINT):
+            world.loop.add_signal_handler(number, cancel)
         try:
             breaks = await play(world, os.environ.get("TROUBLE") != "0")
-        except CannotRunError as error:
-            world.note(f"can't run: {error}")
-            print(f"can't run: {error}")
+        except (CannotRunError, asyncio.CancelledError) as error:
+            reason = str(error) or "ended by a signal"
+            world.note(f"can't run: {reason}")
+            print(f"can't run: {reason}")
             return 2
         else:
             for text in breaks:
